Set up the workspace, the layers and the interfaces

Cause: nothing exists yet, and the parts (daemon, tool, stand-ins) need one agreed set of types. Ruled out: one object holding the whole configuration. A change would then cost its full size (about 200 KB at 1,100 upstreams) at each daemon; a log of changes costs its own size, gives the audit trail, and makes the race of two operators a race for one object name. Result: the workspace builds, formatter and linter are clean; there are no tests yet.

--- /dev/null
+++ b/crates/primrosehoist-cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The cli of primrosehoist.
+
+fn main() {}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon of primrosehoist.
+
+fn main() {}
--- /dev/null
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -0,0 +1,3 @@
+//! The standin of primrosehoist.
+
+fn main() {}
--- /dev/null
+++ b/src/coordination/mod.rs
@@ -0,0 +1,4 @@
+//! Agreement between daemons: membership, holding of upstreams, configuration, claims.
+//!
+//! Modules here are state machines that are told what happened and when, and say what to do
+//! next. Transport performs it.
--- /dev/null
+++ b/src/protocol/mod.rs
@@ -0,0 +1,5 @@
+//! Messages: what goes over a connection and how it is encoded.
+
+pub mod outcome;
+pub mod platform;
+pub mod wire;
--- /dev/null
+++ b/src/protocol/wire.rs
@@ -0,0 +1,208 @@
+//! Frames between daemons: `bincode`, each after its length as four big-endian bytes.
+//!
+//! An exchange is one `h2` request. The caller sends one [`Request`] and, for a dispatch, the body
+//! as raw `h2` data after it. The callee answers [`Reply`] frames until the exchange ends.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::protocol::outcome::Failure;
+use crate::state::change::Change;
+use crate::state::fleet::Version;
+use crate::state::name;
+
+/// The version of the frames. A peer of another version is refused.
+pub const VERSION: u16 = 1;
+
+/// The longest accepted frame, in bytes.
+pub const FRAME_BYTES_MAX: usize = 4 << 20;
+
+/// Opens an exchange.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Request {
+    /// Tells the callee that the caller lives, and what it knows.
+    Heartbeat(Heartbeat),
+    /// Asks for the changes that follow a version.
+    Changes(Version),
+    /// Asks the callee to run a request on an upstream that it holds.
+    Dispatch(Dispatch),
+    /// Asks the callee not to take the upstream from its holder for a while.
+    Promise(Promise),
+    /// Tells the callee that the caller takes an upstream over.
+    Takeover(Takeover),
+}
+
+/// Answers an exchange; a dispatch is answered by several.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Answers a heartbeat.
+    Heartbeat(Heartbeat),
+    /// Answers a question for changes. `snapshot` is set when the log no longer reaches back.
+    Changes {
+        /// The serialized fleet to start from, if the changes do not suffice.
+        snapshot: Option<Bytes>,
+        /// The changes, oldest first.
+        changes: Vec<Change>,
+    },
+    /// The holder admitted the request and sends it to the upstream now.
+    Sent {
+        /// Milliseconds that the request waited in the holder's queue.
+        queued_ms: u64,
+    },
+    /// The head of the upstream's answer.
+    Head {
+        /// The HTTP status.
+        status: u16,
+        /// The content type.
+        content_type: String,
+    },
+    /// A part of the upstream's answer: a whole SSE event, or bytes of a plain answer.
+    Part {
+        /// The position of this part in the answer, from zero.
+        index: u64,
+        /// The bytes to hand on.
+        data: Bytes,
+    },
+    /// The answer is whole.
+    End,
+    /// The request failed at the holder or at the upstream.
+    Failed(Failure),
+    /// Whether the callee gives the promise or accepts the takeover.
+    Answer(Answer),
+}
+
+/// What a daemon knows and others should.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Who sends.
+    pub host: name::Host,
+    /// The sender's zone.
+    pub zone: name::Zone,
+    /// Where the sender's peer port listens.
+    pub address: String,
+    /// Drawn at the start of the process, so that a restart is noticed.
+    pub incarnation: u64,
+    /// The configuration version in force at the sender.
+    pub version: Version,
+    /// Whether the sender shuts down and takes no new work.
+    pub draining: bool,
+    /// Milliseconds since the sender last read the platform, if it ever did.
+    pub platform_age_ms: Option<u64>,
+    /// The upstreams that the sender holds.
+    pub adverts: Vec<Advert>,
+    /// Other daemons that the sender knows to be alive.
+    pub members: Vec<Member>,
+}
+
+/// A daemon that is known to be alive.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// The name of the daemon's host.
+    pub host: name::Host,
+    /// Its zone.
+    pub zone: name::Zone,
+    /// Its peer port.
+    pub address: String,
+}
+
+/// The state of a held upstream, as its holder advertises it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Advert {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// The fencing number of the holding.
+    pub epoch: u64,
+    /// Requests that the holder admits at once.
+    pub limit: u32,
+    /// Requests in flight at the upstream.
+    pub in_flight: u32,
+    /// Requests in the holder's queue.
+    pub queued: u32,
+    /// Tokens of prompt and answer that are in flight or queued.
+    pub tokens: u64,
+    /// KV memory in tokens that is not reserved.
+    pub memory_free: u64,
+    /// Prefill speed shown lately, in tokens per second.
+    pub prefill_rate: u64,
+}
+
+/// A request to run on one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Dispatch {
+    /// The request, the same over all attempts.
+    pub request: String,
+    /// This attempt; the upstream sees it as its request id.
+    pub attempt: String,
+    /// The workspace that asks.
+    pub workspace: name::Workspace,
+    /// The half that the workspace belongs to.
+    pub half: name::Half,
+    /// The upstream to run it.
+    pub upstream: name::Upstream,
+    /// The configuration version that the sender decided by.
+    pub version: Version,
+    /// Milliseconds until the time limit of the request, from when the frame was sent.
+    pub remaining_ms: u64,
+    /// The HTTP method.
+    pub method: String,
+    /// The path and query for the upstream.
+    pub path: String,
+    /// The content type of the body.
+    pub content_type: String,
+    /// Whether the answer is a stream of SSE events.
+    pub stream: bool,
+    /// The length of the body in bytes.
+    pub body_bytes: u64,
+    /// The expected prompt length in tokens.
+    pub prompt_tokens: u64,
+    /// The longest answer in tokens.
+    pub answer_tokens: u64,
+    /// Whether the request is suspected to end upstreams and must run alone.
+    pub suspect: bool,
+    /// The digest of the content.
+    pub fingerprint: String,
+    /// The first part that is still wanted. Above zero, the attempt resumes a stream.
+    pub resume_from: u64,
+}
+
+/// Asks not to take upstreams from their holder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Promise {
+    /// The holder that asks.
+    pub holder: name::Host,
+    /// How long the promise lasts, in milliseconds from its receipt.
+    pub duration_ms: u64,
+    /// The upstreams with the epochs that the asker holds them by.
+    pub holdings: Vec<Holding>,
+}
+
+/// An upstream with the epoch of its holding.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// The fencing number.
+    pub epoch: u64,
+}
+
+/// Tells that upstreams are taken over from a holder that is not heard of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Takeover {
+    /// Who takes over.
+    pub taker: name::Host,
+    /// From whom.
+    pub from: name::Host,
+    /// The upstreams with their new epochs.
+    pub holdings: Vec<Holding>,
+}
+
+/// Answers a [`Promise`] or a [`Takeover`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Whether the callee agrees.
+    pub agreed: bool,
+    /// Milliseconds since the callee last read the zone's holdings, if it ever did.
+    pub platform_age_ms: Option<u64>,
+    /// The holdings that the callee last read for the upstreams asked about.
+    pub holdings: Vec<Holding>,
+}
--- /dev/null
+++ b/src/state/change.rs
@@ -0,0 +1,113 @@
+//! Accepted changes of the configuration.
+//!
+//! The configuration is a log of changes. Change `n` is the object that was created under the
+//! number `n`; creating it is conditional, so of two racing operators exactly one obtains the
+//! number and the other learns whose change stands there. The log is the audit trail as well.
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::fleet::{Fingerprint, Fleet, Presence, Service, Upstream, Version, Workspace};
+use crate::state::name;
+
+/// One accepted change: the step from version `version - 1` to `version`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The version that results from this change.
+    pub version: Version,
+    /// Who made the change.
+    pub author: String,
+    /// Why the change was made, in the author's words.
+    pub reason: String,
+    /// Milliseconds since the Unix epoch, by the author's clock. Informative only.
+    pub time_ms: u64,
+    /// Distinguishes this attempt to write from any other, to settle a lost answer.
+    pub nonce: String,
+    /// What the change does, in order.
+    pub entries: Vec<Entry>,
+}
+
+/// One step of a change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Entry {
+    /// Adds or replaces a service.
+    PutService(Service),
+    /// Removes a service.
+    RemoveService(name::Service),
+    /// Adds or replaces a workspace.
+    PutWorkspace(Workspace),
+    /// Removes a workspace.
+    RemoveWorkspace(name::Workspace),
+    /// Adds or replaces an upstream.
+    PutUpstream(Upstream),
+    /// Removes an upstream.
+    RemoveUpstream(name::Upstream),
+    /// Lets an upstream leave or come back.
+    SetUpstream(name::Upstream, Presence),
+    /// Takes a zone out of service.
+    ZoneOut(name::Zone),
+    /// Brings a zone back into service.
+    ZoneIn(name::Zone),
+    /// Forbids a request, with the reason.
+    Quarantine(Fingerprint, String),
+    /// Allows a forbidden request again.
+    Release(Fingerprint),
+}
+
+impl Fleet {
+    /// Applies `change` if it is the next one; returns whether it was.
+    ///
+    /// A change that was applied already, or one with a gap before it, leaves the fleet as it is.
+    pub fn apply(&mut self, change: &Change) -> bool {
+        if change.version != self.version + 1 {
+            return false;
+        }
+        for entry in &change.entries {
+            self.apply_entry(entry);
+        }
+        self.version = change.version;
+        true
+    }
+
+    fn apply_entry(&mut self, entry: &Entry) {
+        match entry {
+            Entry::PutService(service) => {
+                self.services.insert(service.name.clone(), service.clone());
+            }
+            Entry::RemoveService(name) => {
+                self.services.remove(name);
+            }
+            Entry::PutWorkspace(workspace) => {
+                self.workspaces
+                    .insert(workspace.name.clone(), workspace.clone());
+            }
+            Entry::RemoveWorkspace(name) => {
+                self.workspaces.remove(name);
+            }
+            Entry::PutUpstream(upstream) => {
+                self.upstreams
+                    .insert(upstream.name.clone(), upstream.clone());
+            }
+            Entry::RemoveUpstream(name) => {
+                self.upstreams.remove(name);
+            }
+            Entry::SetUpstream(name, state) => {
+                if let Some(upstream) = self.upstreams.get_mut(name) {
+                    upstream.state = *state;
+                }
+            }
+            Entry::ZoneOut(zone) => {
+                self.zones_out.insert(zone.clone());
+            }
+            Entry::ZoneIn(zone) => {
+                self.zones_out.remove(zone);
+            }
+            Entry::Quarantine(fingerprint, reason) => {
+                self.quarantine.insert(fingerprint.clone(), reason.clone());
+            }
+            Entry::Release(fingerprint) => {
+                self.quarantine.remove(fingerprint);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,9 @@
+//! State of the fleet and the pure decisions over it.
+//!
+//! Nothing here performs I/O or reads a clock: a decision receives the state and the time it is
+//! made at. That keeps every policy testable on a paused clock and replayable from a seed.
+
+pub mod change;
+pub mod fleet;
+pub mod map;
+pub mod name;
--- /dev/null
+++ b/src/transport/mod.rs
@@ -0,0 +1,1 @@
+//! Connections: peer links, HTTP towards callers, upstreams and the platform.
