Add the view, the lease and the shared state of the daemon

Cause: request path, peer links and policy are built side by side and meet in these types. Change: adverts and members move to the state layer, so that placement can read them without importing the protocol layer; a lease is one atomic deadline, read without a lock. Ruled out: adverts in the protocol layer, because state must not import upward. Result: builds; no behaviour to measure yet.

--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -1,3 +1,5 @@
 //! The daemon of primrosehoist.
 
+mod node;
+
 fn main() {}
--- /dev/null
+++ b/src/coordination/lease.rs
@@ -0,0 +1,54 @@
+//! The right to send work to an upstream, read on the request path.
+//!
+//! The holding loop extends a lease each time it learns that the holding still stands. Senders
+//! read it without a lock right before the first byte goes out. A process that was paused finds
+//! the lease lapsed, because the clock went on.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// A lease on one upstream.
+#[derive(Debug)]
+pub struct Lease {
+    base: Instant,
+    epoch: u64,
+    /// Milliseconds after `base` at which the lease lapses. Zero when it was given up.
+    until_ms: AtomicU64,
+}
+
+impl Lease {
+    /// Creates a lease with the fencing number `epoch` that lapses at `until`.
+    pub fn new(epoch: u64, now: Instant, until: Instant) -> Self {
+        let lease = Self {
+            base: now,
+            epoch,
+            until_ms: AtomicU64::new(0),
+        };
+        lease.extend(until);
+        lease
+    }
+
+    /// Returns the fencing number.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Lets the lease last until `until`, unless it lasts longer already or was given up.
+    pub fn extend(&self, until: Instant) {
+        let millis = until.saturating_duration_since(self.base).as_millis() as u64;
+        self.until_ms.fetch_max(millis, Ordering::AcqRel);
+    }
+
+    /// Gives the lease up for good.
+    pub fn release(&self) {
+        self.until_ms.store(0, Ordering::Release);
+    }
+
+    /// Returns whether work may be sent at `now`.
+    pub fn holds(&self, now: Instant) -> bool {
+        let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
+        now.saturating_duration_since(self.base) < until
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -2,3 +2,5 @@
 //!
 //! Modules here are state machines that are told what happened and when, and say what to do
 //! next. Transport performs it.
+
+pub mod lease;
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -10,6 +10,7 @@
 use crate::state::change::Change;
 use crate::state::fleet::Version;
 use crate::state::name;
+use crate::state::view::{Advert, Member};
 
 /// The version of the frames. A peer of another version is refused.
 pub const VERSION: u16 = 1;
@@ -94,38 +95,6 @@
     pub members: Vec<Member>,
 }
 
-/// A daemon that is known to be alive.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// The name of the daemon's host.
-    pub host: name::Host,
-    /// Its zone.
-    pub zone: name::Zone,
-    /// Its peer port.
-    pub address: String,
-}
-
-/// The state of a held upstream, as its holder advertises it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Advert {
-    /// The upstream.
-    pub upstream: name::Upstream,
-    /// The fencing number of the holding.
-    pub epoch: u64,
-    /// Requests that the holder admits at once.
-    pub limit: u32,
-    /// Requests in flight at the upstream.
-    pub in_flight: u32,
-    /// Requests in the holder's queue.
-    pub queued: u32,
-    /// Tokens of prompt and answer that are in flight or queued.
-    pub tokens: u64,
-    /// KV memory in tokens that is not reserved.
-    pub memory_free: u64,
-    /// Prefill speed shown lately, in tokens per second.
-    pub prefill_rate: u64,
-}
-
 /// A request to run on one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,3 +7,4 @@
 pub mod fleet;
 pub mod map;
 pub mod name;
+pub mod view;
