--- /dev/null
+++ b/crates/primrosehoist-tests/tests/common/caller.rs
@@ -0,0 +1,212 @@
+//! A caller: sends requests, reads streams, and judges whether an answer is whole and its own.
+
+use std::io::{BufRead, BufReader, Read};
+use std::time::{Duration, Instant};
+
+use oxhttp::Client;
+use oxhttp::model::{Body, Request, Response};
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+/// One completion to ask for.
+#[derive(Clone)]
+pub struct Ask {
+    pub address: String,
+    pub key: String,
+    pub model: String,
+    pub prompt: String,
+    pub max_tokens: usize,
+    pub timeout_ms: Option<u64>,
+    pub stream: bool,
+}
+
+/// What came back for an [`Ask`].
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// The HTTP status; zero if the connection failed before one came.
+    pub status: u16,
+    /// The text of each token.
+    pub tokens: Vec<String>,
+    /// Whether `[DONE]` and the orderly end of the body were seen.
+    pub done: bool,
+    /// The error object, if one came.
+    pub error: Option<Value>,
+    /// From the send to the first token.
+    pub first_token: Option<Duration>,
+    /// From the send to the end.
+    pub total: Duration,
+    /// The id under which the daemon logged the request.
+    pub request_id: Option<String>,
+}
+
+impl Answer {
+    /// Returns the reported outcome, `complete` or `lost` when nothing was reported.
+    pub fn outcome(&self) -> String {
+        if self.done {
+            return "complete".to_owned();
+        }
+        let named = self.error.as_ref().and_then(|e| e["outcome"].as_str());
+        named.unwrap_or("lost").to_owned()
+    }
+}
+
+/// Returns the token that an engine stand-in gives at `index` for `prompt`.
+pub fn token(prompt: &str, index: usize) -> String {
+    let mut hash = Sha256::new();
+    hash.update(prompt.as_bytes());
+    hash.update(index.to_string().as_bytes());
+    format!("{} ", &hex::encode(hash.finalize())[..8])
+}
+
+/// Returns whether `answer` is the whole answer to `ask` and to no other.
+pub fn whole(ask: &Ask, answer: &Answer) -> bool {
+    let expected: Vec<String> = (0..ask.max_tokens).map(|i| token(&ask.prompt, i)).collect();
+    answer.done && answer.status == 200 && answer.tokens == expected
+}
+
+/// Returns whether what came of an incomplete answer is a true beginning of it.
+pub fn prefix(ask: &Ask, answer: &Answer) -> bool {
+    answer.tokens.len() <= ask.max_tokens
+        && answer
+            .tokens
+            .iter()
+            .enumerate()
+            .all(|(i, t)| *t == token(&ask.prompt, i))
+}
+
+/// Returns a client that gives up after `limit`.
+pub fn client(limit: Duration) -> Client {
+    Client::new().with_global_timeout(limit)
+}
+
+/// Sends `ask` and reads its answer to the end.
+pub fn complete(ask: &Ask) -> Answer {
+    let start = Instant::now();
+    let body = json!({
+        "model": ask.model, "prompt": ask.prompt, "max_tokens": ask.max_tokens, "stream": ask.stream,
+    });
+    let mut builder = Request::builder()
+        .method("POST")
+        .uri(format!("http://{}/v1/completions", ask.address))
+        .header("authorization", format!("Bearer {}", ask.key))
+        .header("content-type", "application/json");
+    if let Some(limit) = ask.timeout_ms {
+        builder = builder.header("x-timeout-ms", limit.to_string());
+    }
+    let request = builder
+        .body(Body::from(body.to_string()))
+        .expect("the request is well formed");
+    let mut answer = Answer {
+        status: 0,
+        tokens: Vec::new(),
+        done: false,
+        error: None,
+        first_token: None,
+        total: Duration::ZERO,
+        request_id: None,
+    };
+    if let Ok(response) = client(Duration::from_secs(120)).request(request) {
+        answer.status = response.status().as_u16();
+        answer.request_id = header(&response, "x-request-id");
+        if answer.status == 200 && ask.stream {
+            read_stream(response.into_body(), start, &mut answer);
+        } else {
+            read_whole(response.into_body(), &mut answer);
+        }
+    }
+    answer.total = start.elapsed();
+    answer
+}
+
+fn header(response: &Response<Body>, name: &str) -> Option<String> {
+    response
+        .headers()
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .map(str::to_owned)
+}
+
+fn read_whole(mut body: Body, answer: &mut Answer) {
+    let mut text = String::new();
+    let orderly = body.read_to_string(&mut text).is_ok();
+    let Ok(value) = serde_json::from_str::<Value>(&text) else {
+        return;
+    };
+    if value["error"].is_object() {
+        answer.error = Some(value["error"].clone());
+        return;
+    }
+    let content = value["choices"][0]["text"].as_str().unwrap_or_default();
+    answer.tokens = content.split_inclusive(' ').map(str::to_owned).collect();
+    answer.done = orderly;
+}
+
+fn read_stream(body: Body, start: Instant, answer: &mut Answer) {
+    let mut marked = false;
+    let mut orderly = true;
+    for line in BufReader::new(body).lines() {
+        let Ok(line) = line else {
+            orderly = false;
+            break;
+        };
+        let Some(data) = line.strip_prefix("data:") else {
+            continue;
+        };
+        if data.trim() == "[DONE]" {
+            marked = true;
+            continue;
+        }
+        let Ok(value) = serde_json::from_str::<Value>(data) else {
+            continue;
+        };
+        if value["error"].is_object() {
+            answer.error = Some(value["error"].clone());
+            continue;
+        }
+        if let Some(text) = value["choices"][0]["text"]
+            .as_str()
+            .filter(|text| !text.is_empty())
+        {
+            answer.first_token.get_or_insert_with(|| start.elapsed());
+            answer.tokens.push(text.to_owned());
+        }
+    }
+    answer.done = marked && orderly && answer.error.is_none();
+}
+
+/// Sends a JSON request and returns status and body; status zero means that none came.
+pub fn call(method: &str, url: &str, headers: &[(&str, &str)], body: &str) -> Reply {
+    let mut builder = Request::builder().method(method).uri(url);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let request = builder
+        .body(Body::from(body.to_owned()))
+        .expect("the request is well formed");
+    let Ok(response) = client(Duration::from_secs(60)).request(request) else {
+        return Reply {
+            status: 0,
+            body: String::new(),
+        };
+    };
+    let status = response.status().as_u16();
+    let mut body = String::new();
+    match response.into_body().read_to_string(&mut body) {
+        Ok(_) => Reply { status, body },
+        Err(_) => Reply { status: 0, body },
+    }
+}
+
+/// A status with a body.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    pub status: u16,
+    pub body: String,
+}
+
+impl Reply {
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or(Value::Null)
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -0,0 +1,445 @@
+//! A small fleet of real processes on a loopback address of its own.
+
+#![allow(dead_code, reason = "each test program uses a part of the helpers")]
+
+pub mod caller;
+pub mod process;
+
+use std::fmt::Write as _;
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use caller::Ask;
+use process::Process;
+
+/// The secret of the fleet under test.
+pub const SECRET: &str = "a secret of the fleet under test";
+
+static FLEETS: AtomicU8 = AtomicU8::new(1);
+
+/// How a fleet is laid out.
+#[derive(Clone)]
+pub struct Layout {
+    /// The zones, each with this many daemons.
+    pub zones: Vec<&'static str>,
+    pub daemons_per_zone: usize,
+    /// Engines per zone and half.
+    pub engines_per_zone: usize,
+    /// Further arguments of every engine.
+    pub engine_arguments: Vec<&'static str>,
+    pub cold_requests: u32,
+    pub warm_requests: u32,
+    /// Whether engines check fencing numbers.
+    pub fencing: bool,
+    /// TOML appended to every daemon's settings.
+    pub settings: &'static str,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            zones: vec!["zone-a", "zone-b", "zone-c"],
+            daemons_per_zone: 2,
+            engines_per_zone: 1,
+            engine_arguments: vec!["--prefill-rate", "200000", "--decode-ms", "2"],
+            cold_requests: 2,
+            warm_requests: 16,
+            fencing: true,
+            settings: "",
+        }
+    }
+}
+
+/// One daemon with its ports.
+pub struct Daemon {
+    pub host: String,
+    pub zone: &'static str,
+    pub caller: String,
+    pub peer: String,
+    pub admin: String,
+    pub process: Option<Process>,
+}
+
+/// One engine or plain service.
+pub struct Backend {
+    pub name: String,
+    pub zone: &'static str,
+    pub address: String,
+    pub process: Option<Process>,
+}
+
+/// The running processes.
+pub struct Fleet {
+    pub layout: Layout,
+    pub directory: PathBuf,
+    pub platform: String,
+    pub platform_process: Option<Process>,
+    pub daemons: Vec<Daemon>,
+    pub engines: Vec<Backend>,
+    pub services: Vec<Backend>,
+}
+
+impl Fleet {
+    /// Starts everything, publishes the configuration and waits until it is in force.
+    pub fn start(layout: Layout) -> Self {
+        let mut fleet = Self::lay_out(layout);
+        fleet.start_platform();
+        for index in 0..fleet.engines.len() {
+            fleet.start_engine(index);
+        }
+        for index in 0..fleet.services.len() {
+            fleet.start_service(index);
+        }
+        for index in 0..fleet.daemons.len() {
+            fleet.start_daemon(index);
+        }
+        let published = fleet.publish("first configuration");
+        assert!(published.status.success(), "publish: {}", text(&published));
+        fleet.wait_version(1, Duration::from_secs(15));
+        fleet.wait_held(Duration::from_secs(20));
+        fleet
+    }
+
+    /// Chooses addresses and writes the files, and starts nothing.
+    pub fn lay_out(layout: Layout) -> Self {
+        let number = FLEETS.fetch_add(1, Ordering::Relaxed);
+        let pid = std::process::id();
+        let ip = format!("127.{}.{}.{number}", 1 + (pid >> 8 & 0x7f), pid & 0xff);
+        let directory = std::env::temp_dir().join(format!("primrosehoist-{pid}-{number}"));
+        std::fs::create_dir_all(directory.join("files")).expect("the directory is made");
+        std::fs::write(directory.join("secret"), SECRET).expect("the secret is written");
+        let mut fleet = Self {
+            platform: format!("{ip}:7000"),
+            platform_process: None,
+            daemons: Vec::new(),
+            engines: Vec::new(),
+            services: Vec::new(),
+            layout,
+            directory,
+        };
+        for zone in fleet.layout.zones.clone() {
+            fleet.lay_out_zone(&ip, zone);
+        }
+        fleet.write_files();
+        fleet
+    }
+
+    fn lay_out_zone(&mut self, ip: &str, zone: &'static str) {
+        for _ in 0..self.layout.daemons_per_zone {
+            let index = self.daemons.len();
+            self.daemons.push(Daemon {
+                host: format!("host-{index}"),
+                zone,
+                caller: format!("{ip}:{}", 7100 + index),
+                peer: format!("{ip}:{}", 7200 + index),
+                admin: format!("{ip}:{}", 7300 + index),
+                process: None,
+            });
+        }
+        for half in ["north", "south"] {
+            for _ in 0..self.layout.engines_per_zone {
+                let index = self.engines.len();
+                let name = format!("{half}-engine-{index}");
+                let address = format!("{ip}:{}", 7400 + index);
+                self.engines.push(Backend {
+                    name,
+                    zone,
+                    address,
+                    process: None,
+                });
+            }
+            let index = self.services.len();
+            let name = format!("{half}-orders-{index}");
+            let address = format!("{ip}:{}", 7600 + index);
+            self.services.push(Backend {
+                name,
+                zone,
+                address,
+                process: None,
+            });
+        }
+    }
+
+    /// Writes the operators' files that declare the fleet.
+    pub fn write_files(&self) {
+        let mut files = String::new();
+        for (half, model) in [("north", "braid-7b"), ("south", "lens-7b")] {
+            let digest = hex::encode(Sha256::digest(format!("key-{half}").as_bytes()));
+            write!(
+                files,
+                "[[service]]\nname = \"{half}-model\"\nhalf = \"{half}\"\nkind = \"engine\"\nmodel = \"{model}\"\ntimeout = \"30s\"\n\n\
+                 [[service]]\nname = \"{half}-orders\"\nhalf = \"{half}\"\nkind = \"plain\"\ntimeout = \"10s\"\nrepeatable = false\n\n\
+                 [[workspace]]\nname = \"{half}-desk\"\nhalf = \"{half}\"\nkey_digests = [\"{digest}\"]\nweight = 1\n\n"
+            )
+            .expect("writing to a string succeeds");
+        }
+        for engine in &self.engines {
+            files.push_str(&self.upstream(engine, "model", "memory_tokens = \"3M\"\n"));
+        }
+        for service in &self.services {
+            files.push_str(&self.upstream(service, "orders", ""));
+        }
+        std::fs::write(self.directory.join("files/fleet.toml"), files).expect("files are written");
+    }
+
+    fn upstream(&self, backend: &Backend, service: &str, more: &str) -> String {
+        let half = half_of(&backend.name);
+        format!(
+            "[[upstream]]\nname = \"{}\"\nservice = \"{half}-{service}\"\nhalf = \"{half}\"\nzone = \"{}\"\naddress = \"{}\"\n\
+             cold_requests = {}\nwarm_requests = {}\nfencing = {}\n{more}\n",
+            backend.name,
+            backend.zone,
+            backend.address,
+            self.layout.cold_requests,
+            self.layout.warm_requests,
+            self.layout.fencing,
+        )
+    }
+
+    fn log(&self, name: &str) -> PathBuf {
+        self.directory.join(format!("{name}.log"))
+    }
+
+    /// Starts the platform stand-in.
+    pub fn start_platform(&mut self) {
+        let arguments = words(&["platform", "--listen", &self.platform]);
+        self.platform_process = Some(Process::start(
+            "primrosehoist-standin",
+            &arguments,
+            &self.log("platform"),
+        ));
+        wait_open(&self.platform);
+    }
+
+    /// Starts engine `index`.
+    pub fn start_engine(&mut self, index: usize) {
+        let engine = &self.engines[index];
+        let model = if half_of(&engine.name) == "north" {
+            "braid-7b"
+        } else {
+            "lens-7b"
+        };
+        let cold = self.layout.cold_requests.to_string();
+        let warm = self.layout.warm_requests.to_string();
+        let fencing = if self.layout.fencing {
+            "check"
+        } else {
+            "ignore"
+        };
+        let mut arguments = words(&[
+            "engine",
+            "--listen",
+            &engine.address,
+            "--name",
+            &engine.name,
+            "--model",
+            model,
+            "--memory-tokens",
+            "3000000",
+            "--cold-requests",
+            &cold,
+            "--warm-requests",
+            &warm,
+            "--fencing",
+            fencing,
+        ]);
+        arguments.extend(words(&self.layout.engine_arguments));
+        let process = Process::start("primrosehoist-standin", &arguments, &self.log(&engine.name));
+        wait_open(&engine.address);
+        self.engines[index].process = Some(process);
+    }
+
+    /// Starts plain service `index`.
+    pub fn start_service(&mut self, index: usize) {
+        let service = &self.services[index];
+        let arguments = words(&["service", "--listen", &service.address]);
+        let process = Process::start(
+            "primrosehoist-standin",
+            &arguments,
+            &self.log(&service.name),
+        );
+        wait_open(&service.address);
+        self.services[index].process = Some(process);
+    }
+
+    /// Registers and starts daemon `index`.
+    pub fn start_daemon(&mut self, index: usize) {
+        self.register(index);
+        let daemon = &self.daemons[index];
+        let seeds: Vec<&str> = self.daemons.iter().map(|d| d.peer.as_str()).collect();
+        let settings = format!(
+            "host = \"{}\"\nzone = \"{}\"\nsecret_file = \"{}\"\n\n[listen]\ncaller = \"{}\"\npeer = \"{}\"\nadmin = \"{}\"\n\n\
+             [platform]\naddress = \"{}\"\n\n[peers]\nseeds = {}\n\n[log]\nlevel = \"info\"\n\n{}",
+            daemon.host,
+            daemon.zone,
+            self.directory.join("secret").display(),
+            daemon.caller,
+            daemon.peer,
+            daemon.admin,
+            self.platform,
+            json!(seeds),
+            self.layout.settings,
+        );
+        let file = self.directory.join(format!("{}.toml", daemon.host));
+        std::fs::write(&file, settings).expect("the settings are written");
+        let arguments = words(&["--settings", &file.display().to_string()]);
+        let process = Process::start("primrosehoistd", &arguments, &self.log(&daemon.host));
+        wait_open(&daemon.caller);
+        self.daemons[index].process = Some(process);
+    }
+
+    /// Puts daemon `index` on the platform's list of hosts.
+    pub fn register(&self, index: usize) {
+        let daemon = &self.daemons[index];
+        let host = json!({
+            "zone": daemon.zone, "role": "entry", "address": daemon.peer, "admin": daemon.admin,
+            "state": "live",
+        });
+        let url = format!("http://{}/standin/hosts/{}", self.platform, daemon.host);
+        let reply = caller::call("PUT", &url, &[], &host.to_string());
+        assert!(reply.status < 300, "register {}: {reply:?}", daemon.host);
+    }
+
+    /// Runs the operators' tool.
+    pub fn tool(&self, arguments: &[&str]) -> Output {
+        Command::new(process::program("primrosehoist"))
+            .args(arguments)
+            .args(["--platform", &self.platform])
+            .args([
+                "--secret-file",
+                &self.directory.join("secret").display().to_string(),
+            ])
+            .output()
+            .expect("the tool runs")
+    }
+
+    /// Publishes the files.
+    pub fn publish(&self, reason: &str) -> Output {
+        let files = self.directory.join("files").display().to_string();
+        self.tool(&[
+            "publish", &files, "--author", "tests", "--reason", reason, "--wait", "10s",
+        ])
+    }
+
+    /// Returns the status of daemon `index`, or null.
+    pub fn status(&self, index: usize) -> Value {
+        let authorization = format!("Bearer {}", operator_token());
+        let url = format!("http://{}/admin/status", self.daemons[index].admin);
+        caller::call("GET", &url, &[("authorization", &authorization)], "").json()
+    }
+
+    fn running(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.daemons.len()).filter(|i| self.daemons[*i].process.is_some())
+    }
+
+    /// Waits until every running daemon has `version` in force.
+    pub fn wait_version(&self, version: u64, limit: Duration) {
+        wait(limit, "the version is in force", || {
+            self.running()
+                .all(|i| self.status(i)["version"].as_u64() >= Some(version))
+        });
+    }
+
+    /// Waits until every upstream is held by some daemon.
+    pub fn wait_held(&self, limit: Duration) {
+        let all = self.engines.len() + self.services.len();
+        wait(limit, "every upstream is held", || {
+            let held = |i| self.status(i)["holdings"].as_array().map_or(0, Vec::len);
+            self.running().map(held).sum::<usize>() >= all
+        });
+    }
+
+    /// Returns the sum of a count over all engines.
+    pub fn engine_sum(&self, count: &str) -> u64 {
+        let counts = self.engines.iter().map(|e| counts(&e.address));
+        counts
+            .map(|c| {
+                c[count]
+                    .as_u64()
+                    .unwrap_or_else(|| panic!("no count {count} in {c}"))
+            })
+            .sum()
+    }
+
+    /// Returns a streaming ask of the north half through daemon `index`.
+    pub fn ask(&self, index: usize, prompt: &str, max_tokens: usize) -> Ask {
+        Ask {
+            address: self.daemons[index].caller.clone(),
+            key: "key-north".to_owned(),
+            model: "braid-7b".to_owned(),
+            prompt: prompt.to_owned(),
+            max_tokens,
+            timeout_ms: None,
+            stream: true,
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if !std::thread::panicking() && std::env::var_os("PRIMROSEHOIST_KEEP_LOGS").is_none() {
+            drop(std::fs::remove_dir_all(&self.directory));
+        }
+    }
+}
+
+/// Sets faults of the stand-in at `address`.
+pub fn fault(address: &str, faults: &Value) {
+    let url = format!("http://{address}/standin/faults");
+    let reply = caller::call("POST", &url, &[], &faults.to_string());
+    assert!(reply.status < 300, "faults of {address}: {reply:?}");
+}
+
+/// Returns the counts of the stand-in at `address`.
+pub fn counts(address: &str) -> Value {
+    caller::call("GET", &format!("http://{address}/standin/counts"), &[], "").json()
+}
+
+/// Returns the bearer token of operators.
+pub fn operator_token() -> String {
+    use hmac::{Hmac, KeyInit, Mac};
+    let mut mac = Hmac::<Sha256>::new_from_slice(SECRET.as_bytes()).expect("any length is a key");
+    mac.update(b"operator");
+    hex::encode(mac.finalize().into_bytes())
+}
+
+/// Returns the half that an upstream's name tells.
+pub fn half_of(name: &str) -> &str {
+    name.split('-').next().unwrap_or_default()
+}
+
+/// Returns what a program printed.
+pub fn text(output: &Output) -> String {
+    format!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    )
+}
+
+fn words(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
+
+/// Waits until `done`, and fails after `limit`.
+pub fn wait<Done>(limit: Duration, what: &str, done: Done)
+where
+    Done: Fn() -> bool,
+{
+    let end = Instant::now() + limit;
+    while !done() {
+        assert!(Instant::now() < end, "not within {limit:?}: {what}");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn wait_open(address: &str) {
+    wait(Duration::from_secs(10), address, || {
+        std::net::TcpStream::connect(address).is_ok()
+    });
+}
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -0,0 +1,99 @@
+//! One program under test: started, signalled and always ended.
+
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// A running program. Dropping it kills the program.
+pub struct Process {
+    child: Child,
+    program: &'static str,
+}
+
+/// Returns the path of a program of this workspace, which the test command has built.
+pub fn program(name: &str) -> PathBuf {
+    let test = std::env::current_exe().expect("the test knows its own path");
+    let directory = test
+        .parent()
+        .and_then(Path::parent)
+        .expect("tests run from target/<profile>/deps");
+    directory.join(name)
+}
+
+impl Process {
+    /// Starts `name` with `arguments`; what it logs goes to `log`.
+    pub fn start(name: &'static str, arguments: &[String], log: &Path) -> Self {
+        let file = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("the log file opens");
+        let child = Command::new(program(name))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().expect("the log file is shared"))
+            .stderr(file)
+            .spawn()
+            .unwrap_or_else(|error| {
+                panic!("{name} does not start (build the bins first): {error}")
+            });
+        Self {
+            child,
+            program: name,
+        }
+    }
+
+    fn signal(&self, signal: &str) {
+        let status = Command::new("kill")
+            .arg(format!("-{signal}"))
+            .arg(self.child.id().to_string())
+            .status()
+            .expect("kill runs");
+        assert!(status.success(), "{} does not take {signal}", self.program);
+    }
+
+    /// Kills the program at once.
+    pub fn kill(&mut self) {
+        self.child.kill().expect("the program is killed");
+        self.child.wait().expect("the program is reaped");
+    }
+
+    /// Pauses the program.
+    pub fn pause(&self) {
+        self.signal("STOP");
+    }
+
+    /// Resumes the paused program.
+    pub fn resume(&self) {
+        self.signal("CONT");
+    }
+
+    /// Asks the program to shut down.
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Returns the exit status if the program ends within `limit`.
+    pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Some(status) = self
+                .child
+                .try_wait()
+                .expect("the program can be waited for")
+            {
+                return Some(status);
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
