Add the platform, engine and service stand-ins

Cause: nothing stood in for the platform, the engines and the plain services, so no daemon could be run against anything.

Ruled out: a listener from a library that cannot be stopped or cannot stream; a shared reply type with an unbounded channel per stream, because a resumed stream has to be read again from any index. An answer follows from its prompt, so a stream keeps only the number of its tokens.

Change: the subcommands platform, engine and service on hyper, with faults and counters under /standin/, exit code 2 for unknown arguments, and a clean end at SIGTERM and SIGINT.

Conclusion: other programs can be run against the three stand-ins.

--- /dev/null
+++ b/crates/primrosehoist-standin/src/command.rs
@@ -0,0 +1,156 @@
+//! Command lines of the program and its subcommands.
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use pico_args::Arguments;
+use quick_error::quick_error;
+
+use crate::logging;
+
+/// The exit code of a command line that is not understood.
+const EXIT_USAGE: u8 = 2;
+
+quick_error! {
+    /// Says why a command failed.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The name of the command is unknown.
+        Command(name: String) { display("unknown command {:?}; see --help", name) }
+        /// No command was given.
+        Missing { display("a command is missing; see --help") }
+        /// An option is wrong.
+        Option(error: pico_args::Error) { from() display("{}; see --help", error) }
+        /// An argument is not known.
+        Unknown(argument: String) { display("unknown argument {:?}; see --help", argument) }
+        /// A value is outside of its range.
+        Range(reason: String) { display("{}; see --help", reason) }
+        /// A file cannot be read or is not as it should be.
+        File(path: String, reason: String) { display("reading {}: {}", path, reason) }
+        /// The runtime, logger or listener failed.
+        Run(step: &'static str, error: io::Error) { display("{}: {}", step, error) }
+    }
+}
+
+impl Error {
+    fn exit_code(&self) -> ExitCode {
+        match self {
+            Error::Run(..) => ExitCode::FAILURE,
+            _ => ExitCode::from(EXIT_USAGE),
+        }
+    }
+}
+
+/// What is left to do after the command line is read.
+#[derive(Debug)]
+pub(crate) enum Outcome {
+    /// The text has to be printed and nothing else done.
+    Print(String),
+    /// The command ran to its end.
+    Done,
+}
+
+/// Returns the help or version text if it was asked for.
+pub(crate) fn information(arguments: &mut Arguments, help: &str) -> Option<Outcome> {
+    if arguments.contains("--help") {
+        return Some(Outcome::Print(help.to_owned()));
+    }
+    if arguments.contains("--version") {
+        let version = concat!("primrosehoist-standin ", env!("CARGO_PKG_VERSION"), "\n");
+        return Some(Outcome::Print(version.to_owned()));
+    }
+    None
+}
+
+/// Fails if an argument was not consumed.
+///
+/// # Errors
+///
+/// Returns [`Error::Unknown`] with the first argument that is left.
+pub(crate) fn refuse_rest(arguments: Arguments) -> Result<(), Error> {
+    match arguments.finish().first() {
+        Some(first) => Err(Error::Unknown(first.to_string_lossy().into_owned())),
+        None => Ok(()),
+    }
+}
+
+/// Reads an option that has a default.
+///
+/// # Errors
+///
+/// Returns [`Error::Option`] if the value cannot be parsed.
+pub(crate) fn value<T>(arguments: &mut Arguments, key: &'static str, default: T) -> Result<T, Error>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    Ok(arguments.opt_value_from_str(key)?.unwrap_or(default))
+}
+
+/// Reads the address to listen on.
+///
+/// # Errors
+///
+/// Returns [`Error::Option`] if it is missing or no address.
+pub(crate) fn listen(arguments: &mut Arguments) -> Result<SocketAddr, Error> {
+    Ok(arguments.value_from_str("--listen")?)
+}
+
+/// Reads the options of a subcommand and runs it until a signal ends it.
+pub(crate) fn run<Options, Parse, Serve, Running>(
+    mut arguments: Arguments,
+    help: &str,
+    parse: Parse,
+    serve: Serve,
+) -> ExitCode
+where
+    Parse: FnOnce(&mut Arguments) -> Result<Options, Error>,
+    Serve: FnOnce(Options) -> Running,
+    Running: Future<Output = io::Result<()>>,
+{
+    if let Some(printed) = information(&mut arguments, help) {
+        return finish(Ok(printed));
+    }
+    finish(start(arguments, parse, serve))
+}
+
+fn start<Options, Parse, Serve, Running>(
+    mut arguments: Arguments,
+    parse: Parse,
+    serve: Serve,
+) -> Result<Outcome, Error>
+where
+    Parse: FnOnce(&mut Arguments) -> Result<Options, Error>,
+    Serve: FnOnce(Options) -> Running,
+    Running: Future<Output = io::Result<()>>,
+{
+    let level = value(&mut arguments, "--log", log::LevelFilter::Warn)?;
+    let options = parse(&mut arguments)?;
+    refuse_rest(arguments)?;
+    logging::start(level)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Error::Run("starting the runtime", error))?;
+    let ended = runtime.block_on(serve(options));
+    runtime.shutdown_background();
+    ended.map_err(|error| Error::Run("serving", error))?;
+    Ok(Outcome::Done)
+}
+
+/// Prints what is to be printed and returns the exit code.
+pub(crate) fn finish(result: Result<Outcome, Error>) -> ExitCode {
+    match result {
+        Ok(Outcome::Print(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(Outcome::Done) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("primrosehoist-standin: {error}");
+            error.exit_code()
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-standin/src/engine/model.rs
@@ -0,0 +1,275 @@
+//! The state of an engine: requests, memory, cache and limits.
+
+use std::sync::Arc;
+
+use primrosehoist::state::map::Map;
+use serde::Serialize;
+use tokio::time::Instant;
+
+use crate::engine::cache::{Cache, Prefix};
+use crate::engine::control::Faults;
+use crate::engine::job::{Job, Phase};
+use crate::engine::owner::{Claim, Owner};
+use crate::engine::prompt::Prompt;
+use crate::engine::record::Record;
+use crate::engine::settings::{Fencing, Settings};
+use crate::engine::tally::{State, Tally};
+
+/// A request as it arrives.
+#[derive(Debug)]
+pub(crate) struct Arrival {
+    /// The id of the attempt.
+    pub(crate) id: Arc<str>,
+    /// The owner.
+    pub(crate) owner: Owner,
+    /// The priority; 0 is most urgent.
+    pub(crate) priority: u32,
+    /// The prompt.
+    pub(crate) prompt: Prompt,
+    /// The tokens of the prompt that this engine takes.
+    pub(crate) prompt_tokens: u64,
+    /// The prefixes of its body.
+    pub(crate) prefixes: Vec<Prefix>,
+}
+
+/// Why a request was not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Refusal {
+    /// Its fencing epoch is old.
+    Stale,
+    /// The engine is set to refuse.
+    Refuse,
+    /// A request of that id exists.
+    Duplicate,
+    /// It can never fit into the memory.
+    TooLong,
+    /// It is beyond what the engine bears, which crashes.
+    Overload,
+}
+
+/// The load of an engine.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(crate) struct Load {
+    running: u64,
+    waiting: u64,
+    memory_tokens_used: u64,
+    memory_tokens_total: u64,
+}
+
+/// The state of an engine.
+#[derive(Debug)]
+pub(crate) struct Model {
+    pub(crate) settings: Arc<Settings>,
+    pub(crate) jobs: Map<Arc<str>, Job>,
+    pub(crate) reservations: Map<Arc<str>, Claim>,
+    pub(crate) exports: Map<Arc<str>, Claim>,
+    pub(crate) cache: Cache,
+    pub(crate) faults: Faults,
+    pub(crate) tally: Tally,
+    /// Counts the crashes, so that a step begun before one is not applied after it.
+    pub(crate) generation: u64,
+    /// Completions since the engine was cold.
+    pub(crate) completions: u64,
+    pub(crate) last_received: Option<Instant>,
+    pub(crate) arrivals: u64,
+    highest_epoch: u64,
+}
+
+impl Model {
+    /// Creates a cold and empty engine.
+    pub(crate) fn new(settings: Arc<Settings>) -> Model {
+        Model {
+            cache: Cache::new(&settings),
+            settings,
+            jobs: Map::default(),
+            reservations: Map::default(),
+            exports: Map::default(),
+            faults: Faults::default(),
+            tally: Tally::default(),
+            generation: 0,
+            completions: 0,
+            last_received: None,
+            arrivals: 0,
+            highest_epoch: 0,
+        }
+    }
+
+    /// Loses all requests and memory; the counters and faults stay.
+    pub(crate) fn crash(&mut self) {
+        for job in self.jobs.values() {
+            if job.is_active() {
+                self.tally.end(job.attempt, State::Crashed);
+            }
+            job.record.cut();
+        }
+        self.jobs.clear();
+        self.reservations.clear();
+        self.exports.clear();
+        self.cache = Cache::new(&self.settings);
+        self.tally.crashes += 1;
+        self.generation += 1;
+        self.completions = 0;
+        self.highest_epoch = 0;
+    }
+
+    /// Accepts a request, or says why not.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal; after [`Refusal::Overload`] the caller crashes the engine.
+    pub(crate) fn receive(
+        &mut self,
+        arrival: Arrival,
+        now: Instant,
+    ) -> Result<Arc<Record>, Refusal> {
+        self.screen(&arrival)?;
+        self.tally.received += 1;
+        self.last_received = Some(now);
+        let in_flight = self.in_flight() + 1;
+        let borne = self.settings.borne(self.completions);
+        self.tally.max_in_flight = self.tally.max_in_flight.max(in_flight);
+        if in_flight > borne {
+            self.tally.overloads += 1;
+            self.tally.max_over_limit = self.tally.max_over_limit.max(in_flight - borne);
+            self.tally.attempt(&arrival.id, State::Overload);
+            return Err(Refusal::Overload);
+        }
+        Ok(self.start(arrival))
+    }
+
+    fn screen(&mut self, arrival: &Arrival) -> Result<(), Refusal> {
+        if self.faults.refuses() {
+            self.tally.refused += 1;
+            self.tally.attempt(&arrival.id, State::Refused);
+            return Err(Refusal::Refuse);
+        }
+        if !self.fence(&arrival.owner) {
+            self.tally.attempt(&arrival.id, State::Stale);
+            return Err(Refusal::Stale);
+        }
+        let need = arrival.prompt_tokens + arrival.prompt.max_tokens;
+        let refusal = if self.jobs.contains_key(&arrival.id) {
+            Refusal::Duplicate
+        } else if need > self.settings.memory_tokens {
+            Refusal::TooLong
+        } else {
+            return Ok(());
+        };
+        self.tally.refused += 1;
+        self.tally.attempt(&arrival.id, State::Refused);
+        Err(refusal)
+    }
+
+    fn start(&mut self, arrival: Arrival) -> Arc<Record> {
+        let attempt = self.tally.attempt(&arrival.id, State::Running);
+        let reserved = self.reservations.remove(&arrival.id);
+        let held_tokens = reserved.as_ref().map_or(0, |claim| claim.tokens);
+        let imported = reserved.map_or(0, |claim| claim.imported);
+        let record = Arc::new(Record::new(Arc::clone(&arrival.id), arrival.prompt));
+        self.arrivals += 1;
+        let job = Job {
+            arrival: self.arrivals,
+            priority: arrival.priority,
+            owner: arrival.owner,
+            prompt_tokens: arrival.prompt_tokens,
+            prefill_left: arrival.prompt_tokens.saturating_sub(imported),
+            held_tokens,
+            phase: Phase::Waiting,
+            prefixes: arrival.prefixes,
+            attempt,
+            record: Arc::clone(&record),
+        };
+        self.jobs.insert(arrival.id, job);
+        record
+    }
+
+    /// Returns whether the owner's epoch is accepted, and counts it if not.
+    pub(crate) fn fence(&mut self, owner: &Owner) -> bool {
+        let stale = owner.epoch < self.highest_epoch;
+        self.highest_epoch = self.highest_epoch.max(owner.epoch);
+        if stale && self.settings.fencing == Fencing::Check {
+            self.tally.stale_refused += 1;
+            return false;
+        }
+        true
+    }
+
+    /// Ends a request before its time and frees its memory.
+    pub(crate) fn cancel(&mut self, id: &str, state: State) {
+        let Some(job) = self.jobs.remove(id) else {
+            return;
+        };
+        if job.is_active() {
+            self.tally.end(job.attempt, state);
+        }
+        job.record.cut();
+    }
+
+    /// Drops the streams that nobody has read for the grace time.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        let grace = self.settings.resume_grace;
+        let expired = |job: &Job| {
+            let left_at = match job.phase {
+                Phase::Ended(at) => job.record.left_at().map(|left_at| left_at.max(at)),
+                _ => job.record.left_at(),
+            };
+            left_at.is_some_and(|at| now.duration_since(at) >= grace)
+        };
+        let jobs = self.jobs.iter();
+        let ids: Vec<_> = jobs
+            .filter(|(_, job)| expired(job))
+            .map(|(id, _)| Arc::clone(id))
+            .collect();
+        for id in ids {
+            self.cancel(&id, State::Dropped);
+        }
+    }
+
+    /// Returns the number of requests that wait or run.
+    pub(crate) fn in_flight(&self) -> u64 {
+        self.jobs.values().filter(|job| job.is_active()).count() as u64
+    }
+
+    /// Returns the memory that has an owner, in tokens.
+    pub(crate) fn owned_tokens(&self) -> u64 {
+        let jobs: u64 = self.jobs.values().map(|job| job.held_tokens).sum();
+        let claims = self.reservations.values().chain(self.exports.values());
+        jobs + claims.map(|claim| claim.tokens).sum::<u64>()
+    }
+
+    /// Returns the memory whose owner has been succeeded and that nobody reads, in tokens.
+    pub(crate) fn orphan_tokens(&self) -> u64 {
+        let old = |owner: &Owner| owner.epoch < self.highest_epoch;
+        let jobs = self.jobs.values();
+        let streams: u64 = jobs
+            .filter(|job| old(&job.owner) && !job.record.is_connected())
+            .map(|job| job.held_tokens)
+            .sum();
+        let claims = self.reservations.values().chain(self.exports.values());
+        let claimed = claims.filter(|claim| old(&claim.owner));
+        streams + claimed.map(|claim| claim.tokens).sum::<u64>()
+    }
+
+    /// Makes room for `tokens` more by evicting from the cache; returns whether there is room.
+    pub(crate) fn make_room(&mut self, tokens: u64, now: Instant) -> bool {
+        let total = self.settings.memory_tokens;
+        let needed = self.owned_tokens() + tokens;
+        if needed > total {
+            return false;
+        }
+        self.cache.shrink(total - needed, now);
+        true
+    }
+
+    /// Returns the load at this moment.
+    pub(crate) fn load(&self) -> Load {
+        let waits = |job: &&Job| job.phase == Phase::Waiting;
+        let waiting = self.jobs.values().filter(waits).count() as u64;
+        Load {
+            running: self.in_flight() - waiting,
+            waiting,
+            memory_tokens_used: self.owned_tokens() + self.cache.tokens(),
+            memory_tokens_total: self.settings.memory_tokens,
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-standin/src/engine/settings.rs
@@ -0,0 +1,188 @@
+//! The settings of an engine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pico_args::Arguments;
+use strum::EnumString;
+
+use crate::command::{self, Error};
+
+/// The help text of the subcommand.
+pub(crate) const HELP: &str = "\
+Serves a model of an inference engine with continuous batching.
+
+Usage: primrosehoist-standin engine --listen ADDRESS [OPTIONS]
+
+Options:
+  --listen ADDRESS         address and port to listen on
+  --name NAME              name of the engine [default: engine]
+  --model NAME             name of the model [default: model]
+  --prefill-rate N         prompt tokens processed a second [default: 50000]
+  --chunk-tokens N         prompt tokens processed in one step at most [default: 2048]
+  --decode-ms N            time of a decode step [default: 5]
+  --batch-decode-cost N    microseconds a step takes longer for each stream [default: 50]
+  --memory-tokens N        KV memory [default: 500000]
+  --cold-requests C        concurrent requests borne when cold [default: 2]
+  --warm-requests W        concurrent requests borne when warm [default: 64]
+  --warm-after K           completions from cold to warm [default: 32]
+  --cold-factor F          prefill takes F times as long until warm [default: 2]
+  --fencing check|ignore   whether old fencing epochs are refused [default: check]
+  --crash-downtime-ms N    time a crashed engine refuses connections [default: 500]
+  --load-lag-ms N          age of the load that is reported [default: 200]
+  --resume-grace-ms N      time a broken or ended stream is kept [default: 10000]
+  --cache-event-lag-ms N   age at which cache events are listed [default: 100]
+  --cache-gap-percent N    cache events that are never listed [default: 5]
+  --seed N                 seed of the random choices [default: 1]
+  --log LEVEL              off, error, warn, info, debug or trace [default: warn]
+  --help                   prints this text
+  --version                prints the version
+
+After k completions since the start or since it turned cold, the engine bears
+C + (W - C) * min(k, K) / K concurrent requests, rounded down. A request received beyond that is
+an overload: it is counted and the engine crashes. A crash drops all connections and memory,
+also the highest fencing epoch seen, and the engine comes back cold.
+
+A step shares --chunk-tokens among the prompts by priority, then by arrival, and decodes one
+token for each stream that is past its prompt. Token i of an answer is the first 8 hex digits
+of SHA-256(prompt text, then i in decimal) and a space; the prompt text of a chat is the
+contents of its messages, joined. X-Shard: i/n makes the engine take 1/n of the prompt's tokens.
+
+A cached prefix is named by the first 16 hex digits of the chain h(i) = SHA-256(h(i-1), block i)
+over the whole 1024-byte blocks of the body, where h(-1) is empty.
+
+POST /standin/faults sets {\"cold\":true}, {\"crash\":true}, {\"freeze_ms\":n},
+{\"refuse\":bool} and {\"garbage\":false or true or \"malformed\" or \"half\" or \"double\"}.
+GET /standin/counts answers counters.
+";
+
+/// What the engine does with fencing epochs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Fencing {
+    /// Refuses an epoch below the highest one seen.
+    Check,
+    /// Accepts all epochs.
+    Ignore,
+}
+
+/// The settings of an engine.
+#[derive(Debug)]
+pub(crate) struct Settings {
+    /// The address to listen on.
+    pub(crate) listen: SocketAddr,
+    /// The name of the engine.
+    pub(crate) name: String,
+    /// The name of the model.
+    pub(crate) model: String,
+    /// Prompt tokens processed a second.
+    pub(crate) prefill_rate: f64,
+    /// Prompt tokens processed in one step at most.
+    pub(crate) chunk_tokens: u64,
+    /// The time of a decode step.
+    pub(crate) decode: Duration,
+    /// The time that each decoding stream adds to a step.
+    pub(crate) batch_decode: Duration,
+    /// The KV memory, in tokens.
+    pub(crate) memory_tokens: u64,
+    /// Concurrent requests borne when cold.
+    pub(crate) cold_requests: u64,
+    /// Concurrent requests borne when warm.
+    pub(crate) warm_requests: u64,
+    /// Completions from cold to warm.
+    pub(crate) warm_after: u64,
+    /// The factor of the prefill time until warm.
+    pub(crate) cold_factor: f64,
+    /// What is done with fencing epochs.
+    pub(crate) fencing: Fencing,
+    /// The time that a crashed engine refuses connections.
+    pub(crate) crash_downtime: Duration,
+    /// The age of the load that is reported.
+    pub(crate) load_lag: Duration,
+    /// The time that a broken or ended stream is kept.
+    pub(crate) resume_grace: Duration,
+    /// The age at which cache events are listed.
+    pub(crate) cache_event_lag: Duration,
+    /// How many of a hundred cache events are never listed.
+    pub(crate) cache_gap_percent: u32,
+    /// The seed of the random choices.
+    pub(crate) seed: u64,
+}
+
+impl Settings {
+    /// Returns the concurrent requests borne after `completions` since cold.
+    pub(crate) fn borne(&self, completions: u64) -> u64 {
+        if completions >= self.warm_after {
+            return self.warm_requests;
+        }
+        let rise = self.warm_requests.saturating_sub(self.cold_requests);
+        self.cold_requests + rise * completions / self.warm_after
+    }
+}
+
+/// Reads the options of the subcommand.
+///
+/// # Errors
+///
+/// Fails if an option is missing, wrong or out of range.
+pub(crate) fn options(arguments: &mut Arguments) -> Result<Settings, Error> {
+    let settings = Settings {
+        listen: command::listen(arguments)?,
+        name: command::value(arguments, "--name", "engine".to_owned())?,
+        model: command::value(arguments, "--model", "model".to_owned())?,
+        prefill_rate: command::value(arguments, "--prefill-rate", 50_000.0)?,
+        chunk_tokens: command::value(arguments, "--chunk-tokens", 2_048)?,
+        decode: milliseconds(arguments, "--decode-ms", 5.0)?,
+        batch_decode: Duration::from_micros(command::value(arguments, "--batch-decode-cost", 50)?),
+        memory_tokens: command::value(arguments, "--memory-tokens", 500_000)?,
+        cold_requests: command::value(arguments, "--cold-requests", 2)?,
+        warm_requests: command::value(arguments, "--warm-requests", 64)?,
+        warm_after: command::value(arguments, "--warm-after", 32)?,
+        cold_factor: command::value(arguments, "--cold-factor", 2.0)?,
+        fencing: command::value(arguments, "--fencing", Fencing::Check)?,
+        crash_downtime: milliseconds(arguments, "--crash-downtime-ms", 500.0)?,
+        load_lag: milliseconds(arguments, "--load-lag-ms", 200.0)?,
+        resume_grace: milliseconds(arguments, "--resume-grace-ms", 10_000.0)?,
+        cache_event_lag: milliseconds(arguments, "--cache-event-lag-ms", 100.0)?,
+        cache_gap_percent: command::value(arguments, "--cache-gap-percent", 5)?,
+        seed: command::value(arguments, "--seed", 1)?,
+    };
+    check(settings)
+}
+
+fn milliseconds(
+    arguments: &mut Arguments,
+    key: &'static str,
+    default: f64,
+) -> Result<Duration, Error> {
+    let given = command::value(arguments, key, default)?;
+    let duration = Duration::try_from_secs_f64(given / 1_000.0);
+    duration.map_err(|error| Error::Range(format!("{key}: {error}")))
+}
+
+fn check(settings: Settings) -> Result<Settings, Error> {
+    let positive = |value: f64| value.is_finite() && value > 0.0;
+    let rules = [
+        (
+            positive(settings.prefill_rate),
+            "--prefill-rate must be above 0",
+        ),
+        (
+            positive(settings.cold_factor),
+            "--cold-factor must be above 0",
+        ),
+        (settings.chunk_tokens > 0, "--chunk-tokens must be above 0"),
+        (
+            settings.cache_gap_percent <= 100,
+            "--cache-gap-percent must be at most 100",
+        ),
+        (
+            settings.cold_requests <= settings.warm_requests,
+            "--cold-requests must be at most --warm-requests",
+        ),
+    ];
+    match rules.iter().find(|(kept, _)| !kept) {
+        Some((_, reason)) => Err(Error::Range((*reason).to_owned())),
+        None => Ok(settings),
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-standin/src/logging.rs
@@ -0,0 +1,31 @@
+//! Log output as JSON lines on standard error.
+
+use std::io;
+use std::time::SystemTime;
+
+use serde_json::json;
+
+use crate::command::Error;
+
+/// Starts logging from `level` on.
+///
+/// # Errors
+///
+/// Returns [`Error::Run`] if a logger was started before.
+pub(crate) fn start(level: log::LevelFilter) -> Result<(), Error> {
+    fern::Dispatch::new()
+        .level(level)
+        .format(|out, message, record| {
+            let time = humantime::format_rfc3339_millis(SystemTime::now()).to_string();
+            let line = json!({
+                "time": time,
+                "level": record.level().as_str(),
+                "target": record.target(),
+                "message": message.to_string(),
+            });
+            out.finish(format_args!("{line}"));
+        })
+        .chain(io::stderr())
+        .apply()
+        .map_err(|error| Error::Run("starting the logger", io::Error::other(error)))
+}
--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -1,3 +1,63 @@
-//! The standin of primrosehoist.
+//! Stand-ins for what primrosehoist serves and depends on: the platform, an engine and a plain
+//! service. Each is a small, seeded model that counts what it was given.
 
-fn main() {}
+mod command;
+mod connection;
+mod engine;
+mod listener;
+mod logging;
+mod platform;
+mod reply;
+mod service;
+
+use std::process::ExitCode;
+
+use command::Outcome;
+
+const HELP: &str = "\
+Stand-ins of primrosehoist for demonstrations, tests and measurements.
+
+Usage: primrosehoist-standin COMMAND [OPTIONS]
+
+Commands:
+  platform   serves the platform's object API
+  engine     serves a model of an inference engine
+  service    serves a plain service
+
+Options:
+  --help     prints this text, or that of a command
+  --version  prints the version
+
+Exit codes: 0 ended by a signal, 1 failed while running, 2 wrong arguments.
+";
+
+fn main() -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_env();
+    match arguments.subcommand() {
+        Ok(Some(name)) => dispatch(&name, arguments),
+        Ok(None) => command::finish(top(arguments)),
+        Err(error) => command::finish(Err(error.into())),
+    }
+}
+
+fn dispatch(name: &str, arguments: pico_args::Arguments) -> ExitCode {
+    match name {
+        "platform" => command::run(
+            arguments,
+            platform::HELP,
+            platform::options,
+            platform::serve,
+        ),
+        "engine" => command::run(arguments, engine::HELP, engine::options, engine::serve),
+        "service" => command::run(arguments, service::HELP, service::options, service::serve),
+        other => command::finish(Err(command::Error::Command(other.to_owned()))),
+    }
+}
+
+fn top(mut arguments: pico_args::Arguments) -> Result<Outcome, command::Error> {
+    if let Some(printed) = command::information(&mut arguments, HELP) {
+        return Ok(printed);
+    }
+    command::refuse_rest(arguments)?;
+    Err(command::Error::Missing)
+}
