Read operators' files and the daemon's settings with all mistakes at once

Cause: publishing and the daemon need checked input; nothing read the TOML files yet. Ruled out: deserializing with serde, which stops at the first mistake. Change: tables are read key by key with spans; checks between declarations follow; the plan is the pure difference of two fleets.

--- /dev/null
+++ b/crates/primrosehoist-daemon/src/logging.rs
@@ -0,0 +1,72 @@
+//! Logs as JSON lines on standard error.
+//!
+//! A line holds `time`, `level`, `target` and `message`, and the key-values of the record. No
+//! caller of the log hands over prompt text or keys.
+
+use std::fmt;
+use std::io;
+use std::time::SystemTime;
+
+use log::kv::{self, Key, Value, VisitSource};
+use log::{LevelFilter, Record, SetLoggerError};
+use serde_json::Map;
+
+/// Writes records of `level` and above as JSON lines to standard error from now on.
+///
+/// # Errors
+///
+/// Fails if a logger was installed before.
+pub(crate) fn start(level: LevelFilter) -> Result<(), SetLoggerError> {
+    fern::Dispatch::new()
+        .level(level)
+        .level_for("h2", level.min(LevelFilter::Warn))
+        .level_for("hyper", level.min(LevelFilter::Warn))
+        .format(|out, message, record| {
+            let line = line(SystemTime::now(), message, record);
+            out.finish(format_args!("{line}"));
+        })
+        .chain(io::stderr())
+        .apply()
+}
+
+/// Returns the JSON line of one record, without the line's end.
+pub(crate) fn line(time: SystemTime, message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
+    let mut fields = Fields(Map::new());
+    let time = humantime::format_rfc3339_millis(time).to_string();
+    // A visit of a `Fields` never fails.
+    if record.key_values().visit(&mut fields).is_err() {
+        fields.0.insert("fields".into(), "unreadable".into());
+    }
+    let Fields(mut map) = fields;
+    map.insert("time".into(), time.into());
+    map.insert("level".into(), record.level().as_str().into());
+    map.insert("target".into(), record.target().into());
+    map.insert("message".into(), message.to_string().into());
+    serde_json::Value::Object(map).to_string()
+}
+
+/// Collects the key-values of a record.
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        self.0.insert(key.to_string(), json(&value));
+        Ok(())
+    }
+}
+
+fn json(value: &Value<'_>) -> serde_json::Value {
+    if let Some(flag) = value.to_bool() {
+        return flag.into();
+    }
+    if let Some(number) = value.to_u64() {
+        return number.into();
+    }
+    if let Some(number) = value.to_i64() {
+        return number.into();
+    }
+    if let Some(number) = value.to_f64() {
+        return number.into();
+    }
+    value.to_string().into()
+}
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -1,5 +1,7 @@
 //! The daemon of primrosehoist.
 
+mod logging;
 mod node;
+mod settings;
 
 fn main() {}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/settings.rs
@@ -0,0 +1,366 @@
+//! The settings of the daemon, read from one TOML file and checked as a whole.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{fs, io};
+
+use log::LevelFilter;
+use primrosehoist::state::files::table::{Source, Table};
+use primrosehoist::state::files::{Mistake, Text, value};
+use primrosehoist::state::name;
+use quick_error::quick_error;
+use strum::{Display, EnumString};
+
+/// The fewest bytes of a shared secret.
+pub(crate) const SECRET_BYTES_MIN: usize = 16;
+
+const MINUTE: Duration = Duration::from_secs(60);
+const HOUR: Duration = Duration::from_secs(60 * 60);
+
+quick_error! {
+    /// Says why the settings cannot be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A file cannot be read.
+        Read(path: PathBuf, error: io::Error) {
+            display("cannot read {}: {}", path.display(), error)
+            source(error)
+        }
+        /// The settings hold mistakes; each is on a line of its own.
+        Mistakes(mistakes: Vec<Mistake>) {
+            display("{}", lines(mistakes))
+        }
+        /// The shared secret is too short.
+        Secret(path: PathBuf) {
+            display("the secret in {} has fewer than {} bytes", path.display(), SECRET_BYTES_MIN)
+        }
+    }
+}
+
+fn lines(mistakes: &[Mistake]) -> String {
+    let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+/// All settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Settings {
+    /// The name of this host, unique in the fleet.
+    pub(crate) host: name::Host,
+    /// The availability zone of this host.
+    pub(crate) zone: name::Zone,
+    /// The file with the secret that daemons and operators share.
+    pub(crate) secret_file: PathBuf,
+    /// Where the daemon listens.
+    pub(crate) listen: Listen,
+    /// The platform's API.
+    pub(crate) platform: Platform,
+    /// Peer ports of other daemons, used while the platform cannot be reached.
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// What is logged.
+    pub(crate) log: Log,
+    /// Bounds on requests of callers.
+    pub(crate) limits: Limits,
+    /// Liveness of daemons.
+    pub(crate) heartbeat: Heartbeat,
+    /// Holding of upstreams.
+    pub(crate) lease: Lease,
+    /// Choice of upstreams.
+    pub(crate) policy: Policy,
+    /// Mechanisms that comparison runs switch off.
+    pub(crate) mechanisms: Mechanisms,
+}
+
+/// Where the daemon listens.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Listen {
+    /// The address for callers.
+    pub(crate) caller: SocketAddr,
+    /// The address for other daemons.
+    pub(crate) peer: SocketAddr,
+    /// The address for health, metrics and operators.
+    pub(crate) admin: SocketAddr,
+}
+
+/// The platform's API.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Platform {
+    /// Where the API listens.
+    pub(crate) address: SocketAddr,
+    /// How long one call may take.
+    pub(crate) timeout: Duration,
+}
+
+/// What is logged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Log {
+    /// The least severe level that is written.
+    pub(crate) level: LevelFilter,
+}
+
+/// Bounds on requests of callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Limits {
+    /// The longest head of a request, in bytes.
+    pub(crate) header_bytes: u64,
+    /// The longest body of a request, in bytes.
+    pub(crate) body_bytes: u64,
+    /// Bytes of all bodies kept at once.
+    pub(crate) body_budget: u64,
+    /// How long a caller may take to send the head of a request.
+    pub(crate) header_timeout: Duration,
+    /// How long a caller may take to accept a part of an answer.
+    pub(crate) caller_write_timeout: Duration,
+    /// Connections of callers at once.
+    pub(crate) connections: u32,
+}
+
+/// Liveness of daemons.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Heartbeat {
+    /// The time between two heartbeats to one peer.
+    pub(crate) interval: Duration,
+    /// The silence after which a peer counts as dead.
+    pub(crate) silence: Duration,
+}
+
+/// Holding of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Lease {
+    /// How long a lease lasts from when the holdings were read.
+    pub(crate) duration: Duration,
+    /// The time between two reads of the holdings.
+    pub(crate) read_interval: Duration,
+}
+
+/// Choice of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Policy {
+    /// How the upstream of a request is chosen.
+    pub(crate) placement: Placement,
+}
+
+/// How the upstream of a request is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Placement {
+    /// Confines long prompts to few upstreams and keeps room for short ones on the rest.
+    LongConfined,
+    /// Takes the upstream with the fewest requests.
+    LeastLoad,
+    /// Takes the upstreams in turn.
+    RoundRobin,
+}
+
+/// Mechanisms that comparison runs switch off, each `true` in service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each mechanism is switched on its own"
+)]
+pub(crate) struct Mechanisms {
+    /// Claims idempotency keys in the platform before dispatch.
+    pub(crate) claim: bool,
+    /// Raises the limit of a cold upstream step by step.
+    pub(crate) slow_start: bool,
+    /// Checks the lease right before each send.
+    pub(crate) lease_check: bool,
+    /// Bounds retries to a share of first attempts.
+    pub(crate) retry_budget: bool,
+    /// Suspects and quarantines requests that end upstreams.
+    pub(crate) poison: bool,
+    /// Gives no new work to zones that are out of service.
+    pub(crate) zone_out: bool,
+}
+
+impl Settings {
+    /// Reads and checks the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read, and with all mistakes in it.
+    pub(crate) fn load(path: &Path) -> Result<Self, Error> {
+        let content = read(path)?;
+        let path = path.display().to_string();
+        Self::try_from(&Text { path, content }).map_err(Error::Mistakes)
+    }
+
+    /// Reads the secret that daemons and operators share, without white space at the ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or holds fewer than [`SECRET_BYTES_MIN`] bytes.
+    pub(crate) fn secret(&self) -> Result<Vec<u8>, Error> {
+        let content = read(&self.secret_file)?;
+        let secret = content.trim().as_bytes().to_vec();
+        if secret.len() < SECRET_BYTES_MIN {
+            return Err(Error::Secret(self.secret_file.clone()));
+        }
+        Ok(secret)
+    }
+}
+
+fn read(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|error| Error::Read(path.to_owned(), error))
+}
+
+impl TryFrom<&Text> for Settings {
+    type Error = Vec<Mistake>;
+
+    fn try_from(text: &Text) -> Result<Self, Vec<Mistake>> {
+        let source = Source::new(&text.path, &text.content);
+        let settings = source.parse().and_then(|root| read_root(root));
+        let mut mistakes = source.into_mistakes();
+        mistakes.sort();
+        match settings {
+            Some(settings) if mistakes.is_empty() => Ok(settings),
+            _ => Err(mistakes),
+        }
+    }
+}
+
+fn read_root(mut root: Table<'_, '_>) -> Option<Settings> {
+    let host = root.required("host", value::checked::<name::Host>);
+    let zone = root.required("zone", value::checked::<name::Zone>);
+    let secret_file = root.required("secret_file", value::text);
+    let listen = read_listen(root.table("listen"));
+    let platform = read_platform(root.table("platform"));
+    let seeds = read_seeds(root.table("peers"));
+    let log = read_log(root.table("log"));
+    let limits = read_limits(root.table("limits"));
+    let heartbeat = read_heartbeat(root.table("heartbeat"));
+    let lease = read_lease(root.table("lease"));
+    let policy = read_policy(root.table("policy"));
+    let mechanisms = read_mechanisms(root.table("mechanisms"));
+    root.finish();
+    Some(Settings {
+        host: host?.value,
+        zone: zone?.value,
+        secret_file: PathBuf::from(secret_file?.value),
+        listen: listen?,
+        platform: platform?,
+        seeds,
+        log,
+        limits,
+        heartbeat,
+        lease,
+        policy,
+        mechanisms,
+    })
+}
+
+fn read_listen(mut table: Table<'_, '_>) -> Option<Listen> {
+    let caller = table.required("caller", value::listen);
+    let peer = table.required("peer", value::listen);
+    let admin = table.required("admin", value::listen);
+    table.finish();
+    Some(Listen {
+        caller: caller?.value,
+        peer: peer?.value,
+        admin: admin?.value,
+    })
+}
+
+fn read_platform(mut table: Table<'_, '_>) -> Option<Platform> {
+    let address = table.required("address", value::reachable);
+    let range = Duration::from_millis(10)..=MINUTE;
+    let timeout = table.value_or("timeout", Duration::from_secs(1), value::duration(range));
+    table.finish();
+    Some(Platform {
+        address: address?.value,
+        timeout,
+    })
+}
+
+fn read_seeds(mut table: Table<'_, '_>) -> Vec<SocketAddr> {
+    let seeds = table.value_or("seeds", Vec::new(), value::list(value::reachable));
+    table.finish();
+    seeds
+}
+
+fn read_log(mut table: Table<'_, '_>) -> Log {
+    const LEVELS: &[&str] = &["off", "error", "warn", "info", "debug", "trace"];
+    let level = table.value_or("level", LevelFilter::Info, value::one_of(LEVELS));
+    table.finish();
+    Log { level }
+}
+
+fn read_limits(mut table: Table<'_, '_>) -> Limits {
+    let time = || value::duration(Duration::from_millis(10)..=HOUR);
+    let limits = Limits {
+        header_bytes: table.value_or("header_bytes", 16 << 10, bytes(8 << 10, 1 << 20)),
+        body_bytes: table.value_or("body_bytes", 16 << 20, bytes(1 << 10, 1 << 30)),
+        body_budget: table.value_or("body_budget", 512 << 20, bytes(1 << 10, 1 << 40)),
+        header_timeout: table.value_or("header_timeout", Duration::from_secs(5), time()),
+        caller_write_timeout: table.value_or(
+            "caller_write_timeout",
+            Duration::from_secs(10),
+            time(),
+        ),
+        connections: table.value_or("connections", 4096, value::integer(1..=1_000_000)),
+    };
+    if limits.body_budget < limits.body_bytes {
+        table.report("`limits.body_budget` is below `limits.body_bytes`".to_owned());
+    }
+    table.finish();
+    limits
+}
+
+fn bytes(low: u64, high: u64) -> impl Fn(&toml::de::DeValue<'_>) -> Result<u64, String> {
+    move |value| {
+        let bytes = value::bytes(value)?;
+        if (low..=high).contains(&bytes) {
+            return Ok(bytes);
+        }
+        Err(format!("expected {low} to {high} bytes, found {bytes}"))
+    }
+}
+
+fn read_heartbeat(mut table: Table<'_, '_>) -> Heartbeat {
+    let time = || value::duration(Duration::from_millis(10)..=MINUTE);
+    let heartbeat = Heartbeat {
+        interval: table.value_or("interval", Duration::from_millis(500), time()),
+        silence: table.value_or("silence", Duration::from_secs(2), time()),
+    };
+    if heartbeat.silence < heartbeat.interval * 2 {
+        table.report("`heartbeat.silence` is below two intervals".to_owned());
+    }
+    table.finish();
+    heartbeat
+}
+
+fn read_lease(mut table: Table<'_, '_>) -> Lease {
+    let time = || value::duration(Duration::from_millis(10)..=MINUTE);
+    let lease = Lease {
+        duration: table.value_or("duration", Duration::from_secs(3), time()),
+        read_interval: table.value_or("read_interval", Duration::from_secs(1), time()),
+    };
+    if lease.duration < lease.read_interval * 2 {
+        table.report("`lease.duration` is below two read intervals".to_owned());
+    }
+    table.finish();
+    lease
+}
+
+fn read_policy(mut table: Table<'_, '_>) -> Policy {
+    const PLACEMENTS: &[&str] = &["long_confined", "least_load", "round_robin"];
+    let placement = value::one_of(PLACEMENTS);
+    let placement = table.value_or("placement", Placement::LongConfined, placement);
+    table.finish();
+    Policy { placement }
+}
+
+fn read_mechanisms(mut table: Table<'_, '_>) -> Mechanisms {
+    let mut switch = |key| table.value_or(key, true, value::flag);
+    let mechanisms = Mechanisms {
+        claim: switch("claim"),
+        slow_start: switch("slow_start"),
+        lease_check: switch("lease_check"),
+        retry_budget: switch("retry_budget"),
+        poison: switch("poison"),
+        zone_out: switch("zone_out"),
+    };
+    table.finish();
+    mechanisms
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod outcome;
 pub mod platform;
+pub mod status;
 pub mod wire;
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -80,4 +80,7 @@
     pub address: String,
     /// `live` or `leaving`.
     pub state: String,
+    /// The address of the daemon's admin port, if the platform knows it.
+    #[serde(default)]
+    pub admin: Option<String>,
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -4,7 +4,9 @@
 //! made at. That keeps every policy testable on a paused clock and replayable from a seed.
 
 pub mod change;
+pub mod files;
 pub mod fleet;
 pub mod map;
 pub mod name;
+pub mod plan;
 pub mod view;
