--- /dev/null
+++ b/crates/primrosehoist-cli/src/collect.rs
@@ -0,0 +1,51 @@
+//! Collects operators' files from a directory tree.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use primrosehoist::state::files::{self, Text};
+
+use crate::error::Error;
+
+/// Reads every collected file under `directory`, ordered by path.
+///
+/// Hidden directories and symbolic links are passed over.
+///
+/// # Errors
+///
+/// Fails if something cannot be read, or if no file is found.
+pub(crate) fn collect(directory: &Path) -> Result<Vec<Text>, Error> {
+    let mut paths = Vec::new();
+    walk(directory, &mut paths)?;
+    paths.sort();
+    if paths.is_empty() {
+        return Err(Error::Empty(directory.to_owned()));
+    }
+    paths.into_iter().map(read).collect()
+}
+
+fn walk(directory: &Path, paths: &mut Vec<PathBuf>) -> Result<(), Error> {
+    let failed = |error| Error::Read(directory.to_owned(), error);
+    for entry in fs::read_dir(directory).map_err(failed)? {
+        let entry = entry.map_err(failed)?;
+        let kind = entry.file_type().map_err(failed)?;
+        let name = entry.file_name();
+        let name = name.to_string_lossy();
+        if kind.is_dir() && !name.starts_with('.') {
+            walk(&entry.path(), paths)?;
+        } else if kind.is_file() && files::is_collected(&name) {
+            paths.push(entry.path());
+        }
+    }
+    Ok(())
+}
+
+fn read(path: PathBuf) -> Result<Text, Error> {
+    match fs::read_to_string(&path) {
+        Ok(content) => Ok(Text {
+            path: path.display().to_string(),
+            content,
+        }),
+        Err(error) => Err(Error::Read(path, error)),
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-cli/src/output.rs
@@ -0,0 +1,55 @@
+//! What a command prints, and the exit codes.
+
+use std::fmt;
+
+use serde::Serialize;
+use strum::EnumString;
+
+use crate::error::Error;
+
+/// The form in which a command prints its result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "lowercase")]
+pub(crate) enum Format {
+    /// Lines for people.
+    Text,
+    /// One JSON document.
+    Json,
+}
+
+/// How a command ended: the exit code of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub(crate) enum Exit {
+    /// All was done.
+    Done = 0,
+    /// The command failed.
+    Failed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// The files hold mistakes.
+    Mistakes = 3,
+    /// Another operator's change came first.
+    LostRace = 4,
+    /// The change is accepted, but not yet in force everywhere.
+    NotInForce = 5,
+}
+
+/// Prints a result to standard output.
+///
+/// # Errors
+///
+/// Fails if the result cannot be written as JSON.
+pub(crate) fn print<T>(format: Format, result: &T) -> Result<(), Error>
+where
+    T: Serialize + fmt::Display,
+{
+    match format {
+        Format::Text => print!("{result}"),
+        Format::Json => {
+            let json = serde_json::to_string_pretty(result).map_err(Error::Encode)?;
+            println!("{json}");
+        }
+    }
+    Ok(())
+}
