--- a/crates/primrosehoist-cli/src/wait.rs
+++ b/crates/primrosehoist-cli/src/wait.rs
@@ -91,7 +91,7 @@
             scope.spawn(move || Answer {
                 address,
                 status: admin.status(address),
-            });
+            })
         };
         let threads: Vec<_> = daemons.iter().map(ask).collect();
         let answers = threads.into_iter().map(thread::ScopedJoinHandle::join);
--- a/src/state/files/check.rs
+++ b/src/state/files/check.rs
@@ -22,7 +22,6 @@
     check_halves(declarations, &mut mistakes);
     let services = by_name(&declarations.services);
     for upstream in &declarations.upstreams {
-        check_limits(upstream, &mut mistakes);
         check_service(upstream, &services, declarations, &mut mistakes);
     }
     mistakes
@@ -162,14 +161,6 @@
     }
 }
 
-fn check_limits(upstream: &Located<Upstream>, mistakes: &mut Vec<Mistake>) {
-    let (cold, warm) = (upstream.value.cold_requests, upstream.value.warm_requests);
-    if cold > warm {
-        let reason = format!("`cold_requests` {cold} is above `warm_requests` {warm}");
-        mistakes.push(upstream.place.mistake(reason));
-    }
-}
-
 fn check_service(
     upstream: &Located<Upstream>,
     services: &Services<'_>,
--- a/src/state/files/declaration.rs
+++ b/src/state/files/declaration.rs
@@ -142,6 +142,17 @@
     Some(locate(place, workspace))
 }
 
+fn check_limits(table: &Table<'_, '_>, cold: Option<&Located<u32>>, warm: Option<&Located<u32>>) {
+    let (Some(cold), Some(warm)) = (cold, warm) else {
+        return;
+    };
+    if cold.value > warm.value {
+        let (low, high) = (cold.value, warm.value);
+        let reason = format!("`cold_requests` {low} is above `warm_requests` {high}");
+        table.report_at(&cold.place, reason);
+    }
+}
+
 fn read_upstream(mut table: Table<'_, '_>) -> Option<Located<Upstream>> {
     let place = table.place();
     let name = table.required("name", value::checked::<name::Upstream>);
@@ -151,9 +162,15 @@
     let address = table.required("address", value::reachable);
     let cold = table.required("cold_requests", value::integer(1..=REQUESTS_MAX));
     let warm = table.required("warm_requests", value::integer(1..=REQUESTS_MAX));
-    let memory_tokens = table.value_or("memory_tokens", 0, value::tokens);
+    // A wrong value is reported once, and not again as a missing one.
+    let has_memory = table.contains("memory_tokens");
+    let memory = table.optional("memory_tokens", value::tokens);
     let fencing = table.value_or("fencing", false, value::flag);
+    check_limits(&table, cold.as_ref(), warm.as_ref());
     table.finish();
+    if has_memory && memory.is_none() {
+        return None;
+    }
     let upstream = Upstream {
         name: name?.value,
         service: service?.value,
@@ -162,7 +179,7 @@
         address: address?.value,
         cold_requests: cold?.value,
         warm_requests: warm?.value,
-        memory_tokens,
+        memory_tokens: memory.map_or(0, |located| located.value),
         fencing,
         state: Presence::Live,
     };
--- a/src/state/files/mod.rs
+++ b/src/state/files/mod.rs
@@ -4,7 +4,8 @@
 //! upstreams as `[[service]]`, `[[workspace]]` and `[[upstream]]`. All files together describe
 //! the whole fleet: what no file declares is removed when the set is published.
 //!
-//! Reading is pure. It reports every mistake at once, each with its file and line.
+//! Reading is pure. It reports every mistake at once, each with its file and line. Checks between
+//! declarations cover those that are whole in themselves.
 
 mod check;
 mod declaration;
