Add authenticated peer links over h2

Cause: daemons need exchanges with a bounded window per stream. Ruled out: an HMAC challenge inside the first h2 stream (an unauthenticated peer would reach h2 state); a small connection window (one hundred stalled bodies would hold up heartbeats, see tests/peer_link.rs). Change: transport::peer, protocol::codec.

--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,6 @@
 //! Messages: what goes over a connection and how it is encoded.
 
+pub mod codec;
 pub mod outcome;
 pub mod platform;
 pub mod wire;
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -72,6 +72,16 @@
     Answer(Answer),
 }
 
+impl Reply {
+    /// Returns whether the exchange ends with this reply.
+    pub fn is_last(&self) -> bool {
+        !matches!(
+            self,
+            Self::Sent { .. } | Self::Head { .. } | Self::Part { .. }
+        )
+    }
+}
+
 /// What a daemon knows and others should.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
--- /dev/null
+++ b/tests/peer_link.rs
@@ -0,0 +1,342 @@
+//! Tests links between daemons over loopback.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use primrosehoist::protocol::codec;
+use primrosehoist::protocol::wire::{FRAME_BYTES_MAX, Reply, Request, VERSION};
+use primrosehoist::state::name;
+use primrosehoist::state::view::Member;
+use primrosehoist::transport::peer::{
+    Body, Client, Direction, Error, Identity, Responder, Server, handshake::Refusal,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
+
+const SECRET: &[u8] = b"a secret of the tests";
+
+fn identity(host: &str, secret: &[u8]) -> Identity {
+    Identity::new(name::Host::try_from(host).unwrap(), secret)
+}
+
+fn member(host: &str, address: &str) -> Member {
+    Member {
+        host: name::Host::try_from(host).unwrap(),
+        zone: name::Zone::try_from("zone-a").unwrap(),
+        address: address.to_owned(),
+    }
+}
+
+/// Answers each question for changes with the body's length in the head and the body as parts.
+async fn echo(_request: Request, mut body: Body, mut responder: Responder) {
+    let mut index = 0;
+    while let Ok(Some(data)) = body.chunk().await {
+        let part = Reply::Part { index, data };
+        responder.send(&part).await.unwrap();
+        index += 1;
+    }
+    responder.send(&Reply::End).await.unwrap();
+}
+
+async fn echo_server(host: &str) -> (Server, Member) {
+    let server = Server::bind("127.0.0.1:0", identity(host, SECRET), echo)
+        .await
+        .unwrap();
+    let member = member(host, &server.address().to_string());
+    (server, member)
+}
+
+#[tokio::test]
+async fn a_body_larger_than_the_window_passes_whole() {
+    let (_server, b) = echo_server("b").await;
+    let client = Client::new(identity("a", SECRET));
+    let sent: Vec<Bytes> = (0..64_u8).map(|n| Bytes::from(vec![n; 64 << 10])).collect();
+    let body = stream::iter(sent.clone());
+    let mut exchange = client
+        .open(&b, &Request::Changes(1), Some(Box::pin(body)))
+        .await
+        .unwrap();
+    let mut received = Vec::new();
+    let mut expected = 0;
+    while let Some(reply) = exchange.next().await.unwrap() {
+        if let Reply::Part { index, data } = reply {
+            assert_eq!(index, expected);
+            expected += 1;
+            received.extend_from_slice(&data);
+        }
+    }
+    assert_eq!(received, sent.concat());
+    assert_eq!(exchange.peer(), &b.host);
+}
+
+#[tokio::test]
+async fn exchanges_of_a_stalled_reader_hold_up_no_others() {
+    let handler = |request, body, mut responder: Responder| async move {
+        if request == Request::Changes(0) {
+            // Never reads the body: its window fills and stays full.
+            responder.closed().await;
+        } else {
+            echo(request, body, responder).await;
+        }
+    };
+    let server = Server::bind("127.0.0.1:0", identity("b", SECRET), handler)
+        .await
+        .unwrap();
+    let b = member("b", &server.address().to_string());
+    let client = Client::new(identity("a", SECRET));
+    let mut stalled = Vec::new();
+    for _ in 0..100 {
+        let body = stream::iter(vec![Bytes::from(vec![0; 1 << 20])]);
+        let opened = client.open(&b, &Request::Changes(0), Some(Box::pin(body)));
+        stalled.push(opened.await.unwrap());
+    }
+    let mut exchange = client.open(&b, &Request::Changes(1), None).await.unwrap();
+    assert_eq!(exchange.next().await.unwrap(), Some(Reply::End));
+    assert_eq!(exchange.next().await.unwrap(), None);
+}
+
+#[tokio::test]
+async fn a_dropped_exchange_closes_its_responder() {
+    let closed = Arc::new(Notify::new());
+    let notify = Arc::clone(&closed);
+    let handler = move |_request, _body, mut responder: Responder| {
+        let notify = Arc::clone(&notify);
+        async move {
+            let part = Reply::Sent { queued_ms: 0 };
+            responder.send(&part).await.unwrap();
+            responder.closed().await;
+            assert!(responder.send(&Reply::End).await.is_err());
+            notify.notify_one();
+        }
+    };
+    let server = Server::bind("127.0.0.1:0", identity("b", SECRET), handler)
+        .await
+        .unwrap();
+    let b = member("b", &server.address().to_string());
+    let client = Client::new(identity("a", SECRET));
+    let mut exchange = client.open(&b, &Request::Changes(0), None).await.unwrap();
+    assert!(matches!(
+        exchange.next().await,
+        Ok(Some(Reply::Sent { .. }))
+    ));
+    drop(exchange);
+    closed.notified().await;
+}
+
+#[tokio::test]
+async fn a_responder_dropped_early_is_told_from_an_end() {
+    let handler = |_request, _body, mut responder: Responder| async move {
+        let part = Reply::Sent { queued_ms: 0 };
+        responder.send(&part).await.unwrap();
+    };
+    let server = Server::bind("127.0.0.1:0", identity("b", SECRET), handler)
+        .await
+        .unwrap();
+    let b = member("b", &server.address().to_string());
+    let client = Client::new(identity("a", SECRET));
+    let mut exchange = client.open(&b, &Request::Changes(0), None).await.unwrap();
+    // The reset may overtake the reply that was sent before it.
+    let mut replies = 0;
+    let error = loop {
+        match exchange.next().await {
+            Ok(Some(_)) => replies += 1,
+            Ok(None) => panic!("the exchange looked whole after {replies} replies"),
+            Err(error) => break error,
+        }
+    };
+    assert!(
+        matches!(error, Error::Lost { .. } | Error::Truncated { .. }),
+        "{error}"
+    );
+}
+
+#[tokio::test]
+async fn strangers_are_refused() {
+    let (_server, b) = echo_server("b").await;
+    let other = member("c", &b.address);
+    let cases = [
+        ("wrong secret", &b, SECRET[1..].to_vec()),
+        ("empty secret", &b, Vec::new()),
+        ("other host", &other, SECRET.to_vec()),
+    ];
+    for (case, target, secret) in cases {
+        let client = Client::new(identity("a", &secret));
+        let error = client
+            .open(target, &Request::Changes(0), None)
+            .await
+            .unwrap_err();
+        let Error::Refused { cause, .. } = &error else {
+            panic!("{case}: {error}");
+        };
+        let expected = match case {
+            "other host" => matches!(cause, Refusal::Host(_)),
+            _ => matches!(cause, Refusal::Secret),
+        };
+        assert!(expected, "{case}: {error}");
+    }
+}
+
+#[tokio::test]
+async fn a_server_checks_the_proof_of_a_client() {
+    let calls = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&calls);
+    let handler = move |_, _, _| {
+        counter.fetch_add(1, Ordering::Relaxed);
+        async {}
+    };
+    let server = Server::bind("127.0.0.1:0", identity("b", SECRET), handler)
+        .await
+        .unwrap();
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    let mut hello = b"phst".to_vec();
+    hello.extend(VERSION.to_be_bytes());
+    hello.extend([7; 32]);
+    hello.extend(b"\x01a");
+    stream.write_all(&hello).await.unwrap();
+    // Sends the server's own proof back to it.
+    let mut answer = vec![0; hello.len() + 32];
+    stream.read_exact(&mut answer).await.unwrap();
+    stream.write_all(&answer[hello.len()..]).await.unwrap();
+    let mut rest = Vec::new();
+    let _reset = stream.read_to_end(&mut rest).await;
+    assert!(rest.is_empty(), "the server accepted a reflected proof");
+    assert_eq!(calls.load(Ordering::Relaxed), 0);
+}
+
+#[tokio::test]
+async fn an_unknown_version_is_refused_by_both_sides() {
+    let (server, _b) = echo_server("b").await;
+    let mut stream = TcpStream::connect(server.address()).await.unwrap();
+    stream.write_all(b"phst\xff\xff").await.unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).await.unwrap();
+    assert_eq!(answer[4..6], VERSION.to_be_bytes());
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        stream.write_all(b"phst\xff\xff").await.unwrap();
+        let _closed = stream.read_to_end(&mut Vec::new()).await;
+    });
+    let client = Client::new(identity("a", SECRET));
+    let error = client
+        .open_address(&address, &Request::Changes(0))
+        .await
+        .unwrap_err();
+    let refused = matches!(
+        error,
+        Error::Refused {
+            cause: Refusal::Version(0xffff),
+            ..
+        }
+    );
+    assert!(refused, "{error}");
+}
+
+#[test]
+fn frames_beyond_the_limit_are_refused() {
+    let long = FRAME_BYTES_MAX as u32 + 1;
+    assert_eq!(
+        codec::decode_length(long.to_be_bytes()),
+        Err(codec::Error::Oversize(long as usize))
+    );
+    let reply = Reply::Part {
+        index: 0,
+        data: Bytes::from(vec![0; FRAME_BYTES_MAX + 1]),
+    };
+    assert!(codec::encode(&reply).is_err());
+}
+
+#[test]
+fn arbitrary_bytes_are_no_frame_or_a_frame_that_encodes_again() {
+    arbtest::arbtest(|u| {
+        let bytes: Vec<u8> = u.arbitrary()?;
+        if let Ok(request) = codec::decode::<Request>(&bytes) {
+            let again = codec::encode(&request).unwrap();
+            let decoded: Request = codec::decode(&again[codec::PREFIX_BYTES..]).unwrap();
+            assert_eq!(decoded, request);
+        }
+        Ok(())
+    });
+}
+
+#[tokio::test]
+async fn a_silent_listener_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let client = Client::new(identity("a", SECRET));
+    let error = client
+        .open(&member("b", &address), &Request::Changes(0), None)
+        .await
+        .unwrap_err();
+    assert!(matches!(error, Error::Timeout { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn a_cut_in_either_direction_ends_the_exchange_and_heals() {
+    let handler = |request, body, mut responder: Responder| async move {
+        if request == Request::Changes(0) {
+            responder.closed().await;
+        } else {
+            echo(request, body, responder).await;
+        }
+    };
+    for direction in [Direction::To, Direction::From] {
+        let server = Server::bind("127.0.0.1:0", identity("b", SECRET), handler)
+            .await
+            .unwrap();
+        let b = member("b", &server.address().to_string());
+        let a = identity("a", SECRET);
+        let client = Client::new(a.clone());
+        let mut exchange = client.open(&b, &Request::Changes(0), None).await.unwrap();
+        a.cuts
+            .set(direction, [b.host.clone()].into_iter().collect());
+        let error = exchange.next().await.unwrap_err();
+        assert!(matches!(error, Error::Lost { .. }), "{direction}: {error}");
+        let error = client
+            .open(&b, &Request::Changes(1), None)
+            .await
+            .unwrap_err();
+        assert!(
+            matches!(error, Error::Timeout { .. }),
+            "{direction}: {error}"
+        );
+        a.cuts.set(direction, [].into_iter().collect());
+        let mut exchange = loop {
+            match client.open(&b, &Request::Changes(1), None).await {
+                Ok(exchange) => break exchange,
+                Err(Error::Backoff { retry_after, .. }) => tokio::time::sleep(retry_after).await,
+                Err(error) => panic!("{direction}: {error}"),
+            }
+        };
+        assert_eq!(exchange.next().await.unwrap(), Some(Reply::End));
+    }
+}
+
+#[tokio::test]
+async fn a_caller_that_falls_silent_closes_its_exchanges() {
+    let closed = Arc::new(Notify::new());
+    let notify = Arc::clone(&closed);
+    let handler = move |_request, _body, mut responder: Responder| {
+        let notify = Arc::clone(&notify);
+        async move {
+            responder.closed().await;
+            notify.notify_one();
+        }
+    };
+    let server = Server::bind("127.0.0.1:0", identity("b", SECRET), handler)
+        .await
+        .unwrap();
+    let b = member("b", &server.address().to_string());
+    let a = identity("a", SECRET);
+    let client = Client::new(a.clone());
+    let _exchange = client.open(&b, &Request::Changes(0), None).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    a.cuts.set(Direction::To, [b.host].into_iter().collect());
+    closed.notified().await;
+}
