Wait for an established exchange before the test cuts its link

Cause: the cut came before the request's first frame had left, so the test saw the callee's time limit for that frame instead of the cut. Ruled out: a link that stays usable after its end.

--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -281,6 +281,8 @@
 async fn a_cut_in_either_direction_ends_the_exchange_and_heals() {
     let handler = |request, body, mut responder: Responder| async move {
         if request == Request::Changes(0) {
+            let sent = Reply::Sent { queued_ms: 0 };
+            responder.send(&sent).await.unwrap();
             responder.closed().await;
         } else {
             echo(request, body, responder).await;
@@ -294,6 +296,8 @@
         let a = identity("a", SECRET);
         let client = Client::new(a.clone());
         let mut exchange = client.open(&b, &Request::Changes(0), None).await.unwrap();
+        // A cut before the request has arrived would test the time limit of its first frame.
+        assert!(exchange.next().await.unwrap().is_some());
         a.cuts
             .set(direction, [b.host.clone()].into_iter().collect());
         let error = exchange.next().await.unwrap_err();
