--- /dev/null
+++ b/src/coordination/claim.rs
@@ -0,0 +1,1 @@
+//! Claims of idempotency keys.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,8 +3,12 @@
 //! Nothing here performs I/O or reads a clock: a decision receives the state and the time it is
 //! made at. That keeps every policy testable on a paused clock and replayable from a seed.
 
+pub mod budget;
 pub mod change;
 pub mod fleet;
+pub mod limit;
 pub mod map;
 pub mod name;
+pub mod placement;
+pub mod queue;
 pub mod view;
