--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -4,11 +4,16 @@
 //! memory that this work needs. Room is kept for short prompts, few long prompts are processed at
 //! once, and a suspect request runs alone. Nothing counts by load reports, which lag.
 
+mod flight;
+mod refusal;
+mod room;
+
 use std::time::Duration;
 
 use strum::{Display, EnumString};
 use tokio::time::Instant;
 
+use self::flight::{Flight, Mean};
 use crate::state::fleet::Upstream;
 use crate::state::limit::{Failure, Limit};
 use crate::state::map::Map;
@@ -29,12 +34,6 @@
 /// How long a long prompt waits for memory before short ones are confined to their reserved part.
 pub const LONG_PATIENCE: Duration = Duration::from_secs(10);
 
-/// One part in this many of the memory is never given to several long prompts.
-const SHORT_MEMORY_PART: u64 = 8;
-
-/// One part in this many of the slots is never given to long prompts.
-const SHORT_SLOT_PART: u32 = 4;
-
 /// The bounds of the time after which a refused caller is told to retry.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(10);
@@ -79,49 +78,6 @@
     NotSent,
 }
 
-/// A request in flight.
-#[derive(Debug)]
-struct Flight {
-    item: Item,
-    sent: Instant,
-    /// Prompt tokens in progress at the upstream when this request was sent, its own included.
-    work: u64,
-    /// The value of [`Scheduler::sent_tokens`] just after this request was sent.
-    sent_tokens: u64,
-    /// Tokens of the answer so far.
-    answered: u64,
-    /// Whether the time to the first token was taken as a sign of a cold start.
-    slow: bool,
-}
-
-impl Flight {
-    fn in_prefill(&self) -> bool {
-        self.answered == 0
-    }
-
-    fn tokens_left(&self) -> u64 {
-        let prompt = if self.in_prefill() {
-            self.item.prompt_tokens
-        } else {
-            0
-        };
-        prompt + self.item.answer_tokens.saturating_sub(self.answered)
-    }
-}
-
-/// The mean time for which requests of a class are in flight.
-#[derive(Debug, Default)]
-struct Mean(Option<Duration>);
-
-impl Mean {
-    fn add(&mut self, sample: Duration) {
-        self.0 = Some(match self.0 {
-            Some(mean) => (mean * 7 + sample) / 8,
-            None => sample,
-        });
-    }
-}
-
 /// The admission to one upstream.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -182,6 +138,7 @@
 
     /// Offers a request. The caller asks [`Scheduler::next`] afterwards if it is queued.
     pub fn offer(&mut self, item: Item, now: Instant) -> Verdict {
+        self.find_overdue(now);
         if let Some(reason) = self.refusal(&item, now) {
             let wait = self.expected_wait(&item, now);
             return Verdict::Refused(reason, wait.clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX));
@@ -357,59 +314,6 @@
         }
     }
 
-    fn refusal(&self, item: &Item, now: Instant) -> Option<Reason> {
-        let waits = |condition: fn(&Waiting) -> bool| self.queue.iter().any(condition);
-        if item.half != self.half {
-            return Some(Reason::OtherHalf);
-        }
-        if self.memory_tokens > 0 && item.memory_tokens() > self.memory_tokens {
-            return Some(Reason::TooLong);
-        }
-        if item.suspect && waits(|w| w.item.suspect) {
-            return Some(Reason::Busy);
-        }
-        if self.queue.len() >= self.queue_max(now) {
-            return Some(Reason::Full);
-        }
-        let late = now + self.expected_wait(item, now) >= item.deadline;
-        late.then_some(Reason::Late)
-    }
-
-    /// Returns the expected time until the first token, from what was shown so far.
-    ///
-    /// An idle upstream is always tried, because only work can show that it became faster.
-    fn expected_wait(&self, item: &Item, now: Instant) -> Duration {
-        if self.flights.is_empty() && self.queue.is_empty() {
-            return Duration::ZERO;
-        }
-        let ahead = self.prefill_tokens() + self.queue.tokens_ahead(item, now) + item.prompt_tokens;
-        let prefill = match self.limit.rate() {
-            Some(rate) => Duration::try_from_secs_f64(ahead as f64 / rate).unwrap_or(Duration::MAX),
-            None => Duration::ZERO,
-        };
-        prefill.max(self.slot_wait(item, now)).min(WAIT_MAX)
-    }
-
-    /// Returns the expected time until a slot is free for `item`.
-    fn slot_wait(&self, item: &Item, now: Instant) -> Duration {
-        let slots = self.slots(now).max(1);
-        if self.flights.len() < slots as usize {
-            return Duration::ZERO;
-        }
-        let long = is_long(item.prompt_tokens);
-        let mean = if long {
-            &self.long_time
-        } else {
-            &self.short_time
-        };
-        let ahead = self
-            .queue
-            .iter()
-            .filter(|w| long || !is_long(w.item.prompt_tokens))
-            .count();
-        mean.0.unwrap_or_default().saturating_mul(ahead as u32) / slots
-    }
-
     fn time_of(&mut self, item: &Item) -> &mut Mean {
         if is_long(item.prompt_tokens) {
             &mut self.long_time
@@ -441,47 +345,8 @@
             .map(Item::memory_tokens)
             .sum()
     }
-
-    fn room(&self, now: Instant) -> Room {
-        let slots = self.slots(now);
-        let long = |item: &Item| is_long(item.prompt_tokens);
-        let flights = || self.flights.values();
-        let in_flight = self.flights.len();
-        let long_flights = flights().filter(|f| long(&f.item)).count();
-        let kept = if slots > 1 {
-            (slots / SHORT_SLOT_PART).max(1)
-        } else {
-            0
-        };
-        let waited = |w: &Waiting, patience| now.saturating_duration_since(w.since) >= patience;
-        Room {
-            idle: in_flight == 0,
-            closed: flights().any(|f| f.item.suspect || f.item.half != self.half),
-            slots: (slots as usize).saturating_sub(in_flight),
-            long_slots: ((slots - kept) as usize).saturating_sub(long_flights),
-            long_prefills: flights()
-                .filter(|f| f.in_prefill() && long(&f.item))
-                .count(),
-            memory: (self.memory_tokens > 0).then(|| Memory {
-                total: self.memory_tokens,
-                long: self.memory_used(long),
-                short: self.memory_used(|item| !long(item)),
-            }),
-            suspect_due: self
-                .queue
-                .iter()
-                .any(|w| w.item.suspect && waited(w, SUSPECT_PATIENCE)),
-            long_due: self
-                .queue
-                .iter()
-                .any(|w| long(&w.item) && waited(w, LONG_PATIENCE)),
-        }
-    }
 }
 
-/// The longest expected wait, so that it can be added to any time.
-const WAIT_MAX: Duration = Duration::from_secs(24 * 3600);
-
 /// Returns the priority of a prompt for the engine; zero is most urgent.
 pub fn priority(prompt_tokens: u64) -> u8 {
     match prompt_tokens {
@@ -496,59 +361,3 @@
 fn tickets(items: Vec<Item>) -> Vec<Ticket> {
     items.into_iter().map(|item| item.ticket).collect()
 }
-
-/// Memory in use, in tokens.
-#[derive(Debug)]
-struct Memory {
-    total: u64,
-    long: u64,
-    short: u64,
-}
-
-impl Memory {
-    fn fits(&self, need: u64, long: bool, long_due: bool) -> bool {
-        let kept = self.total / SHORT_MEMORY_PART;
-        if self.long + self.short + need > self.total {
-            return false;
-        }
-        if long {
-            // A prompt that needs nearly all memory would otherwise never run.
-            self.long == 0 || self.long + need <= self.total - kept
-        } else {
-            !long_due || self.short + need <= kept
-        }
-    }
-}
-
-/// What an upstream can take at one moment.
-#[derive(Debug)]
-struct Room {
-    idle: bool,
-    closed: bool,
-    slots: usize,
-    long_slots: usize,
-    long_prefills: usize,
-    memory: Option<Memory>,
-    suspect_due: bool,
-    long_due: bool,
-}
-
-impl Room {
-    fn fits(&self, waiting: &Waiting) -> bool {
-        let item = &waiting.item;
-        if self.closed || self.slots == 0 {
-            return false;
-        }
-        if item.suspect != (item.suspect && self.idle) || (self.suspect_due && !item.suspect) {
-            return false;
-        }
-        let long = is_long(item.prompt_tokens);
-        if long && (self.long_slots == 0 || self.long_prefills >= LONG_PREFILLS_MAX) {
-            return false;
-        }
-        match &self.memory {
-            Some(memory) => memory.fits(item.memory_tokens(), long, self.long_due),
-            None => true,
-        }
-    }
-}
--- a/src/state/limit.rs
+++ b/src/state/limit.rs
@@ -29,7 +29,7 @@
 /// Time to first token that is never a sign of a cold start.
 const SLOW_SLACK: Duration = Duration::from_millis(50);
 
-/// Shorter prompts do not lower the shown rate: their time is mostly that of the connection.
+/// Shorter prompts do not show a rate: their time is mostly that of the connection.
 const RATE_TOKENS_MIN: u64 = 512;
 
 /// How an upstream failed.
@@ -54,7 +54,7 @@
     completions_to_warm: u32,
     /// Completions since the last sign of a cold start.
     completions: u32,
-    /// The shown prefill rate in tokens per second, from below.
+    /// The shown prefill rate in tokens per second.
     rate: Option<f64>,
     /// The last event of any kind.
     touched: Option<Instant>,
@@ -193,18 +193,32 @@
         self.touched = Some(now);
     }
 
-    /// Learns from the own length only, which bounds the rate from below.
+    /// Returns the part by which a higher rate is taken over in one step, as its inverse.
+    fn rate_inertia(&self) -> f64 {
+        if self.completions < self.completions_to_warm {
+            4.0
+        } else {
+            32.0
+        }
+    }
+
+    /// Learns the rate, which lies between that of the prompt alone and that of all work.
+    ///
+    /// It falls fast, and rises slowly once the upstream is warm, because a prompt with a cached
+    /// prefix shows a rate far above that of others.
     fn learn_rate(&mut self, prompt_tokens: u64, work_tokens: u64, elapsed: Duration) {
-        let sample = prompt_tokens as f64 / elapsed.as_secs_f64().max(1e-6);
-        let Some(rate) = self.rate else {
-            self.rate = (prompt_tokens > 0).then_some(sample);
+        if prompt_tokens < RATE_TOKENS_MIN {
             return;
-        };
-        if sample > rate {
-            self.rate = Some(rate + (sample - rate) / 2.0);
-        } else if prompt_tokens == work_tokens && prompt_tokens >= RATE_TOKENS_MIN {
-            self.rate = Some(rate + (sample - rate) / 8.0);
         }
+        let seconds = elapsed.as_secs_f64().max(1e-6);
+        let low = prompt_tokens as f64 / seconds;
+        let high = work_tokens as f64 / seconds;
+        self.rate = Some(match self.rate {
+            None => low,
+            Some(rate) if low > rate => rate + (low.min(rate * 2.0) - rate) / self.rate_inertia(),
+            Some(rate) if high < rate => rate.midpoint(high),
+            Some(rate) => rate,
+        });
     }
 }
 
--- /dev/null
+++ b/tests/budget_bounds.rs
@@ -0,0 +1,49 @@
+//! Retries stay within the budget, and delays within their bounds.
+
+use std::time::Duration;
+
+use arbtest::arbtest;
+use primrosehoist::state::budget::{BACKOFF_FIRST, BACKOFF_MAX, Budget, FLOOR_PER_SECOND, backoff};
+use tokio::time::Instant;
+
+#[test]
+fn retries_never_exceed_share_and_floor() {
+    arbtest(|u| {
+        let start = Instant::now();
+        let percent: u32 = u.int_in_range(0..=100)?;
+        let mut budget = Budget::new(percent, start);
+        let (mut now, mut attempts, mut retries) = (start, 0_u64, 0_u64);
+        for _ in 0..500 {
+            now += Duration::from_millis(u.int_in_range(0..=100)?);
+            if u.arbitrary()? {
+                budget.attempt();
+                attempts += 1;
+            }
+            retries += u64::from(budget.retry(now));
+            let floor = FLOOR_PER_SECOND * ((now - start).as_secs() + 2);
+            assert!(retries <= attempts * u64::from(percent) / 100 + floor);
+        }
+        Ok(())
+    })
+    .budget_ms(500);
+}
+
+#[test]
+fn the_floor_allows_a_retry_without_attempts() {
+    let now = Instant::now();
+    let mut budget = Budget::new(0, now);
+    assert!(budget.retry(now));
+    assert!(!budget.retry(now));
+    assert!(budget.retry(now + Duration::from_secs(1)));
+}
+
+#[test]
+fn delays_stay_within_bounds() {
+    arbtest(|u| {
+        let delay = backoff(u.arbitrary()?, u.arbitrary()?);
+        assert!(delay >= BACKOFF_FIRST / 2 && delay <= BACKOFF_MAX);
+        Ok(())
+    })
+    .budget_ms(200);
+    assert!(backoff(3, 0) > backoff(0, u64::MAX));
+}
