Test the stand-ins as processes and order the steps of a crash

Errors of options did not name the option.

Change: a crashed engine takes nothing until it is up again, and connections end only after the listener is closed. An overload and its crash are one step. Ended streams are kept apart from running ones. Orders are listed.

Conclusion: the crash is seen in one order from outside.

--- a/crates/primrosehoist-standin/src/command.rs
+++ b/crates/primrosehoist-standin/src/command.rs
@@ -12,6 +12,8 @@
 
 /// The exit code of a command line that is not understood.
 const EXIT_USAGE: u8 = 2;
+/// The option for the address to listen on.
+const LISTEN: &str = "--listen";
 
 quick_error! {
     /// Says why a command failed.
@@ -21,8 +23,12 @@
         Command(name: String) { display("unknown command {:?}; see --help", name) }
         /// No command was given.
         Missing { display("a command is missing; see --help") }
-        /// An option is wrong.
-        Option(error: pico_args::Error) { from() display("{}; see --help", error) }
+        /// The command line cannot be read.
+        Line(error: pico_args::Error) { from() display("{}; see --help", error) }
+        /// An option is missing or its value is wrong.
+        Option(key: &'static str, error: pico_args::Error) {
+            display("{}: {}; see --help", key, error)
+        }
         /// An argument is not known.
         Unknown(argument: String) { display("unknown argument {:?}; see --help", argument) }
         /// A value is outside of its range.
@@ -86,7 +92,21 @@
     T: FromStr,
     T::Err: std::fmt::Display,
 {
-    Ok(arguments.opt_value_from_str(key)?.unwrap_or(default))
+    Ok(optional(arguments, key)?.unwrap_or(default))
+}
+
+/// Reads an option that may be absent.
+///
+/// # Errors
+///
+/// Returns [`Error::Option`] if the value cannot be parsed.
+pub(crate) fn optional<T>(arguments: &mut Arguments, key: &'static str) -> Result<Option<T>, Error>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let given = arguments.opt_value_from_str(key);
+    given.map_err(|error| Error::Option(key, error))
 }
 
 /// Reads the address to listen on.
@@ -95,7 +115,8 @@
 ///
 /// Returns [`Error::Option`] if it is missing or no address.
 pub(crate) fn listen(arguments: &mut Arguments) -> Result<SocketAddr, Error> {
-    Ok(arguments.value_from_str("--listen")?)
+    let given = arguments.value_from_str(LISTEN);
+    given.map_err(|error| Error::Option(LISTEN, error))
 }
 
 /// Reads the options of a subcommand and runs it until a signal ends it.
--- a/crates/primrosehoist-standin/src/engine/admin.rs
+++ b/crates/primrosehoist-standin/src/engine/admin.rs
@@ -7,13 +7,12 @@
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
-use strum::EnumString;
 use tokio::time::Instant;
 
 use crate::engine::chunk::Events;
 use crate::engine::model::Model;
 use crate::engine::owner::{Claim, Owner};
-use crate::engine::tally::State;
+use crate::engine::tally::{Kind, Order, State};
 use crate::engine::{Engine, api};
 use crate::reply::{self, Payload, Refusal};
 
@@ -56,20 +55,11 @@
 }
 
 #[derive(Debug, Deserialize)]
-struct Order {
-    kind: String,
+struct Given {
+    kind: Kind,
     argument: String,
 }
 
-/// The kinds of orders.
-#[derive(Debug, Clone, Copy, EnumString)]
-#[strum(serialize_all = "snake_case")]
-enum OrderKind {
-    LoadModel,
-    LoadAdapter,
-    SetRole,
-}
-
 type Done = Result<Response<Payload>, Refusal>;
 
 /// Answers a request on an admin endpoint.
@@ -120,8 +110,8 @@
 }
 
 fn running(model: &Model) -> Response<Payload> {
-    let active = model.jobs.iter().filter(|(_, job)| job.is_active());
-    let streams: Vec<Value> = active
+    let jobs = model.jobs.iter();
+    let streams: Vec<Value> = jobs
         .map(|(id, job)| {
             json!({
                 "id": &**id,
@@ -161,11 +151,10 @@
 fn resume(engine: &Engine, content: &[u8]) -> Done {
     let resume: Resume = parse(content)?;
     let model = engine.model();
-    let job = model.jobs.get(resume.id.as_str()).ok_or_else(unknown)?;
-    let record = Arc::clone(&job.record);
+    let record = Arc::clone(model.record(&resume.id).ok_or_else(unknown)?);
     let garbage = model.faults.garbage();
     drop(model);
-    let events = Events::new(record, &engine.settings.model, resume.from, garbage);
+    let events = Events::new(record, engine.settings.model_name(), resume.from, garbage);
     Ok(api::event_stream(events, &resume.id))
 }
 
@@ -230,8 +219,7 @@
     let owner = Owner::of(&parts.headers);
     let mut model = engine.model();
     fence(&mut model, &owner)?;
-    let job = model.jobs.get(stream.id.as_str()).ok_or_else(unknown)?;
-    let tokens = job.prompt_tokens - job.prefill_left.min(job.prompt_tokens);
+    let tokens = model.processed_tokens(&stream.id).ok_or_else(unknown)?;
     if !model.make_room(tokens, Instant::now()) {
         return Err(no_memory());
     }
@@ -259,12 +247,14 @@
 }
 
 fn order(engine: &Engine, parts: &Parts, content: &[u8]) -> Done {
-    let order: Order = parse(content)?;
-    let kind = order.kind.parse::<OrderKind>();
-    let kind = kind.map_err(|error| bad_request(&format!("kind: {error}")))?;
+    let given: Given = parse(content)?;
     let mut model = engine.model();
-    fence(&mut model, &Owner::of(&parts.headers))?;
-    model.tally.orders += 1;
-    log::info!("order {kind:?} {:?}", order.argument);
+    let owner = Owner::of(&parts.headers);
+    fence(&mut model, &owner)?;
+    model.tally.orders.push(Order {
+        kind: given.kind,
+        argument: given.argument,
+        owner,
+    });
     Ok(ok())
 }
--- a/crates/primrosehoist-standin/src/engine/api.rs
+++ b/crates/primrosehoist-standin/src/engine/api.rs
@@ -1,5 +1,6 @@
 //! The HTTP side of an engine.
 
+use std::future;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -16,7 +17,7 @@
 use crate::engine::prompt::{Dialect, Prompt};
 use crate::engine::record::Record;
 use crate::engine::{Engine, admin, cache, control};
-use crate::reply::{self, Answer, Closed, Payload};
+use crate::reply::{self, Answer, Payload};
 
 /// The largest accepted body, in bytes.
 const BODY_LIMIT_BYTES: usize = 16 * 1024 * 1024;
@@ -35,6 +36,11 @@
         Ok(content) => content,
         Err(status) => return Ok(reply::error(status, "body", "the body was refused")),
     };
+    if engine.model().is_down(Instant::now()) {
+        // The listener closes the connection when it has closed itself, so that a caller who
+        // sees the end of it finds the engine down.
+        return future::pending().await;
+    }
     if let Some(endpoint) = path.strip_prefix("/admin/") {
         return Ok(admin::handle(&engine, &parts, endpoint, &content));
     }
@@ -70,7 +76,7 @@
 
 fn models(engine: &Engine) -> Response<Payload> {
     let model = json!({
-        "id": &engine.settings.model,
+        "id": engine.settings.model_name(),
         "object": "model",
         "created": 0,
         "owned_by": "stand-in",
@@ -97,14 +103,15 @@
     let record = match received {
         Ok(record) => record,
         Err(Refusal::Overload) => {
-            engine.crash();
-            return Err(Closed::Now);
+            engine.close();
+            return future::pending().await;
         }
+        Err(Refusal::Down) => return future::pending().await,
         Err(refusal) => return Ok(refused(refusal).response()),
     };
     engine.work.notify_one();
     if stream {
-        let events = Events::new(record, &engine.settings.model, 0, garbage);
+        let events = Events::new(record, engine.settings.model_name(), 0, garbage);
         return Ok(event_stream(events, &id));
     }
     whole(engine, record, garbage).await
@@ -117,7 +124,7 @@
     content: &[u8],
 ) -> Result<Arrival, String> {
     let prompt = Prompt::parse(dialect, content)?;
-    if !prompt.model.is_empty() && prompt.model != engine.settings.model {
+    if !engine.settings.serves(&prompt.model) {
         return Err(format!("the model {:?} is not served", prompt.model));
     }
     let headers = &parts.headers;
@@ -167,7 +174,7 @@
             "too_long",
             "the prompt does not fit into the memory",
         ),
-        Refusal::Refuse | Refusal::Overload => (
+        Refusal::Refuse | Refusal::Down | Refusal::Overload => (
             StatusCode::SERVICE_UNAVAILABLE,
             "not_run",
             "the engine refuses requests",
@@ -192,7 +199,7 @@
 
 async fn whole(engine: &Engine, record: Arc<Record>, garbage: Option<Garbage>) -> Answer {
     let id = Arc::clone(&record.id);
-    let answer = chunk::whole(record, &engine.settings.model).await?;
+    let answer = chunk::whole(record, engine.settings.model_name()).await?;
     let text = answer.to_string();
     let content = match garbage {
         None => text,
--- a/crates/primrosehoist-standin/src/engine/chunk.rs
+++ b/crates/primrosehoist-standin/src/engine/chunk.rs
@@ -1,6 +1,7 @@
 //! The JSON and event stream of answers.
 
 use std::collections::VecDeque;
+use std::future;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -76,8 +77,9 @@
             }
             let progress = *self.changes.borrow_and_update();
             self.collect(progress);
-            if self.ready.is_empty() && !self.done && self.changes.changed().await.is_err() {
-                return Some(Err(Closed::Now));
+            let waits = self.ready.is_empty() && !self.done;
+            if waits && self.changes.changed().await.is_err() {
+                return future::pending().await;
             }
         }
     }
@@ -89,7 +91,8 @@
             self.event(index);
         }
         match progress.end {
-            None => {}
+            // After a crash the listener closes the connection when it has closed itself.
+            None | Some(End::Lost) => {}
             Some(End::Cut) => {
                 self.ready.push_back(Bytes::new());
                 self.done = true;
@@ -174,10 +177,10 @@
     let reader = Reader::new(record);
     let ended = changes.wait_for(|progress| progress.end.is_some()).await;
     let end = ended.map_err(|_gone| Closed::Now)?.end;
-    if end == Some(End::Finished) {
-        Ok(answer(&reader.record, model))
-    } else {
-        Err(Closed::Now)
+    match end {
+        Some(End::Finished) => Ok(answer(&reader.record, model)),
+        Some(End::Lost) => future::pending().await,
+        _ => Err(Closed::Now),
     }
 }
 
--- a/crates/primrosehoist-standin/src/engine/job.rs
+++ b/crates/primrosehoist-standin/src/engine/job.rs
@@ -17,8 +17,6 @@
     Prefill,
     /// Its tokens are made.
     Decode,
-    /// It ended at that time and can still be read.
-    Ended(Instant),
 }
 
 /// A request with the memory it holds.
@@ -52,11 +50,6 @@
         self.prompt_tokens + self.record.prompt.max_tokens
     }
 
-    /// Returns whether the request waits or runs.
-    pub(crate) fn is_active(&self) -> bool {
-        !matches!(self.phase, Phase::Ended(_))
-    }
-
     /// Returns the key by which requests are ordered.
     pub(crate) fn rank(&self) -> Rank {
         Rank {
@@ -66,6 +59,15 @@
     }
 }
 
+/// A request whose answer is complete and can still be read.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    /// The time of its end.
+    pub(crate) at: Instant,
+    /// Its answer.
+    pub(crate) record: Arc<Record>,
+}
+
 /// The order of requests: by priority, then by arrival.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
--- a/crates/primrosehoist-standin/src/engine/mod.rs
+++ b/crates/primrosehoist-standin/src/engine/mod.rs
@@ -19,6 +19,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::sync::{Notify, mpsc};
+use tokio::time::Instant;
 
 use crate::listener::{self, Outage};
 
@@ -46,7 +47,18 @@
 
     /// Loses all memory and closes all connections for the time of a restart.
     fn crash(&self) {
-        self.model().crash();
+        let now = Instant::now();
+        let mut model = self.model();
+        if model.is_down(now) {
+            return;
+        }
+        model.crash(now);
+        drop(model);
+        self.close();
+    }
+
+    /// Closes the listener, then all connections, for the time of a restart.
+    fn close(&self) {
         let outage = Outage {
             duration: self.settings.crash_downtime,
         };
--- a/crates/primrosehoist-standin/src/engine/model.rs
+++ b/crates/primrosehoist-standin/src/engine/model.rs
@@ -8,10 +8,10 @@
 
 use crate::engine::cache::{Cache, Prefix};
 use crate::engine::control::Faults;
-use crate::engine::job::{Job, Phase};
+use crate::engine::job::{Ended, Job, Phase};
 use crate::engine::owner::{Claim, Owner};
 use crate::engine::prompt::Prompt;
-use crate::engine::record::Record;
+use crate::engine::record::{End, Record};
 use crate::engine::settings::{Fencing, Settings};
 use crate::engine::tally::{State, Tally};
 
@@ -35,6 +35,8 @@
 /// Why a request was not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Refusal {
+    /// The engine has crashed and is not up again.
+    Down,
     /// Its fencing epoch is old.
     Stale,
     /// The engine is set to refuse.
@@ -43,7 +45,7 @@
     Duplicate,
     /// It can never fit into the memory.
     TooLong,
-    /// It is beyond what the engine bears, which crashes.
+    /// It is beyond what the engine bears, which has crashed.
     Overload,
 }
 
@@ -61,6 +63,7 @@
 pub(crate) struct Model {
     pub(crate) settings: Arc<Settings>,
     pub(crate) jobs: Map<Arc<str>, Job>,
+    pub(crate) ended: Map<Arc<str>, Ended>,
     pub(crate) reservations: Map<Arc<str>, Claim>,
     pub(crate) exports: Map<Arc<str>, Claim>,
     pub(crate) cache: Cache,
@@ -73,6 +76,7 @@
     pub(crate) last_received: Option<Instant>,
     pub(crate) arrivals: u64,
     highest_epoch: u64,
+    down_until: Option<Instant>,
 }
 
 impl Model {
@@ -82,6 +86,7 @@
             cache: Cache::new(&settings),
             settings,
             jobs: Map::default(),
+            ended: Map::default(),
             reservations: Map::default(),
             exports: Map::default(),
             faults: Faults::default(),
@@ -91,18 +96,18 @@
             last_received: None,
             arrivals: 0,
             highest_epoch: 0,
+            down_until: None,
         }
     }
 
     /// Loses all requests and memory; the counters and faults stay.
-    pub(crate) fn crash(&mut self) {
+    pub(crate) fn crash(&mut self, now: Instant) {
         for job in self.jobs.values() {
-            if job.is_active() {
-                self.tally.end(job.attempt, State::Crashed);
-            }
-            job.record.cut();
+            self.tally.end(job.attempt, State::Crashed);
+            job.record.cut(End::Lost);
         }
         self.jobs.clear();
+        self.ended.clear();
         self.reservations.clear();
         self.exports.clear();
         self.cache = Cache::new(&self.settings);
@@ -110,18 +115,27 @@
         self.generation += 1;
         self.completions = 0;
         self.highest_epoch = 0;
+        self.down_until = Some(now + self.settings.crash_downtime);
+    }
+
+    /// Returns whether the engine has crashed and is not up again.
+    pub(crate) fn is_down(&self, now: Instant) -> bool {
+        self.down_until.is_some_and(|until| now < until)
     }
 
     /// Accepts a request, or says why not.
     ///
     /// # Errors
     ///
-    /// Returns the refusal; after [`Refusal::Overload`] the caller crashes the engine.
+    /// Returns the refusal; after [`Refusal::Overload`] the engine has crashed.
     pub(crate) fn receive(
         &mut self,
         arrival: Arrival,
         now: Instant,
     ) -> Result<Arc<Record>, Refusal> {
+        if self.is_down(now) {
+            return Err(Refusal::Down);
+        }
         self.screen(&arrival)?;
         self.tally.received += 1;
         self.last_received = Some(now);
@@ -132,6 +146,7 @@
             self.tally.overloads += 1;
             self.tally.max_over_limit = self.tally.max_over_limit.max(in_flight - borne);
             self.tally.attempt(&arrival.id, State::Overload);
+            self.crash(now);
             return Err(Refusal::Overload);
         }
         Ok(self.start(arrival))
@@ -148,7 +163,7 @@
             return Err(Refusal::Stale);
         }
         let need = arrival.prompt_tokens + arrival.prompt.max_tokens;
-        let refusal = if self.jobs.contains_key(&arrival.id) {
+        let refusal = if self.record(&arrival.id).is_some() {
             Refusal::Duplicate
         } else if need > self.settings.memory_tokens {
             Refusal::TooLong
@@ -194,40 +209,60 @@
         true
     }
 
+    /// Returns the answer of a request, also of one that ended.
+    pub(crate) fn record(&self, id: &str) -> Option<&Arc<Record>> {
+        let running = self.jobs.get(id).map(|job| &job.record);
+        running.or_else(|| self.ended.get(id).map(|ended| &ended.record))
+    }
+
+    /// Returns the prompt tokens of a request that are processed, also of one that ended.
+    pub(crate) fn processed_tokens(&self, id: &str) -> Option<u64> {
+        let running = self.jobs.get(id);
+        let running = running.map(|job| job.prompt_tokens.saturating_sub(job.prefill_left));
+        running.or_else(|| self.ended.get(id).map(|ended| ended.record.prompt.tokens))
+    }
+
     /// Ends a request before its time and frees its memory.
     pub(crate) fn cancel(&mut self, id: &str, state: State) {
-        let Some(job) = self.jobs.remove(id) else {
-            return;
-        };
-        if job.is_active() {
+        if let Some(job) = self.jobs.remove(id) {
             self.tally.end(job.attempt, state);
+            job.record.cut(End::Cut);
         }
-        job.record.cut();
+        self.ended.remove(id);
+    }
+
+    /// Ends a request whose tokens are all made and frees its memory.
+    pub(crate) fn complete(&mut self, id: &str, now: Instant) {
+        let Some((id, job)) = self.jobs.remove_entry(id) else {
+            return;
+        };
+        self.tally.end(job.attempt, State::Completed);
+        self.completions += 1;
+        let record = job.record;
+        self.ended.insert(id, Ended { at: now, record });
     }
 
     /// Drops the streams that nobody has read for the grace time.
     pub(crate) fn expire(&mut self, now: Instant) {
         let grace = self.settings.resume_grace;
-        let expired = |job: &Job| {
-            let left_at = match job.phase {
-                Phase::Ended(at) => job.record.left_at().map(|left_at| left_at.max(at)),
-                _ => job.record.left_at(),
-            };
-            left_at.is_some_and(|at| now.duration_since(at) >= grace)
-        };
+        let old = |since: Instant| now.duration_since(since) >= grace;
+        self.ended.retain(|_, ended| {
+            let left_at = ended.record.left_at();
+            !left_at.is_some_and(|left_at| old(left_at.max(ended.at)))
+        });
         let jobs = self.jobs.iter();
-        let ids: Vec<_> = jobs
-            .filter(|(_, job)| expired(job))
+        let left: Vec<_> = jobs
+            .filter(|(_, job)| job.record.left_at().is_some_and(old))
             .map(|(id, _)| Arc::clone(id))
             .collect();
-        for id in ids {
+        for id in left {
             self.cancel(&id, State::Dropped);
         }
     }
 
     /// Returns the number of requests that wait or run.
     pub(crate) fn in_flight(&self) -> u64 {
-        self.jobs.values().filter(|job| job.is_active()).count() as u64
+        self.jobs.len() as u64
     }
 
     /// Returns the memory that has an owner, in tokens.
--- a/crates/primrosehoist-standin/src/engine/record.rs
+++ b/crates/primrosehoist-standin/src/engine/record.rs
@@ -12,8 +12,10 @@
 pub(crate) enum End {
     /// All tokens were made.
     Finished,
-    /// It was cancelled, dropped or lost in a crash.
+    /// It was cancelled or dropped.
     Cut,
+    /// It was lost in a crash.
+    Lost,
 }
 
 #[derive(Debug, Default)]
@@ -77,9 +79,9 @@
     }
 
     /// Ends the stream early.
-    pub(crate) fn cut(&self) {
+    pub(crate) fn cut(&self, end: End) {
         self.progress.send_modify(|progress| {
-            progress.end = progress.end.or(Some(End::Cut));
+            progress.end = progress.end.or(Some(end));
         });
     }
 
--- a/crates/primrosehoist-standin/src/engine/scheduler.rs
+++ b/crates/primrosehoist-standin/src/engine/scheduler.rs
@@ -6,9 +6,8 @@
 use tokio::time::{self, Instant};
 
 use crate::engine::Engine;
-use crate::engine::job::{Job, Phase};
+use crate::engine::job::Phase;
 use crate::engine::model::Model;
-use crate::engine::tally::State;
 
 /// The time after which an idle engine looks for streams to drop.
 const IDLE_PERIOD: Duration = Duration::from_millis(20);
@@ -175,17 +174,10 @@
 }
 
 fn decode(model: &mut Model, id: &str, now: Instant) {
-    let Some(job) = model.jobs.get_mut(id) else {
+    let Some(job) = model.jobs.get(id) else {
         return;
     };
     if job.record.push() {
-        finish(job, now);
-        model.completions += 1;
-        model.tally.end(model.jobs[id].attempt, State::Completed);
+        model.complete(id, now);
     }
 }
-
-fn finish(job: &mut Job, now: Instant) {
-    job.phase = Phase::Ended(now);
-    job.held_tokens = 0;
-}
--- a/crates/primrosehoist-standin/src/engine/settings.rs
+++ b/crates/primrosehoist-standin/src/engine/settings.rs
@@ -17,7 +17,7 @@
 Options:
   --listen ADDRESS         address and port to listen on
   --name NAME              name of the engine [default: engine]
-  --model NAME             name of the model [default: model]
+  --model NAME             name of the model [default: answers to any name]
   --prefill-rate N         prompt tokens processed a second [default: 50000]
   --chunk-tokens N         prompt tokens processed in one step at most [default: 2048]
   --decode-ms N            time of a decode step [default: 5]
@@ -56,6 +56,11 @@
 GET /standin/counts answers counters.
 ";
 
+/// The name in answers of a model that was given none.
+const MODEL_UNNAMED: &str = "model";
+/// The shortest time for which a crashed engine is down.
+const CRASH_DOWNTIME_MIN: Duration = Duration::from_millis(10);
+
 /// What the engine does with fencing epochs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -73,8 +78,8 @@
     pub(crate) listen: SocketAddr,
     /// The name of the engine.
     pub(crate) name: String,
-    /// The name of the model.
-    pub(crate) model: String,
+    /// The name of the model; without one, requests may name any.
+    pub(crate) model: Option<String>,
     /// Prompt tokens processed a second.
     pub(crate) prefill_rate: f64,
     /// Prompt tokens processed in one step at most.
@@ -110,6 +115,16 @@
 }
 
 impl Settings {
+    /// Returns the name of the model that answers.
+    pub(crate) fn model_name(&self) -> &str {
+        self.model.as_deref().unwrap_or(MODEL_UNNAMED)
+    }
+
+    /// Returns whether a request that names `model`, or none, is served.
+    pub(crate) fn serves(&self, model: &str) -> bool {
+        model.is_empty() || self.model.as_deref().is_none_or(|served| served == model)
+    }
+
     /// Returns the concurrent requests borne after `completions` since cold.
     pub(crate) fn borne(&self, completions: u64) -> u64 {
         if completions >= self.warm_after {
@@ -129,7 +144,7 @@
     let settings = Settings {
         listen: command::listen(arguments)?,
         name: command::value(arguments, "--name", "engine".to_owned())?,
-        model: command::value(arguments, "--model", "model".to_owned())?,
+        model: command::optional(arguments, "--model")?,
         prefill_rate: command::value(arguments, "--prefill-rate", 50_000.0)?,
         chunk_tokens: command::value(arguments, "--chunk-tokens", 2_048)?,
         decode: milliseconds(arguments, "--decode-ms", 5.0)?,
@@ -171,6 +186,10 @@
             positive(settings.cold_factor),
             "--cold-factor must be above 0",
         ),
+        (
+            settings.crash_downtime >= CRASH_DOWNTIME_MIN,
+            "--crash-downtime-ms must be at least 10",
+        ),
         (settings.chunk_tokens > 0, "--chunk-tokens must be above 0"),
         (
             settings.cache_gap_percent <= 100,
--- a/crates/primrosehoist-standin/src/engine/tally.rs
+++ b/crates/primrosehoist-standin/src/engine/tally.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use serde::Serialize;
-use strum::IntoStaticStr;
+use serde::{Deserialize, Serialize};
 
+use crate::engine::owner::Owner;
 use crate::reply;
 
 /// What became of an attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, IntoStaticStr)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub(crate) enum State {
     /// It waits or runs.
@@ -40,6 +40,30 @@
     pub(crate) state: State,
 }
 
+/// The kinds of orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Kind {
+    /// Loads a model.
+    LoadModel,
+    /// Loads an adapter.
+    LoadAdapter,
+    /// Changes the role of the engine.
+    SetRole,
+}
+
+/// An order that was carried out.
+#[derive(Debug, Serialize)]
+pub(crate) struct Order {
+    /// What was ordered.
+    pub(crate) kind: Kind,
+    /// The model, adapter or role.
+    pub(crate) argument: String,
+    /// Who ordered it.
+    #[serde(flatten)]
+    pub(crate) owner: Owner,
+}
+
 /// The counters.
 #[derive(Debug, Default, Serialize)]
 pub(crate) struct Tally {
@@ -62,7 +86,7 @@
     /// Requests refused for other reasons.
     pub(crate) refused: u64,
     /// Orders carried out.
-    pub(crate) orders: u64,
+    pub(crate) orders: Vec<Order>,
     /// All requests that reached the engine.
     pub(crate) attempts: Vec<Attempt>,
 }
--- a/crates/primrosehoist-standin/src/platform/api.rs
+++ b/crates/primrosehoist-standin/src/platform/api.rs
@@ -79,8 +79,9 @@
     };
     let query = parts.uri.query().unwrap_or("");
     let is_watch = parameter(query, "watch") == Some("true");
-    let slow = platform.state().faults.slow();
-    time::sleep(slow).await;
+    // A call is late before and after its effect, so that a client may give up on either side.
+    let late = platform.state().faults.slow() / 2;
+    time::sleep(late).await;
     if let Some(refused) = admit(&platform, &parts.method, is_watch, &caller)? {
         return Ok(refused);
     }
@@ -91,7 +92,9 @@
         Ok(content) => content,
         Err(status) => return Ok(status_error(status, "the value is refused")),
     };
-    act(&platform, &parts, target, &content, &caller)
+    let answer = act(&platform, &parts, target, &content, &caller);
+    time::sleep(late).await;
+    answer
 }
 
 /// Counts the call and returns its refusal, if it is refused.
--- a/crates/primrosehoist-standin/src/platform/mod.rs
+++ b/crates/primrosehoist-standin/src/platform/mod.rs
@@ -83,7 +83,7 @@
 ///
 /// Fails if an option is missing or wrong, or the file of faults cannot be read.
 pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
-    let path: Option<String> = arguments.opt_value_from_str("--faults")?;
+    let path: Option<String> = command::optional(arguments, "--faults")?;
     Ok(Options {
         listen: command::listen(arguments)?,
         history: command::value(arguments, "--history", 10_000)?,
--- /dev/null
+++ b/crates/primrosehoist-standin/tests/platform.rs
@@ -0,0 +1,135 @@
+//! The platform's API and faults.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{Standin, receive};
+
+const CHANGES: &str = "/apis/primrosehoist/v1/changes";
+
+fn object(name: &str, version: &str, spec: u32) -> String {
+    json!({"metadata": {"name": name, "resourceVersion": version}, "spec": spec}).to_string()
+}
+
+#[test]
+fn objects() {
+    let platform = Standin::start("platform", &[]);
+    let (a, missing) = (format!("{CHANGES}/a"), format!("{CHANGES}/b"));
+    let stale = format!("{CHANGES}/a?resourceVersion=1");
+    let large = json!({"metadata": {"name": "l"}, "spec": "x".repeat(1 << 20)}).to_string();
+    let cases = [
+        ("POST", CHANGES, object("a", "", 1), 201, "1"),
+        ("POST", CHANGES, object("a", "", 2), 409, "AlreadyExists"),
+        ("GET", &a, String::new(), 200, "1"),
+        ("GET", &missing, String::new(), 404, "NotFound"),
+        ("PUT", &a, object("a", "1", 3), 200, "2"),
+        ("PUT", &a, object("a", "1", 4), 409, "Conflict"),
+        ("PUT", &a, object("a", "", 4), 409, "Conflict"),
+        ("PUT", &missing, object("b", "1", 4), 404, "NotFound"),
+        ("POST", CHANGES, large, 413, "RequestEntityTooLarge"),
+        ("POST", CHANGES, "{".to_owned(), 400, "BadRequest"),
+        ("DELETE", &stale, String::new(), 409, "Conflict"),
+        ("DELETE", &a, String::new(), 200, "3"),
+        ("GET", &a, String::new(), 404, "NotFound"),
+    ];
+    for (method, path, body, status, expected) in cases {
+        let reply = platform.call(method, path, &[], &body);
+        assert_eq!(status, reply.status, "{method} {path}");
+        let content = reply.json();
+        let version = &content["metadata"]["resourceVersion"];
+        let found = if status < 300 {
+            version
+        } else {
+            &content["reason"]
+        };
+        assert_eq!(expected, found, "{method} {path}");
+    }
+    assert_eq!(4, platform.counts()["conflicts"]);
+}
+
+#[test]
+fn watches_end_with_an_outage() {
+    let platform = Standin::start("platform", &["--history", "2"]);
+    for name in ["a", "b", "c"] {
+        assert_eq!(201, platform.post(CHANGES, &[], &object(name, "", 1)));
+    }
+    let watch = |since| format!("{CHANGES}?watch=true&resourceVersion={since}");
+    assert_eq!(410, platform.call("GET", &watch(0), &[], "").status);
+    let mut zone = platform.send("GET", &watch(1), &["X-Client-Zone: z"], "");
+    let mut other = platform.send("GET", &watch(2), &["X-Client-Zone: y"], "");
+    support::wait_for("the watches", || {
+        (platform.counts()["watches"] == 3).then_some(())
+    });
+    platform.fault(r#"{"down_for":["z"]}"#);
+    let names = |text: &str| -> Vec<Value> {
+        let events = text
+            .lines()
+            .map(|line| serde_json::from_str(line).expect("JSON lines"));
+        let events = events.filter(|event: &Value| event["type"] != "BOOKMARK");
+        events
+            .map(|event| event["object"]["metadata"]["name"].clone())
+            .collect()
+    };
+    let cut = receive(&mut zone).expect("the watch was answered");
+    assert!(!cut.whole);
+    assert_eq!(vec![json!("b"), json!("c")], names(&cut.body));
+    assert_eq!(
+        201,
+        platform.post(CHANGES, &["X-Client-Zone: y"], &object("d", "", 1))
+    );
+    let refused = platform.post(CHANGES, &["X-Client-Zone: z"], &object("e", "", 1));
+    assert_eq!(503, refused);
+    platform.fault(r#"{"down":true}"#);
+    let cut = receive(&mut other).expect("the watch was answered");
+    assert_eq!(vec![json!("c"), json!("d")], names(&cut.body));
+}
+
+#[test]
+fn lost_answers_take_effect() {
+    let platform = Standin::start("platform", &[]);
+    platform.fault(r#"{"lose_answers_percent":100}"#);
+    let lost = platform.try_call("POST", CHANGES, &["X-Client: h"], &object("a", "", 1));
+    assert!(lost.is_none());
+    assert_eq!(
+        200,
+        platform
+            .call("GET", &format!("{CHANGES}/a"), &[], "")
+            .status
+    );
+    assert_eq!(1, platform.counts()["clients"]["h"]["lost_answers"]);
+}
+
+#[test]
+fn rates_are_limited() {
+    let platform = Standin::start("platform", &[]);
+    platform.fault(r#"{"writes_per_s":1}"#);
+    let refused = support::wait_for("a refusal", || {
+        let reply = platform.call("POST", CHANGES, &[], &object("a", "", 1));
+        (reply.status == 429).then_some(reply)
+    });
+    assert!(refused.head.contains("retry-after: 1"));
+    assert_eq!(200, platform.call("GET", CHANGES, &[], "").status);
+}
+
+#[test]
+fn hosts_lag() {
+    let platform = Standin::start("platform", &[]);
+    let host = "/standin/hosts/h1";
+    let list = || {
+        platform
+            .call("GET", "/apis/primrosehoist/v1/hosts", &[], "")
+            .json()
+    };
+    platform.fault(r#"{"hosts_lag_ms":600000}"#);
+    assert_eq!(
+        200,
+        platform.call("PUT", host, &[], r#"{"zone":"z"}"#).status
+    );
+    assert_eq!(json!([]), list()["items"]);
+    platform.fault(r#"{"hosts_lag_ms":0}"#);
+    assert_eq!(
+        200,
+        platform.call("PUT", host, &[], r#"{"zone":"y"}"#).status
+    );
+    assert_eq!("y", list()["items"][0]["spec"]["zone"]);
+}
