End a freeze of the engine stand-in when it is set anew

Cause: a new test froze the engine for ten minutes and set 0 ms; requests that waited by then slept to the old time. A step that was under way when the freeze began was also applied within it.

Ruled out: looking at the time in short intervals, which adds wake-ups.

Change: the end of the freeze is a watched value; requests and the scheduler wait for it or for its change, also between a step and its effect. The lag of the reported load has a test.

Conclusion: a freeze can be ended at any time.

--- a/crates/primrosehoist-standin/src/engine/api.rs
+++ b/crates/primrosehoist-standin/src/engine/api.rs
@@ -8,7 +8,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use serde_json::json;
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::engine::chunk::{self, Events};
 use crate::engine::control::Garbage;
@@ -30,7 +30,7 @@
     let path = parts.uri.path();
     let is_control = path.starts_with("/standin/");
     if !is_control {
-        thaw(&engine).await;
+        engine.thaw().await;
     }
     let content = match reply::read(body, BODY_LIMIT_BYTES).await {
         Ok(content) => content,
@@ -63,17 +63,6 @@
     }
 }
 
-/// Waits while the engine is frozen.
-async fn thaw(engine: &Engine) {
-    loop {
-        let until = engine.model().faults.frozen_until();
-        match until.filter(|until| *until > Instant::now()) {
-            Some(until) => time::sleep_until(until).await,
-            None => return,
-        }
-    }
-}
-
 fn models(engine: &Engine) -> Response<Payload> {
     let model = json!({
         "id": engine.settings.model_name(),
--- a/crates/primrosehoist-standin/src/engine/control.rs
+++ b/crates/primrosehoist-standin/src/engine/control.rs
@@ -32,7 +32,6 @@
 pub(crate) struct Faults {
     refuse: bool,
     garbage: Option<Garbage>,
-    frozen_until: Option<Instant>,
 }
 
 impl Faults {
@@ -45,11 +44,6 @@
     pub(crate) fn garbage(&self) -> Option<Garbage> {
         self.garbage
     }
-
-    /// Returns until when the engine does nothing.
-    pub(crate) fn frozen_until(&self) -> Option<Instant> {
-        self.frozen_until
-    }
 }
 
 #[derive(Debug, Deserialize)]
@@ -105,7 +99,8 @@
         model.faults.refuse = refuse;
     }
     if let Some(freeze_ms) = orders.freeze_ms {
-        model.faults.frozen_until = Some(Instant::now() + Duration::from_millis(freeze_ms));
+        let until = Instant::now() + Duration::from_millis(freeze_ms);
+        engine.frozen_until.send_replace(until);
     }
     if orders.cold == Some(true) {
         model.completions = 0;
--- a/crates/primrosehoist-standin/src/engine/mod.rs
+++ b/crates/primrosehoist-standin/src/engine/mod.rs
@@ -18,8 +18,8 @@
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use tokio::sync::{Notify, mpsc};
-use tokio::time::Instant;
+use tokio::sync::{Notify, mpsc, watch};
+use tokio::time::{self, Instant};
 
 use crate::listener::{self, Outage};
 
@@ -33,6 +33,8 @@
     reports: Mutex<load::Reports>,
     /// Wakes the scheduler when there is work.
     work: Notify,
+    /// The time until which the engine does nothing.
+    frozen_until: watch::Sender<Instant>,
     outages: mpsc::UnboundedSender<Outage>,
 }
 
@@ -45,6 +47,21 @@
         self.reports.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Waits while the engine is frozen.
+    async fn thaw(&self) {
+        let mut changes = self.frozen_until.subscribe();
+        loop {
+            let until = *changes.borrow_and_update();
+            if until <= Instant::now() {
+                return;
+            }
+            tokio::select! {
+                () = time::sleep_until(until) => {}
+                _ = changes.changed() => {}
+            }
+        }
+    }
+
     /// Loses all memory and closes all connections for the time of a restart.
     fn crash(&self) {
         let now = Instant::now();
@@ -81,6 +98,7 @@
         reports: Mutex::new(load::Reports::default()),
         settings: Arc::clone(&settings),
         work: Notify::new(),
+        frozen_until: watch::Sender::new(Instant::now()),
         outages,
     });
     tokio::spawn(scheduler::run(Arc::clone(&engine)));
--- a/crates/primrosehoist-standin/src/engine/scheduler.rs
+++ b/crates/primrosehoist-standin/src/engine/scheduler.rs
@@ -40,11 +40,7 @@
 pub(crate) async fn run(engine: Arc<Engine>) {
     let mut due = Instant::now();
     loop {
-        let frozen_until = engine.model().faults.frozen_until();
-        if let Some(until) = frozen_until.filter(|until| *until > Instant::now()) {
-            time::sleep_until(until).await;
-            continue;
-        }
+        engine.thaw().await;
         let plan = plan(&mut engine.model(), Instant::now());
         match plan {
             Plan::Idle => {
@@ -56,6 +52,7 @@
             Plan::Step(step) => {
                 due += step.duration;
                 time::sleep_until(due).await;
+                engine.thaw().await;
                 due = due.max(Instant::now() - step.duration);
                 apply(&mut engine.model(), &step, Instant::now());
             }
--- a/crates/primrosehoist-standin/tests/engine.rs
+++ b/crates/primrosehoist-standin/tests/engine.rs
@@ -420,3 +420,30 @@
         (counts["completed"].clone(), counts["running"].clone())
     );
 }
+
+#[test]
+fn load_lags() {
+    for (lag_ms, running) in [("600000", 0), ("0", 1)] {
+        let engine = Standin::start("engine", &[&WARM[..], &["--load-lag-ms", lag_ms]].concat());
+        let _stream = engine.send("POST", COMPLETIONS, &[], &prompt("p", 100_000));
+        wait_for("the stream", || {
+            (engine.counts()["running"] == 1).then_some(())
+        });
+        let reported = || engine.call("GET", "/admin/load", &[], "").json()["running"].clone();
+        if running == 1 {
+            wait_for("the report", || (reported() == 1).then_some(()));
+        }
+        assert_eq!(running, reported(), "lag {lag_ms}");
+    }
+}
+
+#[test]
+fn a_frozen_engine_takes_nothing() {
+    let engine = Standin::start("engine", &WARM);
+    engine.fault(r#"{"freeze_ms":600000}"#);
+    let mut late = engine.send("POST", COMPLETIONS, &["X-Request-Id: r"], &prompt("p", 2));
+    assert_eq!(0, engine.counts()["received"]);
+    engine.fault(r#"{"freeze_ms":0}"#);
+    let reply = receive(&mut late).expect("the answer comes late");
+    assert_eq!(answer("p", 2), text_of(&reply, "r", 0));
+}
