Cache whole prompts and evict the ends of chains first

Cause: a prompt longer than half of the memory was cached only in part, since its blocks were stored while its request still held as much; and blocks stored later were marked as used after the shorter prefixes they extend, so that the beginning of a chain was evicted before its end.

Ruled out: counting a request's memory only once, in the cache, because the memory owned by requests must stay exact.

Change: prefixes are stored at the end of the prompt and again when the request has ended, all marked in one pass, the longest first.

Conclusion: what is left of a chain can always be found.

--- a/crates/primrosehoist-standin/src/engine/cache.rs
+++ b/crates/primrosehoist-standin/src/engine/cache.rs
@@ -118,16 +118,15 @@
     pub(crate) fn store(&mut self, prefixes: &[Prefix], limit: u64, now: Instant) {
         let room = (limit / BLOCK_TOKENS) as usize;
         let fitting = &prefixes[..prefixes.len().min(room)];
-        self.hit(fitting);
+        // As in a hit, the longest prefix is marked first.
         for (index, prefix) in fitting.iter().enumerate().rev() {
-            if self.blocks.contains_key(prefix) {
-                continue;
+            if !self.blocks.contains_key(prefix) {
+                let tokens = (index as u64 + 1) * BLOCK_TOKENS;
+                let block = Block { used: 0, tokens };
+                self.blocks.insert(Arc::clone(prefix), block);
+                self.publish("stored", prefix, tokens, now);
             }
-            let tokens = (index as u64 + 1) * BLOCK_TOKENS;
-            self.blocks
-                .insert(Arc::clone(prefix), Block { used: 0, tokens });
             self.touch(prefix);
-            self.publish("stored", prefix, tokens, now);
         }
         self.shrink(limit, now);
     }
--- a/crates/primrosehoist-standin/src/engine/model.rs
+++ b/crates/primrosehoist-standin/src/engine/model.rs
@@ -238,6 +238,8 @@
         };
         self.tally.end(job.attempt, State::Completed);
         self.completions += 1;
+        // The end of the request leaves room for those prefixes that did not fit beside it.
+        self.keep(&job.prefixes, now);
         let record = job.record;
         self.ended.insert(id, Ended { at: now, record });
     }
@@ -296,6 +298,13 @@
         true
     }
 
+    /// Caches prefixes in the memory that has no owner.
+    pub(crate) fn keep(&mut self, prefixes: &[Prefix], now: Instant) {
+        let total = self.settings.memory_tokens;
+        let room = total.saturating_sub(self.owned_tokens());
+        self.cache.store(prefixes, room, now);
+    }
+
     /// Returns the load at this moment.
     pub(crate) fn load(&self) -> Load {
         let waits = |job: &&Job| job.phase == Phase::Waiting;
--- a/crates/primrosehoist-standin/src/engine/scheduler.rs
+++ b/crates/primrosehoist-standin/src/engine/scheduler.rs
@@ -162,11 +162,10 @@
     }
     job.phase = Phase::Decode;
     let prefixes = std::mem::take(&mut job.prefixes);
-    let room = model
-        .settings
-        .memory_tokens
-        .saturating_sub(model.owned_tokens());
-    model.cache.store(&prefixes, room, now);
+    model.keep(&prefixes, now);
+    if let Some(job) = model.jobs.get_mut(&chunk.id) {
+        job.prefixes = prefixes;
+    }
     decode(model, &chunk.id, now);
 }
 
--- a/crates/primrosehoist-standin/tests/engine.rs
+++ b/crates/primrosehoist-standin/tests/engine.rs
@@ -357,6 +357,53 @@
     }
 }
 
+/// Returns the names of the prefixes of a body, the longest first.
+fn prefixes(body: &str) -> Vec<String> {
+    let mut names = Vec::new();
+    let mut hash = Vec::new();
+    for block in body.as_bytes().chunks_exact(1024) {
+        hash = Sha256::digest([&hash, block].concat()).to_vec();
+        let mut name = String::new();
+        for byte in &hash[..8] {
+            write!(name, "{byte:02x}").expect("strings can be written");
+        }
+        names.push(name);
+    }
+    names.reverse();
+    names
+}
+
+#[test]
+fn the_cache_evicts_what_was_not_used_lately() {
+    let options = ["--memory-tokens", "4000", "--cache-event-lag-ms", "0"];
+    let engine = Standin::start("engine", &[&WARM[..], &options].concat());
+    let bodies = ["x", "y"].map(|text| prompt(&text.repeat(10 * 1024), 1));
+    for body in &bodies {
+        assert_eq!(200, engine.post(COMPLETIONS, &[], body));
+    }
+    let page = engine
+        .call("GET", "/admin/cache/events?since=0", &[], "")
+        .json();
+    let events = page["events"].as_array().expect("events are a list");
+    let of_kind = |kind: &str| -> Vec<String> {
+        let found = events.iter().filter(|event| event["kind"] == kind);
+        found
+            .map(|event| event["prefix"].as_str().unwrap_or("").to_owned())
+            .collect()
+    };
+    let first = prefixes(&bodies[0]);
+    let mut expected = [first.clone(), prefixes(&bodies[1])].concat();
+    let mut stored = of_kind("stored");
+    expected.sort();
+    stored.sort();
+    assert_eq!(expected, stored);
+    assert_eq!(first[..of_kind("evicted").len()], of_kind("evicted"));
+    let load = || engine.call("GET", "/admin/load", &[], "").json()["memory_tokens_used"].clone();
+    let resident = (stored.len() - of_kind("evicted").len()) * 256;
+    assert!(resident <= 4000);
+    wait_for("the report", || (load() == resident).then_some(()));
+}
+
 #[test]
 fn spoiled_streams() {
     let engine = Standin::start("engine", &WARM);
