--- a/crates/primrosehoist-standin/src/engine/scheduler.rs
+++ b/crates/primrosehoist-standin/src/engine/scheduler.rs
@@ -6,9 +6,8 @@
 use tokio::time::{self, Instant};
 
 use crate::engine::Engine;
-use crate::engine::job::{Job, Phase};
+use crate::engine::job::Phase;
 use crate::engine::model::Model;
-use crate::engine::tally::State;
 
 /// The time after which an idle engine looks for streams to drop.
 const IDLE_PERIOD: Duration = Duration::from_millis(20);
@@ -41,11 +40,7 @@
 pub(crate) async fn run(engine: Arc<Engine>) {
     let mut due = Instant::now();
     loop {
-        let frozen_until = engine.model().faults.frozen_until();
-        if let Some(until) = frozen_until.filter(|until| *until > Instant::now()) {
-            time::sleep_until(until).await;
-            continue;
-        }
+        engine.thaw().await;
         let plan = plan(&mut engine.model(), Instant::now());
         match plan {
             Plan::Idle => {
@@ -57,6 +52,7 @@
             Plan::Step(step) => {
                 due += step.duration;
                 time::sleep_until(due).await;
+                engine.thaw().await;
                 due = due.max(Instant::now() - step.duration);
                 apply(&mut engine.model(), &step, Instant::now());
             }
@@ -166,26 +162,18 @@
     }
     job.phase = Phase::Decode;
     let prefixes = std::mem::take(&mut job.prefixes);
-    let room = model
-        .settings
-        .memory_tokens
-        .saturating_sub(model.owned_tokens());
-    model.cache.store(&prefixes, room, now);
+    model.keep(&prefixes, now);
+    if let Some(job) = model.jobs.get_mut(&chunk.id) {
+        job.prefixes = prefixes;
+    }
     decode(model, &chunk.id, now);
 }
 
 fn decode(model: &mut Model, id: &str, now: Instant) {
-    let Some(job) = model.jobs.get_mut(id) else {
+    let Some(job) = model.jobs.get(id) else {
         return;
     };
     if job.record.push() {
-        finish(job, now);
-        model.completions += 1;
-        model.tally.end(model.jobs[id].attempt, State::Completed);
+        model.complete(id, now);
     }
 }
-
-fn finish(job: &mut Job, now: Instant) {
-    job.phase = Phase::Ended(now);
-    job.held_tokens = 0;
-}
