Name the stand-in's modes of garbage as the stand-in does

Cause: the test was written before the stand-in and used other names for the same modes. Change: half_token becomes half, two_answers becomes double; the judgement is the same.

--- a/crates/primrosehoist-tests/tests/outcome.rs
+++ b/crates/primrosehoist-tests/tests/outcome.rs
@@ -173,7 +173,7 @@
 
 #[test]
 fn garbage_from_an_engine_never_reaches_a_caller() {
-    for mode in ["malformed", "half_token", "two_answers"] {
+    for mode in ["malformed", "half", "double"] {
         let fleet = Fleet::start(slow());
         for engine in fleet.engines.iter().filter(|e| e.name.starts_with("north")) {
             fault(&engine.address, &json!({"garbage": mode}));
