--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,3 +4,5 @@
 //! next. Transport performs it.
 
 pub mod lease;
+pub mod request;
+pub mod retry;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,5 +1,7 @@
 //! Messages: what goes over a connection and how it is encoded.
 
+pub mod openai;
 pub mod outcome;
 pub mod platform;
+pub mod sse;
 pub mod wire;
--- /dev/null
+++ b/src/transport/http/body.rs
@@ -0,0 +1,270 @@
+//! Bodies: collected within a byte budget, and streamed without an implicit end.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, SizeHint};
+use quick_error::quick_error;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// The unit of the byte budget.
+const BUDGET_UNIT_BYTES: u64 = 1024;
+
+/// The longest piece of a stored body that is handed on at once, in bytes.
+const PIECE_BYTES: usize = 64 * 1024;
+
+quick_error! {
+    /// Says why a body was not collected.
+    #[derive(Debug, Clone, PartialEq, Eq)]
+    pub enum Error {
+        /// The body is longer than allowed.
+        Large(limit: u64) { display("the body has more than {} bytes", limit) }
+        /// The budget has no room for the body.
+        Budget { display("no memory is left for the body") }
+        /// The body came too slowly.
+        Slow { display("the body came too slowly") }
+        /// The connection failed.
+        Broken { display("the body was cut off") }
+    }
+}
+
+/// Limits on the collection of a body.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// The longest body in bytes.
+    pub bytes_max: u64,
+    /// The longest time without progress.
+    pub idle: Duration,
+    /// The longest time for the whole body.
+    pub total: Duration,
+}
+
+/// Memory for bodies, shared by all requests of the process.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    units: Arc<Semaphore>,
+}
+
+impl Budget {
+    /// Creates a budget of `bytes` bytes.
+    pub fn new(bytes: u64) -> Self {
+        let units = (bytes / BUDGET_UNIT_BYTES) as usize;
+        Self {
+            units: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
+        }
+    }
+
+    fn take(&self, bytes: u64) -> Result<OwnedSemaphorePermit, Error> {
+        let units = bytes.div_ceil(BUDGET_UNIT_BYTES) as u32;
+        Arc::clone(&self.units)
+            .try_acquire_many_owned(units)
+            .map_err(|_source| Error::Budget)
+    }
+}
+
+/// A collected body. Clones share the bytes and their place in the budget.
+#[derive(Debug, Clone)]
+pub struct Stored {
+    bytes: Bytes,
+    _permit: Arc<OwnedSemaphorePermit>,
+}
+
+impl Stored {
+    /// Collects `body` within `limits` and `budget`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is too long, too slow, cut off, or the budget is exhausted.
+    pub async fn collect<B>(mut body: B, limits: &Limits, budget: &Budget) -> Result<Self, Error>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
+        let large = Error::Large(limits.bytes_max);
+        let hint = body.size_hint();
+        if hint.lower() > limits.bytes_max {
+            return Err(large);
+        }
+        let mut permit = budget.take(hint.lower())?;
+        let mut reserved = hint.lower();
+        let mut bytes = BytesMut::with_capacity(hint.lower() as usize);
+        let end = Instant::now() + limits.total;
+        while let Some(data) = next_data(&mut body, limits.idle, end).await? {
+            let length = (bytes.len() + data.len()) as u64;
+            if length > limits.bytes_max {
+                return Err(large);
+            }
+            if length > reserved {
+                permit.merge(budget.take(length - reserved)?);
+                reserved = length;
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(Self {
+            bytes: bytes.freeze(),
+            _permit: Arc::new(permit),
+        })
+    }
+
+    /// Returns the bytes.
+    pub fn bytes(&self) -> &Bytes {
+        &self.bytes
+    }
+
+    /// Returns a body that hands the bytes on in pieces, without a copy.
+    pub fn replay(&self) -> Replay {
+        Replay {
+            left: self.bytes.clone(),
+            _stored: self.clone(),
+        }
+    }
+}
+
+async fn next_data<B>(body: &mut B, idle: Duration, end: Instant) -> Result<Option<Bytes>, Error>
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    loop {
+        let frame = timeout_at(end, timeout(idle, body.frame())).await;
+        let frame = frame
+            .map_err(|_source| Error::Slow)?
+            .map_err(|_source| Error::Slow)?;
+        match frame {
+            None => return Ok(None),
+            Some(Err(_)) => return Err(Error::Broken),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
+
+/// A stored body on its way out.
+#[derive(Debug)]
+pub struct Replay {
+    left: Bytes,
+    _stored: Stored,
+}
+
+impl Body for Replay {
+    type Data = Bytes;
+    type Error = super::BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        if self.left.is_empty() {
+            return Poll::Ready(None);
+        }
+        let length = self.left.len().min(PIECE_BYTES);
+        let piece = self.left.split_to(length);
+        Poll::Ready(Some(Ok(Frame::data(piece))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left.len() as u64)
+    }
+}
+
+quick_error! {
+    /// Says that a body ended before it was whole.
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum Cut {
+        /// The writer stopped.
+        Stopped { display("the answer ended early") }
+    }
+}
+
+enum Item {
+    Data(Bytes),
+    End,
+}
+
+/// The writing end of an [`Outlet`] body.
+#[derive(Debug)]
+pub struct Writer {
+    items: mpsc::Sender<Item>,
+}
+
+/// A body that is written as its content arrives. It fails unless it is ended explicitly, so
+/// that a reader can tell a cut answer from a whole one.
+#[derive(Debug)]
+pub struct Outlet {
+    items: mpsc::Receiver<Item>,
+    ended: bool,
+}
+
+impl Outlet {
+    /// Creates a body that buffers at most `capacity` pieces, with its writer.
+    pub fn new(capacity: usize) -> (Writer, Self) {
+        let (sender, items) = mpsc::channel(capacity);
+        let writer = Writer { items: sender };
+        let outlet = Self {
+            items,
+            ended: false,
+        };
+        (writer, outlet)
+    }
+}
+
+impl Writer {
+    /// Writes a piece, waiting for room.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the reader is gone.
+    pub async fn write(&self, data: Bytes) -> Result<(), Cut> {
+        self.put(Item::Data(data)).await
+    }
+
+    /// Ends the body as whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the reader is gone.
+    pub async fn end(self) -> Result<(), Cut> {
+        self.put(Item::End).await
+    }
+
+    /// Waits until the reader is gone.
+    pub async fn closed(&self) {
+        self.items.closed().await;
+    }
+
+    async fn put(&self, item: Item) -> Result<(), Cut> {
+        self.items.send(item).await.map_err(|_source| Cut::Stopped)
+    }
+}
+
+impl Body for Outlet {
+    type Data = Bytes;
+    type Error = Cut;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+        if self.ended {
+            return Poll::Ready(None);
+        }
+        match ready!(self.items.poll_recv(cx)) {
+            Some(Item::Data(data)) => Poll::Ready(Some(Ok(Frame::data(data)))),
+            Some(Item::End) => {
+                self.ended = true;
+                Poll::Ready(None)
+            }
+            None => Poll::Ready(Some(Err(Cut::Stopped))),
+        }
+    }
+}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,1 +1,3 @@
 //! Connections: peer links, HTTP towards callers, upstreams and the platform.
+
+pub mod http;
