--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,6 +3,9 @@
 //! Modules here are state machines that are told what happened and when, and say what to do
 //! next. Transport performs it.
 
+pub mod admission;
+pub mod claim;
 pub mod lease;
+pub mod poison;
 pub mod request;
 pub mod retry;
