--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -4,4 +4,5 @@
 pub mod outcome;
 pub mod platform;
 pub mod sse;
+pub mod status;
 pub mod wire;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -5,10 +5,12 @@
 
 pub mod budget;
 pub mod change;
+pub mod files;
 pub mod fleet;
 pub mod limit;
 pub mod map;
 pub mod name;
 pub mod placement;
+pub mod plan;
 pub mod queue;
 pub mod view;
