--- /dev/null
+++ b/crates/primrosehoist-daemon/src/caller/answer.rs
@@ -0,0 +1,79 @@
+//! The form of answers to callers.
+
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use primrosehoist::protocol::openai::{self, Refusal};
+use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist::transport::http::BoxError;
+use tokio::sync::oneshot::error::RecvError;
+
+use crate::dispatch::Opening;
+
+/// The body of an answer.
+pub(crate) type Answer = UnsyncBoxBody<Bytes, BoxError>;
+
+/// Returns the answer that an opening starts.
+pub(crate) fn opened(opening: Result<Opening, RecvError>, id: &str) -> Response<Answer> {
+    match opening {
+        Ok(Opening::Whole(head, body)) => {
+            response(head.status, &head.content_type, whole(body), id)
+        }
+        Ok(Opening::Stream(head, outlet)) => {
+            let body = outlet.map_err(BoxError::from).boxed_unsync();
+            response(head.status, &head.content_type, body, id)
+        }
+        Ok(Opening::Failed(failure)) => failed(&failure, id),
+        Err(_) => failed(&lost(), id),
+    }
+}
+
+/// Returns an answer of JSON.
+pub(crate) fn json(content: Vec<u8>, id: &str) -> Response<Answer> {
+    response(200, "application/json", whole(Bytes::from(content)), id)
+}
+
+/// Returns the answer that reports a failure.
+pub(crate) fn failed(failure: &Failure, id: &str) -> Response<Answer> {
+    let body = whole(Bytes::from(Refusal::new(failure, id).to_json()));
+    let status = openai::status(failure.reason);
+    let mut response = response(status, "application/json", body, id);
+    if let Some(after) = failure.retry_after_ms {
+        let seconds = after.div_ceil(1000);
+        response
+            .headers_mut()
+            .insert(RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+fn response(status: u16, content_type: &str, body: Answer, id: &str) -> Response<Answer> {
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(content_type) {
+        headers.insert(CONTENT_TYPE, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(id) {
+        headers.insert("x-request-id", value);
+    }
+    response
+}
+
+fn whole(body: Bytes) -> Answer {
+    Full::new(body)
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// The task of the request ended without a word, which only a defect can cause.
+fn lost() -> Failure {
+    Failure {
+        outcome: Outcome::Unknown,
+        reason: Reason::UpstreamFailed,
+        message: "the request was lost inside the daemon".to_owned(),
+        retry_after_ms: None,
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/caller/mod.rs
@@ -0,0 +1,91 @@
+//! Requests of callers: who asks, for what, and the form of the answer.
+
+mod answer;
+mod keys;
+mod models;
+mod request;
+mod route;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::{Request, Response};
+use hyper::body::Incoming;
+use primrosehoist::protocol::outcome::Reason;
+use primrosehoist::transport::http::body;
+use tokio::time::Instant;
+
+pub(crate) use self::answer::Answer;
+pub(crate) use self::keys::Keys;
+
+use self::route::Route;
+use crate::dispatch::{self, Sink};
+use crate::holder::not_run;
+use crate::node::Node;
+
+/// The longest time in which a body makes no progress.
+const BODY_IDLE: Duration = Duration::from_secs(10);
+
+/// The longest time for a whole body.
+const BODY_TOTAL: Duration = Duration::from_secs(120);
+
+/// Answers one request of a caller.
+pub(crate) async fn handle(
+    node: Arc<Node>,
+    limits: Arc<body::Limits>,
+    request: Request<Incoming>,
+) -> Response<Answer> {
+    let received = Instant::now();
+    let id = format!("{:032x}", rand::random::<u128>());
+    let answered = serve(&node, &limits, request, &id, received).await;
+    answered.unwrap_or_else(|failure| {
+        log::info!(
+            request = id.as_str(),
+            outcome = failure.outcome.to_string().as_str(),
+            reason = failure.reason.to_string().as_str();
+            "request refused"
+        );
+        answer::failed(&failure, &id)
+    })
+}
+
+/// Returns the limits on bodies of at most `bytes_max` bytes.
+pub(crate) fn body_limits(bytes_max: u64) -> body::Limits {
+    body::Limits {
+        bytes_max,
+        idle: BODY_IDLE,
+        total: BODY_TOTAL,
+    }
+}
+
+async fn serve(
+    node: &Arc<Node>,
+    limits: &body::Limits,
+    request: Request<Incoming>,
+    id: &str,
+    received: Instant,
+) -> Result<Response<Answer>, primrosehoist::protocol::outcome::Failure> {
+    if node.draining.load(Ordering::Acquire) {
+        return Err(not_run(Reason::Draining, "this daemon shuts down"));
+    }
+    let fleet = node.fleet.load_full();
+    let index = node.keys.index(&fleet);
+    let workspace = index.workspace(request.headers())?;
+    let route = Route::try_from(&request)?;
+    if matches!(route, Route::Models) {
+        return Ok(answer::json(models::list(&index, workspace), id));
+    }
+    let call = request::Call {
+        id,
+        received,
+        workspace,
+        fleet: &fleet,
+        index: &index,
+    };
+    let job = request::read(node, limits, call, &route, request).await?;
+    let (sink, opening) = Sink::new(job.stream);
+    // The request goes on in a task of its own, which sees when this one is dropped.
+    tokio::spawn(dispatch::run(Arc::clone(node), job, sink));
+    Ok(answer::opened(opening.await, id))
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/caller/request.rs
@@ -0,0 +1,177 @@
+//! Reads the request of a caller into a job.
+
+use std::time::Duration;
+
+use http::{HeaderMap, Request};
+use hyper::body::Incoming;
+use primrosehoist::protocol::openai::{self, Prompt};
+use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::state::fleet::{Fleet, Kind, Service, Workspace};
+use primrosehoist::state::name;
+use primrosehoist::transport::http::body::{self, Stored};
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
+
+use super::keys::Index;
+use super::route::Route;
+use crate::dispatch::Job;
+use crate::holder::not_run;
+use crate::node::Node;
+
+/// Bodies of at least this many bytes are examined off the threads that serve connections.
+const LARGE_BYTES: usize = 256 * 1024;
+
+/// After how many milliseconds a caller retries when no memory is left for a body.
+const RETRY_AFTER_MS: u64 = 1000;
+
+/// A request with what is known of its caller.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Call<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) received: Instant,
+    pub(crate) workspace: &'a Workspace,
+    pub(crate) fleet: &'a Fleet,
+    pub(crate) index: &'a Index,
+}
+
+/// What a body says about the request.
+#[derive(Debug)]
+struct Content {
+    service: name::Service,
+    path: String,
+    stream: bool,
+    prompt_tokens: u64,
+    answer_tokens: u64,
+    fingerprint: String,
+}
+
+/// Reads the body and returns the job.
+///
+/// # Errors
+///
+/// Fails if the request is malformed, too large, or asks for what the workspace does not have.
+pub(crate) async fn read(
+    node: &Node,
+    limits: &body::Limits,
+    call: Call<'_>,
+    route: &Route,
+    request: Request<Incoming>,
+) -> Result<Job, Failure> {
+    let (head, incoming) = request.into_parts();
+    let body = Stored::collect(incoming, limits, &node.entry.bodies)
+        .await
+        .map_err(|error| uncollected(&error))?;
+    let content = if body.bytes().len() >= LARGE_BYTES {
+        tokio::task::block_in_place(|| examine(call, route, &body))?
+    } else {
+        examine(call, route, &body)?
+    };
+    if call.fleet.quarantine.contains_key(&content.fingerprint) {
+        return Err(not_run(Reason::Quarantined, "the request is quarantined"));
+    }
+    let service = find_service(call, &content.service, route)?;
+    let time_limit = time_limit(&head.headers, service)?;
+    let keyed = head.headers.contains_key("idempotency-key");
+    Ok(Job {
+        id: call.id.to_owned(),
+        workspace: call.workspace.name.clone(),
+        half: call.workspace.half.clone(),
+        service: service.name.clone(),
+        retry_percent: service.retry_percent,
+        method: head.method.to_string(),
+        path: content.path,
+        content_type: content_type(&head.headers),
+        stream: content.stream,
+        body,
+        prompt_tokens: content.prompt_tokens,
+        answer_tokens: content.answer_tokens,
+        repeatable: service.repeatable && !keyed,
+        fingerprint: content.fingerprint,
+        deadline: call.received + time_limit,
+    })
+}
+
+fn examine(call: Call<'_>, route: &Route, body: &Stored) -> Result<Content, Failure> {
+    let bytes = body.bytes();
+    match route {
+        Route::Completion(path) => {
+            let prompt = Prompt::try_from(bytes.as_ref())
+                .map_err(|error| not_run(Reason::BadRequest, &error.to_string()))?;
+            let service = call
+                .index
+                .service(&call.workspace.half, &prompt.model)
+                .ok_or_else(|| not_run(Reason::NotFound, "no such model"))?;
+            Ok(Content {
+                service: service.clone(),
+                path: path.clone(),
+                stream: prompt.stream,
+                prompt_tokens: openai::prompt_tokens(bytes.len() as u64),
+                answer_tokens: prompt.max_tokens,
+                fingerprint: fingerprint(service, path, bytes),
+            })
+        }
+        Route::Service(service, path) => Ok(Content {
+            service: service.clone(),
+            path: path.clone(),
+            stream: false,
+            prompt_tokens: 0,
+            answer_tokens: 0,
+            fingerprint: fingerprint(service, path, bytes),
+        }),
+        Route::Models => Err(not_run(Reason::NotFound, "no such path")),
+    }
+}
+
+fn find_service<'a>(
+    call: Call<'a>,
+    name: &name::Service,
+    route: &Route,
+) -> Result<&'a Service, Failure> {
+    let plain = matches!(route, Route::Service(..));
+    call.fleet
+        .services
+        .get(name)
+        .filter(|service| service.half == call.workspace.half)
+        .filter(|service| (service.kind == Kind::Plain) == plain)
+        .ok_or_else(|| not_run(Reason::NotFound, "no such service"))
+}
+
+fn time_limit(headers: &HeaderMap, service: &Service) -> Result<Duration, Failure> {
+    let cap = Duration::from_millis(service.timeout_ms);
+    let Some(value) = headers.get("x-timeout-ms") else {
+        return Ok(cap);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse().ok());
+    let millis =
+        millis.ok_or_else(|| not_run(Reason::BadRequest, "X-Timeout-Ms is not a number of ms"))?;
+    Ok(Duration::from_millis(millis).min(cap))
+}
+
+fn content_type(headers: &HeaderMap) -> String {
+    let value = headers.get(http::header::CONTENT_TYPE);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or("application/octet-stream").to_owned()
+}
+
+fn fingerprint(service: &name::Service, path: &str, body: &[u8]) -> String {
+    let mut digest = Sha256::new();
+    digest.update(service.as_str());
+    digest.update([0]);
+    digest.update(path);
+    digest.update([0]);
+    digest.update(body);
+    hex::encode(digest.finalize())
+}
+
+fn uncollected(error: &body::Error) -> Failure {
+    let reason = match error {
+        body::Error::Large(_) => Reason::TooLarge,
+        body::Error::Budget => Reason::Overloaded,
+        body::Error::Slow => Reason::Timeout,
+        body::Error::Broken => Reason::BadRequest,
+    };
+    Failure {
+        retry_after_ms: (reason == Reason::Overloaded).then_some(RETRY_AFTER_MS),
+        ..not_run(reason, &error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/caller/route.rs
@@ -0,0 +1,47 @@
+//! What a request asks for, by its method and path.
+
+use http::{Method, Request};
+use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::state::name;
+
+use crate::holder::not_run;
+
+/// What a request asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Route {
+    /// A completion by a model. The path is the same at the engine.
+    Completion(String),
+    /// The list of models.
+    Models,
+    /// A call of a plain service, with the path and query for the upstream.
+    Service(name::Service, String),
+}
+
+impl<B> TryFrom<&Request<B>> for Route {
+    type Error = Failure;
+
+    fn try_from(request: &Request<B>) -> Result<Self, Failure> {
+        let path = request.uri().path();
+        match (request.method(), path) {
+            (&Method::POST, "/v1/completions" | "/v1/chat/completions") => {
+                Ok(Self::Completion(path.to_owned()))
+            }
+            (&Method::GET, "/v1/models") => Ok(Self::Models),
+            (_, path) => match path.strip_prefix("/services/") {
+                Some(rest) => service(rest, request.uri().query()),
+                None => Err(not_run(Reason::NotFound, "no such path")),
+            },
+        }
+    }
+}
+
+fn service(rest: &str, query: Option<&str>) -> Result<Route, Failure> {
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let service = name::Service::try_from(service)
+        .map_err(|_source| not_run(Reason::NotFound, "no such service"))?;
+    let path = match query {
+        Some(query) => format!("/{path}?{query}"),
+        None => format!("/{path}"),
+    };
+    Ok(Route::Service(service, path))
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/dispatch/attempt.rs
@@ -0,0 +1,106 @@
+//! One attempt, or the continuation of one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::coordination::request::{Action, Event, Request};
+use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::state::name;
+use tokio::time::{Instant, sleep_until};
+
+use super::Job;
+use super::exchange::Exchange;
+use super::sink::Sink;
+use crate::node::Node;
+
+/// How much earlier than the entry daemon the holder gives up, so that its word on what ran
+/// still arrives in time.
+const MARGIN: Duration = Duration::from_millis(100);
+
+/// An attempt of a request on one upstream.
+#[derive(Debug, Clone)]
+pub(crate) struct Attempt {
+    /// The id that the upstream sees.
+    pub(crate) id: String,
+    pub(crate) upstream: name::Upstream,
+}
+
+/// Runs the attempt until it is decided what follows.
+pub(crate) async fn run(
+    node: &Arc<Node>,
+    job: &Job,
+    attempt: &Attempt,
+    machine: &mut Request,
+    sink: &mut Sink,
+) -> Action {
+    sink.restart();
+    let dispatch = dispatch(node, job, attempt, machine.next_part());
+    machine.on(Event::Opened, Instant::now());
+    let Some(mut exchange) = Exchange::open(node, dispatch, &job.body).await else {
+        return machine.on(Event::Unreachable, Instant::now());
+    };
+    loop {
+        let reply = tokio::select! {
+            reply = exchange.next() => reply,
+            () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
+            () = sleep_until(machine.limit()) => {
+                return machine.on(Event::Expired, Instant::now());
+            }
+        };
+        let action = on_reply(reply, machine, sink).await;
+        if action != Action::Wait {
+            return action;
+        }
+    }
+}
+
+/// Takes a reply in; yields [`Action::Wait`] while the attempt goes on.
+async fn on_reply(reply: Option<Reply>, machine: &mut Request, sink: &mut Sink) -> Action {
+    let now = Instant::now();
+    match reply {
+        Some(Reply::Sent { .. }) => machine.on(Event::Sent, now),
+        Some(Reply::Head {
+            status,
+            content_type,
+        }) => {
+            sink.set_head(status, content_type);
+            Action::Wait
+        }
+        Some(Reply::Part { index, data }) => {
+            let deadline = machine.deadline();
+            tokio::select! {
+                action = sink.part(index, data, machine) => action,
+                () = sleep_until(deadline) => machine.on(Event::Expired, Instant::now()),
+            }
+        }
+        Some(Reply::End) => machine.on(Event::End, now),
+        Some(Reply::Failed(failure)) => machine.on(Event::Failed(failure), now),
+        Some(Reply::Heartbeat(_) | Reply::Changes { .. } | Reply::Answer(_)) | None => {
+            machine.on(Event::Broken, now)
+        }
+    }
+}
+
+fn dispatch(node: &Node, job: &Job, attempt: &Attempt, resume_from: u64) -> Dispatch {
+    let remaining = job.deadline.saturating_duration_since(Instant::now());
+    let margin = MARGIN.min(remaining / 10);
+    Dispatch {
+        request: job.id.clone(),
+        attempt: attempt.id.clone(),
+        workspace: job.workspace.clone(),
+        half: job.half.clone(),
+        upstream: attempt.upstream.clone(),
+        version: node.fleet.load().version,
+        remaining_ms: (remaining - margin).as_millis() as u64,
+        method: job.method.clone(),
+        path: job.path.clone(),
+        content_type: job.content_type.clone(),
+        stream: job.stream,
+        body_bytes: job.body.bytes().len() as u64,
+        prompt_tokens: job.prompt_tokens,
+        answer_tokens: job.answer_tokens,
+        suspect: false,
+        fingerprint: job.fingerprint.clone(),
+        resume_from,
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/dispatch/exchange.rs
@@ -0,0 +1,49 @@
+//! The way to the holder of an upstream, which may be this process.
+
+use std::sync::Arc;
+
+use http_body_util::BodyExt;
+use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::transport::http::body::Stored;
+use tokio::sync::mpsc;
+
+use crate::holder::{self, Responder};
+use crate::node::Node;
+
+/// Replies that wait for the entry's side.
+const REPLIES_MAX: usize = 8;
+
+/// A dispatch under way. Dropping it cancels the attempt.
+#[derive(Debug)]
+pub(crate) enum Exchange {
+    /// The holder is this process.
+    Local(mpsc::Receiver<Reply>),
+}
+
+impl Exchange {
+    /// Hands `dispatch` to the holder of its upstream; yields nothing if no byte reached it.
+    pub(crate) async fn open(node: &Arc<Node>, dispatch: Dispatch, body: &Stored) -> Option<Self> {
+        let view = node.view.load();
+        let holder = view.holders.get(&dispatch.upstream)?;
+        if holder.member.host != node.host {
+            return None;
+        }
+        let (sender, replies) = mpsc::channel(REPLIES_MAX);
+        let payload = body.replay().boxed_unsync();
+        let responder = Responder::Local(sender);
+        tokio::spawn(holder::serve(
+            Arc::clone(node),
+            dispatch,
+            payload,
+            responder,
+        ));
+        Some(Self::Local(replies))
+    }
+
+    /// Returns the next reply, or nothing if the exchange broke.
+    pub(crate) async fn next(&mut self) -> Option<Reply> {
+        match self {
+            Self::Local(replies) => replies.recv().await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -0,0 +1,195 @@
+//! The entry's side of a request: attempts until it is answered or fails.
+
+mod attempt;
+mod choose;
+mod entry;
+mod exchange;
+mod sink;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::coordination::request::{Action, Event, Request};
+use primrosehoist::coordination::retry;
+use primrosehoist::protocol::outcome::Failure;
+use primrosehoist::state::map::Set;
+use primrosehoist::state::name;
+use primrosehoist::transport::http::body::Stored;
+use tokio::time::{Instant, sleep};
+
+pub(crate) use self::entry::Entry;
+pub(crate) use self::sink::{Opening, Sink};
+
+use self::attempt::Attempt;
+use crate::node::Node;
+
+/// The longest time between two events of a stream.
+const SILENCE: Duration = Duration::from_secs(15);
+
+/// A request of a caller, ready to run.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// The id of the request.
+    pub(crate) id: String,
+    pub(crate) workspace: name::Workspace,
+    pub(crate) half: name::Half,
+    pub(crate) service: name::Service,
+    /// Retries allowed per hundred first attempts of the service.
+    pub(crate) retry_percent: u32,
+    pub(crate) method: String,
+    /// The path and query for the upstream.
+    pub(crate) path: String,
+    pub(crate) content_type: String,
+    /// Whether the answer is a stream of events.
+    pub(crate) stream: bool,
+    pub(crate) body: Stored,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    pub(crate) repeatable: bool,
+    pub(crate) fingerprint: String,
+    pub(crate) deadline: Instant,
+}
+
+/// Runs `job` and answers through `sink`.
+pub(crate) async fn run(node: Arc<Node>, job: Job, mut sink: Sink) {
+    let _running = node.progress.enter();
+    let since = Instant::now();
+    let mut machine = Request::new(since, job.deadline, SILENCE)
+        .repeatable(job.repeatable)
+        .resumable(job.stream);
+    let budget = node.entry.budget(&job.service);
+    budget.earn(job.retry_percent);
+    let mut plan = Plan::default();
+    loop {
+        let action = step(&node, &job, &mut machine, &mut plan, &mut sink).await;
+        let action = match action {
+            Action::Retry(failure) | Action::Resume(_, failure) if !budget.take() => {
+                machine.give_up(failure)
+            }
+            action => action,
+        };
+        match action {
+            Action::Retry(failure) => plan.retry(failure),
+            Action::Resume(_, failure) => plan.resume(failure),
+            Action::Finish => return finish(&job, &plan, since, sink).await,
+            Action::Fail(failure) => return fail(&job, &plan, since, sink, failure).await,
+            Action::Cancel | Action::Wait | Action::Deliver | Action::Discard => {
+                return log_end(&job, &plan, since, "cancelled", "");
+            }
+        }
+        if let Some(action) = pause(&job, &mut machine, &plan, &mut sink).await {
+            return match action {
+                Action::Fail(failure) => fail(&job, &plan, since, sink, failure).await,
+                _ => log_end(&job, &plan, since, "cancelled", ""),
+            };
+        }
+    }
+}
+
+/// What the next attempt does.
+#[derive(Debug, Default)]
+struct Plan {
+    /// Attempts that failed so far, resumptions included.
+    failed: u32,
+    /// Attempts with an id of their own.
+    attempts: u32,
+    /// Upstreams that failed.
+    excluded: Set<name::Upstream>,
+    /// The attempt to continue, if any.
+    current: Option<Attempt>,
+    resumes: bool,
+    last: Option<Failure>,
+}
+
+impl Plan {
+    fn retry(&mut self, failure: Failure) {
+        self.failed += 1;
+        self.resumes = false;
+        self.last = Some(failure);
+        if let Some(attempt) = self.current.take() {
+            self.excluded.insert(attempt.upstream);
+        }
+    }
+
+    fn resume(&mut self, failure: Failure) {
+        self.failed += 1;
+        self.resumes = true;
+        self.last = Some(failure);
+    }
+
+    fn upstream(&self) -> &str {
+        self.current
+            .as_ref()
+            .map_or("", |attempt| attempt.upstream.as_str())
+    }
+}
+
+/// Chooses an upstream unless an attempt is to be continued, and runs the attempt.
+async fn step(
+    node: &Arc<Node>,
+    job: &Job,
+    machine: &mut Request,
+    plan: &mut Plan,
+    sink: &mut Sink,
+) -> Action {
+    if !plan.resumes {
+        match choose::choose(node, job, &mut plan.excluded) {
+            Ok(upstream) => {
+                plan.attempts += 1;
+                let id = format!("{}-{}", job.id, plan.attempts);
+                plan.current = Some(Attempt { id, upstream });
+            }
+            Err(failure) => {
+                let failure = plan.last.take().unwrap_or(failure);
+                return machine.on(Event::Refused(failure), Instant::now());
+            }
+        }
+    }
+    match plan.current.clone() {
+        Some(attempt) => attempt::run(node, job, &attempt, machine, sink).await,
+        None => Action::Cancel,
+    }
+}
+
+/// Waits before the next attempt; yields an action if the request ends meanwhile.
+async fn pause(job: &Job, machine: &mut Request, plan: &Plan, sink: &mut Sink) -> Option<Action> {
+    let delay = retry::delay(plan.failed, rand::random());
+    let end = Instant::now() + delay;
+    if end >= job.deadline {
+        // The wait cannot lead to an answer in time, so the last failure is the honest report.
+        let failure = plan.last.clone()?;
+        return Some(machine.give_up(failure));
+    }
+    tokio::select! {
+        () = sleep(delay) => None,
+        () = sink.closed() => Some(machine.on(Event::Gone, Instant::now())),
+    }
+}
+
+async fn finish(job: &Job, plan: &Plan, since: Instant, sink: Sink) {
+    let ended = sink.finish().await;
+    let result = if ended { "complete" } else { "cancelled" };
+    log_end(job, plan, since, result, "");
+}
+
+async fn fail(job: &Job, plan: &Plan, since: Instant, sink: Sink, failure: Failure) {
+    let outcome = failure.outcome.to_string();
+    let reason = failure.reason.to_string();
+    sink.fail(failure, &job.id).await;
+    log_end(job, plan, since, &outcome, &reason);
+}
+
+fn log_end(job: &Job, plan: &Plan, since: Instant, outcome: &str, reason: &str) {
+    log::info!(
+        request = job.id.as_str(),
+        workspace = job.workspace.as_str(),
+        service = job.service.as_str(),
+        upstream = plan.upstream(),
+        attempts = plan.attempts,
+        prompt_tokens = job.prompt_tokens,
+        outcome,
+        reason,
+        elapsed_ms = since.elapsed().as_millis() as u64;
+        "request ended"
+    );
+}
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -41,7 +41,10 @@
         .header("host", task.upstream.address.to_string())
         .header("content-type", dispatch.content_type.as_str())
         .header("x-request-id", dispatch.attempt.as_str())
-        .header("x-priority", admission::priority(dispatch.prompt_tokens))
+        .header(
+            "x-priority",
+            u16::from(admission::priority(dispatch.prompt_tokens)),
+        )
         .header("x-fencing-epoch", task.lease.epoch())
         .header("x-holder", task.host.as_str())
         .body(body)
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -81,11 +81,17 @@
     let upstream = find(&fleet, &dispatch)?;
     let lease = node.leases.load().get(&dispatch.upstream).cloned();
     let now = Instant::now();
-    let lease = lease
-        .filter(|lease| lease.holds(now))
-        .ok_or_else(|| not_run(Reason::Unavailable, "this daemon does not hold the upstream"))?;
+    let lease = lease.filter(|lease| lease.holds(now)).ok_or_else(|| {
+        not_run(
+            Reason::Unavailable,
+            "this daemon does not hold the upstream",
+        )
+    })?;
     let deadline = now + Duration::from_millis(dispatch.remaining_ms);
-    let weight = fleet.workspaces.get(&dispatch.workspace).map_or(1, |workspace| workspace.weight);
+    let weight = fleet
+        .workspaces
+        .get(&dispatch.workspace)
+        .map_or(1, |workspace| workspace.weight);
     let item = Item {
         ticket: node.holder.next_ticket(),
         workspace: dispatch.workspace.clone(),
@@ -120,7 +126,10 @@
     let resumes = dispatch.resume_from > 0;
     let leaving = upstream.state != primrosehoist::state::fleet::Presence::Live;
     if !resumes && (leaving || fleet.zones_out.contains(&upstream.zone)) {
-        return Err(not_run(Reason::Unavailable, "the upstream takes no new work"));
+        return Err(not_run(
+            Reason::Unavailable,
+            "the upstream takes no new work",
+        ));
     }
     if fleet.quarantine.contains_key(&dispatch.fingerprint) {
         return Err(not_run(Reason::Quarantined, "the request is quarantined"));
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -156,7 +156,8 @@
         let turn = self.waiting.remove(&ticket);
         let taken = turn.is_some_and(|turn| turn.send(Ok(())).is_ok());
         if !taken {
-            self.scheduler.finished(ticket, admission::Finish::NotSent, now);
+            self.scheduler
+                .finished(ticket, admission::Finish::NotSent, now);
         }
     }
 
@@ -182,7 +183,10 @@
         Some(turn) => match turn.await {
             Ok(Ok(())) => Ok(flight),
             Ok(Err(failure)) => Err(failure),
-            Err(_) => Err(not_run(Reason::Unavailable, "the upstream is not held any more")),
+            Err(_) => Err(not_run(
+                Reason::Unavailable,
+                "the upstream is not held any more",
+            )),
         },
     }
 }
@@ -199,16 +203,25 @@
         let mut queue = lock(&place.state);
         let expired = queue.scheduler.expire(now);
         let displaced = queue.scheduler.displaced(now);
-        queue.refuse(expired, &not_run(Reason::Timeout, "the time limit passed in the queue"));
-        queue.refuse(displaced, &not_run(Reason::Overloaded, "the upstream bears less now"));
+        queue.refuse(
+            expired,
+            &not_run(Reason::Timeout, "the time limit passed in the queue"),
+        );
+        queue.refuse(
+            displaced,
+            &not_run(Reason::Overloaded, "the upstream bears less now"),
+        );
         queue.admit_next(now);
     }
 }
 
 fn refusal(reason: admission::Reason, after: Duration) -> Failure {
     let outward = match reason {
-        admission::Reason::Memory => Reason::TooLong,
-        _ => Reason::Overloaded,
+        admission::Reason::TooLong => Reason::TooLong,
+        admission::Reason::OtherHalf => Reason::Unavailable,
+        admission::Reason::Full | admission::Reason::Late | admission::Reason::Busy => {
+            Reason::Overloaded
+        }
     };
     Failure {
         retry_after_ms: Some(after.as_millis() as u64),
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -14,7 +14,7 @@
 use primrosehoist::state::limit;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::upstream::{self, Exchange};
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use super::flight::Flight;
 use super::responder::Responder;
@@ -99,7 +99,10 @@
 ) -> Result<(), Stop> {
     let place = flight.place();
     let request = call::request(task, body).map_err(|_source| {
-        Stop::Unsent(not_run(Reason::BadRequest, "the request cannot be expressed"))
+        Stop::Unsent(not_run(
+            Reason::BadRequest,
+            "the request cannot be expressed",
+        ))
     })?;
     let gate = call::gate(task, place);
     let sent = tokio::select! {
@@ -194,7 +197,9 @@
         }
     }
     if !sequence.is_done() {
-        return Err(Stop::Broken(failed("the stream ended before its last event")));
+        return Err(Stop::Broken(failed(
+            "the stream ended before its last event",
+        )));
     }
     if parser.is_partial() {
         return Err(Stop::Invalid(failed("bytes follow the last event")));
@@ -305,7 +310,9 @@
     let named = exchange.response.headers().get("x-request-id");
     let matches = named.is_some_and(|id| id.as_bytes() == task.dispatch.attempt.as_bytes());
     if task.engine && !matches {
-        return Err(Stop::Invalid(failed("the answer belongs to another attempt")));
+        return Err(Stop::Invalid(failed(
+            "the answer belongs to another attempt",
+        )));
     }
     Ok(())
 }
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -13,6 +13,11 @@
 use primrosehoist::state::name;
 use primrosehoist::state::view::View;
 
+use crate::caller::Keys;
+use crate::dispatch::Entry;
+use crate::holder::Holder;
+use crate::progress::Progress;
+
 /// Upstreams that this daemon may send work to.
 pub(crate) type Leases = Map<name::Upstream, Arc<Lease>>;
 
@@ -31,4 +36,12 @@
     pub(crate) leases: ArcSwap<Leases>,
     /// Whether the daemon shuts down.
     pub(crate) draining: AtomicBool,
+    /// Look-ups derived from the configuration.
+    pub(crate) keys: Keys,
+    /// The entry's side of requests.
+    pub(crate) entry: Entry,
+    /// The upstreams that work was admitted to here.
+    pub(crate) holder: Holder,
+    /// Requests in progress, on the entry's and on the holder's side.
+    pub(crate) progress: Progress,
 }
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/progress.rs
@@ -0,0 +1,51 @@
+//! Counts what is in progress, so that a shutdown can wait for it.
+
+use tokio::sync::watch;
+
+/// The number of requests in progress.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    running: watch::Sender<usize>,
+}
+
+/// Counts one request until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Running {
+    running: watch::Sender<usize>,
+}
+
+impl Default for Progress {
+    fn default() -> Self {
+        Self {
+            running: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Progress {
+    /// Counts a request until the result is dropped.
+    pub(crate) fn enter(&self) -> Running {
+        self.running.send_modify(|running| *running += 1);
+        Running {
+            running: self.running.clone(),
+        }
+    }
+
+    /// Returns the number of requests in progress.
+    pub(crate) fn count(&self) -> usize {
+        *self.running.borrow()
+    }
+
+    /// Waits until no request is in progress.
+    pub(crate) async fn idle(&self) {
+        let mut running = self.running.subscribe();
+        // The sender lives in `self`, so waiting cannot fail.
+        let _idle = running.wait_for(|running| *running == 0).await;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.running.send_modify(|running| *running -= 1);
+    }
+}
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -51,7 +51,9 @@
     pub fn earn(&self, percent: u32) {
         let add = |saved: u64| Some((saved + u64::from(percent)).min(SAVED_RETRIES_MAX * UNIT));
         // The update always succeeds, because `add` always yields a value.
-        let _before = self.saved.fetch_update(Ordering::AcqRel, Ordering::Acquire, add);
+        let _before = self
+            .saved
+            .fetch_update(Ordering::AcqRel, Ordering::Acquire, add);
     }
 
     /// Takes one retry; returns whether there was one.
--- a/src/protocol/openai.rs
+++ b/src/protocol/openai.rs
@@ -114,7 +114,9 @@
 impl Chunk {
     /// Returns whether the chunk is the last one with content.
     pub fn is_last(&self) -> bool {
-        self.choices.iter().any(|choice| choice.finish_reason.is_some())
+        self.choices
+            .iter()
+            .any(|choice| choice.finish_reason.is_some())
     }
 }
 
--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -203,6 +203,7 @@
 pub struct Outlet {
     items: mpsc::Receiver<Item>,
     ended: bool,
+    stopped: bool,
 }
 
 impl Outlet {
@@ -213,6 +214,7 @@
         let outlet = Self {
             items,
             ended: false,
+            stopped: false,
         };
         (writer, outlet)
     }
@@ -264,7 +266,13 @@
                 self.ended = true;
                 Poll::Ready(None)
             }
-            None => Poll::Ready(Some(Err(Cut::Stopped))),
+            None if self.stopped => Poll::Ready(Some(Err(Cut::Stopped))),
+            None => {
+                // The connection flushes what it has before it asks again.
+                self.stopped = true;
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
         }
     }
 }
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -1,7 +1,6 @@
 //! The server that callers and operators connect to.
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
--- a/src/transport/http/stall.rs
+++ b/src/transport/http/stall.rs
@@ -1,6 +1,5 @@
 //! A connection that fails when its peer stops reading.
 
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -53,7 +53,9 @@
 
 impl fmt::Debug for Gate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Gate").field("handed", &self.handed).finish_non_exhaustive()
+        f.debug_struct("Gate")
+            .field("handed", &self.handed)
+            .finish_non_exhaustive()
     }
 }
 
@@ -105,7 +107,10 @@
 
 impl Guarded {
     fn gate(&self) -> Option<Arc<Gate>> {
-        self.slot.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.slot
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 }
 
@@ -169,7 +174,9 @@
 
 impl fmt::Debug for Pool {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Pool").field("address", &self.address).finish_non_exhaustive()
+        f.debug_struct("Pool")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
     }
 }
 
@@ -182,7 +189,9 @@
 
 impl fmt::Debug for Exchange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Exchange").field("response", &self.response).finish_non_exhaustive()
+        f.debug_struct("Exchange")
+            .field("response", &self.response)
+            .finish_non_exhaustive()
     }
 }
 
@@ -215,7 +224,10 @@
             Some(connection) => connection,
             None => self.connect().await?,
         };
-        *connection.slot.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(gate));
+        *connection
+            .slot
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(gate));
         match connection.sender.send_request(request).await {
             Ok(response) => Ok(Exchange {
                 response,
@@ -228,7 +240,10 @@
     /// Gives the connection of a whole answer back.
     pub fn give_back(&self, exchange: Exchange) {
         let connection = exchange.connection;
-        *connection.slot.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        *connection
+            .slot
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = None;
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         if !connection.sender.is_closed() && idle.len() < IDLE_MAX {
             idle.push(connection);
