--- /dev/null
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -0,0 +1,121 @@
+//! The admin port: health, metrics, and what operators ask for.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use primrosehoist::protocol::operator;
+use primrosehoist::protocol::status::{Holding, Member, Status};
+use primrosehoist::state::view::Advert;
+use primrosehoist::transport::http::server::{self, Limits};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::node::Node;
+
+type Answer = Response<Full<Bytes>>;
+
+/// Serves the admin port until `stopped` turns true.
+pub(crate) async fn serve(
+    node: Arc<Node>,
+    listener: TcpListener,
+    limits: Limits,
+    drain: Arc<watch::Sender<bool>>,
+    stopped: watch::Receiver<bool>,
+) {
+    let handler = move |request| {
+        let answer = answer(&node, &drain, &request);
+        async move { answer }
+    };
+    server::serve(listener, limits, stopped, handler).await;
+}
+
+fn answer(node: &Node, drain: &watch::Sender<bool>, request: &Request<Incoming>) -> Answer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+        (&Method::GET, "/readyz") if is_ready(node) => text(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        (&Method::GET, "/metrics") => text(StatusCode::OK, &metrics(node)),
+        (method, path) if is_operator(node, request) => order(node, drain, method, path),
+        _ => text(
+            StatusCode::UNAUTHORIZED,
+            "the token is missing or not valid\n",
+        ),
+    }
+}
+
+fn order(node: &Node, drain: &watch::Sender<bool>, method: &Method, path: &str) -> Answer {
+    match (method, path) {
+        (&Method::GET, "/admin/status") => json(&status(node)),
+        (&Method::POST, "/admin/drain") => {
+            drain.send_replace(true);
+            text(StatusCode::ACCEPTED, "shutting down\n")
+        }
+        _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+fn is_operator(node: &Node, request: &Request<Incoming>) -> bool {
+    let value = request.headers().get(AUTHORIZATION);
+    let token = value.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    token.is_some_and(|token| operator::check(&node.secret, token))
+}
+
+/// Returns whether callers may be sent here: the configuration is known, and no shutdown began.
+fn is_ready(node: &Node) -> bool {
+    !node.is_draining() && node.fleet.load().version > 0
+}
+
+fn metrics(node: &Node) -> String {
+    let count = node.progress.count();
+    format!("# TYPE primrosehoist_in_progress gauge\nprimrosehoist_in_progress {count}\n")
+}
+
+fn status(node: &Node) -> Status {
+    let view = node.view.load();
+    let others = view.daemons.values().map(|daemon| Member {
+        host: daemon.member.host.clone(),
+        zone: daemon.member.zone.clone(),
+        version: daemon.version,
+        age_ms: 0,
+    });
+    let adverts = node.adverts(Instant::now());
+    Status {
+        host: node.host.clone(),
+        zone: node.zone.clone(),
+        version: node.fleet.load().version,
+        draining: node.is_draining(),
+        platform_age_ms: None,
+        holdings: adverts.into_iter().map(holding).collect(),
+        members: others.collect(),
+        quarantine_pending: 0,
+    }
+}
+
+fn holding(advert: Advert) -> Holding {
+    Holding {
+        upstream: advert.upstream,
+        epoch: advert.epoch,
+        limit: advert.limit,
+        in_flight: advert.in_flight,
+        queued: advert.queued,
+    }
+}
+
+fn json(status: &Status) -> Answer {
+    let content = serde_json::to_vec(status).unwrap_or_default();
+    let mut answer = Response::new(Full::new(Bytes::from(content)));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+fn text(status: StatusCode, content: &str) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(content.to_owned())));
+    *answer.status_mut() = status;
+    answer
+}
--- a/crates/primrosehoist-daemon/src/caller/mod.rs
+++ b/crates/primrosehoist-daemon/src/caller/mod.rs
@@ -7,7 +7,6 @@
 mod route;
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{Request, Response};
@@ -66,7 +65,7 @@
     id: &str,
     received: Instant,
 ) -> Result<Response<Answer>, primrosehoist::protocol::outcome::Failure> {
-    if node.draining.load(Ordering::Acquire) {
+    if node.is_draining() {
         return Err(not_run(Reason::Draining, "this daemon shuts down"));
     }
     let fleet = node.fleet.load_full();
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/command.rs
@@ -0,0 +1,78 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::path::PathBuf;
+
+use pico_args::Arguments;
+use quick_error::quick_error;
+
+use crate::settings::{self, Settings};
+
+/// The exit code for a wrong command line or wrong settings.
+pub(crate) const EXIT_USAGE: u8 = 2;
+
+const HELP: &str = "\
+Serves prompts of callers on the upstreams of the fleet.
+
+usage: primrosehoistd --settings FILE [--check]
+
+  --settings FILE  the settings, in TOML
+  --check          checks the settings and exits
+  --help           prints this text
+  --version        prints the version
+
+exit codes:
+  0  the daemon was shut down and had finished all requests, or the check passed
+  1  the daemon could not start, or was ended before all requests were finished
+  2  the command line or the settings are wrong
+";
+
+quick_error! {
+    /// Says why the command line cannot be used.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An option is missing or malformed.
+        Option(source: pico_args::Error) { from() display("{}; see --help", source) }
+        /// An argument is not known.
+        Unknown(argument: String) { display("unknown argument {:?}; see --help", argument) }
+        /// The settings are wrong.
+        Settings(source: settings::Error) { from() display("{}", source) }
+    }
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub(crate) enum Command {
+    /// Print a text.
+    Print(String),
+    /// Check the settings only.
+    Check,
+    /// Run the daemon.
+    Run(Box<Settings>),
+}
+
+/// Reads the command line and the settings that it names.
+///
+/// # Errors
+///
+/// Fails if an argument or the settings are wrong.
+pub(crate) fn read(arguments: Vec<OsString>) -> Result<Command, Error> {
+    let mut arguments = Arguments::from_vec(arguments);
+    if arguments.contains("--help") {
+        return Ok(Command::Print(HELP.to_owned()));
+    }
+    if arguments.contains("--version") {
+        let version = format!("primrosehoistd {}\n", env!("CARGO_PKG_VERSION"));
+        return Ok(Command::Print(version));
+    }
+    let check = arguments.contains("--check");
+    let path: PathBuf = arguments.value_from_str("--settings")?;
+    if let Some(unknown) = arguments.finish().first() {
+        return Err(Error::Unknown(unknown.to_string_lossy().into_owned()));
+    }
+    let settings = Box::new(Settings::load(&path)?);
+    if check {
+        return Ok(Command::Check);
+    }
+    Ok(Command::Run(settings))
+}
--- a/crates/primrosehoist-daemon/src/dispatch/exchange.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/exchange.rs
@@ -2,9 +2,12 @@
 
 use std::sync::Arc;
 
+use futures_util::stream;
 use http_body_util::BodyExt;
-use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::protocol::wire::{self, Dispatch, Reply};
+use primrosehoist::state::view::Member;
 use primrosehoist::transport::http::body::Stored;
+use primrosehoist::transport::peer;
 use tokio::sync::mpsc;
 
 use crate::holder::{self, Responder};
@@ -18,15 +21,17 @@
 pub(crate) enum Exchange {
     /// The holder is this process.
     Local(mpsc::Receiver<Reply>),
+    /// The holder is another process.
+    Peer(peer::Exchange),
 }
 
 impl Exchange {
     /// Hands `dispatch` to the holder of its upstream; yields nothing if no byte reached it.
     pub(crate) async fn open(node: &Arc<Node>, dispatch: Dispatch, body: &Stored) -> Option<Self> {
-        let view = node.view.load();
+        let view = node.view.load_full();
         let holder = view.holders.get(&dispatch.upstream)?;
         if holder.member.host != node.host {
-            return None;
+            return open_peer(node, &holder.member, dispatch, body).await;
         }
         let (sender, replies) = mpsc::channel(REPLIES_MAX);
         let payload = body.replay().boxed_unsync();
@@ -44,6 +49,34 @@
     pub(crate) async fn next(&mut self) -> Option<Reply> {
         match self {
             Self::Local(replies) => replies.recv().await,
+            Self::Peer(exchange) => exchange.next().await.unwrap_or_else(|error| {
+                log::info!("exchange with a holder failed: {error}");
+                None
+            }),
+        }
+    }
+}
+
+async fn open_peer(
+    node: &Node,
+    holder: &Member,
+    dispatch: Dispatch,
+    body: &Stored,
+) -> Option<Exchange> {
+    let pieces = stream::unfold(body.replay(), |mut replay| async {
+        let piece = replay.next_piece()?;
+        Some((piece, replay))
+    });
+    let request = wire::Request::Dispatch(dispatch);
+    match node
+        .peers
+        .open(holder, &request, Some(Box::pin(pieces)))
+        .await
+    {
+        Ok(exchange) => Some(Exchange::Peer(exchange)),
+        Err(error) => {
+            log::info!("cannot reach a holder: {error}");
+            None
         }
     }
 }
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -9,12 +9,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::stream;
+use http_body_util::BodyExt;
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
 use primrosehoist::protocol::wire::{Dispatch, Reply};
 use primrosehoist::state::fleet::{Fleet, Kind, Upstream};
 use primrosehoist::state::queue::Item;
-use primrosehoist::transport::http::Payload;
+use primrosehoist::transport::http::body::Measured;
+use primrosehoist::transport::http::{BoxError, Payload};
+use primrosehoist::transport::peer;
 use tokio::time::Instant;
 
 pub(crate) use self::place::Holder;
@@ -33,6 +37,22 @@
     pub(crate) deadline: Instant,
 }
 
+/// Runs a request that another daemon dispatched.
+pub(crate) async fn serve_peer(
+    node: Arc<Node>,
+    dispatch: Dispatch,
+    body: peer::Body,
+    responder: peer::Responder,
+) {
+    let bytes = dispatch.body_bytes;
+    let pieces = stream::unfold(body, |mut body| async {
+        let piece = body.chunk().await.transpose()?;
+        Some((piece.map_err(BoxError::from), body))
+    });
+    let payload = Measured::new(Box::pin(pieces), bytes).boxed_unsync();
+    serve(node, dispatch, payload, Responder::Peer(responder)).await;
+}
+
 /// Runs a request on an upstream that this daemon holds, and answers through `responder`.
 pub(crate) async fn serve(
     node: Arc<Node>,
@@ -77,6 +97,9 @@
 
 /// Checks that the request may run here.
 fn prepare(node: &Node, dispatch: Dispatch) -> Result<(Task, Item), Failure> {
+    if node.is_draining() && dispatch.resume_from == 0 {
+        return Err(not_run(Reason::Draining, "the holder shuts down"));
+    }
     let fleet = node.fleet.load();
     let upstream = find(&fleet, &dispatch)?;
     let lease = node.leases.load().get(&dispatch.upstream).cloned();
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -7,7 +7,7 @@
 use primrosehoist::coordination::admission::{self, Scheduler, Verdict};
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Reason};
-use primrosehoist::state::fleet::Upstream;
+use primrosehoist::state::fleet::{Fleet, Upstream};
 use primrosehoist::state::map::Map;
 use primrosehoist::state::name;
 use primrosehoist::state::queue::{Item, Ticket};
@@ -18,6 +18,7 @@
 
 use super::flight::Flight;
 use super::not_run;
+use crate::node::Leases;
 
 /// The time between two looks at the queue without an event.
 const TICK: Duration = Duration::from_millis(100);
@@ -67,18 +68,15 @@
         place
     }
 
-    /// Drops the places whose upstreams are not held any more.
-    pub(crate) fn retain<K>(&self, keep: K)
-    where
-        K: Fn(&name::Upstream, u64) -> bool,
-    {
-        lock(&self.places).retain(|upstream, place| keep(upstream, place.epoch));
-    }
-
-    /// Returns what is told to other daemons about the upstreams with a place here.
-    pub(crate) fn adverts(&self, now: Instant) -> Vec<Advert> {
-        let places: Vec<Arc<Place>> = lock(&self.places).values().cloned().collect();
-        places.iter().map(|place| place.advert(now)).collect()
+    /// Returns what is told to other daemons about the upstreams of `leases`, and drops the
+    /// places of all others.
+    pub(crate) fn adverts(&self, fleet: &Fleet, leases: &Leases, now: Instant) -> Vec<Advert> {
+        lock(&self.places).retain(|upstream, _| leases.contains_key(upstream));
+        let held = leases.iter().filter(|(_, lease)| lease.holds(now));
+        let known = held.filter_map(|(name, lease)| Some((fleet.upstreams.get(name)?, lease)));
+        known
+            .map(|(upstream, lease)| self.place(upstream, lease).advert(now))
+            .collect()
     }
 }
 
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -1,11 +1,33 @@
 //! The daemon of primrosehoist.
 
+mod admin;
 mod caller;
+mod command;
 mod dispatch;
 mod holder;
+mod links;
 mod logging;
 mod node;
 mod progress;
+mod service;
 mod settings;
+mod shutdown;
 
-fn main() {}
+use std::process::ExitCode;
+
+use crate::command::Command;
+
+fn main() -> ExitCode {
+    match command::read(std::env::args_os().skip(1).collect()) {
+        Ok(Command::Print(text)) => {
+            print!("{text}");
+            ExitCode::SUCCESS
+        }
+        Ok(Command::Check) => ExitCode::SUCCESS,
+        Ok(Command::Run(settings)) => service::run(*settings),
+        Err(error) => {
+            eprintln!("primrosehoistd: {error}");
+            ExitCode::from(command::EXIT_USAGE)
+        }
+    }
+}
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -3,26 +3,30 @@
 //! Everything on the path of a request is read through an `ArcSwap` or an atomic; writers
 //! replace a whole value. Each part has one writing task.
 
+use std::fmt;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::state::fleet::Fleet;
 use primrosehoist::state::map::Map;
 use primrosehoist::state::name;
-use primrosehoist::state::view::View;
+use primrosehoist::state::placement::Policy;
+use primrosehoist::state::view::{Advert, View};
+use primrosehoist::transport::peer::{self, Identity};
+use tokio::time::Instant;
 
 use crate::caller::Keys;
 use crate::dispatch::Entry;
 use crate::holder::Holder;
 use crate::progress::Progress;
+use crate::settings::{Placement, Settings};
 
 /// Upstreams that this daemon may send work to.
 pub(crate) type Leases = Map<name::Upstream, Arc<Lease>>;
 
 /// The shared state of the daemon.
-#[derive(Debug)]
 pub(crate) struct Node {
     /// The name of this host.
     pub(crate) host: name::Host,
@@ -36,6 +40,10 @@
     pub(crate) leases: ArcSwap<Leases>,
     /// Whether the daemon shuts down.
     pub(crate) draining: AtomicBool,
+    /// The secret that daemons and operators share.
+    pub(crate) secret: Arc<[u8]>,
+    /// Links to other daemons.
+    pub(crate) peers: peer::Client,
     /// Look-ups derived from the configuration.
     pub(crate) keys: Keys,
     /// The entry's side of requests.
@@ -45,3 +53,51 @@
     /// Requests in progress, on the entry's and on the holder's side.
     pub(crate) progress: Progress,
 }
+
+impl Node {
+    /// Creates the state of a daemon that knows nothing of the fleet yet.
+    pub(crate) fn new(settings: &Settings, secret: &[u8]) -> Self {
+        let identity = Identity::new(settings.host.clone(), secret);
+        let policy = match settings.policy.placement {
+            Placement::LongConfined => Policy::LongConfined,
+            Placement::LeastLoad => Policy::LeastLoad,
+            Placement::RoundRobin => Policy::RoundRobin,
+        };
+        Self {
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            fleet: ArcSwap::default(),
+            view: ArcSwap::default(),
+            leases: ArcSwap::default(),
+            draining: AtomicBool::new(false),
+            secret: Arc::from(secret),
+            peers: peer::Client::new(identity),
+            keys: Keys::default(),
+            entry: Entry::new(settings.limits.body_budget, policy),
+            holder: Holder::default(),
+            progress: Progress::default(),
+        }
+    }
+
+    /// Returns what is told to other daemons about the upstreams held here.
+    pub(crate) fn adverts(&self, now: Instant) -> Vec<Advert> {
+        let fleet = self.fleet.load();
+        let leases = self.leases.load();
+        self.holder.adverts(&fleet, &leases, now)
+    }
+
+    /// Returns whether the daemon shuts down.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+}
+
+impl fmt::Debug for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Node")
+            .field("host", &self.host)
+            .field("zone", &self.zone)
+            .field("draining", &self.draining)
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -0,0 +1,134 @@
+//! Runs the daemon from its start to its shutdown.
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::transport::http::server::{self, Limits};
+use primrosehoist::transport::peer;
+use quick_error::quick_error;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::node::Node;
+use crate::settings::{self, Settings};
+use crate::shutdown::{self, End};
+use crate::{admin, caller, links, logging};
+
+/// Headers in one request.
+const HEADERS_MAX: usize = 64;
+
+/// Connections to the admin port at once.
+const ADMIN_CONNECTIONS_MAX: usize = 64;
+
+/// The size of the head of a request to the admin port, in bytes.
+const ADMIN_HEAD_BYTES: usize = 16 * 1024;
+
+/// The longest time for the head of a request to the admin port, and for taking its answer.
+const ADMIN_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The smallest size of the head of a request that the HTTP library accepts, in bytes.
+const HEAD_BYTES_MIN: usize = 8192;
+
+quick_error! {
+    /// Says at which step the start failed.
+    #[derive(Debug)]
+    enum Error {
+        /// The shared secret cannot be used.
+        Secret(source: settings::Error) { from() display("{}", source) }
+        /// A listener cannot be opened.
+        Listen(address: SocketAddr, source: io::Error) {
+            display("listen on {}: {}", address, source)
+        }
+        /// The listener for other daemons cannot be opened.
+        Links(source: peer::Error) { from() display("listen for daemons: {}", source) }
+    }
+}
+
+/// Runs the daemon; returns the exit code of the process.
+pub(crate) fn run(settings: Settings) -> ExitCode {
+    if let Err(error) = logging::start(settings.log.level) {
+        eprintln!("primrosehoistd: logging: {error}");
+        return ExitCode::FAILURE;
+    }
+    let runtime = match tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("primrosehoistd: runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ended = runtime.block_on(serve(settings));
+    // Tasks that are left have nothing to finish.
+    runtime.shutdown_background();
+    match ended {
+        Ok(End::Finished) => ExitCode::SUCCESS,
+        Ok(End::Forced) => ExitCode::FAILURE,
+        Err(error) => {
+            log::error!("cannot start: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: Settings) -> Result<End, Error> {
+    let secret = settings.secret()?;
+    let node = Arc::new(Node::new(&settings, &secret));
+    let callers = listen(settings.listen.caller).await?;
+    let operators = listen(settings.listen.admin).await?;
+    let _links = links::start(&node, settings.listen.peer).await?;
+    let drain = Arc::new(watch::Sender::new(false));
+    let (stop, stopped) = watch::channel(false);
+    let serving = tokio::spawn(serve_callers(&node, &settings, callers, stopped.clone()));
+    tokio::spawn(admin::serve(
+        Arc::clone(&node),
+        operators,
+        admin_limits(),
+        Arc::clone(&drain),
+        stopped,
+    ));
+    log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
+    Ok(shutdown::run(&node, &drain, &stop, serving).await)
+}
+
+fn serve_callers(
+    node: &Arc<Node>,
+    settings: &Settings,
+    listener: TcpListener,
+    stopped: watch::Receiver<bool>,
+) -> impl Future<Output = ()> + Send + use<> {
+    let limits = &settings.limits;
+    let bodies = Arc::new(caller::body_limits(limits.body_bytes));
+    let connections = Limits {
+        connections: limits.connections as usize,
+        headers: HEADERS_MAX,
+        head_bytes: (limits.header_bytes as usize).max(HEAD_BYTES_MIN),
+        head: limits.header_timeout,
+        write: limits.caller_write_timeout,
+    };
+    let node = Arc::clone(node);
+    server::serve(listener, connections, stopped, move |request| {
+        caller::handle(Arc::clone(&node), Arc::clone(&bodies), request)
+    })
+}
+
+fn admin_limits() -> Limits {
+    Limits {
+        connections: ADMIN_CONNECTIONS_MAX,
+        headers: HEADERS_MAX,
+        head_bytes: ADMIN_HEAD_BYTES,
+        head: ADMIN_TIMEOUT,
+        write: ADMIN_TIMEOUT,
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen(address, source))
+}
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod codec;
 pub mod openai;
+pub mod operator;
 pub mod outcome;
 pub mod platform;
 pub mod sse;
--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -1,11 +1,13 @@
 //! Bodies: collected within a byte budget, and streamed without an implicit end.
 
+use std::fmt;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use futures_util::Stream;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, SizeHint};
 use quick_error::quick_error;
@@ -152,6 +154,17 @@
     _stored: Stored,
 }
 
+impl Replay {
+    /// Returns the next piece, or nothing at the end.
+    pub fn next_piece(&mut self) -> Option<Bytes> {
+        if self.left.is_empty() {
+            return None;
+        }
+        let length = self.left.len().min(PIECE_BYTES);
+        Some(self.left.split_to(length))
+    }
+}
+
 impl Body for Replay {
     type Data = Bytes;
     type Error = super::BoxError;
@@ -160,12 +173,7 @@
         mut self: Pin<&mut Self>,
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if self.left.is_empty() {
-            return Poll::Ready(None);
-        }
-        let length = self.left.len().min(PIECE_BYTES);
-        let piece = self.left.split_to(length);
-        Poll::Ready(Some(Ok(Frame::data(piece))))
+        Poll::Ready(self.next_piece().map(|piece| Ok(Frame::data(piece))))
     }
 
     fn is_end_stream(&self) -> bool {
@@ -177,6 +185,61 @@
     }
 }
 
+/// A body of known length whose pieces come from a stream.
+pub struct Measured {
+    pieces: Pieces,
+    left: u64,
+}
+
+/// The pieces of a [`Measured`] body.
+pub type Pieces = Pin<Box<dyn Stream<Item = Result<Bytes, super::BoxError>> + Send>>;
+
+impl Measured {
+    /// Creates a body of `bytes` bytes in `pieces`.
+    pub fn new(pieces: Pieces, bytes: u64) -> Self {
+        Self {
+            pieces,
+            left: bytes,
+        }
+    }
+}
+
+impl fmt::Debug for Measured {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Measured")
+            .field("left", &self.left)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Body for Measured {
+    type Data = Bytes;
+    type Error = super::BoxError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match ready!(self.pieces.as_mut().poll_next(cx)) {
+            Some(Ok(piece)) => {
+                self.left = self.left.saturating_sub(piece.len() as u64);
+                Poll::Ready(Some(Ok(Frame::data(piece))))
+            }
+            Some(Err(error)) => Poll::Ready(Some(Err(error))),
+            None if self.left > 0 => Poll::Ready(Some(Err(Error::Broken.into()))),
+            None => Poll::Ready(None),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.left)
+    }
+}
+
 quick_error! {
     /// Says that a body ended before it was whole.
     #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -36,7 +36,7 @@
 }
 
 /// Serves connections with `handler` until `stop` turns true, then lets those open finish their
-/// request.
+/// request. Returns when all connections are closed.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     limits: Limits,
@@ -48,12 +48,13 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BoxError>,
 {
-    let places = Arc::new(Semaphore::new(limits.connections));
+    let capacity = limits.connections.min(Semaphore::MAX_PERMITS);
+    let places = Arc::new(Semaphore::new(capacity));
     let mut stopped = stop.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => return,
+            _ = stopped.wait_for(|stop| *stop) => break,
         };
         let Ok((stream, _peer)) = accepted else {
             sleep(ACCEPT_PAUSE).await;
@@ -69,6 +70,9 @@
             drop(place);
         });
     }
+    drop(listener);
+    // The semaphore is never closed, so waiting for all places cannot fail.
+    let _closed = places.acquire_many(capacity as u32).await;
 }
 
 async fn connect<H, F, B>(
