--- /dev/null
+++ b/src/coordination/promise.rs
@@ -0,0 +1,47 @@
+//! Questions and answers between the daemons of a zone about its holdings.
+
+use serde::{Deserialize, Serialize};
+
+use crate::state::name;
+
+/// Asks not to take upstreams from their holder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Promise {
+    /// The holder that asks.
+    pub holder: name::Host,
+    /// How long the promise lasts, in milliseconds from its receipt.
+    pub duration_ms: u64,
+    /// The upstreams with the epochs that the asker holds them by.
+    pub holdings: Vec<Holding>,
+}
+
+/// An upstream with the epoch of its holding.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// The upstream.
+    pub upstream: name::Upstream,
+    /// The fencing number.
+    pub epoch: u64,
+}
+
+/// Tells that upstreams are taken over from a holder that is not heard of.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Takeover {
+    /// Who takes over.
+    pub taker: name::Host,
+    /// From whom.
+    pub from: name::Host,
+    /// The upstreams with their new epochs.
+    pub holdings: Vec<Holding>,
+}
+
+/// Answers a [`Promise`] or a [`Takeover`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answer {
+    /// Whether the callee agrees.
+    pub agreed: bool,
+    /// Milliseconds since the callee last read the zone's holdings, if it ever did.
+    pub platform_age_ms: Option<u64>,
+    /// The holdings that the callee last read for the upstreams asked about.
+    pub holdings: Vec<Holding>,
+}
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -10,7 +10,9 @@
 use crate::state::change::Change;
 use crate::state::fleet::Version;
 use crate::state::name;
-use crate::state::view::{Advert, Member};
+
+pub use crate::coordination::heartbeat::{Heartbeat, Relay};
+pub use crate::coordination::promise::{Answer, Holding, Promise, Takeover};
 
 /// The version of the frames. A peer of another version is refused.
 pub const VERSION: u16 = 1;
@@ -82,29 +84,6 @@
     }
 }
 
-/// What a daemon knows and others should.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// Who sends.
-    pub host: name::Host,
-    /// The sender's zone.
-    pub zone: name::Zone,
-    /// Where the sender's peer port listens.
-    pub address: String,
-    /// Drawn at the start of the process, so that a restart is noticed.
-    pub incarnation: u64,
-    /// The configuration version in force at the sender.
-    pub version: Version,
-    /// Whether the sender shuts down and takes no new work.
-    pub draining: bool,
-    /// Milliseconds since the sender last read the platform, if it ever did.
-    pub platform_age_ms: Option<u64>,
-    /// The upstreams that the sender holds.
-    pub adverts: Vec<Advert>,
-    /// Other daemons that the sender knows to be alive.
-    pub members: Vec<Member>,
-}
-
 /// A request to run on one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
@@ -143,45 +122,3 @@
     /// The first part that is still wanted. Above zero, the attempt resumes a stream.
     pub resume_from: u64,
 }
-
-/// Asks not to take upstreams from their holder.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Promise {
-    /// The holder that asks.
-    pub holder: name::Host,
-    /// How long the promise lasts, in milliseconds from its receipt.
-    pub duration_ms: u64,
-    /// The upstreams with the epochs that the asker holds them by.
-    pub holdings: Vec<Holding>,
-}
-
-/// An upstream with the epoch of its holding.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Holding {
-    /// The upstream.
-    pub upstream: name::Upstream,
-    /// The fencing number.
-    pub epoch: u64,
-}
-
-/// Tells that upstreams are taken over from a holder that is not heard of.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Takeover {
-    /// Who takes over.
-    pub taker: name::Host,
-    /// From whom.
-    pub from: name::Host,
-    /// The upstreams with their new epochs.
-    pub holdings: Vec<Holding>,
-}
-
-/// Answers a [`Promise`] or a [`Takeover`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
-    /// Whether the callee agrees.
-    pub agreed: bool,
-    /// Milliseconds since the callee last read the zone's holdings, if it ever did.
-    pub platform_age_ms: Option<u64>,
-    /// The holdings that the callee last read for the upstreams asked about.
-    pub holdings: Vec<Holding>,
-}
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -1,3 +1,4 @@
 //! Connections: peer links, HTTP towards callers, upstreams and the platform.
 
 pub mod peer;
+pub mod platform;
--- /dev/null
+++ b/src/transport/platform/connection.rs
@@ -0,0 +1,98 @@
+//! Connections to the platform that are kept open between calls.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// Idle connections that are kept.
+const IDLE_MAX: usize = 4;
+
+/// How far a call got that was not answered.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// Nothing was sent.
+    Unsent(String),
+    /// Some of the call was sent.
+    Sent(String),
+}
+
+/// An open connection.
+pub(crate) type Connection = SendRequest<Full<Bytes>>;
+
+/// The connections to one address. Clones share them.
+#[derive(Debug, Clone)]
+pub(crate) struct Pool {
+    address: Arc<str>,
+    idle: Arc<Mutex<Vec<Connection>>>,
+}
+
+impl Pool {
+    pub(crate) fn new(address: &str) -> Self {
+        Self {
+            address: Arc::from(address),
+            idle: Arc::default(),
+        }
+    }
+
+    /// Sends `request` over an idle connection if one is still open, else over a new one.
+    pub(crate) async fn send(
+        &self,
+        mut request: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Connection), Failure> {
+        while let Some(mut connection) = self.take_idle() {
+            match connection.try_send_request(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return Err(Failure::Sent(error.error().to_string())),
+                },
+            }
+        }
+        let mut connection = self.connect().await.map_err(Failure::Unsent)?;
+        match connection.try_send_request(request).await {
+            Ok(response) => Ok((response, connection)),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let cause = error.error().to_string();
+                Err(if unsent {
+                    Failure::Unsent(cause)
+                } else {
+                    Failure::Sent(cause)
+                })
+            }
+        }
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub(crate) fn put_idle(&self, connection: Connection) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        if idle.len() < IDLE_MAX && !connection.is_closed() {
+            idle.push(connection);
+        }
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.pop()
+    }
+
+    async fn connect(&self) -> Result<Connection, String> {
+        let stream = TcpStream::connect(self.address.as_ref())
+            .await
+            .map_err(|cause| cause.to_string())?;
+        stream
+            .set_nodelay(true)
+            .map_err(|cause| cause.to_string())?;
+        let (requests, connection) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|cause| cause.to_string())?;
+        tokio::spawn(connection);
+        Ok(requests)
+    }
+}
