--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod peer;
+pub mod platform;
