--- a/tests/files_example.rs
+++ b/tests/files_example.rs
@@ -1,7 +1,7 @@
 //! The example fleet is read as it is written.
 
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use primrosehoist::state::files::{self, Text};
 use primrosehoist::state::fleet::{Fleet, Kind};
@@ -17,7 +17,7 @@
 
 fn collect(directory: &Path, texts: &mut Vec<Text>) {
     for entry in fs::read_dir(directory).expect("the directory is there") {
-        let path: PathBuf = entry.expect("the entry is readable").path();
+        let path = entry.expect("the entry is readable").path();
         if path.is_dir() {
             collect(&path, texts);
         } else {
--- a/tests/files_mistakes.rs
+++ b/tests/files_mistakes.rs
@@ -16,18 +16,16 @@
     Case {
         name: "bad-digest",
         expected: &[
-            r#"4: `workspace.key_digests`: expected a SHA-256 digest of 64 lower-case hexadecimal digits"#,
+            "4: `workspace.key_digests`: expected a SHA-256 digest of 64 lower-case hexadecimal digits",
         ],
     },
     Case {
         name: "bad-kind",
-        expected: &[r#"4: `service.kind`: expected `engine` or `plain`, found `motor`"#],
+        expected: &["4: `service.kind`: expected `engine` or `plain`, found `motor`"],
     },
     Case {
         name: "bad-name",
-        expected: &[
-            r#"2: `service.name`: a name holds only a-z, 0-9, '-', '.' and '_', found 'B'"#,
-        ],
+        expected: &["2: `service.name`: a name holds only a-z, 0-9, '-', '.' and '_', found 'B'"],
     },
     Case {
         name: "bad-unit-duration",
@@ -44,37 +42,37 @@
     Case {
         name: "both-halves",
         expected: &[
-            r#"23: upstream `braid-a` is declared already at both-halves:13"#,
-            r#"23: upstream `braid-a` is in both halves, `north` and `south`"#,
+            "23: upstream `braid-a` is declared already at both-halves:13",
+            "23: upstream `braid-a` is in both halves, `north` and `south`",
         ],
     },
     Case {
         name: "cold-above-warm",
-        expected: &[r#"13: `cold_requests` 17 is above `warm_requests` 16"#],
+        expected: &["13: `cold_requests` 17 is above `warm_requests` 16"],
     },
     Case {
         name: "cold-zero",
-        expected: &[r#"13: `upstream.cold_requests`: expected 1 to 100000, found 0"#],
+        expected: &["13: `upstream.cold_requests`: expected 1 to 100000, found 0"],
     },
     Case {
         name: "duplicate-service",
-        expected: &[r#"7: service `braid` is declared already at duplicate-service:1"#],
+        expected: &["7: service `braid` is declared already at duplicate-service:1"],
     },
     Case {
         name: "duplicate-upstream",
-        expected: &[r#"17: upstream `braid-a` is declared already at duplicate-upstream:7"#],
+        expected: &["17: upstream `braid-a` is declared already at duplicate-upstream:7"],
     },
     Case {
         name: "duplicate-workspace",
-        expected: &[r#"6: workspace `foremen` is declared already at duplicate-workspace:1"#],
+        expected: &["6: workspace `foremen` is declared already at duplicate-workspace:1"],
     },
     Case {
         name: "engine-without-memory",
-        expected: &[r#"7: an upstream of an engine service needs `memory_tokens`"#],
+        expected: &["7: an upstream of an engine service needs `memory_tokens`"],
     },
     Case {
         name: "engine-without-model",
-        expected: &[r#"1: an engine service needs the key `service.model`"#],
+        expected: &["1: an engine service needs the key `service.model`"],
     },
     Case {
         name: "host-name-address",
@@ -84,25 +82,25 @@
     },
     Case {
         name: "long-duration",
-        expected: &[r#"6: `service.timeout`: expected 10ms to 1day, found 2days"#],
+        expected: &["6: `service.timeout`: expected 10ms to 1day, found 2days"],
     },
     Case {
         name: "many-mistakes",
         expected: &[
             r#"6: `service.timeout`: expected a duration with a unit such as "30s" or "500ms", found "30x""#,
-            r#"7: unknown key `service.retries`"#,
+            "7: unknown key `service.retries`",
             r#"14: `upstream.address`: nothing can be reached at port 0 of "127.0.0.1:0""#,
-            r#"15: `cold_requests` 17 is above `warm_requests` 16"#,
-            r#"23: `workspace.weight`: expected 1 to 1000000, found 0"#,
+            "15: `cold_requests` 17 is above `warm_requests` 16",
+            "23: `workspace.weight`: expected 1 to 1000000, found 0",
         ],
     },
     Case {
         name: "missing-key",
-        expected: &[r#"1: key `service.half` is missing"#],
+        expected: &["1: key `service.half` is missing"],
     },
     Case {
         name: "no-keys",
-        expected: &[r#"1: `workspace.key_digests`: a workspace needs at least one key"#],
+        expected: &["1: `workspace.key_digests`: a workspace needs at least one key"],
     },
     Case {
         name: "no-unit-duration",
@@ -112,15 +110,15 @@
     },
     Case {
         name: "other-half",
-        expected: &[r#"7: half `south` is not that of the service `braid`, `north`"#],
+        expected: &["7: half `south` is not that of the service `braid`, `north`"],
     },
     Case {
         name: "plain-with-memory",
-        expected: &[r#"6: an upstream of a plain service has no `memory_tokens`"#],
+        expected: &["6: an upstream of a plain service has no `memory_tokens`"],
     },
     Case {
         name: "plain-with-model",
-        expected: &[r#"1: a plain service has no `service.model`"#],
+        expected: &["1: a plain service has no `service.model`"],
     },
     Case {
         name: "port-zero",
@@ -128,35 +126,35 @@
     },
     Case {
         name: "same-address",
-        expected: &[r#"17: address 127.0.0.1:7401 is that of upstream `braid-a` already"#],
+        expected: &["17: address 127.0.0.1:7401 is that of upstream `braid-a` already"],
     },
     Case {
         name: "same-key",
-        expected: &[r#"6: a key of this workspace opens `foremen` at same-key:1 already"#],
+        expected: &["6: a key of this workspace opens `foremen` at same-key:1 already"],
     },
     Case {
         name: "same-model",
-        expected: &[r#"7: service `braid` already serves this model in half `north`"#],
+        expected: &["7: service `braid` already serves this model in half `north`"],
     },
     Case {
         name: "syntax",
-        expected: &[r#"1: string values must be quoted, expected literal string"#],
+        expected: &["1: string values must be quoted, expected literal string"],
     },
     Case {
         name: "third-half",
-        expected: &[r#"11: `east` is a third half, after `north` and `south`"#],
+        expected: &["11: `east` is a third half, after `north` and `south`"],
     },
     Case {
         name: "unknown-key",
-        expected: &[r#"6: unknown key `service.retries`"#],
+        expected: &["6: unknown key `service.retries`"],
     },
     Case {
         name: "unknown-service",
-        expected: &[r#"7: no file declares the service `brade`"#],
+        expected: &["7: no file declares the service `brade`"],
     },
     Case {
         name: "unknown-table",
-        expected: &[r#"1: unknown key `servce`"#],
+        expected: &["1: unknown key `servce`"],
     },
     Case {
         name: "unspecified-address",
@@ -164,11 +162,11 @@
     },
     Case {
         name: "weight-zero",
-        expected: &[r#"5: `workspace.weight`: expected 1 to 1000000, found 0"#],
+        expected: &["5: `workspace.weight`: expected 1 to 1000000, found 0"],
     },
     Case {
         name: "wrong-type",
-        expected: &[r#"6: `service.repeatable`: expected true or false, found string"#],
+        expected: &["6: `service.repeatable`: expected true or false, found string"],
     },
 ];
 
