Add the daemon's metrics, and test settings, logs and metrics

Cause: the daemon needs metrics; settings and logs had no tests. Ruled out: testing them through the process, which would need the whole daemon. Change: the test compiles the three modules by path. Conclusion: the daemon's program does not call them yet, so its unused items still warn.

--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -1,6 +1,7 @@
 //! The daemon of primrosehoist.
 
 mod logging;
+mod metrics;
 mod node;
 mod settings;
 
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -0,0 +1,175 @@
+//! Metrics of the daemon, in the Prometheus text format on the admin port.
+
+use std::fmt::Display;
+use std::time::Duration;
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider, UpDownCounter};
+use opentelemetry_sdk::error::OTelSdkError;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use primrosehoist::state::fleet::Version;
+use prometheus::{Registry, TextEncoder};
+
+/// Bounds of the buckets for times, in seconds.
+const SECONDS: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0,
+    200.0, 500.0,
+];
+
+/// The instruments of the daemon. Recording takes no lock that is held for long.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Keeps the instruments alive.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    first_token: Histogram<f64>,
+    queue: Histogram<f64>,
+    in_flight: UpDownCounter<i64>,
+    retries: Counter<u64>,
+    platform_calls: Counter<u64>,
+    peer_bytes: Counter<u64>,
+    version: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot be set up.
+    pub(crate) fn new() -> Result<Self, OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("primrosehoist");
+        Ok(Self {
+            registry,
+            requests: counter(&meter, "primrosehoist_requests", "Requests that ended"),
+            first_token: seconds(
+                &meter,
+                "primrosehoist_first_token",
+                "Time from receipt of a request to its first token",
+            ),
+            queue: seconds(&meter, "primrosehoist_queue", "Time in the holder's queue"),
+            in_flight: meter
+                .i64_up_down_counter("primrosehoist_in_flight")
+                .with_description("Requests that are admitted and not ended")
+                .build(),
+            retries: counter(&meter, "primrosehoist_retries", "Attempts after the first"),
+            platform_calls: counter(
+                &meter,
+                "primrosehoist_platform_calls",
+                "Calls to the platform",
+            ),
+            peer_bytes: counter(
+                &meter,
+                "primrosehoist_peer_bytes",
+                "Bytes sent to and received from other daemons",
+            ),
+            version: meter
+                .u64_gauge("primrosehoist_config_version")
+                .with_description("The configuration version in force")
+                .build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request of `service` that ended with `outcome`, such as `complete` or `not_run`.
+    pub(crate) fn ended<S, O>(&self, service: S, outcome: O)
+    where
+        S: Display,
+        O: Display,
+    {
+        let labels = [label("service", service), label("outcome", outcome)];
+        self.requests.add(1, &labels);
+    }
+
+    /// Records the time from receipt of a request to its first token.
+    pub(crate) fn first_token<S>(&self, service: S, time: Duration)
+    where
+        S: Display,
+    {
+        let labels = [label("service", service)];
+        self.first_token.record(time.as_secs_f64(), &labels);
+    }
+
+    /// Records the time that a request spent in the holder's queue.
+    pub(crate) fn queued<S>(&self, service: S, time: Duration)
+    where
+        S: Display,
+    {
+        let labels = [label("service", service)];
+        self.queue.record(time.as_secs_f64(), &labels);
+    }
+
+    /// Adds to the requests in flight; `change` is negative when requests end.
+    pub(crate) fn in_flight<S>(&self, service: S, change: i64)
+    where
+        S: Display,
+    {
+        self.in_flight.add(change, &[label("service", service)]);
+    }
+
+    /// Counts an attempt after the first.
+    pub(crate) fn retried<S>(&self, service: S)
+    where
+        S: Display,
+    {
+        self.retries.add(1, &[label("service", service)]);
+    }
+
+    /// Counts a call to the platform, such as `read_change`, with its status or `error`.
+    pub(crate) fn platform_called<R>(&self, call: &'static str, result: R)
+    where
+        R: Display,
+    {
+        let labels = [label("call", call), label("result", result)];
+        self.platform_calls.add(1, &labels);
+    }
+
+    /// Counts bytes to or from other daemons; `direction` is `sent` or `received`.
+    pub(crate) fn peer_bytes(&self, direction: &'static str, bytes: u64) {
+        self.peer_bytes.add(bytes, &[label("direction", direction)]);
+    }
+
+    /// Records the configuration version in force.
+    pub(crate) fn version(&self, version: Version) {
+        self.version.record(version, &[]);
+    }
+
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub(crate) fn render(&self) -> Result<String, prometheus::Error> {
+        TextEncoder::new().encode_to_string(&self.registry.gather())
+    }
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
+fn seconds(meter: &Meter, name: &'static str, description: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_unit("s")
+        .with_description(description)
+        .with_boundaries(SECONDS.to_vec())
+        .build()
+}
+
+fn label<V>(key: &'static str, value: V) -> KeyValue
+where
+    V: Display,
+{
+    KeyValue::new(key, value.to_string())
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -0,0 +1,190 @@
+//! Settings, logs and metrics of the daemon, compiled from its modules.
+
+#[path = "../src/logging.rs"]
+mod logging;
+#[path = "../src/metrics.rs"]
+mod metrics;
+#[path = "../src/settings.rs"]
+mod settings;
+
+use std::time::{Duration, UNIX_EPOCH};
+
+use log::{Level, Record};
+use primrosehoist::state::files::Text;
+use settings::{Placement, Settings};
+
+const SHORTEST: &str = r#"
+host = "a1"
+zone = "zone-a"
+secret_file = "secret"
+
+[listen]
+caller = "127.0.0.1:7100"
+peer = "127.0.0.1:7200"
+admin = "127.0.0.1:7300"
+
+[platform]
+address = "127.0.0.1:7000"
+"#;
+
+fn read(content: String) -> Result<Settings, Vec<String>> {
+    let path = "daemon.toml".to_owned();
+    Settings::try_from(&Text { path, content })
+        .map_err(|mistakes| mistakes.iter().map(ToString::to_string).collect())
+}
+
+#[test]
+fn every_other_key_has_a_default() {
+    let settings = read(SHORTEST.to_owned()).expect("the settings are right");
+    assert_eq!(settings.host.as_str(), "a1");
+    assert_eq!(settings.zone.as_str(), "zone-a");
+    assert_eq!(settings.listen.admin.port(), 7300);
+    assert_eq!(settings.platform.timeout, Duration::from_secs(1));
+    assert_eq!(settings.seeds, []);
+    assert_eq!(settings.log.level, log::LevelFilter::Info);
+    assert_eq!(settings.limits.header_bytes, 16 << 10);
+    assert_eq!(settings.limits.body_bytes, 16 << 20);
+    assert_eq!(settings.limits.body_budget, 512 << 20);
+    assert_eq!(settings.heartbeat.interval, Duration::from_millis(500));
+    assert_eq!(settings.heartbeat.silence, Duration::from_secs(2));
+    assert_eq!(settings.lease.duration, Duration::from_secs(3));
+    assert_eq!(settings.lease.read_interval, Duration::from_secs(1));
+    assert_eq!(settings.policy.placement, Placement::LongConfined);
+    assert!(settings.mechanisms.claim && settings.mechanisms.zone_out);
+}
+
+#[test]
+fn keys_override_defaults() {
+    let more = "[limits]\nbody_bytes = \"1MiB\"\n[policy]\nplacement = \"round_robin\"\n\
+                [mechanisms]\nclaim = false\n[log]\nlevel = \"debug\"\n\
+                [peers]\nseeds = [\"127.0.0.1:7201\"]\n";
+    let settings = read(format!("{SHORTEST}{more}")).expect("the settings are right");
+    assert_eq!(settings.limits.body_bytes, 1 << 20);
+    assert_eq!(settings.policy.placement, Placement::RoundRobin);
+    assert!(!settings.mechanisms.claim);
+    assert_eq!(settings.log.level, log::LevelFilter::Debug);
+    assert_eq!(settings.seeds.len(), 1);
+}
+
+#[test]
+fn every_mistake_is_reported_at_once() {
+    let more = "[limits]\nbody_bytes = \"1MB\"\nconnections = 0\n[heartbeat]\nsilence = \"600ms\"\n\
+                [policy]\nplacement = \"best\"\n[mechanism]\nclaim = false\n[lease]\nduration = 3\n";
+    let mistakes = read(format!("{SHORTEST}{more}")).expect_err("the settings hold mistakes");
+    let expected = [
+        "daemon.toml:14: `limits.body_bytes`: expected a number of bytes such as 65536, \
+         \"16KiB\" or \"512MiB\", found \"1MB\"",
+        "daemon.toml:15: `limits.connections`: expected 1 to 1000000, found 0",
+        "daemon.toml:16: `heartbeat.silence` is below two intervals",
+        "daemon.toml:19: `policy.placement`: expected one of `long_confined`, `least_load`, \
+         `round_robin`, found `best`",
+        "daemon.toml:20: unknown key `mechanism`",
+        "daemon.toml:23: `lease.duration`: expected a duration with a unit such as \"30s\", \
+         found integer",
+    ];
+    assert_eq!(mistakes, expected);
+}
+
+#[test]
+fn missing_keys_are_named() {
+    let mistakes = read(String::new()).expect_err("keys are missing");
+    for key in [
+        "host",
+        "zone",
+        "secret_file",
+        "listen.peer",
+        "platform.address",
+    ] {
+        let expected = format!("daemon.toml:1: key `{key}` is missing");
+        assert!(mistakes.contains(&expected), "{key}: {mistakes:?}");
+    }
+}
+
+#[test]
+fn a_file_that_cannot_be_read_is_named() {
+    let error = Settings::load("no-such-file.toml".as_ref()).expect_err("there is no file");
+    assert!(
+        error
+            .to_string()
+            .starts_with("cannot read no-such-file.toml: ")
+    );
+}
+
+#[test]
+fn a_short_secret_is_refused() {
+    let directory = std::env::temp_dir();
+    let path = directory.join(format!("primrosehoist-secret-{}", std::process::id()));
+    let mut settings = read(SHORTEST.to_owned()).expect("the settings are right");
+    settings.secret_file.clone_from(&path);
+    std::fs::write(&path, "  short  \n").expect("the file is written");
+    let short = settings.secret();
+    std::fs::write(&path, "sixteen bytes ok\n").expect("the file is written");
+    let long = settings.secret();
+    std::fs::remove_file(&path).expect("the file is removed");
+    assert!(short.is_err());
+    assert_eq!(
+        long.expect("the secret is long enough"),
+        b"sixteen bytes ok"
+    );
+}
+
+#[test]
+fn a_log_line_is_json_with_key_values() {
+    let fields = [("upstream", log::kv::Value::from("braid-a"))];
+    let more = [("attempt", log::kv::Value::from(2))];
+    let line = |fields: &dyn log::kv::Source| {
+        let arguments = format_args!("sent \"now\"").to_string();
+        let record = Record::builder()
+            .level(Level::Warn)
+            .target("daemon")
+            .key_values(fields)
+            .build();
+        logging::line(UNIX_EPOCH, &format_args!("{arguments}"), &record)
+    };
+    let text: serde_json::Value = serde_json::from_str(&line(&fields)).expect("the line is JSON");
+    let expected = serde_json::json!({
+        "time": "1970-01-01T00:00:00.000Z",
+        "level": "WARN",
+        "target": "daemon",
+        "message": "sent \"now\"",
+        "upstream": "braid-a",
+    });
+    assert_eq!(text, expected);
+    let number: serde_json::Value = serde_json::from_str(&line(&more)).expect("the line is JSON");
+    assert_eq!(number["attempt"], 2);
+    logging::start(log::LevelFilter::Off).expect("no logger is installed yet");
+}
+
+#[test]
+fn metrics_are_rendered_by_name_and_label() {
+    let metrics = metrics::Metrics::new().expect("the exporter is set up");
+    metrics.ended("braid", "complete");
+    metrics.ended("braid", "complete");
+    metrics.first_token("braid", Duration::from_millis(30));
+    metrics.queued("braid", Duration::from_millis(3));
+    metrics.in_flight("braid", 2);
+    metrics.in_flight("braid", -1);
+    metrics.retried("braid");
+    metrics.platform_called("read_change", 404);
+    metrics.peer_bytes("sent", 512);
+    metrics.version(7);
+    let text = metrics.render().expect("the metrics are encoded");
+    let value = |name: &str| {
+        let line = text.lines().find(|line| line.starts_with(name));
+        line.and_then(|line| line.rsplit(' ').next())
+            .map(str::to_owned)
+    };
+    let cases = [
+        ("primrosehoist_requests_total{", "2"),
+        ("primrosehoist_first_token_seconds_count{", "1"),
+        ("primrosehoist_queue_seconds_count{", "1"),
+        ("primrosehoist_in_flight{", "1"),
+        ("primrosehoist_retries_total{", "1"),
+        ("primrosehoist_platform_calls_total{", "1"),
+        ("primrosehoist_peer_bytes_total{", "512"),
+        ("primrosehoist_config_version{", "7"),
+    ];
+    for (name, expected) in cases {
+        assert_eq!(value(name).as_deref(), Some(expected), "{name}: {text}");
+    }
+}
