--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -7,6 +7,7 @@
 mod holder;
 mod links;
 mod logging;
+mod metrics;
 mod node;
 mod progress;
 mod service;
