--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -39,7 +39,7 @@
         (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
         (&Method::GET, "/readyz") if is_ready(node) => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        (&Method::GET, "/metrics") => text(StatusCode::OK, &metrics(node)),
+        (&Method::GET, "/metrics") => metrics(node),
         (method, path) if is_operator(node, request) => order(node, drain, method, path),
         _ => text(
             StatusCode::UNAUTHORIZED,
@@ -70,9 +70,12 @@
     !node.is_draining() && node.fleet.load().version > 0
 }
 
-fn metrics(node: &Node) -> String {
-    let count = node.progress.count();
-    format!("# TYPE primrosehoist_in_progress gauge\nprimrosehoist_in_progress {count}\n")
+fn metrics(node: &Node) -> Answer {
+    node.metrics.version(node.fleet.load().version);
+    match node.metrics.render() {
+        Ok(content) => text(StatusCode::OK, &content),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error}\n")),
+    }
 }
 
 fn status(node: &Node) -> Status {
--- a/crates/primrosehoist-daemon/src/caller/keys.rs
+++ b/crates/primrosehoist-daemon/src/caller/keys.rs
@@ -32,10 +32,10 @@
 impl Keys {
     /// Returns the index of `fleet`, built anew if the configuration changed.
     pub(crate) fn index(&self, fleet: &Arc<Fleet>) -> Arc<Index> {
-        if let Some(index) = self.newest.load_full() {
-            if Arc::ptr_eq(&index.fleet, fleet) {
-                return index;
-            }
+        if let Some(index) = self.newest.load_full()
+            && Arc::ptr_eq(&index.fleet, fleet)
+        {
+            return index;
         }
         let index = Arc::new(Index::new(fleet));
         self.newest.store(Some(Arc::clone(&index)));
--- a/crates/primrosehoist-daemon/src/caller/request.rs
+++ b/crates/primrosehoist-daemon/src/caller/request.rs
@@ -73,6 +73,7 @@
     let time_limit = time_limit(&head.headers, service)?;
     let keyed = head.headers.contains_key("idempotency-key");
     Ok(Job {
+        received: call.received,
         id: call.id.to_owned(),
         workspace: call.workspace.name.clone(),
         half: call.workspace.half.clone(),
--- a/crates/primrosehoist-daemon/src/dispatch/attempt.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/attempt.rs
@@ -47,7 +47,7 @@
                 return machine.on(Event::Expired, Instant::now());
             }
         };
-        let action = on_reply(reply, machine, sink).await;
+        let action = on_reply(node, job, reply, machine, sink).await;
         if action != Action::Wait {
             return action;
         }
@@ -55,7 +55,13 @@
 }
 
 /// Takes a reply in; yields [`Action::Wait`] while the attempt goes on.
-async fn on_reply(reply: Option<Reply>, machine: &mut Request, sink: &mut Sink) -> Action {
+async fn on_reply(
+    node: &Node,
+    job: &Job,
+    reply: Option<Reply>,
+    machine: &mut Request,
+    sink: &mut Sink,
+) -> Action {
     let now = Instant::now();
     match reply {
         Some(Reply::Sent { .. }) => machine.on(Event::Sent, now),
@@ -68,6 +74,10 @@
         }
         Some(Reply::Part { index, data }) => {
             let deadline = machine.deadline();
+            if index == 0 {
+                node.metrics
+                    .first_token(&job.service, job.received.elapsed());
+            }
             tokio::select! {
                 action = sink.part(index, data, machine) => action,
                 () = sleep_until(deadline) => machine.on(Event::Expired, Instant::now()),
@@ -91,7 +101,7 @@
         half: job.half.clone(),
         upstream: attempt.upstream.clone(),
         version: node.fleet.load().version,
-        remaining_ms: (remaining - margin).as_millis() as u64,
+        remaining_ms: remaining.saturating_sub(margin).as_millis() as u64,
         method: job.method.clone(),
         path: job.path.clone(),
         content_type: job.content_type.clone(),
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -29,6 +29,8 @@
 /// A request of a caller, ready to run.
 #[derive(Debug)]
 pub(crate) struct Job {
+    /// When the request was received.
+    pub(crate) received: Instant,
     /// The id of the request.
     pub(crate) id: String,
     pub(crate) workspace: name::Workspace,
@@ -51,17 +53,40 @@
 }
 
 /// Runs `job` and answers through `sink`.
-pub(crate) async fn run(node: Arc<Node>, job: Job, mut sink: Sink) {
+pub(crate) async fn run(node: Arc<Node>, job: Job, sink: Sink) {
     let _running = node.progress.enter();
-    let since = Instant::now();
-    let mut machine = Request::new(since, job.deadline, SILENCE)
+    node.metrics.in_flight(&job.service, 1);
+    let mut plan = Plan::default();
+    let outcome = attempts(&node, &job, &mut plan, sink).await;
+    node.metrics.in_flight(&job.service, -1);
+    node.metrics.ended(&job.service, &outcome.name);
+    log_end(&job, &plan, &outcome);
+}
+
+/// How a request ended, as logged and counted.
+#[derive(Debug)]
+struct Ending {
+    name: String,
+    reason: String,
+}
+
+impl Ending {
+    fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            reason: String::new(),
+        }
+    }
+}
+
+async fn attempts(node: &Arc<Node>, job: &Job, plan: &mut Plan, mut sink: Sink) -> Ending {
+    let mut machine = Request::new(Instant::now(), job.deadline, SILENCE)
         .repeatable(job.repeatable)
         .resumable(job.stream);
     let budget = node.entry.budget(&job.service);
     budget.earn(job.retry_percent);
-    let mut plan = Plan::default();
     loop {
-        let action = step(&node, &job, &mut machine, &mut plan, &mut sink).await;
+        let action = step(node, job, &mut machine, plan, &mut sink).await;
         let action = match action {
             Action::Retry(failure) | Action::Resume(_, failure) if !budget.take() => {
                 machine.give_up(failure)
@@ -71,18 +96,31 @@
         match action {
             Action::Retry(failure) => plan.retry(failure),
             Action::Resume(_, failure) => plan.resume(failure),
-            Action::Finish => return finish(&job, &plan, since, sink).await,
-            Action::Fail(failure) => return fail(&job, &plan, since, sink, failure).await,
-            Action::Cancel | Action::Wait | Action::Deliver | Action::Discard => {
-                return log_end(&job, &plan, since, "cancelled", "");
-            }
+            last => return end(job, sink, last).await,
+        }
+        node.metrics.retried(&job.service);
+        if let Some(last) = pause(job, &mut machine, plan, &mut sink).await {
+            return end(job, sink, last).await;
+        }
+    }
+}
+
+/// Does the last action of a request.
+async fn end(job: &Job, sink: Sink, last: Action) -> Ending {
+    match last {
+        Action::Finish => {
+            let taken = sink.finish().await;
+            Ending::new(if taken { "complete" } else { "cancelled" })
         }
-        if let Some(action) = pause(&job, &mut machine, &plan, &mut sink).await {
-            return match action {
-                Action::Fail(failure) => fail(&job, &plan, since, sink, failure).await,
-                _ => log_end(&job, &plan, since, "cancelled", ""),
+        Action::Fail(failure) => {
+            let ending = Ending {
+                name: failure.outcome.to_string(),
+                reason: failure.reason.to_string(),
             };
+            sink.fail(failure, &job.id).await;
+            ending
         }
+        _ => Ending::new("cancelled"),
     }
 }
 
@@ -166,20 +204,7 @@
     }
 }
 
-async fn finish(job: &Job, plan: &Plan, since: Instant, sink: Sink) {
-    let ended = sink.finish().await;
-    let result = if ended { "complete" } else { "cancelled" };
-    log_end(job, plan, since, result, "");
-}
-
-async fn fail(job: &Job, plan: &Plan, since: Instant, sink: Sink, failure: Failure) {
-    let outcome = failure.outcome.to_string();
-    let reason = failure.reason.to_string();
-    sink.fail(failure, &job.id).await;
-    log_end(job, plan, since, &outcome, &reason);
-}
-
-fn log_end(job: &Job, plan: &Plan, since: Instant, outcome: &str, reason: &str) {
+fn log_end(job: &Job, plan: &Plan, ending: &Ending) {
     log::info!(
         request = job.id.as_str(),
         workspace = job.workspace.as_str(),
@@ -187,9 +212,9 @@
         upstream = plan.upstream(),
         attempts = plan.attempts,
         prompt_tokens = job.prompt_tokens,
-        outcome,
-        reason,
-        elapsed_ms = since.elapsed().as_millis() as u64;
+        outcome = ending.name.as_str(),
+        reason = ending.reason.as_str(),
+        elapsed_ms = job.received.elapsed().as_millis() as u64;
         "request ended"
     );
 }
--- a/crates/primrosehoist-daemon/src/dispatch/sink.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/sink.rs
@@ -130,10 +130,10 @@
         let head = self.take_head();
         let (writer, outlet) = Outlet::new(PIECES_MAX);
         let way = std::mem::replace(&mut self.way, Way::Gone);
-        if let Way::Closed(opening) = way {
-            if opening.send(Opening::Stream(head, outlet)).is_ok() {
-                self.way = Way::Open(writer);
-            }
+        if let Way::Closed(opening) = way
+            && opening.send(Opening::Stream(head, outlet)).is_ok()
+        {
+            self.way = Way::Open(writer);
         }
     }
 
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -88,7 +88,9 @@
         Ok(flight) => flight,
         Err(failure) => return Reply::Failed(failure),
     };
-    let queued_ms = since.elapsed().as_millis() as u64;
+    let queued = since.elapsed();
+    node.metrics.queued(&task.upstream.service, queued);
+    let queued_ms = queued.as_millis() as u64;
     if responder.send(Reply::Sent { queued_ms }).await.is_err() {
         return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request"));
     }
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -57,10 +57,11 @@
     /// Returns the place of `upstream`, a new one if the holding or the address is new.
     pub(crate) fn place(&self, upstream: &Upstream, lease: &Lease) -> Arc<Place> {
         let mut places = lock(&self.places);
-        if let Some(place) = places.get(&upstream.name) {
-            if place.epoch == lease.epoch() && place.pool.address() == upstream.address {
-                return Arc::clone(place);
-            }
+        if let Some(place) = places.get(&upstream.name)
+            && place.epoch == lease.epoch()
+            && place.pool.address() == upstream.address
+        {
+            return Arc::clone(place);
         }
         let place = Arc::new(Place::new(upstream, lease.epoch()));
         tokio::spawn(watch(Arc::downgrade(&place)));
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -9,7 +9,7 @@
 use primrosehoist::coordination::admission::Finish;
 use primrosehoist::protocol::openai::Rejection;
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
-use primrosehoist::protocol::sse::{Parser, Sequence, Step};
+use primrosehoist::protocol::sse::{self, Parser, Sequence, Step};
 use primrosehoist::protocol::wire::Reply;
 use primrosehoist::state::limit;
 use primrosehoist::transport::http::Payload;
@@ -191,8 +191,8 @@
     let mut parser = Parser::default();
     while let Some(data) = next_data(task, exchange.response.body_mut(), responder).await? {
         parser.push(&data);
-        while let Some(event) = parser.next_event().map_err(invalid)? {
-            let step = sequence.accept(event).map_err(invalid)?;
+        while let Some(event) = parser.next_event().map_err(|error| invalid(&error))? {
+            let step = sequence.accept(event).map_err(|error| invalid(&error))?;
             relay_step(step, flight, responder).await?;
         }
     }
@@ -334,7 +334,7 @@
     not_run(Reason::Unavailable, &error.to_string())
 }
 
-fn invalid(error: primrosehoist::protocol::sse::Error) -> Stop {
+fn invalid(error: &sse::Error) -> Stop {
     Stop::Invalid(failed(&error.to_string()))
 }
 
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 use arc_swap::ArcSwap;
+use opentelemetry_sdk::error::OTelSdkError;
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::state::fleet::Fleet;
 use primrosehoist::state::map::Map;
@@ -20,6 +21,7 @@
 use crate::caller::Keys;
 use crate::dispatch::Entry;
 use crate::holder::Holder;
+use crate::metrics::Metrics;
 use crate::progress::Progress;
 use crate::settings::{Placement, Settings};
 
@@ -50,20 +52,26 @@
     pub(crate) entry: Entry,
     /// The upstreams that work was admitted to here.
     pub(crate) holder: Holder,
+    /// The instruments.
+    pub(crate) metrics: Metrics,
     /// Requests in progress, on the entry's and on the holder's side.
     pub(crate) progress: Progress,
 }
 
 impl Node {
     /// Creates the state of a daemon that knows nothing of the fleet yet.
-    pub(crate) fn new(settings: &Settings, secret: &[u8]) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails if the instruments cannot be set up.
+    pub(crate) fn new(settings: &Settings, secret: &[u8]) -> Result<Self, OTelSdkError> {
         let identity = Identity::new(settings.host.clone(), secret);
         let policy = match settings.policy.placement {
             Placement::LongConfined => Policy::LongConfined,
             Placement::LeastLoad => Policy::LeastLoad,
             Placement::RoundRobin => Policy::RoundRobin,
         };
-        Self {
+        Ok(Self {
             host: settings.host.clone(),
             zone: settings.zone.clone(),
             fleet: ArcSwap::default(),
@@ -75,8 +83,9 @@
             keys: Keys::default(),
             entry: Entry::new(settings.limits.body_budget, policy),
             holder: Holder::default(),
+            metrics: Metrics::new()?,
             progress: Progress::default(),
-        }
+        })
     }
 
     /// Returns what is told to other daemons about the upstreams held here.
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use opentelemetry_sdk::error::OTelSdkError;
 use primrosehoist::transport::http::server::{self, Limits};
 use primrosehoist::transport::peer;
 use quick_error::quick_error;
@@ -38,6 +39,8 @@
     enum Error {
         /// The shared secret cannot be used.
         Secret(source: settings::Error) { from() display("{}", source) }
+        /// The instruments cannot be set up.
+        Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
         /// A listener cannot be opened.
         Listen(address: SocketAddr, source: io::Error) {
             display("listen on {}: {}", address, source)
@@ -78,7 +81,7 @@
 
 async fn serve(settings: Settings) -> Result<End, Error> {
     let secret = settings.secret()?;
-    let node = Arc::new(Node::new(&settings, &secret));
+    let node = Arc::new(Node::new(&settings, &secret)?);
     let callers = listen(settings.listen.caller).await?;
     let operators = listen(settings.listen.admin).await?;
     let _links = links::start(&node, settings.listen.peer).await?;
--- a/src/protocol/sse.rs
+++ b/src/protocol/sse.rs
@@ -81,9 +81,9 @@
         loop {
             self.skip_blank_lines();
             let Some(length) = self.find_end() else {
-                return self.check_length(self.buffer.len()).map(|()| None);
+                return check_length(self.buffer.len()).map(|()| None);
             };
-            self.check_length(length)?;
+            check_length(length)?;
             let raw = self.buffer.split_to(length).freeze();
             self.searched = 0;
             if let Some(event) = parse(raw)? {
@@ -124,13 +124,13 @@
         self.searched = bytes.len().saturating_sub(3);
         None
     }
+}
 
-    fn check_length(&self, length: usize) -> Result<(), Error> {
-        if length > EVENT_BYTES_MAX {
-            return Err(Error::Long);
-        }
-        Ok(())
+fn check_length(length: usize) -> Result<(), Error> {
+    if length > EVENT_BYTES_MAX {
+        return Err(Error::Long);
     }
+    Ok(())
 }
 
 /// Parses one event. An event of comments alone yields nothing.
