Keep a stream whose entry daemon lost its link, for it to come back

Cause: a holder cancelled a stream whenever its link to the entry daemon ended, so a cut link could not be resumed. Change: a reset cancels; a broken link leaves the stream to the engine's grace time and counts it until then. Resumptions are bounded by that time rather than by a count.

--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -88,9 +88,7 @@
     loop {
         let action = step(node, job, &mut machine, plan, &mut sink).await;
         let action = match action {
-            Action::Retry(failure) | Action::Resume(_, failure) if !budget.take() => {
-                machine.give_up(failure)
-            }
+            Action::Retry(failure) if !budget.take() => machine.give_up(failure),
             action => action,
         };
         match action {
@@ -127,7 +125,7 @@
 /// What the next attempt does.
 #[derive(Debug, Default)]
 struct Plan {
-    /// Attempts that failed so far, resumptions included.
+    /// Attempts that failed so far.
     failed: u32,
     /// Attempts with an id of their own.
     attempts: u32,
@@ -150,7 +148,6 @@
     }
 
     fn resume(&mut self, failure: Failure) {
-        self.failed += 1;
         self.resumes = true;
         self.last = Some(failure);
     }
@@ -191,7 +188,12 @@
 
 /// Waits before the next attempt; yields an action if the request ends meanwhile.
 async fn pause(job: &Job, machine: &mut Request, plan: &Plan, sink: &mut Sink) -> Option<Action> {
-    let delay = retry::delay(plan.failed, rand::random());
+    // A resumption adds no work, so it neither draws on the budget nor backs off for long.
+    let delay = if plan.resumes {
+        retry::resume_delay(rand::random())
+    } else {
+        retry::delay(plan.failed, rand::random())
+    };
     let end = Instant::now() + delay;
     if end >= job.deadline {
         // The wait cannot lead to an answer in time, so the last failure is the honest report.
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -72,6 +72,15 @@
     });
 }
 
+/// Counts an attempt as in flight for as long as the engine keeps it for its entry daemon to
+/// come back.
+pub(crate) fn abandon(flight: Flight) {
+    tokio::spawn(async move {
+        sleep(GRACE).await;
+        flight.finish(Finish::Cancelled);
+    });
+}
+
 async fn try_cancel(task: &Task, place: &Place) -> bool {
     let content = json!({"id": task.dispatch.attempt});
     let request = admin(task, "/admin/cancel", &content);
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -82,7 +82,7 @@
     let place = node.holder.place(&task.upstream, &task.lease);
     let admitted = tokio::select! {
         admitted = place::admit(&place, item) => admitted,
-        () = responder.closed() => return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request")),
+        _ = responder.closed() => return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request")),
     };
     let flight = match admitted {
         Ok(flight) => flight,
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::flight::Flight;
-use super::responder::Responder;
+use super::responder::{Gone, Responder};
 use super::{Task, call, not_run};
 
 /// The longest refusal that is read to learn whether the upstream ran anything, in bytes.
@@ -46,7 +46,7 @@
     /// The time limit passed.
     Expired,
     /// Nobody waits for the answer any more.
-    Gone,
+    Gone(Gone),
 }
 
 /// Sends the request and relays the answer; returns the last reply.
@@ -80,7 +80,11 @@
             (failure, Finish::Failed(limit::Failure::Broken), true)
         }
         Stop::Expired => (expired(), Finish::Failed(limit::Failure::Timeout), true),
-        Stop::Gone => (gone(), Finish::Cancelled, true),
+        Stop::Gone(Gone::Cut) if task.engine => {
+            call::abandon(flight);
+            return Reply::Failed(gone());
+        }
+        Stop::Gone(_) => (gone(), Finish::Cancelled, true),
     };
     // An engine may run on without its connection; a plain service is not asked to stop.
     if may_run && task.engine {
@@ -107,7 +111,7 @@
     let gate = call::gate(task, place);
     let sent = tokio::select! {
         sent = timeout_at(task.deadline, place.pool.send(request, &gate)) => sent,
-        () = responder.closed() => return Err(Stop::Gone),
+        gone = responder.closed() => return Err(Stop::Gone(gone)),
     };
     match sent {
         Ok(Ok(exchange)) => answer(task, exchange, flight, responder).await,
@@ -168,7 +172,7 @@
 ) -> Result<Exchange, Stop> {
     let resumed = tokio::select! {
         resumed = timeout_at(task.deadline, call::resume(task, flight.place(), from)) => resumed,
-        () = responder.closed() => return Err(Stop::Gone),
+        gone = responder.closed() => return Err(Stop::Gone(gone)),
     };
     let exchange = match resumed {
         Ok(Ok(exchange)) => exchange,
@@ -219,10 +223,10 @@
             status: 200,
             content_type,
         };
-        responder.send(head).await.map_err(|_gone| Stop::Gone)?;
+        responder.send(head).await.map_err(Stop::Gone)?;
     }
     let part = Reply::Part { index, data };
-    responder.send(part).await.map_err(|_gone| Stop::Gone)
+    responder.send(part).await.map_err(Stop::Gone)
 }
 
 /// Relays an answer that is not a stream of events.
@@ -236,12 +240,12 @@
         status: exchange.response.status().as_u16(),
         content_type: content_type(&exchange),
     };
-    responder.send(head).await.map_err(|_gone| Stop::Gone)?;
+    responder.send(head).await.map_err(Stop::Gone)?;
     flight.note_part(true);
     let mut index = 0;
     while let Some(data) = next_data(task, exchange.response.body_mut(), responder).await? {
         let part = Reply::Part { index, data };
-        responder.send(part).await.map_err(|_gone| Stop::Gone)?;
+        responder.send(part).await.map_err(Stop::Gone)?;
         index += 1;
     }
     flight.place().pool.give_back(exchange);
@@ -274,12 +278,12 @@
         let message = format!("the upstream answered with status {status}");
         return Err(Stop::Invalid(failed(&message)));
     }
-    responder.send(head).await.map_err(|_gone| Stop::Gone)?;
+    responder.send(head).await.map_err(Stop::Gone)?;
     let part = Reply::Part {
         index: 0,
         data: body,
     };
-    responder.send(part).await.map_err(|_gone| Stop::Gone)
+    responder.send(part).await.map_err(Stop::Gone)
 }
 
 async fn next_data(
@@ -290,7 +294,7 @@
     loop {
         let frame = tokio::select! {
             frame = timeout_at(task.deadline, body.frame()) => frame,
-            () = responder.closed() => return Err(Stop::Gone),
+            gone = responder.closed() => return Err(Stop::Gone(gone)),
         };
         match frame {
             Err(_) => return Err(Stop::Expired),
--- a/crates/primrosehoist-daemon/src/holder/responder.rs
+++ b/crates/primrosehoist-daemon/src/holder/responder.rs
@@ -4,9 +4,14 @@
 use primrosehoist::transport::peer;
 use tokio::sync::mpsc;
 
-/// Says that nobody waits for the answer any more.
+/// Why an answer cannot be delivered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct Gone;
+pub(crate) enum Gone {
+    /// The entry daemon ended the attempt.
+    Cancelled,
+    /// The link to the entry daemon broke. It may come back for the rest of the answer.
+    Cut,
+}
 
 /// Takes the replies of one dispatch.
 #[derive(Debug)]
@@ -21,16 +26,32 @@
     /// Sends a reply, waiting for room.
     pub(crate) async fn send(&mut self, reply: Reply) -> Result<(), Gone> {
         match self {
-            Self::Local(replies) => replies.send(reply).await.map_err(|_source| Gone),
-            Self::Peer(replies) => replies.send(&reply).await.map_err(|_source| Gone),
+            Self::Local(replies) => replies.send(reply).await.map_err(|_source| Gone::Cancelled),
+            Self::Peer(replies) => {
+                if replies.send(&reply).await.is_ok() {
+                    return Ok(());
+                }
+                Err(peer_gone(replies).await)
+            }
         }
     }
 
-    /// Waits until nobody wants the answer any more.
-    pub(crate) async fn closed(&mut self) {
+    /// Waits until the answer cannot be delivered, and says why.
+    pub(crate) async fn closed(&mut self) -> Gone {
         match self {
-            Self::Local(replies) => replies.closed().await,
-            Self::Peer(replies) => replies.closed().await,
+            Self::Local(replies) => {
+                replies.closed().await;
+                Gone::Cancelled
+            }
+            Self::Peer(replies) => peer_gone(replies).await,
         }
     }
 }
+
+async fn peer_gone(replies: &mut peer::Responder) -> Gone {
+    if replies.closed().await {
+        Gone::Cancelled
+    } else {
+        Gone::Cut
+    }
+}
--- a/src/coordination/request.rs
+++ b/src/coordination/request.rs
@@ -11,8 +11,9 @@
 
 use crate::protocol::outcome::{Failure, Outcome, Reason};
 
-/// Resumptions of one stream before it is given up.
-pub const RESUMES_MAX: u32 = 4;
+/// For how long a broken stream is resumed before it is given up. Engines keep a stream whose
+/// connection broke for about this time.
+pub const RESUME_GRACE: Duration = Duration::from_secs(10);
 
 /// How far a request has got.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -91,7 +92,8 @@
     next: u64,
     /// Whether some earlier attempt may have run.
     maybe_ran: bool,
-    resumes: u32,
+    /// When the stream broke, unless a part was delivered since.
+    broken: Option<Instant>,
 }
 
 impl Request {
@@ -106,7 +108,7 @@
             resumable: false,
             next: 0,
             maybe_ran: false,
-            resumes: 0,
+            broken: None,
         }
     }
 
@@ -191,6 +193,7 @@
             return self.fail(failed("a part of the answer is missing"));
         }
         self.next += 1;
+        self.broken = None;
         self.state = State::Streaming;
         self.progress = now;
         Action::Deliver
@@ -213,10 +216,10 @@
     }
 
     fn resume_or_fail(&mut self, failure: Failure, now: Instant) -> Action {
-        if !self.resumable || self.resumes >= RESUMES_MAX {
+        let broken = *self.broken.get_or_insert(now);
+        if !self.resumable || now >= broken + RESUME_GRACE {
             return self.fail(failure);
         }
-        self.resumes += 1;
         self.progress = now;
         Action::Resume(self.next, self.judge(failure))
     }
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -6,6 +6,9 @@
 /// The mean delay before the second attempt doubles from twice this value.
 pub const DELAY_BASE: Duration = Duration::from_millis(20);
 
+/// The longest delay before a broken stream is resumed.
+pub const RESUME_DELAY_MAX: Duration = Duration::from_millis(400);
+
 /// The longest delay between attempts.
 pub const DELAY_MAX: Duration = Duration::from_secs(1);
 
@@ -28,6 +31,12 @@
     Duration::from_micros(dice % (micros + 1))
 }
 
+/// Returns the delay before a broken stream is resumed, drawn by `dice`.
+pub fn resume_delay(dice: u64) -> Duration {
+    let micros = RESUME_DELAY_MAX.as_micros() as u64;
+    Duration::from_micros(dice % (micros + 1))
+}
+
 /// The retries that a service may still make.
 ///
 /// First attempts earn a percentage of a retry each. A failing service thus multiplies its load
--- a/src/transport/peer/server.rs
+++ b/src/transport/peer/server.rs
@@ -119,9 +119,10 @@
             })
     }
 
-    /// Returns when the caller has reset the exchange or the link broke.
-    pub async fn closed(&mut self) {
-        let _reason = poll_fn(|cx| self.stream.poll_reset(cx)).await;
+    /// Returns when the caller has reset the exchange or the link broke; tells whether it was
+    /// reset.
+    pub async fn closed(&mut self) -> bool {
+        poll_fn(|cx| self.stream.poll_reset(cx)).await.is_ok()
     }
 }
 
