Add the holding of upstreams and the tasks of the cluster

Cause: the limit of a cold upstream is exact only if one daemon counts the work sent to it. Ruled out: agreement of a blocking set before the takeover is recorded (an agreement would have to be kept for as long as the write may still arrive); a roster per zone alone (a holder cut off may ask a roster that a taker no longer knows), so each entry names the roster whose promises count. Change: coordination::holding, lease with release for good and reserve, daemon cluster tasks. Not yet tested; the daemon's main does not start the tasks yet.

--- /dev/null
+++ b/crates/primrosehoist-daemon/src/cluster/beats.rs
@@ -0,0 +1,120 @@
+//! Exchanges heartbeats and publishes the view.
+
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use primrosehoist::coordination::membership::{INTERVAL, Target};
+use primrosehoist::protocol::wire::{Heartbeat, Reply, Request};
+use primrosehoist::transport::peer;
+use tokio::time::{Instant, MissedTickBehavior};
+
+use crate::cluster::{Cluster, lock};
+
+/// The time that the answer to a heartbeat may take.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Heartbeats between two attempts to reach the seeds.
+const SEED_BEATS: u64 = 10;
+
+/// Draws a number that rises with each start of a daemon on this host.
+pub(crate) fn incarnation() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_epoch.unwrap_or_default().as_micros() as u64
+}
+
+/// Sends heartbeats and publishes the view twice per interval.
+pub(crate) async fn run(cluster: Arc<Cluster>) {
+    let mut ticks = tokio::time::interval(INTERVAL / 2);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count: u64 = 0;
+    loop {
+        ticks.tick().await;
+        if count.is_multiple_of(2) {
+            cluster.beat();
+        }
+        if count.is_multiple_of(2 * SEED_BEATS) {
+            cluster.call_seeds();
+        }
+        cluster.publish_view();
+        count += 1;
+    }
+}
+
+impl Cluster {
+    fn beat(self: &Arc<Self>) {
+        let local = self.local();
+        let targets = lock(&self.membership).beat(&local, Instant::now());
+        for target in targets {
+            let cluster = Arc::clone(self);
+            tokio::spawn(async move { cluster.send_heartbeat(target).await });
+        }
+    }
+
+    async fn send_heartbeat(&self, target: Target) {
+        let request = Request::Heartbeat(target.heartbeat);
+        let exchange = async {
+            let mut exchange = self.peers.open(&target.member, &request, None).await?;
+            exchange.next().await
+        };
+        self.traffic.sent(&request);
+        let answered = tokio::time::timeout(ANSWER_TIMEOUT, exchange).await;
+        match answered {
+            Ok(Ok(reply)) => self.hear(reply.as_ref(), &target.member.host),
+            Ok(Err(error)) => log::debug!("heartbeat: {error}"),
+            Err(_) => log::debug!("heartbeat to {}: no answer", target.member.host),
+        }
+    }
+
+    fn hear(&self, reply: Option<&Reply>, from: &primrosehoist::state::name::Host) {
+        if let Some(Reply::Heartbeat(heartbeat)) = reply
+            && heartbeat.host == *from
+        {
+            self.traffic.received(heartbeat);
+            lock(&self.membership).hear(heartbeat, Instant::now());
+        }
+    }
+
+    pub(super) fn answer_heartbeat(&self, asked: &Heartbeat) -> Heartbeat {
+        let local = self.local();
+        let now = Instant::now();
+        let mut membership = lock(&self.membership);
+        membership.hear(asked, now);
+        let answer = membership.answer(&local, asked, now);
+        drop(membership);
+        self.traffic.received(asked);
+        self.traffic.sent(&answer);
+        answer
+    }
+
+    /// Reaches the seeds while no other daemon is known to be alive.
+    fn call_seeds(self: &Arc<Self>) {
+        let alone = self.node.view.load().daemons.len() <= 1;
+        if !alone {
+            return;
+        }
+        for seed in self.seeds.clone() {
+            let cluster = Arc::clone(self);
+            tokio::spawn(async move {
+                if let Err(error) = cluster.call_seed(&seed).await {
+                    log::debug!("seed: {error}");
+                }
+            });
+        }
+    }
+
+    async fn call_seed(&self, address: &str) -> Result<(), peer::Error> {
+        let heartbeat = lock(&self.membership).introduce(&self.local());
+        let request = Request::Heartbeat(heartbeat);
+        let mut exchange = self.peers.open_address(address, &request).await?;
+        let from = exchange.peer().clone();
+        let reply = exchange.next().await?;
+        self.hear(reply.as_ref(), &from);
+        Ok(())
+    }
+
+    fn publish_view(&self) {
+        let local = self.local();
+        let view = lock(&self.membership).view(&local, Instant::now());
+        self.node.view.store(Arc::new(view));
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/cluster/mod.rs
@@ -0,0 +1,146 @@
+//! The tasks that make the daemons of a fleet act as one.
+//!
+//! Decisions are those of `primrosehoist::coordination`; the tasks here carry messages, read the
+//! platform and publish the results in the [`Node`].
+
+mod beats;
+mod configuration;
+mod holding;
+mod hosts;
+mod status;
+
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use primrosehoist::coordination::holding::Holdings;
+use primrosehoist::coordination::membership::{Local, Membership};
+use primrosehoist::coordination::spread::Spread;
+use primrosehoist::protocol::wire;
+use primrosehoist::state::map::Set;
+use primrosehoist::state::name;
+use primrosehoist::state::view::{Advert, Member};
+use primrosehoist::transport::{peer, platform};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::node::Node;
+
+/// What the cluster asks from, and tells, the rest of the daemon.
+pub(crate) struct Hooks {
+    /// Returns the state of the upstreams held here.
+    pub(crate) adverts: Box<dyn Fn() -> Vec<Advert> + Send + Sync>,
+    /// Returns the requests of this daemon that are in flight at an upstream.
+    pub(crate) in_flight: Box<dyn Fn(&name::Upstream) -> u32 + Send + Sync>,
+    /// Called after a new configuration is in force.
+    pub(crate) fleet_changed: Box<dyn Fn() + Send + Sync>,
+}
+
+/// The part of the daemon that keeps in touch with other daemons and the platform.
+pub(crate) struct Cluster {
+    node: Arc<Node>,
+    own: Member,
+    seeds: Vec<String>,
+    peers: peer::Client,
+    platform: platform::Client,
+    hooks: Hooks,
+    membership: Mutex<Membership>,
+    spread: Mutex<Spread>,
+    holdings: Mutex<Holdings>,
+    /// The addresses of upstreams whose hosts leave by the platform's list.
+    leaving: Mutex<Set<String>>,
+    /// When the platform last answered a call.
+    platform_at: Mutex<Option<Instant>>,
+    /// Wakes the task that reads changes from the platform.
+    changes: Notify,
+    /// Wakes the task that reads the holdings.
+    holdings_changed: Notify,
+    traffic: status::Traffic,
+}
+
+impl Cluster {
+    /// Creates the cluster part of the daemon `own`. Nothing happens until it is started.
+    pub(crate) fn new(
+        node: Arc<Node>,
+        own: Member,
+        seeds: Vec<String>,
+        peers: peer::Client,
+        platform: platform::Client,
+        hooks: Hooks,
+    ) -> Arc<Self> {
+        let membership = Membership::new(own.clone(), beats::incarnation());
+        let holdings = Holdings::new(own.host.clone(), Instant::now());
+        Arc::new(Self {
+            node,
+            own,
+            seeds,
+            peers,
+            platform,
+            hooks,
+            membership: Mutex::new(membership),
+            spread: Mutex::default(),
+            holdings: Mutex::new(holdings),
+            leaving: Mutex::default(),
+            platform_at: Mutex::default(),
+            changes: Notify::new(),
+            holdings_changed: Notify::new(),
+            traffic: status::Traffic::default(),
+        })
+    }
+
+    /// Starts the tasks. They run until the process ends.
+    pub(crate) fn start(self: &Arc<Self>) {
+        tokio::spawn(beats::run(Arc::clone(self)));
+        tokio::spawn(hosts::run(Arc::clone(self)));
+        tokio::spawn(configuration::poll(Arc::clone(self)));
+        tokio::spawn(configuration::watch(Arc::clone(self)));
+        tokio::spawn(configuration::follow_peers(Arc::clone(self)));
+        tokio::spawn(holding::read(Arc::clone(self)));
+        tokio::spawn(holding::decide(Arc::clone(self)));
+    }
+
+    /// Answers a request of the authenticated daemon `peer`; `None` for a dispatch, which is not
+    /// answered here, and for a request in the name of another daemon.
+    pub(crate) fn answer(&self, peer: &name::Host, request: &wire::Request) -> Option<wire::Reply> {
+        match request {
+            wire::Request::Heartbeat(heartbeat) if heartbeat.host == *peer => {
+                Some(wire::Reply::Heartbeat(self.answer_heartbeat(heartbeat)))
+            }
+            wire::Request::Changes(version) => Some(self.answer_changes(*version)),
+            wire::Request::Promise(promise) if promise.holder == *peer => {
+                let answer = lock(&self.holdings).promise(promise, Instant::now());
+                Some(wire::Reply::Answer(answer))
+            }
+            wire::Request::Takeover(takeover) if takeover.taker == *peer => {
+                Some(wire::Reply::Answer(self.answer_takeover(takeover)))
+            }
+            _ => None,
+        }
+    }
+
+    fn answer_takeover(&self, takeover: &wire::Takeover) -> wire::Answer {
+        let now = Instant::now();
+        let hears_holder = lock(&self.membership).is_alive(&takeover.from, now);
+        lock(&self.holdings).takeover(takeover, hears_holder, now)
+    }
+
+    fn local(&self) -> Local {
+        let mut adverts = (self.hooks.adverts)();
+        adverts.extend(self.trailing_adverts());
+        let platform_at = *lock(&self.platform_at);
+        Local {
+            version: lock(&self.spread).version(),
+            draining: self.node.draining.load(Ordering::Acquire),
+            platform_age_ms: platform_at.map(|at| at.elapsed().as_millis() as u64),
+            adverts,
+        }
+    }
+
+    fn record_platform_answer(&self) {
+        *lock(&self.platform_at) = Some(Instant::now());
+    }
+}
+
+/// Locks `mutex`, also after a panic of another task: each critical section leaves whole state.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -1,5 +1,6 @@
 //! The daemon of primrosehoist.
 
+mod cluster;
 mod node;
 
 fn main() {}
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -4,7 +4,7 @@
 //! read it without a lock right before the first byte goes out. A process that was paused finds
 //! the lease lapsed, because the clock went on.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -14,8 +14,10 @@
 pub struct Lease {
     base: Instant,
     epoch: u64,
-    /// Milliseconds after `base` at which the lease lapses. Zero when it was given up.
+    /// Milliseconds after `base` at which the lease lapses.
     until_ms: AtomicU64,
+    released: AtomicBool,
+    reserve: AtomicU32,
 }
 
 impl Lease {
@@ -25,6 +27,8 @@
             base: now,
             epoch,
             until_ms: AtomicU64::new(0),
+            released: AtomicBool::new(false),
+            reserve: AtomicU32::new(0),
         };
         lease.extend(until);
         lease
@@ -35,20 +39,33 @@
         self.epoch
     }
 
+    /// Returns the requests that earlier holders may still have at the upstream.
+    ///
+    /// The holder must leave room for them below the limit of the upstream.
+    pub fn reserve(&self) -> u32 {
+        self.reserve.load(Ordering::Acquire)
+    }
+
+    /// Sets the requests that earlier holders may still have at the upstream.
+    pub fn set_reserve(&self, requests: u32) {
+        self.reserve.store(requests, Ordering::Release);
+    }
+
     /// Lets the lease last until `until`, unless it lasts longer already or was given up.
     pub fn extend(&self, until: Instant) {
         let millis = until.saturating_duration_since(self.base).as_millis() as u64;
         self.until_ms.fetch_max(millis, Ordering::AcqRel);
     }
 
-    /// Gives the lease up for good.
+    /// Gives the lease up for good; a later extension has no effect.
     pub fn release(&self) {
-        self.until_ms.store(0, Ordering::Release);
+        self.released.store(true, Ordering::Release);
     }
 
     /// Returns whether work may be sent at `now`.
     pub fn holds(&self, now: Instant) -> bool {
         let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
-        now.saturating_duration_since(self.base) < until
+        let released = self.released.load(Ordering::Acquire);
+        !released && now.saturating_duration_since(self.base) < until
     }
 }
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -85,6 +85,8 @@
     platform_age_ms: Option<u64>,
     digest: u64,
     adverts: Vec<Advert>,
+    /// When it sent its adverts by itself.
+    adverts_at: Option<Instant>,
 }
 
 /// What is known of the exchange with another zone.
@@ -285,10 +287,39 @@
         *host == self.own.host || peer.is_some_and(|peer| peer.is_alive(now))
     }
 
-    /// Returns when `host` was last heard and the adverts that it sent last.
-    pub fn last_heard(&self, host: &name::Host) -> Option<(Instant, &[Advert])> {
-        let peer = self.peers.get(host)?;
-        Some((peer.heard_at?, &peer.adverts))
+    /// Returns whether `host` sent adverts since `since` and has nothing more at `upstream` by
+    /// `epoch` or an older one.
+    pub fn has_left(
+        &self,
+        host: &name::Host,
+        upstream: &name::Upstream,
+        epoch: u64,
+        since: Instant,
+    ) -> bool {
+        let Some(peer) = self.peers.get(host) else {
+            return false;
+        };
+        let fresh = peer.adverts_at.is_some_and(|at| at >= since);
+        let here = |advert: &Advert| advert.upstream == *upstream && advert.epoch <= epoch;
+        fresh && !peer.adverts.iter().any(here)
+    }
+
+    /// Returns the heartbeat that makes this daemon known to one that it knows no name of.
+    pub fn introduce(&self, local: &Local) -> Heartbeat {
+        Heartbeat {
+            host: self.own.host.clone(),
+            zone: self.own.zone.clone(),
+            address: self.own.address.clone(),
+            incarnation: self.incarnation,
+            version: local.version,
+            draining: local.draining,
+            platform_age_ms: local.platform_age_ms,
+            adverts: None,
+            digest: 0,
+            members: Vec::new(),
+            wants_relays: true,
+            relays: Vec::new(),
+        }
     }
 
     fn zone_peers(&self, now: Instant) -> impl Iterator<Item = &Peer> {
@@ -310,23 +341,17 @@
             .get(&to.host)
             .is_some_and(|peer| peer.digest != digest);
         let adverts = (own_zone && self.beats.is_multiple_of(2)).then(|| local.adverts.clone());
+        let members = if own_zone && differs {
+            self.zone_members(now)
+        } else {
+            Vec::new()
+        };
         Heartbeat {
-            host: self.own.host.clone(),
-            zone: self.own.zone.clone(),
-            address: self.own.address.clone(),
-            incarnation: self.incarnation,
-            version: local.version,
-            draining: local.draining,
-            platform_age_ms: local.platform_age_ms,
             adverts,
             digest,
-            members: if own_zone && differs {
-                self.zone_members(now)
-            } else {
-                Vec::new()
-            },
+            members,
             wants_relays: false,
-            relays: Vec::new(),
+            ..self.introduce(local)
         }
     }
 
@@ -427,6 +452,7 @@
             platform_age_ms: None,
             digest: 0,
             adverts: Vec::new(),
+            adverts_at: None,
         }
     }
 
@@ -444,6 +470,7 @@
         self.digest = heartbeat.digest;
         if let Some(adverts) = &heartbeat.adverts {
             self.adverts.clone_from(adverts);
+            self.adverts_at = Some(now);
         }
     }
 
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod backoff;
 pub mod heartbeat;
+pub mod holding;
 pub mod lease;
 pub mod membership;
 pub mod promise;
--- a/src/coordination/promise.rs
+++ b/src/coordination/promise.rs
@@ -24,23 +24,26 @@
     pub epoch: u64,
 }
 
-/// Tells that upstreams are taken over from a holder that is not heard of.
+/// Asks about, or tells of, the takeover of upstreams from a holder that is not heard.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Takeover {
     /// Who takes over.
     pub taker: name::Host,
     /// From whom.
     pub from: name::Host,
+    /// Whether the taker only asks if the callee does not hear the holder either. Otherwise the
+    /// takeover is recorded, and the callee is asked to give the holder no further promise.
+    pub probe: bool,
     /// The upstreams with their new epochs.
     pub holdings: Vec<Holding>,
 }
 
 /// Answers a [`Promise`] or a [`Takeover`].
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
-    /// Whether the callee agrees.
-    pub agreed: bool,
-    /// Milliseconds since the callee last read the zone's holdings, if it ever did.
+    /// The upstreams for which the callee gives the promise or accepts the takeover.
+    pub agreed: Vec<name::Upstream>,
+    /// Milliseconds since the callee began its last read of the zone's holdings, if it ever did.
     pub platform_age_ms: Option<u64>,
     /// The holdings that the callee last read for the upstreams asked about.
     pub holdings: Vec<Holding>,
