Join the cluster tasks with the path of requests

Cause: leases, the view and the configuration came from nowhere. Change: the cluster runs in the daemon; adverts, counts in flight and the reserve of earlier holders go both ways; the shutdown waits for the hand-over.

--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -15,32 +15,42 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::cluster::Cluster;
 use crate::node::Node;
+use crate::scrape::Scrape;
 
 type Answer = Response<Full<Bytes>>;
 
+/// What the admin port shows and controls.
+pub(crate) struct Port {
+    pub(crate) node: Arc<Node>,
+    pub(crate) cluster: Arc<Cluster>,
+    /// Set to `true` by an order to shut down.
+    pub(crate) drain: watch::Sender<bool>,
+    pub(crate) scrape: Scrape,
+}
+
 /// Serves the admin port until `stopped` turns true.
 pub(crate) async fn serve(
-    node: Arc<Node>,
+    port: Arc<Port>,
     listener: TcpListener,
     limits: Limits,
-    drain: Arc<watch::Sender<bool>>,
     stopped: watch::Receiver<bool>,
 ) {
     let handler = move |request| {
-        let answer = answer(&node, &drain, &request);
+        let answer = answer(&port, &request);
         async move { answer }
     };
     server::serve(listener, limits, stopped, handler).await;
 }
 
-fn answer(node: &Node, drain: &watch::Sender<bool>, request: &Request<Incoming>) -> Answer {
+fn answer(port: &Port, request: &Request<Incoming>) -> Answer {
     match (request.method(), request.uri().path()) {
         (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
-        (&Method::GET, "/readyz") if is_ready(node) => text(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/readyz") if is_ready(&port.node) => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-        (&Method::GET, "/metrics") => metrics(node),
-        (method, path) if is_operator(node, request) => order(node, drain, method, path),
+        (&Method::GET, "/metrics") => metrics(port),
+        (method, path) if is_operator(&port.node, request) => order(port, method, path),
         _ => text(
             StatusCode::UNAUTHORIZED,
             "the token is missing or not valid\n",
@@ -48,11 +58,11 @@
     }
 }
 
-fn order(node: &Node, drain: &watch::Sender<bool>, method: &Method, path: &str) -> Answer {
+fn order(port: &Port, method: &Method, path: &str) -> Answer {
     match (method, path) {
-        (&Method::GET, "/admin/status") => json(&status(node)),
+        (&Method::GET, "/admin/status") => json(&status(&port.node, &port.cluster)),
         (&Method::POST, "/admin/drain") => {
-            drain.send_replace(true);
+            port.drain.send_replace(true);
             text(StatusCode::ACCEPTED, "shutting down\n")
         }
         _ => text(StatusCode::NOT_FOUND, "no such path\n"),
@@ -70,15 +80,14 @@
     !node.is_draining() && node.fleet.load().version > 0
 }
 
-fn metrics(node: &Node) -> Answer {
-    node.metrics.version(node.fleet.load().version);
-    match node.metrics.render() {
+fn metrics(port: &Port) -> Answer {
+    match port.scrape.render(&port.node, &port.cluster) {
         Ok(content) => text(StatusCode::OK, &content),
         Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error}\n")),
     }
 }
 
-fn status(node: &Node) -> Status {
+fn status(node: &Node, cluster: &Cluster) -> Status {
     let view = node.view.load();
     let others = view.daemons.values().map(|daemon| Member {
         host: daemon.member.host.clone(),
@@ -92,7 +101,7 @@
         zone: node.zone.clone(),
         version: node.fleet.load().version,
         draining: node.is_draining(),
-        platform_age_ms: None,
+        platform_age_ms: cluster.platform_age_ms(),
         holdings: adverts.into_iter().map(holding).collect(),
         members: others.collect(),
         quarantine_pending: 0,
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -29,7 +29,15 @@
 pub(crate) fn gate(task: &Task, place: &Place) -> Arc<Gate> {
     let lease = Arc::clone(&task.lease);
     let turn = Arc::clone(&place.turn);
-    Arc::new(Gate::new(turn, move || lease.holds(Instant::now())))
+    Arc::new(Gate::new(turn, move |begun| {
+        let now = Instant::now();
+        // A holding that is given back lets what was begun go on.
+        if begun {
+            lease.covers(now)
+        } else {
+            lease.holds(now)
+        }
+    }))
 }
 
 /// Returns the request as the upstream gets it.
@@ -85,7 +93,7 @@
     let content = json!({"id": task.dispatch.attempt});
     let request = admin(task, "/admin/cancel", &content);
     // Cancelling is safe without a lease: it names an attempt of this daemon.
-    let gate = Arc::new(Gate::new(Arc::clone(&place.turn), || true));
+    let gate = Arc::new(Gate::new(Arc::clone(&place.turn), |_begun| true));
     let sent = timeout(CANCEL_TIMEOUT, place.pool.send(request, &gate)).await;
     let Ok(Ok(mut exchange)) = sent else {
         return false;
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -39,6 +39,9 @@
     pub(crate) epoch: u64,
     /// Shared by the gates of all requests to the upstream.
     pub(crate) turn: Arc<Mutex<()>>,
+    lease: Arc<Lease>,
+    /// An earlier holding by this daemon, whose requests may still run.
+    earlier: Option<Arc<Place>>,
     state: Mutex<Queue>,
 }
 
@@ -55,7 +58,7 @@
     }
 
     /// Returns the place of `upstream`, a new one if the holding or the address is new.
-    pub(crate) fn place(&self, upstream: &Upstream, lease: &Lease) -> Arc<Place> {
+    pub(crate) fn place(&self, upstream: &Upstream, lease: &Arc<Lease>) -> Arc<Place> {
         let mut places = lock(&self.places);
         if let Some(place) = places.get(&upstream.name)
             && place.epoch == lease.epoch()
@@ -63,16 +66,25 @@
         {
             return Arc::clone(place);
         }
-        let place = Arc::new(Place::new(upstream, lease.epoch()));
+        let earlier = places.remove(&upstream.name);
+        let place = Arc::new(Place::new(upstream, lease, earlier));
         tokio::spawn(watch(Arc::downgrade(&place)));
         places.insert(upstream.name.clone(), Arc::clone(&place));
         place
     }
 
+    /// Returns the requests of this daemon in flight at `upstream`, also those of a holding that
+    /// was given back.
+    pub(crate) fn in_flight(&self, upstream: &name::Upstream) -> u32 {
+        let place = lock(&self.places).get(upstream).cloned();
+        place.map_or(0, |place| place.in_flight())
+    }
+
     /// Returns what is told to other daemons about the upstreams of `leases`, and drops the
-    /// places of all others.
+    /// places of all others that are idle.
     pub(crate) fn adverts(&self, fleet: &Fleet, leases: &Leases, now: Instant) -> Vec<Advert> {
-        lock(&self.places).retain(|upstream, _| leases.contains_key(upstream));
+        lock(&self.places)
+            .retain(|upstream, place| leases.contains_key(upstream) || place.in_flight() > 0);
         let held = leases.iter().filter(|(_, lease)| lease.holds(now));
         let known = held.filter_map(|(name, lease)| Some((fleet.upstreams.get(name)?, lease)));
         known
@@ -82,13 +94,18 @@
 }
 
 impl Place {
-    fn new(upstream: &Upstream, epoch: u64) -> Self {
+    fn new(upstream: &Upstream, lease: &Arc<Lease>, earlier: Option<Arc<Place>>) -> Self {
+        let epoch = lease.epoch();
+        let left = earlier.as_ref().map_or(0, |place| place.in_flight());
+        let reserve = lease.reserve() + left;
         Self {
             pool: Pool::new(upstream.address),
             epoch,
             turn: Arc::default(),
+            lease: Arc::clone(lease),
+            earlier,
             state: Mutex::new(Queue {
-                scheduler: Scheduler::new(upstream, epoch, 0),
+                scheduler: Scheduler::new(upstream, epoch, reserve),
                 waiting: Map::default(),
             }),
         }
@@ -99,6 +116,18 @@
         lock(&self.state).scheduler.advert(now)
     }
 
+    /// Returns the requests in flight, those of earlier holdings by this daemon included.
+    pub(crate) fn in_flight(&self) -> u32 {
+        let own = lock(&self.state).scheduler.in_flight() as u32;
+        own + self.earlier.as_ref().map_or(0, |place| place.in_flight())
+    }
+
+    /// Returns whether earlier holders have nothing left at the upstream.
+    fn is_settled(&self) -> bool {
+        let left = self.earlier.as_ref().map_or(0, |place| place.in_flight());
+        self.lease.reserve() == 0 && left == 0
+    }
+
     /// Runs `change` on the scheduler, then admits what may go out.
     pub(crate) fn update<C>(&self, change: C)
     where
@@ -199,7 +228,11 @@
             return;
         };
         let now = Instant::now();
+        let settled = place.is_settled();
         let mut queue = lock(&place.state);
+        if settled {
+            queue.scheduler.settle();
+        }
         let expired = queue.scheduler.expire(now);
         let displaced = queue.scheduler.displaced(now);
         queue.refuse(
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -1,29 +1,96 @@
-//! Answers other daemons.
+//! Joins the cluster tasks with the path of requests, and answers other daemons.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use primrosehoist::protocol::wire::Request;
+use primrosehoist::state::view::Member;
 use primrosehoist::transport::peer::{Body, Error, Identity, Responder, Server};
+use primrosehoist::transport::platform;
+use tokio::time::Instant;
 
+use crate::cluster::{Cluster, Hooks};
 use crate::holder;
 use crate::node::Node;
+use crate::settings::Settings;
 
-/// Listens for other daemons until the result is dropped.
+/// The running links to other daemons and the platform.
+pub(crate) struct Links {
+    pub(crate) cluster: Arc<Cluster>,
+    /// Listens until it is dropped.
+    _server: Server,
+}
+
+/// Starts the cluster tasks and listens for other daemons.
 ///
 /// # Errors
 ///
-/// Fails if `address` cannot be listened on.
-pub(crate) async fn start(node: &Arc<Node>, address: SocketAddr) -> Result<Server, Error> {
+/// Fails if the peer port cannot be listened on.
+pub(crate) async fn start(node: &Arc<Node>, settings: &Settings) -> Result<Links, Error> {
+    let cluster = cluster(node, settings);
     let identity = Identity::new(node.host.clone(), &node.secret);
-    let node = Arc::clone(node);
-    let handler =
-        move |request, body, responder| answer(Arc::clone(&node), request, body, responder);
-    Server::bind(&address.to_string(), identity, handler).await
+    let address = settings.listen.peer.to_string();
+    let handler = {
+        let node = Arc::clone(node);
+        let cluster = Arc::clone(&cluster);
+        move |request, body, responder| {
+            let node = Arc::clone(&node);
+            let cluster = Arc::clone(&cluster);
+            answer(node, cluster, request, body, responder)
+        }
+    };
+    let server = Server::bind(&address, identity, handler).await?;
+    cluster.start();
+    Ok(Links {
+        cluster,
+        _server: server,
+    })
+}
+
+fn cluster(node: &Arc<Node>, settings: &Settings) -> Arc<Cluster> {
+    let own = Member {
+        host: node.host.clone(),
+        zone: node.zone.clone(),
+        address: settings.listen.peer.to_string(),
+    };
+    let address = settings.platform.address.to_string();
+    let platform = platform::Client::new(&address, node.host.clone(), node.zone.clone());
+    let seeds = settings.seeds.iter().map(ToString::to_string).collect();
+    let peers = node.peers.clone();
+    Cluster::new(Arc::clone(node), own, seeds, peers, platform, hooks(node))
 }
 
-async fn answer(node: Arc<Node>, request: Request, body: Body, responder: Responder) {
+fn hooks(node: &Arc<Node>) -> Hooks {
+    let adverts = {
+        let node = Arc::clone(node);
+        Box::new(move || node.adverts(Instant::now()))
+    };
+    let in_flight = {
+        let node = Arc::clone(node);
+        Box::new(move |upstream: &_| node.holder.in_flight(upstream))
+    };
+    Hooks {
+        adverts,
+        in_flight,
+        fleet_changed: Box::new(|| {}),
+    }
+}
+
+async fn answer(
+    node: Arc<Node>,
+    cluster: Arc<Cluster>,
+    request: Request,
+    body: Body,
+    mut responder: Responder,
+) {
     if let Request::Dispatch(dispatch) = request {
-        holder::serve_peer(node, dispatch, body, responder).await;
+        return holder::serve_peer(node, dispatch, body, responder).await;
+    }
+    let peer = responder.peer().clone();
+    let Some(reply) = cluster.answer(&peer, &request) else {
+        log::warn!(peer = peer.as_str(); "refused a request in the name of another daemon");
+        return;
+    };
+    if let Err(error) = responder.send(&reply).await {
+        log::debug!("answer to a daemon: {error}");
     }
 }
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod caller;
+mod cluster;
 mod command;
 mod dispatch;
 mod holder;
@@ -10,6 +11,7 @@
 mod metrics;
 mod node;
 mod progress;
+mod scrape;
 mod service;
 mod settings;
 mod shutdown;
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -122,13 +122,12 @@
         self.retries.add(1, &[label("service", service)]);
     }
 
-    /// Counts a call to the platform, such as `read_change`, with its status or `error`.
-    pub(crate) fn platform_called<R>(&self, call: &'static str, result: R)
+    /// Counts `count` calls to the platform of one kind, such as `get`.
+    pub(crate) fn platform_called<C>(&self, call: C, count: u64)
     where
-        R: Display,
+        C: Display,
     {
-        let labels = [label("call", call), label("result", result)];
-        self.platform_calls.add(1, &labels);
+        self.platform_calls.add(count, &[label("call", call)]);
     }
 
     /// Counts bytes to or from other daemons; `direction` is `sent` or `received`.
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/scrape.rs
@@ -0,0 +1,60 @@
+//! The metrics as they are scraped: what other parts count by themselves is brought up to date
+//! first.
+
+use std::sync::{Mutex, PoisonError};
+
+use primrosehoist::transport::platform::Call;
+use strum::IntoEnumIterator;
+
+use crate::cluster::Cluster;
+use crate::node::Node;
+
+/// The totals that were added to the metrics so far.
+#[derive(Debug, Default)]
+pub(crate) struct Scrape {
+    totals: Mutex<Totals>,
+}
+
+#[derive(Debug, Default)]
+struct Totals {
+    calls: [u64; <Call as strum::EnumCount>::COUNT],
+    sent: u64,
+    received: u64,
+}
+
+impl Scrape {
+    /// Returns all metrics in the Prometheus text format.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric cannot be encoded.
+    pub(crate) fn render(
+        &self,
+        node: &Node,
+        cluster: &Cluster,
+    ) -> Result<String, prometheus::Error> {
+        self.update(node, cluster);
+        node.metrics.render()
+    }
+
+    fn update(&self, node: &Node, cluster: &Cluster) {
+        let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        node.metrics.version(node.fleet.load().version);
+        for call in Call::iter() {
+            let total = cluster.platform_calls().get(call);
+            let added = advance(&mut totals.calls[call as usize], total);
+            node.metrics.platform_called(call, added);
+        }
+        let sent = advance(&mut totals.sent, cluster.traffic().sent_bytes());
+        node.metrics.peer_bytes("sent", sent);
+        let received = advance(&mut totals.received, cluster.traffic().received_bytes());
+        node.metrics.peer_bytes("received", received);
+    }
+}
+
+/// Moves `last` to `total` and returns the difference.
+fn advance(last: &mut u64, total: u64) -> u64 {
+    let added = total.saturating_sub(*last);
+    *last = total;
+    added
+}
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -13,7 +13,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
+use crate::admin::Port;
 use crate::node::Node;
+use crate::scrape::Scrape;
 use crate::settings::{self, Settings};
 use crate::shutdown::{self, End};
 use crate::{admin, caller, links, logging};
@@ -84,19 +86,19 @@
     let node = Arc::new(Node::new(&settings, &secret)?);
     let callers = listen(settings.listen.caller).await?;
     let operators = listen(settings.listen.admin).await?;
-    let _links = links::start(&node, settings.listen.peer).await?;
-    let drain = Arc::new(watch::Sender::new(false));
+    let links = links::start(&node, &settings).await?;
     let (stop, stopped) = watch::channel(false);
     let serving = tokio::spawn(serve_callers(&node, &settings, callers, stopped.clone()));
-    tokio::spawn(admin::serve(
-        Arc::clone(&node),
-        operators,
-        admin_limits(),
-        Arc::clone(&drain),
-        stopped,
-    ));
+    let port = Arc::new(Port {
+        node: Arc::clone(&node),
+        cluster: Arc::clone(&links.cluster),
+        drain: watch::Sender::new(false),
+        scrape: Scrape::default(),
+    });
+    let admin = admin::serve(Arc::clone(&port), operators, admin_limits(), stopped);
+    tokio::spawn(admin);
     log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
-    Ok(shutdown::run(&node, &drain, &stop, serving).await)
+    Ok(shutdown::run(&port, &stop, serving).await)
 }
 
 fn serve_callers(
--- a/crates/primrosehoist-daemon/src/shutdown.rs
+++ b/crates/primrosehoist-daemon/src/shutdown.rs
@@ -6,13 +6,22 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+use crate::admin::Port;
+use crate::cluster::Cluster;
 use crate::node::Node;
 
 /// Time beyond the longest time limit of a request, for the last bytes of answers.
 const REST: Duration = Duration::from_secs(5);
 
+/// The longest wait for upstreams to be given back, which needs the platform. Leases lapse
+/// without it too.
+const HAND_OVER_MAX: Duration = Duration::from_secs(5);
+
+/// The time between two looks at the upstreams still held.
+const HAND_OVER_PAUSE: Duration = Duration::from_millis(50);
+
 /// How the daemon ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum End {
@@ -26,15 +35,11 @@
 ///
 /// `stop` tells the servers to stop accepting; `serving` ends when the last connection of a
 /// caller is closed.
-pub(crate) async fn run(
-    node: &Node,
-    drain: &watch::Sender<bool>,
-    stop: &watch::Sender<bool>,
-    serving: JoinHandle<()>,
-) -> End {
+pub(crate) async fn run(port: &Port, stop: &watch::Sender<bool>, serving: JoinHandle<()>) -> End {
     let mut terminate = listen(SignalKind::terminate());
     let mut interrupt = listen(SignalKind::interrupt());
-    let mut ordered = drain.subscribe();
+    let mut ordered = port.drain.subscribe();
+    let node = &port.node;
     tokio::select! {
         () = next(&mut terminate) => {}
         () = next(&mut interrupt) => {}
@@ -45,7 +50,7 @@
     log::info!(in_progress; "shutdown began");
     let limit = longest(node) + REST;
     let end = tokio::select! {
-        () = finish(node, stop, serving) => End::Finished,
+        () = finish(port, stop, serving) => End::Finished,
         () = next(&mut terminate) => End::Forced,
         () = next(&mut interrupt) => End::Forced,
         () = sleep(limit) => End::Forced,
@@ -54,14 +59,23 @@
     end
 }
 
-async fn finish(node: &Node, stop: &watch::Sender<bool>, serving: JoinHandle<()>) {
-    node.progress.idle().await;
+async fn finish(port: &Port, stop: &watch::Sender<bool>, serving: JoinHandle<()>) {
+    port.node.progress.idle().await;
+    hand_over(&port.cluster).await;
     stop.send_replace(true);
     if let Err(error) = serving.await {
         log::error!("the server for callers failed: {error}");
     }
     // A request whose body came slowly may have begun after the first wait.
-    node.progress.idle().await;
+    port.node.progress.idle().await;
+}
+
+/// Waits until the cluster has given back the upstreams held here, if it can.
+async fn hand_over(cluster: &Cluster) {
+    let end = Instant::now() + HAND_OVER_MAX;
+    while cluster.holds_any() && Instant::now() < end {
+        sleep(HAND_OVER_PAUSE).await;
+    }
 }
 
 /// Returns the longest time limit of a request.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -7,6 +7,7 @@
 pub mod backoff;
 pub mod claim;
 pub mod heartbeat;
+pub mod holding;
 pub mod lease;
 pub mod membership;
 pub mod poison;
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -47,7 +47,7 @@
     /// Held between the check and the write, so that a process that was paused in between sends
     /// at most one piece to the upstream afterwards.
     turn: Arc<Mutex<()>>,
-    allowed: Box<dyn Fn() -> bool + Send + Sync>,
+    allowed: Box<dyn Fn(bool) -> bool + Send + Sync>,
     handed: AtomicBool,
 }
 
@@ -60,11 +60,12 @@
 }
 
 impl Gate {
-    /// Creates a gate that asks `allowed` before each write. Gates of the same upstream share
+    /// Creates a gate that asks `allowed` before each write, telling it whether a byte of the
+    /// request was handed over before. Gates of the same upstream share
     /// `turn`.
     pub fn new<A>(turn: Arc<Mutex<()>>, allowed: A) -> Self
     where
-        A: Fn() -> bool + Send + Sync + 'static,
+        A: Fn(bool) -> bool + Send + Sync + 'static,
     {
         Self {
             turn,
@@ -84,11 +85,12 @@
         W: FnOnce() -> Poll<io::Result<usize>>,
     {
         let _turn = self.turn.lock().unwrap_or_else(PoisonError::into_inner);
-        if !(self.allowed)() {
+        let before = self.handed();
+        if !(self.allowed)(before) {
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
         // Set before the write: a write that fails may have handed bytes over.
-        let before = self.handed.swap(true, Ordering::AcqRel);
+        self.handed.store(true, Ordering::Release);
         let written = write();
         if written.is_pending() && !before {
             self.handed.store(false, Ordering::Release);
