--- a/src/coordination/holding/place.rs
+++ b/src/coordination/holding/place.rs
@@ -54,12 +54,11 @@
                 let previous = settle::unsettled(upstream, &entry, around);
                 self.record(spec, upstream, entry.epoch + 1, None, previous);
             }
-            None => {}
             Some(holder) if *holder == self.own => self.keep(spec, upstream, &entry, around),
             Some(holder) if self.may_take(spec, upstream, &entry, holder, around) => {
                 self.take(spec, upstream, &entry, holder, around);
             }
-            Some(_) => {}
+            None | Some(_) => {}
         }
     }
 
