Test the operators' tool as a process against a fake platform

Cause: lost answers, lost races and waiting were untested; reads were tried once only. Ruled out: oxhttp's server as the fake, which cannot end a connection without an answer. Conclusion: a lost answer is settled by the nonce, a lost race exits with 4, and what cannot be settled is called unknown.

--- a/crates/primrosehoist-cli/src/args.rs
+++ b/crates/primrosehoist-cli/src/args.rs
@@ -10,6 +10,9 @@
 use crate::error::Error;
 use crate::output::Format;
 
+/// The longest accepted duration.
+const DURATION_MAX: Duration = Duration::from_secs(60 * 60);
+
 /// The arguments that were not read yet.
 #[derive(Debug)]
 pub(crate) struct Args(pico_args::Arguments);
@@ -49,14 +52,18 @@
         Ok(self.0.opt_value_from_str(key)?)
     }
 
-    /// Takes a duration with a unit, such as `10s`.
+    /// Takes a duration with a unit, such as `10s`, of at most one hour.
     pub(crate) fn duration(
         &mut self,
         key: &'static str,
         default: Duration,
     ) -> Result<Duration, Error> {
-        let parsed = self.0.opt_value_from_fn(key, humantime::parse_duration);
-        Ok(parsed?.unwrap_or(default))
+        let parsed = self.0.opt_value_from_fn(key, humantime::parse_duration)?;
+        let duration = parsed.unwrap_or(default);
+        if duration > DURATION_MAX {
+            return Err(Error::Usage(format!("{key} is above one hour")));
+        }
+        Ok(duration)
     }
 
     /// Takes a list of addresses, separated by commas.
--- a/crates/primrosehoist-cli/src/error.rs
+++ b/crates/primrosehoist-cli/src/error.rs
@@ -82,6 +82,15 @@
 }
 
 impl Error {
+    /// Returns whether the same call may succeed when it is made again.
+    pub(crate) fn is_transient(&self) -> bool {
+        match self {
+            Self::Call(..) => true,
+            Self::Answer(_, _, status, _) => *status == 429 || *status >= 500,
+            _ => false,
+        }
+    }
+
     /// Returns the exit code for this failure.
     pub(crate) fn exit(&self) -> Exit {
         match self {
--- a/crates/primrosehoist-cli/src/help.rs
+++ b/crates/primrosehoist-cli/src/help.rs
@@ -38,7 +38,8 @@
   --reason TEXT       why
   --daemons A,B       admin ports to wait for (default: those in the platform's list of hosts)
   --secret-file FILE  the shared secret, needed to wait
-  --wait DURATION     how long to wait until the change is in force (default: 10s; 0s: not)";
+  --wait DURATION     how long to wait until the change is in force (default: 10s; 0s: not)
+  --settle DURATION   how long to try the platform when its answers are lost (default: 15s)";
 
 const CHECK: &str = "\
 Usage: primrosehoist check DIR
--- a/crates/primrosehoist-cli/src/main.rs
+++ b/crates/primrosehoist-cli/src/main.rs
@@ -3,6 +3,7 @@
 mod admin;
 mod args;
 mod audit;
+mod backoff;
 mod check;
 mod collect;
 mod drain;
--- a/crates/primrosehoist-cli/src/publish.rs
+++ b/crates/primrosehoist-cli/src/publish.rs
@@ -22,6 +22,9 @@
 /// How long a command waits until its change is in force, unless it is told.
 const WAIT_DEFAULT: Duration = Duration::from_secs(10);
 
+/// How long the platform is tried for when its answers are lost, unless the command is told.
+const SETTLE_DEFAULT: Duration = Duration::from_secs(15);
+
 /// The options of every command that changes the configuration.
 #[derive(Debug)]
 pub(crate) struct Options {
@@ -120,6 +123,7 @@
             signature: Signature {
                 author: args.required("--author")?,
                 reason: args.required("--reason")?,
+                settle: args.duration("--settle", SETTLE_DEFAULT)?,
             },
             daemons: args.addresses("--daemons")?,
             wait: args.duration("--wait", WAIT_DEFAULT)?,
--- a/crates/primrosehoist-cli/src/store.rs
+++ b/crates/primrosehoist-cli/src/store.rs
@@ -10,9 +10,13 @@
 use primrosehoist::state::fleet::{Fleet, Version};
 use serde::de::DeserializeOwned;
 
+use crate::backoff::Backoff;
 use crate::error::Error;
 use crate::http::{Call, Peer, encode};
 
+/// How often a read is tried.
+const READ_TRIES: usize = 5;
+
 /// The configuration as the platform keeps it.
 #[derive(Debug)]
 pub(crate) struct Store {
@@ -61,7 +65,7 @@
     /// Fails if the platform does not answer, or answers anything unexpected.
     pub(crate) fn change(&self, version: Version) -> Result<Option<Change>, Error> {
         let path = format!("{PREFIX}/{CHANGES}/{}", change_name(version));
-        let object = self.peer.get::<Object>("read a change", &path)?;
+        let object = self.get::<Object>("read a change", &path)?;
         object
             .map(|object| self.spec("read a change", object))
             .transpose()
@@ -98,7 +102,7 @@
         let step = "write the snapshot";
         let collection = format!("{PREFIX}/{SNAPSHOTS}");
         let path = format!("{collection}/{SNAPSHOT}");
-        let known = self.peer.get::<Object>(step, &path)?;
+        let known = self.get::<Object>(step, &path)?;
         let (method, path, resource_version) = match known {
             None => (Method::POST, collection, String::new()),
             Some(known) => {
@@ -128,17 +132,32 @@
     pub(crate) fn hosts(&self) -> Result<Vec<Host>, Error> {
         let step = "list the hosts";
         let path = format!("{PREFIX}/{HOSTS}");
-        let Some(list) = self.peer.get::<List>(step, &path)? else {
+        let Some(list) = self.get::<List>(step, &path)? else {
             return Ok(Vec::new());
         };
         let items = list.items.into_iter();
         items.map(|object| self.spec(step, object)).collect()
     }
 
+    /// Reads a document; tries again when no answer arrives, as a read changes nothing.
+    fn get<T>(&self, step: &'static str, path: &str) -> Result<Option<T>, Error>
+    where
+        T: DeserializeOwned,
+    {
+        let mut backoff = Backoff::new();
+        for _ in 1..READ_TRIES {
+            match self.peer.get(step, path) {
+                Err(error) if error.is_transient() => backoff.sleep(),
+                result => return result,
+            }
+        }
+        self.peer.get(step, path)
+    }
+
     fn snapshot(&self) -> Result<Option<Fleet>, Error> {
         let step = "read the snapshot";
         let path = format!("{PREFIX}/{SNAPSHOTS}/{SNAPSHOT}");
-        let object = self.peer.get::<Object>(step, &path)?;
+        let object = self.get::<Object>(step, &path)?;
         object.map(|object| self.spec(step, object)).transpose()
     }
 
--- a/crates/primrosehoist-cli/src/submit.rs
+++ b/crates/primrosehoist-cli/src/submit.rs
@@ -1,31 +1,27 @@
 //! Writes a change: the one way in which the configuration is changed.
 
 use std::io::ErrorKind;
-use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use primrosehoist::state::change::{Change, Entry};
 use primrosehoist::state::fleet::{Fleet, Version};
 
+use crate::backoff::Backoff;
 use crate::error::Error;
 use crate::store::{Created, Store};
 
-/// How long the platform is tried for when its answers are lost.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(15);
-/// The pause before the second try; it doubles with each further one.
-const PAUSE_MIN: Duration = Duration::from_millis(100);
-/// The longest pause between two tries.
-const PAUSE_MAX: Duration = Duration::from_secs(2);
 /// The number of changes between two snapshots.
 const SNAPSHOT_CHANGES: Version = 64;
 
-/// Who changes the configuration, and why.
+/// Who changes the configuration, why, and with how much patience.
 #[derive(Debug, Clone)]
 pub(crate) struct Signature {
     /// Who makes the change.
     pub(crate) author: String,
     /// Why, in the author's words.
     pub(crate) reason: String,
+    /// How long the platform is tried for when its answers are lost.
+    pub(crate) settle: Duration,
 }
 
 /// Writes `entries` as the change after `fleet` and returns its version.
@@ -50,7 +46,7 @@
         nonce: format!("{:032x}", rand::random::<u128>()),
         entries,
     };
-    write(store, &change)?;
+    write(store, &change, signature.settle)?;
     if change.version.is_multiple_of(SNAPSHOT_CHANGES) {
         let mut newest = fleet.clone();
         newest.apply(&change);
@@ -61,9 +57,9 @@
     Ok(change.version)
 }
 
-fn write(store: &Store, change: &Change) -> Result<(), Error> {
-    let deadline = Instant::now() + SETTLE_TIMEOUT;
-    let mut pause = PAUSE_MIN;
+fn write(store: &Store, change: &Change, settle: Duration) -> Result<(), Error> {
+    let deadline = Instant::now() + settle;
+    let mut backoff = Backoff::new();
     let mut unsure = false;
     loop {
         let cause = match store.create(change) {
@@ -80,11 +76,10 @@
                 error
             }
         };
-        if Instant::now() + pause >= deadline {
+        if Instant::now() + backoff.pause() >= deadline {
             return Err(give_up(change, unsure, cause));
         }
-        thread::sleep(pause.mul_f64(rand::random_range(0.5..=1.0)));
-        pause = (pause * 2).min(PAUSE_MAX);
+        backoff.sleep();
     }
 }
 
--- /dev/null
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -0,0 +1,360 @@
+//! The operators' tool as a process, against a fake platform and fake daemons.
+
+mod support;
+
+use serde_json::{Value, json};
+use support::{Fake, Fault, Run, change_path, repository, run, run_with};
+
+const SNAPSHOT: &str = "/apis/primrosehoist/v1/snapshots/current";
+
+/// Runs a command that changes the configuration.
+fn change(platform: &Fake, words: &[&str], more: &[&str]) -> Run {
+    let address = platform.address.to_string();
+    let options = [
+        "--platform",
+        &address,
+        "--author",
+        "amy",
+        "--reason",
+        "test",
+    ];
+    run(&[words, &options, more].concat())
+}
+
+fn publish(platform: &Fake, more: &[&str]) -> Run {
+    let directory = repository("examples/fleet").display().to_string();
+    change(platform, &["publish", &directory], more)
+}
+
+/// A file with a shared secret, removed at the end.
+struct Secret(std::path::PathBuf);
+
+impl Secret {
+    fn new(name: &str) -> Self {
+        let file = format!("primrosehoist-{name}-{}", std::process::id());
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, "a secret of the fleet\n").expect("the file is written");
+        Self(path)
+    }
+
+    fn path(&self) -> &str {
+        self.0.to_str().expect("the path is Unicode")
+    }
+}
+
+impl Drop for Secret {
+    fn drop(&mut self) {
+        // A file that is left in the temporary directory does no harm.
+        drop(std::fs::remove_file(&self.0));
+    }
+}
+
+fn daemon(host: &str, version: u64, members: &Value) -> Fake {
+    let daemon = Fake::start();
+    let status = json!({
+        "host": host, "zone": "zone-a", "version": version, "draining": false,
+        "platform_age_ms": 5, "holdings": [], "members": members, "quarantine_pending": 0,
+    });
+    daemon.set("/admin/status", status);
+    daemon
+}
+
+#[test]
+fn help_and_version_are_there_for_every_command() {
+    let commands = [
+        "",
+        "check",
+        "publish",
+        "status",
+        "zone",
+        "upstream",
+        "quarantine",
+        "audit",
+        "drain",
+        "key",
+    ];
+    for command in commands {
+        let words: Vec<&str> = command.split_whitespace().collect();
+        let help = run(&[words.as_slice(), &["--help"]].concat());
+        assert_eq!(help.code, 0, "{command}");
+        assert!(help.out.contains("Usage: primrosehoist"), "{command}");
+        let version = run(&[words.as_slice(), &["--version"]].concat());
+        assert_eq!(version.code, 0, "{command}");
+        assert!(version.out.starts_with("primrosehoist 0."), "{command}");
+    }
+}
+
+#[test]
+fn wrong_command_lines_exit_with_2() {
+    let lines: &[&[&str]] = &[
+        &[],
+        &["publsh"],
+        &["check"],
+        &["check", ".", "--colour"],
+        &["check", ".", "--output", "xml"],
+        &["zone", "off", "zone-a"],
+        &["audit", "--platform", "localhost"],
+        &["publish", "."],
+    ];
+    for line in lines {
+        let run = run(line);
+        assert_eq!(run.code, 2, "{line:?}: {run:?}");
+    }
+}
+
+#[test]
+fn check_prints_mistakes_as_text_and_json() {
+    let bad = repository("examples/bad").display().to_string();
+    let text = run(&["check", &bad]);
+    assert_eq!(text.code, 3);
+    let expected = "weight-zero.hoist.toml:5: `workspace.weight`: expected 1 to 1000000, found 0";
+    assert!(text.out.contains(expected), "{}", text.out);
+    let json = run(&["check", &bad, "--output", "json"]);
+    let json: Value = serde_json::from_str(&json.out).expect("the output is JSON");
+    let mistakes = json["mistakes"].as_array().expect("there is a list");
+    assert_eq!(mistakes.len() + 1, text.out.lines().count());
+    let good = repository("examples/fleet").display().to_string();
+    assert_eq!(run(&["check", &good]).code, 0);
+}
+
+#[test]
+fn a_directory_without_files_changes_nothing() {
+    let platform = Fake::start();
+    let directory = repository("crates/primrosehoist-cli/src")
+        .display()
+        .to_string();
+    let run = change(&platform, &["publish", &directory], &["--wait", "0s"]);
+    assert_eq!(run.code, 1, "{run:?}");
+    assert_eq!(platform.creates(), 0);
+}
+
+#[test]
+fn a_bad_file_changes_nothing() {
+    let platform = Fake::start();
+    let directory = repository("examples/bad").display().to_string();
+    let run = change(&platform, &["publish", &directory], &["--wait", "0s"]);
+    assert_eq!(run.code, 3, "{run:?}");
+    assert_eq!(platform.creates(), 0);
+}
+
+#[test]
+fn publish_writes_one_change_and_then_none() {
+    let platform = Fake::start();
+    let first = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(first.code, 0, "{first:?}");
+    let written = platform.get(&change_path(1)).expect("the change is there");
+    assert_eq!(written["spec"]["author"], "amy");
+    assert_eq!(
+        written["spec"]["entries"].as_array().map(Vec::len),
+        Some(20)
+    );
+    let second = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(second.code, 0, "{second:?}");
+    assert!(second.out.contains("nothing to change"), "{second:?}");
+    assert_eq!(platform.creates(), 1);
+}
+
+#[test]
+fn a_lost_answer_is_settled_by_the_nonce() {
+    let platform = Fake::start();
+    platform.fail(&[Fault::LoseAnswer]);
+    let run = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.out.contains("version 1: accepted"), "{run:?}");
+    assert_eq!(platform.creates(), 2);
+    assert!(platform.get(&change_path(2)).is_none());
+}
+
+#[test]
+fn a_lost_call_is_made_again() {
+    let platform = Fake::start();
+    platform.fail(&[Fault::LoseCall, Fault::LoseCall]);
+    let run = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert_eq!(platform.creates(), 3);
+}
+
+#[test]
+fn a_lost_race_names_the_winner() {
+    let platform = Fake::start();
+    platform.fail(&[Fault::Race]);
+    let run = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(run.code, 4, "{run:?}");
+    assert!(run.err.contains("version 1 is by rival (test)"), "{run:?}");
+    let written = platform.get(&change_path(1)).expect("the change is there");
+    assert_eq!(written["spec"]["author"], "rival");
+}
+
+#[test]
+fn a_race_behind_a_lost_call_is_lost_too() {
+    let platform = Fake::start();
+    platform.fail(&[Fault::LoseCall, Fault::Race]);
+    let run = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(run.code, 4, "{run:?}");
+}
+
+#[test]
+fn what_cannot_be_settled_is_called_unknown() {
+    let platform = Fake::start();
+    platform.fail(&[Fault::LoseCall; 100]);
+    let run = publish(&platform, &["--wait", "0s", "--settle", "300ms"]);
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(run.err.contains("unknown: version 1 with nonce"), "{run:?}");
+}
+
+#[test]
+fn publish_waits_until_all_daemons_are_at_the_version() {
+    let secret = Secret::new("wait");
+    let platform = Fake::start();
+    let daemon = daemon("a1", 1, &json!([]));
+    let address = daemon.address.to_string();
+    let more = ["--secret-file", secret.path(), "--daemons", &address];
+    let run = publish(&platform, &more);
+    assert_eq!(run.code, 0, "{run:?}");
+    assert!(run.out.contains("in force at 1 daemons"), "{run:?}");
+    // The code of "operator" by the secret, computed by another program.
+    let code = "932f134b66882c50fad47e652f378c4502c85c97f2815b3c801370c822651a33";
+    assert_eq!(daemon.authorization(), format!("Bearer {code}"));
+}
+
+#[test]
+fn daemons_that_are_behind_are_named() {
+    let secret = Secret::new("behind");
+    let platform = Fake::start();
+    let members = json!([{"host": "b1", "zone": "zone-b", "version": 0, "age_ms": 100}]);
+    let daemon = daemon("a1", 1, &members);
+    let host = json!({"metadata": {"name": "a1"}, "spec": {
+        "zone": "zone-a", "role": "entry", "address": "127.0.0.1:7200", "state": "live",
+        "admin": daemon.address.to_string(),
+    }});
+    let list = json!({"metadata": {"name": ""}, "items": [host]});
+    platform.set("/apis/primrosehoist/v1/hosts", list);
+    let more = ["--secret-file", secret.path(), "--wait", "300ms"];
+    let run = publish(&platform, &more);
+    assert_eq!(run.code, 5, "{run:?}");
+    assert!(run.out.contains("b1: at version 0"), "{run:?}");
+    assert!(run.out.contains("obeyed by 1"), "{run:?}");
+}
+
+#[test]
+fn orders_beside_the_files_become_changes() {
+    let platform = Fake::start();
+    let unwaited = ["--wait", "0s"];
+    assert_eq!(publish(&platform, &unwaited).code, 0);
+    let orders: &[(&[&str], Value)] = &[
+        (&["zone", "out", "zone-a"], json!({"zone_out": "zone-a"})),
+        (&["zone", "in", "zone-a"], json!({"zone_in": "zone-a"})),
+        (
+            &["upstream", "leave", "braid-a"],
+            json!({"set_upstream": ["braid-a", "leaving"]}),
+        ),
+        (
+            &["upstream", "return", "braid-a"],
+            json!({"set_upstream": ["braid-a", "live"]}),
+        ),
+    ];
+    for (version, (words, entry)) in (2..).zip(orders) {
+        let first = change(&platform, words, &unwaited);
+        assert_eq!(first.code, 0, "{first:?}");
+        let written = platform.get(&change_path(version)).expect("it is written");
+        assert_eq!(written["spec"]["entries"], json!([entry]));
+        let again = change(&platform, words, &unwaited);
+        assert!(again.out.contains("nothing to change"), "{again:?}");
+    }
+    for words in [["zone", "out", "zone-x"], ["upstream", "leave", "braid-x"]] {
+        let run = change(&platform, &words, &unwaited);
+        assert_eq!(run.code, 1, "{run:?}");
+    }
+    assert_eq!(platform.creates(), 5);
+    let address = platform.address.to_string();
+    let audit = run(&[
+        "audit",
+        "--platform",
+        &address,
+        "--since",
+        "1",
+        "--limit",
+        "2",
+    ]);
+    assert_eq!(audit.code, 0);
+    assert!(
+        audit
+            .out
+            .contains("amy: test\n  zone zone-a out of service\n")
+    );
+    assert_eq!(audit.out.lines().count(), 4, "{}", audit.out);
+}
+
+#[test]
+fn quarantine_is_listed_and_lifted() {
+    let platform = Fake::start();
+    let fleet = json!({
+        "version": 63, "services": {}, "workspaces": {}, "upstreams": {}, "zones_out": [],
+        "quarantine": {"feed": "ended two upstreams"},
+    });
+    platform.set(
+        SNAPSHOT,
+        json!({"metadata": {"name": "current", "resourceVersion": "9"}, "spec": fleet}),
+    );
+    let address = platform.address.to_string();
+    let listed = run(&["quarantine", "list", "--platform", &address]);
+    assert_eq!(listed.out, "feed ended two upstreams\n1 quarantined\n");
+    let wrong = change(
+        &platform,
+        &["quarantine", "lift", "beef"],
+        &["--wait", "0s"],
+    );
+    assert_eq!(wrong.code, 1, "{wrong:?}");
+    let lifted = change(
+        &platform,
+        &["quarantine", "lift", "feed"],
+        &["--wait", "0s"],
+    );
+    assert_eq!(lifted.code, 0, "{lifted:?}");
+    // Version 64 is due for a snapshot, written on the version that was read.
+    let snapshot = platform.get(SNAPSHOT).expect("the snapshot is there");
+    assert_eq!(snapshot["spec"]["version"], 64);
+    assert_eq!(snapshot["spec"]["quarantine"], json!({}));
+    assert_eq!(snapshot["metadata"]["resourceVersion"], "9");
+}
+
+#[test]
+fn status_and_drain_speak_to_daemons() {
+    let secret = Secret::new("status");
+    let daemon = daemon("a1", 7, &json!([]));
+    let address = daemon.address.to_string();
+    let options = ["--secret-file", secret.path(), "--daemons", &address];
+    let status = run(&[&["status"], options.as_slice()].concat());
+    assert_eq!(status.code, 0, "{status:?}");
+    assert_eq!(
+        status.out,
+        "a1 in zone-a: version 7, platform read 5 ms ago\n"
+    );
+    let drain = run(&[
+        "drain",
+        "--secret-file",
+        secret.path(),
+        "--daemon",
+        &address,
+    ]);
+    assert_eq!(drain.code, 0, "{drain:?}");
+    assert!(daemon.get("/admin/drain").is_some());
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let closed = closed.local_addr().expect("it has an address").to_string();
+    let status = run(&[
+        "status",
+        "--secret-file",
+        secret.path(),
+        "--daemons",
+        &closed,
+    ]);
+    assert_eq!(status.code, 1, "{status:?}");
+    assert!(status.out.contains("no answer"), "{status:?}");
+}
+
+#[test]
+fn the_digest_is_that_of_the_key_without_white_space() {
+    let expected = "6a2df51586a6da583d7af6cb47361648785c58d681f233dbe40678a851e05500\n";
+    assert_eq!(run_with(&["key", "digest"], "key-audit\n").out, expected);
+    assert_eq!(run_with(&["key", "digest"], "\n").code, 1);
+}
