--- a/crates/primrosehoist-cli/tests/tool.rs
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -297,8 +297,8 @@
         json!({"metadata": {"name": "current", "resourceVersion": "9"}, "spec": fleet}),
     );
     let address = platform.address.to_string();
-    let listed = run(&["quarantine", "list", "--platform", &address]);
-    assert_eq!(listed.out, "feed ended two upstreams\n1 quarantined\n");
+    let before = run(&["quarantine", "list", "--platform", &address]);
+    assert_eq!(before.out, "feed ended two upstreams\n1 quarantined\n");
     let wrong = change(
         &platform,
         &["quarantine", "lift", "beef"],
