Report mistakes between declarations beside mistakes within them

Cause: an upstream, service or workspace with one wrong field was left out of the checks between declarations, so that its other mistakes showed only after the first was mended. Ruled out: a second pass over the text. Change: declarations are drafts whose wrong fields are absent; checks use the fields that are there, and name the line of the key rather than that of its table. The expected lines in the tests were moved accordingly, and the file with many mistakes gained one that spans declarations.

--- a/src/state/files/declaration.rs
+++ b/src/state/files/declaration.rs
@@ -1,5 +1,6 @@
 //! Declarations of services, workspaces and upstreams, each with its place.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use crate::state::files::table::{Located, Place, Source, Table};
@@ -23,18 +24,54 @@
 /// Everything that the files declare.
 #[derive(Debug, Default)]
 pub(crate) struct Declarations {
-    /// The whole services.
-    pub(crate) services: Vec<Located<Service>>,
-    /// The whole workspaces.
-    pub(crate) workspaces: Vec<Located<Workspace>>,
-    /// The whole upstreams.
-    pub(crate) upstreams: Vec<Located<Upstream>>,
-    /// Names of services that are declared with mistakes.
-    pub(crate) broken_services: Vec<name::Service>,
+    /// The services.
+    pub(crate) services: Vec<ServiceDraft>,
+    /// The workspaces.
+    pub(crate) workspaces: Vec<WorkspaceDraft>,
+    /// The upstreams.
+    pub(crate) upstreams: Vec<UpstreamDraft>,
     /// Whether a file could not be parsed, so that declarations may be missing.
     pub(crate) partial: bool,
 }
 
+/// A declared service, of which the wrong fields are absent.
+#[derive(Debug)]
+pub(crate) struct ServiceDraft {
+    pub(crate) place: Place,
+    pub(crate) name: Option<Located<name::Service>>,
+    pub(crate) half: Option<Located<name::Half>>,
+    pub(crate) kind: Option<Kind>,
+    timeout: Duration,
+    repeatable: bool,
+    retry_percent: u32,
+}
+
+/// A declared workspace, of which the wrong fields are absent.
+#[derive(Debug)]
+pub(crate) struct WorkspaceDraft {
+    pub(crate) place: Place,
+    pub(crate) name: Option<Located<name::Workspace>>,
+    pub(crate) half: Option<Located<name::Half>>,
+    pub(crate) key_digests: Option<Located<Vec<String>>>,
+    weight: u32,
+}
+
+/// A declared upstream, of which the wrong fields are absent.
+#[derive(Debug)]
+pub(crate) struct UpstreamDraft {
+    pub(crate) place: Place,
+    pub(crate) name: Option<Located<name::Upstream>>,
+    pub(crate) service: Option<Located<name::Service>>,
+    pub(crate) half: Option<Located<name::Half>>,
+    pub(crate) address: Option<Located<SocketAddr>>,
+    /// Zero if absent, `None` if wrong.
+    pub(crate) memory_tokens: Option<u64>,
+    zone: Option<Located<name::Zone>>,
+    cold_requests: Option<Located<u32>>,
+    warm_requests: Option<Located<u32>>,
+    fencing: bool,
+}
+
 impl Declarations {
     /// Adds the declarations of one file and reports the mistakes to `source`.
     pub(crate) fn read(&mut self, source: &Source<'_>) {
@@ -42,23 +79,24 @@
             self.partial = true;
             return;
         };
-        for table in root.tables("service") {
-            self.read_service(table);
-        }
-        for table in root.tables("workspace") {
-            self.workspaces.extend(read_workspace(table));
-        }
-        for table in root.tables("upstream") {
-            self.upstreams.extend(read_upstream(table));
-        }
+        let services = root.tables("service").into_iter();
+        self.services.extend(services.map(ServiceDraft::read));
+        let workspaces = root.tables("workspace").into_iter();
+        self.workspaces.extend(workspaces.map(WorkspaceDraft::read));
+        let upstreams = root.tables("upstream").into_iter();
+        self.upstreams.extend(upstreams.map(UpstreamDraft::read));
         root.finish();
     }
 
-    /// Returns the declared fleet at version zero.
+    /// Returns the declared fleet at version zero. Drafts with absent fields are left out; the
+    /// caller has reported them.
     pub(crate) fn into_fleet(self) -> Fleet {
-        let services = self.services.into_iter().map(|located| located.value);
-        let workspaces = self.workspaces.into_iter().map(|located| located.value);
-        let upstreams = self.upstreams.into_iter().map(|located| located.value);
+        let services = self.services.into_iter().filter_map(ServiceDraft::whole);
+        let workspaces = self
+            .workspaces
+            .into_iter()
+            .filter_map(WorkspaceDraft::whole);
+        let upstreams = self.upstreams.into_iter().filter_map(UpstreamDraft::whole);
         Fleet {
             services: services.map(|it| (it.name.clone(), it)).collect(),
             workspaces: workspaces.map(|it| (it.name.clone(), it)).collect(),
@@ -66,37 +104,116 @@
             ..Fleet::default()
         }
     }
+}
 
-    fn read_service(&mut self, mut table: Table<'_, '_>) {
-        let place = table.place();
-        let name = table.required("name", value::checked::<name::Service>);
-        let half = table.required("half", value::checked::<name::Half>);
-        let kind = read_kind(&mut table);
+impl ServiceDraft {
+    fn read(mut table: Table<'_, '_>) -> Self {
         let timeout = value::duration(TIMEOUT_MIN..=TIMEOUT_MAX);
-        let timeout = table.value_or("timeout", TIMEOUT_DEFAULT, timeout);
-        let repeatable = table.value_or("repeatable", true, value::flag);
         let percent = value::integer(0..=100);
-        let retry_percent = table.value_or("retry_percent", RETRY_PERCENT_DEFAULT, percent);
-        table.finish();
-        let Some(name) = name else { return };
-        let (Some(half), Some(kind)) = (half, kind) else {
-            self.broken_services.push(name.value);
-            return;
+        let draft = Self {
+            place: table.place(),
+            name: table.required("name", value::checked),
+            half: table.required("half", value::checked),
+            kind: read_kind(&mut table),
+            timeout: table.value_or("timeout", TIMEOUT_DEFAULT, timeout),
+            repeatable: table.value_or("repeatable", true, value::flag),
+            retry_percent: table.value_or("retry_percent", RETRY_PERCENT_DEFAULT, percent),
         };
-        let service = Service {
-            name: name.value,
-            half: half.value,
-            kind,
-            timeout_ms: timeout.as_millis() as u64,
-            repeatable,
-            retry_percent,
+        table.finish();
+        draft
+    }
+
+    fn whole(self) -> Option<Service> {
+        Some(Service {
+            name: self.name?.value,
+            half: self.half?.value,
+            kind: self.kind?,
+            timeout_ms: self.timeout.as_millis() as u64,
+            repeatable: self.repeatable,
+            retry_percent: self.retry_percent,
+        })
+    }
+}
+
+impl WorkspaceDraft {
+    fn read(mut table: Table<'_, '_>) -> Self {
+        let draft = Self {
+            place: table.place(),
+            name: table.required("name", value::checked),
+            half: table.required("half", value::checked),
+            key_digests: table.required("key_digests", value::list(value::digest)),
+            weight: table.value_or("weight", 1, value::integer(1..=WEIGHT_MAX)),
         };
-        self.services.push(locate(place, service));
+        if let Some(digests) = &draft.key_digests
+            && digests.value.is_empty()
+        {
+            let reason = "`workspace.key_digests`: a workspace needs at least one key";
+            table.report_at(&digests.place, reason.to_owned());
+        }
+        table.finish();
+        draft
+    }
+
+    fn whole(self) -> Option<Workspace> {
+        Some(Workspace {
+            name: self.name?.value,
+            half: self.half?.value,
+            key_digests: self.key_digests?.value,
+            weight: self.weight,
+        })
     }
 }
 
-fn locate<T>(place: Place, value: T) -> Located<T> {
-    Located { place, value }
+impl UpstreamDraft {
+    fn read(mut table: Table<'_, '_>) -> Self {
+        let has_memory = table.contains("memory_tokens");
+        let memory = table.optional("memory_tokens", value::tokens);
+        let requests = || value::integer(1..=REQUESTS_MAX);
+        let draft = Self {
+            place: table.place(),
+            name: table.required("name", value::checked),
+            service: table.required("service", value::checked),
+            half: table.required("half", value::checked),
+            address: table.required("address", value::reachable),
+            memory_tokens: match memory {
+                Some(memory) => Some(memory.value),
+                None => (!has_memory).then_some(0),
+            },
+            zone: table.required("zone", value::checked),
+            cold_requests: table.required("cold_requests", requests()),
+            warm_requests: table.required("warm_requests", requests()),
+            fencing: table.value_or("fencing", false, value::flag),
+        };
+        draft.check_limits(&table);
+        table.finish();
+        draft
+    }
+
+    fn check_limits(&self, table: &Table<'_, '_>) {
+        let (Some(cold), Some(warm)) = (&self.cold_requests, &self.warm_requests) else {
+            return;
+        };
+        if cold.value > warm.value {
+            let (low, high) = (cold.value, warm.value);
+            let reason = format!("`cold_requests` {low} is above `warm_requests` {high}");
+            table.report_at(&cold.place, reason);
+        }
+    }
+
+    fn whole(self) -> Option<Upstream> {
+        Some(Upstream {
+            name: self.name?.value,
+            service: self.service?.value,
+            half: self.half?.value,
+            zone: self.zone?.value,
+            address: self.address?.value,
+            cold_requests: self.cold_requests?.value,
+            warm_requests: self.warm_requests?.value,
+            memory_tokens: self.memory_tokens?,
+            fencing: self.fencing,
+            state: Presence::Live,
+        })
+    }
 }
 
 fn read_kind(table: &mut Table<'_, '_>) -> Option<Kind> {
@@ -122,66 +239,3 @@
         }
     }
 }
-
-fn read_workspace(mut table: Table<'_, '_>) -> Option<Located<Workspace>> {
-    let place = table.place();
-    let name = table.required("name", value::checked::<name::Workspace>);
-    let half = table.required("half", value::checked::<name::Half>);
-    let digests = table.required("key_digests", value::list(value::digest));
-    let weight = table.value_or("weight", 1, value::integer(1..=WEIGHT_MAX));
-    if digests.as_ref().is_some_and(|it| it.value.is_empty()) {
-        table.report("`workspace.key_digests`: a workspace needs at least one key".to_owned());
-    }
-    table.finish();
-    let workspace = Workspace {
-        name: name?.value,
-        half: half?.value,
-        key_digests: digests?.value,
-        weight,
-    };
-    Some(locate(place, workspace))
-}
-
-fn check_limits(table: &Table<'_, '_>, cold: Option<&Located<u32>>, warm: Option<&Located<u32>>) {
-    let (Some(cold), Some(warm)) = (cold, warm) else {
-        return;
-    };
-    if cold.value > warm.value {
-        let (low, high) = (cold.value, warm.value);
-        let reason = format!("`cold_requests` {low} is above `warm_requests` {high}");
-        table.report_at(&cold.place, reason);
-    }
-}
-
-fn read_upstream(mut table: Table<'_, '_>) -> Option<Located<Upstream>> {
-    let place = table.place();
-    let name = table.required("name", value::checked::<name::Upstream>);
-    let service = table.required("service", value::checked::<name::Service>);
-    let half = table.required("half", value::checked::<name::Half>);
-    let zone = table.required("zone", value::checked::<name::Zone>);
-    let address = table.required("address", value::reachable);
-    let cold = table.required("cold_requests", value::integer(1..=REQUESTS_MAX));
-    let warm = table.required("warm_requests", value::integer(1..=REQUESTS_MAX));
-    // A wrong value is reported once, and not again as a missing one.
-    let has_memory = table.contains("memory_tokens");
-    let memory = table.optional("memory_tokens", value::tokens);
-    let fencing = table.value_or("fencing", false, value::flag);
-    check_limits(&table, cold.as_ref(), warm.as_ref());
-    table.finish();
-    if has_memory && memory.is_none() {
-        return None;
-    }
-    let upstream = Upstream {
-        name: name?.value,
-        service: service?.value,
-        half: half?.value,
-        zone: zone?.value,
-        address: address?.value,
-        cold_requests: cold?.value,
-        warm_requests: warm?.value,
-        memory_tokens: memory.map_or(0, |located| located.value),
-        fencing,
-        state: Presence::Live,
-    };
-    Some(locate(place, upstream))
-}
--- a/src/state/files/mod.rs
+++ b/src/state/files/mod.rs
@@ -4,8 +4,7 @@
 //! upstreams as `[[service]]`, `[[workspace]]` and `[[upstream]]`. All files together describe
 //! the whole fleet: what no file declares is removed when the set is published.
 //!
-//! Reading is pure. It reports every mistake at once, each with its file and line. Checks between
-//! declarations cover those that are whole in themselves.
+//! Reading is pure. It reports every mistake at once, each with its file and line.
 
 mod check;
 mod declaration;
--- a/tests/files_mistakes.rs
+++ b/tests/files_mistakes.rs
@@ -42,8 +42,8 @@
     Case {
         name: "both-halves",
         expected: &[
-            "23: upstream `braid-a` is declared already at both-halves:13",
-            "23: upstream `braid-a` is in both halves, `north` and `south`",
+            "24: upstream `braid-a` is declared already at both-halves:14",
+            "26: upstream `braid-a` is in both halves, `north` and `south`",
         ],
     },
     Case {
@@ -56,15 +56,15 @@
     },
     Case {
         name: "duplicate-service",
-        expected: &["7: service `braid` is declared already at duplicate-service:1"],
+        expected: &["8: service `braid` is declared already at duplicate-service:2"],
     },
     Case {
         name: "duplicate-upstream",
-        expected: &["17: upstream `braid-a` is declared already at duplicate-upstream:7"],
+        expected: &["18: upstream `braid-a` is declared already at duplicate-upstream:8"],
     },
     Case {
         name: "duplicate-workspace",
-        expected: &["6: workspace `foremen` is declared already at duplicate-workspace:1"],
+        expected: &["7: workspace `foremen` is declared already at duplicate-workspace:2"],
     },
     Case {
         name: "engine-without-memory",
@@ -89,6 +89,7 @@
         expected: &[
             r#"6: `service.timeout`: expected a duration with a unit such as "30s" or "500ms", found "30x""#,
             "7: unknown key `service.retries`",
+            "12: half `south` is not that of the service `braid`, `north`",
             r#"14: `upstream.address`: nothing can be reached at port 0 of "127.0.0.1:0""#,
             "15: `cold_requests` 17 is above `warm_requests` 16",
             "23: `workspace.weight`: expected 1 to 1000000, found 0",
@@ -100,7 +101,7 @@
     },
     Case {
         name: "no-keys",
-        expected: &["1: `workspace.key_digests`: a workspace needs at least one key"],
+        expected: &["4: `workspace.key_digests`: a workspace needs at least one key"],
     },
     Case {
         name: "no-unit-duration",
@@ -110,7 +111,7 @@
     },
     Case {
         name: "other-half",
-        expected: &["7: half `south` is not that of the service `braid`, `north`"],
+        expected: &["10: half `south` is not that of the service `braid`, `north`"],
     },
     Case {
         name: "plain-with-memory",
@@ -126,11 +127,11 @@
     },
     Case {
         name: "same-address",
-        expected: &["17: address 127.0.0.1:7401 is that of upstream `braid-a` already"],
+        expected: &["22: address 127.0.0.1:7401 is that of upstream `braid-a` already"],
     },
     Case {
         name: "same-key",
-        expected: &["6: a key of this workspace opens `foremen` at same-key:1 already"],
+        expected: &["9: a key of this workspace opens `foremen` at same-key:1 already"],
     },
     Case {
         name: "same-model",
@@ -142,7 +143,7 @@
     },
     Case {
         name: "third-half",
-        expected: &["11: `east` is a third half, after `north` and `south`"],
+        expected: &["13: `east` is a third half, after `north` and `south`"],
     },
     Case {
         name: "unknown-key",
@@ -150,7 +151,7 @@
     },
     Case {
         name: "unknown-service",
-        expected: &["7: no file declares the service `brade`"],
+        expected: &["9: no file declares the service `brade`"],
     },
     Case {
         name: "unknown-table",
@@ -218,7 +219,7 @@
     let lines: Vec<String> = mistakes.iter().map(ToString::to_string).collect();
     assert_eq!(
         lines,
-        ["two:1: service `orders` is declared already at one:1"]
+        ["two:2: service `orders` is declared already at one:2"]
     );
 }
 
