Count what a predecessor left running at an upstream

Cause: after a takeover the streams of the dead holder may still run, and the new holder admitted the whole cold limit beside them. Change: foreign requests and memory take slots and memory until they are gone. With the mechanism off, what_a_predecessor_left_running_takes_slots_and_memory fails. One rule of the queue stood twice, so the second was removed; the test of the upstreams kept free of long prompts sent too few prompts to reach the bound, and now sends 90. Ruled out: to wait out the engine's grace time, because plain idling loses service that a read of the exact list of running streams gives back.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -78,6 +78,15 @@
     NotSent,
 }
 
+/// Work at an upstream that its present holding did not send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Foreign {
+    /// The number of requests.
+    pub requests: u32,
+    /// The KV memory that they and stray reservations take, in tokens.
+    pub memory_tokens: u64,
+}
+
 /// The admission to one upstream.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -86,6 +95,7 @@
     half: name::Half,
     memory_tokens: u64,
     reserve: u32,
+    foreign: Foreign,
     limit: Limit,
     queue: Queue,
     flights: Map<Ticket, Flight>,
@@ -107,6 +117,7 @@
             half: upstream.half.clone(),
             memory_tokens: upstream.memory_tokens,
             reserve,
+            foreign: Foreign::default(),
             limit: Limit::new(upstream.cold_requests, upstream.warm_requests),
             queue: Queue::default(),
             flights: Map::default(),
@@ -121,6 +132,12 @@
         self.reserve = 0;
     }
 
+    /// Sets what runs at the upstream and was not sent by this holding, such as streams of a dead
+    /// predecessor. It takes slots and memory until it is set to nothing.
+    pub fn set_foreign(&mut self, foreign: Foreign) {
+        self.foreign = foreign;
+    }
+
     /// Returns the learned limit, to report events that belong to no ticket.
     pub fn limit_mut(&mut self) -> &mut Limit {
         &mut self.limit
@@ -275,9 +292,7 @@
             queued: self.queue.len() as u32,
             tokens: flying + self.queue.tokens(),
             long_tokens: long_flying + long_queued,
-            memory_free: self
-                .memory_tokens
-                .saturating_sub(self.memory_used(|_| true)),
+            memory_free: self.memory_free(),
             prefill_rate: self.limit.rate().unwrap_or(0.0) as u64,
         }
     }
@@ -327,7 +342,8 @@
     }
 
     fn slots(&self, now: Instant) -> u32 {
-        self.limit.current(now).saturating_sub(self.reserve)
+        let kept = self.reserve.saturating_add(self.foreign.requests);
+        self.limit.current(now).saturating_sub(kept)
     }
 
     fn prefill_tokens(&self) -> u64 {
@@ -335,6 +351,11 @@
         in_prefill.map(|f| f.item.prompt_tokens).sum()
     }
 
+    fn memory_free(&self) -> u64 {
+        let used = self.memory_used(|_| true) + self.foreign.memory_tokens;
+        self.memory_tokens.saturating_sub(used)
+    }
+
     fn memory_used<C>(&self, condition: C) -> u64
     where
         C: Fn(&Item) -> bool,
--- a/src/coordination/admission/room.rs
+++ b/src/coordination/admission/room.rs
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 struct Memory {
     total: u64,
+    free: u64,
     long: u64,
     short: u64,
 }
@@ -23,7 +24,7 @@
 impl Memory {
     fn fits(&self, need: u64, long: bool, long_due: bool) -> bool {
         let kept = self.total / SHORT_MEMORY_PART;
-        if self.long + self.short + need > self.total {
+        if need > self.free {
             return false;
         }
         if long {
@@ -96,12 +97,13 @@
         // A long prompt that waits for other long ones gains nothing from holding back short ones.
         let lacks_memory_only = long_slots > 0 && long_prefills < LONG_PREFILLS_MAX;
         Room {
-            idle: in_flight == 0,
+            idle: in_flight == 0 && self.foreign.requests == 0,
             slots: if closed { 0 } else { free },
             long_slots,
             long_prefills,
             memory: (self.memory_tokens > 0).then(|| Memory {
                 total: self.memory_tokens,
+                free: self.memory_free(),
                 long: self.memory_used(long),
                 short: self.memory_used(|item| !long(item)),
             }),
--- a/src/state/queue.rs
+++ b/src/state/queue.rs
@@ -77,7 +77,7 @@
 type Place = (Instant, Ticket);
 
 /// What waits for one workspace.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Lane {
     weight: u32,
     /// The virtual time at which the next item starts.
@@ -86,17 +86,6 @@
     prompt_tokens: u64,
 }
 
-impl Lane {
-    fn new(start: u128) -> Self {
-        Self {
-            weight: 1,
-            start,
-            items: BTreeMap::new(),
-            prompt_tokens: 0,
-        }
-    }
-}
-
 /// The queue of one upstream.
 #[derive(Debug, Default)]
 pub struct Queue {
@@ -132,10 +121,7 @@
     pub fn push(&mut self, item: Item, now: Instant) {
         self.remove(item.ticket);
         let clock = self.clock;
-        let lane = self
-            .lanes
-            .entry(item.workspace.clone())
-            .or_insert_with(|| Lane::new(clock));
+        let lane = self.lanes.entry(item.workspace.clone()).or_default();
         if lane.items.is_empty() {
             // A workspace that was away has no claim on the time that it did not use.
             lane.start = lane.start.max(clock);
@@ -238,10 +224,7 @@
         self.clock = self.clock.max(start);
         let item = self.remove(ticket)?;
         let units = u128::from(item.cost()) * UNITS_PER_TOKEN / u128::from(weight);
-        let lane = self
-            .lanes
-            .entry(workspace)
-            .or_insert_with(|| Lane::new(start));
+        let lane = self.lanes.entry(workspace).or_default();
         lane.weight = weight;
         lane.start = start + units;
         Some(item)
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -6,8 +6,8 @@
 use arbtest::arbitrary::Unstructured;
 use arbtest::arbtest;
 use primrosehoist::coordination::admission::{
-    Finish, LONG_PATIENCE, LONG_PREFILLS_MAX, QUEUE_PER_SLOT, Reason, SUSPECT_PATIENCE, Scheduler,
-    Verdict, priority,
+    Finish, Foreign, LONG_PATIENCE, LONG_PREFILLS_MAX, QUEUE_PER_SLOT, Reason, SUSPECT_PATIENCE,
+    Scheduler, Verdict, priority,
 };
 use primrosehoist::state::fleet::{Presence, Upstream};
 use primrosehoist::state::limit::Failure;
@@ -210,6 +210,30 @@
     assert_eq!(scheduler.next(now), [1]);
 }
 
+#[test]
+fn what_a_predecessor_left_running_takes_slots_and_memory() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(2);
+    scheduler.set_foreign(Foreign {
+        requests: 2,
+        memory_tokens: MEMORY - 1_000,
+    });
+    assert_eq!(scheduler.offer(item(1, 1_001, now), now), Verdict::Queued);
+    assert_eq!(scheduler.offer(suspect(2, now), now), Verdict::Queued);
+    assert!(scheduler.next(now).is_empty());
+    scheduler.set_foreign(Foreign {
+        requests: 1,
+        memory_tokens: MEMORY - 1_000,
+    });
+    assert!(scheduler.next(now).is_empty());
+    assert_eq!(scheduler.advert(now).memory_free, 1_000);
+    scheduler.set_foreign(Foreign::default());
+    // The suspect is the shorter one.
+    assert_eq!(scheduler.next(now), [2]);
+    scheduler.finished(2, Finish::Completed, now);
+    assert_eq!(scheduler.next(now), [1]);
+}
+
 #[test]
 fn long_prompts_leave_room_for_short_ones() {
     let now = Instant::now();
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -310,7 +310,7 @@
     let long = ask(LONG_TOKENS);
     let mut opened: Vec<usize> = Vec::new();
     let mut used: Set<String> = Set::default();
-    for dice in 0..60 {
+    for dice in 0..90 {
         used.insert(world.place(&long, dice));
         opened.push(used.len());
     }
@@ -321,7 +321,7 @@
         (1, 1, 2, 3)
     );
     // A part of the upstreams stays free of long prompts at any load.
-    assert_eq!(opened[59], 5);
+    assert_eq!(opened[89], 5);
 }
 
 #[test]
