--- /dev/null
+++ b/crates/primrosehoist-daemon/src/dispatch/exchange.rs
@@ -0,0 +1,82 @@
+//! The way to the holder of an upstream, which may be this process.
+
+use std::sync::Arc;
+
+use futures_util::stream;
+use http_body_util::BodyExt;
+use primrosehoist::protocol::wire::{self, Dispatch, Reply};
+use primrosehoist::state::view::Member;
+use primrosehoist::transport::http::body::Stored;
+use primrosehoist::transport::peer;
+use tokio::sync::mpsc;
+
+use crate::holder::{self, Responder};
+use crate::node::Node;
+
+/// Replies that wait for the entry's side.
+const REPLIES_MAX: usize = 8;
+
+/// A dispatch under way. Dropping it cancels the attempt.
+#[derive(Debug)]
+pub(crate) enum Exchange {
+    /// The holder is this process.
+    Local(mpsc::Receiver<Reply>),
+    /// The holder is another process.
+    Peer(peer::Exchange),
+}
+
+impl Exchange {
+    /// Hands `dispatch` to the holder of its upstream; yields nothing if no byte reached it.
+    pub(crate) async fn open(node: &Arc<Node>, dispatch: Dispatch, body: &Stored) -> Option<Self> {
+        let view = node.view.load_full();
+        let holder = view.holders.get(&dispatch.upstream)?;
+        if holder.member.host != node.host {
+            return open_peer(node, &holder.member, dispatch, body).await;
+        }
+        let (sender, replies) = mpsc::channel(REPLIES_MAX);
+        let payload = body.replay().boxed_unsync();
+        let responder = Responder::Local(sender);
+        tokio::spawn(holder::serve(
+            Arc::clone(node),
+            dispatch,
+            payload,
+            responder,
+        ));
+        Some(Self::Local(replies))
+    }
+
+    /// Returns the next reply, or nothing if the exchange broke.
+    pub(crate) async fn next(&mut self) -> Option<Reply> {
+        match self {
+            Self::Local(replies) => replies.recv().await,
+            Self::Peer(exchange) => exchange.next().await.unwrap_or_else(|error| {
+                log::info!("exchange with a holder failed: {error}");
+                None
+            }),
+        }
+    }
+}
+
+async fn open_peer(
+    node: &Node,
+    holder: &Member,
+    dispatch: Dispatch,
+    body: &Stored,
+) -> Option<Exchange> {
+    let pieces = stream::unfold(body.replay(), |mut replay| async {
+        let piece = replay.next_piece()?;
+        Some((piece, replay))
+    });
+    let request = wire::Request::Dispatch(dispatch);
+    match node
+        .peers
+        .open(holder, &request, Some(Box::pin(pieces)))
+        .await
+    {
+        Ok(exchange) => Some(Exchange::Peer(exchange)),
+        Err(error) => {
+            log::info!("cannot reach a holder: {error}");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -0,0 +1,222 @@
+//! The entry's side of a request: attempts until it is answered or fails.
+
+mod attempt;
+mod choose;
+mod entry;
+mod exchange;
+mod sink;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::coordination::request::{Action, Event, Request};
+use primrosehoist::coordination::retry;
+use primrosehoist::protocol::outcome::Failure;
+use primrosehoist::state::map::Set;
+use primrosehoist::state::name;
+use primrosehoist::transport::http::body::Stored;
+use tokio::time::{Instant, sleep};
+
+pub(crate) use self::entry::Entry;
+pub(crate) use self::sink::{Opening, Sink};
+
+use self::attempt::Attempt;
+use crate::node::Node;
+
+/// The longest time between two events of a stream.
+const SILENCE: Duration = Duration::from_secs(15);
+
+/// A request of a caller, ready to run.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// When the request was received.
+    pub(crate) received: Instant,
+    /// The id of the request.
+    pub(crate) id: String,
+    pub(crate) workspace: name::Workspace,
+    pub(crate) half: name::Half,
+    pub(crate) service: name::Service,
+    /// Retries allowed per hundred first attempts of the service.
+    pub(crate) retry_percent: u32,
+    pub(crate) method: String,
+    /// The path and query for the upstream.
+    pub(crate) path: String,
+    pub(crate) content_type: String,
+    /// Whether the answer is a stream of events.
+    pub(crate) stream: bool,
+    pub(crate) body: Stored,
+    pub(crate) prompt_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    pub(crate) repeatable: bool,
+    pub(crate) fingerprint: String,
+    pub(crate) deadline: Instant,
+}
+
+/// Runs `job` and answers through `sink`.
+pub(crate) async fn run(node: Arc<Node>, job: Job, sink: Sink) {
+    let _running = node.progress.enter();
+    node.metrics.in_flight(&job.service, 1);
+    let mut plan = Plan::default();
+    let outcome = attempts(&node, &job, &mut plan, sink).await;
+    node.metrics.in_flight(&job.service, -1);
+    node.metrics.ended(&job.service, &outcome.name);
+    log_end(&job, &plan, &outcome);
+}
+
+/// How a request ended, as logged and counted.
+#[derive(Debug)]
+struct Ending {
+    name: String,
+    reason: String,
+}
+
+impl Ending {
+    fn new(name: &str) -> Self {
+        Self {
+            name: name.to_owned(),
+            reason: String::new(),
+        }
+    }
+}
+
+async fn attempts(node: &Arc<Node>, job: &Job, plan: &mut Plan, mut sink: Sink) -> Ending {
+    let mut machine = Request::new(Instant::now(), job.deadline, SILENCE)
+        .repeatable(job.repeatable)
+        .resumable(job.stream);
+    let budget = node.entry.budget(&job.service);
+    budget.earn(job.retry_percent);
+    loop {
+        let action = step(node, job, &mut machine, plan, &mut sink).await;
+        let action = match action {
+            Action::Retry(failure) if !budget.take() => machine.give_up(failure),
+            action => action,
+        };
+        match action {
+            Action::Retry(failure) => plan.retry(failure),
+            Action::Resume(_, failure) => plan.resume(failure),
+            last => return end(job, sink, last).await,
+        }
+        node.metrics.retried(&job.service);
+        if let Some(last) = pause(job, &mut machine, plan, &mut sink).await {
+            return end(job, sink, last).await;
+        }
+    }
+}
+
+/// Does the last action of a request.
+async fn end(job: &Job, sink: Sink, last: Action) -> Ending {
+    match last {
+        Action::Finish => {
+            let taken = sink.finish().await;
+            Ending::new(if taken { "complete" } else { "cancelled" })
+        }
+        Action::Fail(failure) => {
+            let ending = Ending {
+                name: failure.outcome.to_string(),
+                reason: failure.reason.to_string(),
+            };
+            sink.fail(failure, &job.id).await;
+            ending
+        }
+        _ => Ending::new("cancelled"),
+    }
+}
+
+/// What the next attempt does.
+#[derive(Debug, Default)]
+struct Plan {
+    /// Attempts that failed so far.
+    failed: u32,
+    /// Attempts with an id of their own.
+    attempts: u32,
+    /// Upstreams that failed.
+    excluded: Set<name::Upstream>,
+    /// The attempt to continue, if any.
+    current: Option<Attempt>,
+    resumes: bool,
+    last: Option<Failure>,
+}
+
+impl Plan {
+    fn retry(&mut self, failure: Failure) {
+        self.failed += 1;
+        self.resumes = false;
+        self.last = Some(failure);
+        if let Some(attempt) = self.current.take() {
+            self.excluded.insert(attempt.upstream);
+        }
+    }
+
+    fn resume(&mut self, failure: Failure) {
+        self.resumes = true;
+        self.last = Some(failure);
+    }
+
+    fn upstream(&self) -> &str {
+        self.current
+            .as_ref()
+            .map_or("", |attempt| attempt.upstream.as_str())
+    }
+}
+
+/// Chooses an upstream unless an attempt is to be continued, and runs the attempt.
+async fn step(
+    node: &Arc<Node>,
+    job: &Job,
+    machine: &mut Request,
+    plan: &mut Plan,
+    sink: &mut Sink,
+) -> Action {
+    if !plan.resumes {
+        match choose::choose(node, job, &mut plan.excluded) {
+            Ok(upstream) => {
+                plan.attempts += 1;
+                let id = format!("{}-{}", job.id, plan.attempts);
+                plan.current = Some(Attempt { id, upstream });
+            }
+            Err(failure) => {
+                let failure = plan.last.take().unwrap_or(failure);
+                return machine.on(Event::Refused(failure), Instant::now());
+            }
+        }
+    }
+    match plan.current.clone() {
+        Some(attempt) => attempt::run(node, job, &attempt, machine, sink).await,
+        None => Action::Cancel,
+    }
+}
+
+/// Waits before the next attempt; yields an action if the request ends meanwhile.
+async fn pause(job: &Job, machine: &mut Request, plan: &Plan, sink: &mut Sink) -> Option<Action> {
+    // A resumption adds no work, so it neither draws on the budget nor backs off for long.
+    let delay = if plan.resumes {
+        retry::resume_delay(rand::random())
+    } else {
+        retry::delay(plan.failed, rand::random())
+    };
+    let end = Instant::now() + delay;
+    if end >= job.deadline {
+        // The wait cannot lead to an answer in time, so the last failure is the honest report.
+        let failure = plan.last.clone()?;
+        return Some(machine.give_up(failure));
+    }
+    tokio::select! {
+        () = sleep(delay) => None,
+        () = sink.closed() => Some(machine.on(Event::Gone, Instant::now())),
+    }
+}
+
+fn log_end(job: &Job, plan: &Plan, ending: &Ending) {
+    log::info!(
+        request = job.id.as_str(),
+        workspace = job.workspace.as_str(),
+        service = job.service.as_str(),
+        upstream = plan.upstream(),
+        attempts = plan.attempts,
+        prompt_tokens = job.prompt_tokens,
+        outcome = ending.name.as_str(),
+        reason = ending.reason.as_str(),
+        elapsed_ms = job.received.elapsed().as_millis() as u64;
+        "request ended"
+    );
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -0,0 +1,124 @@
+//! Requests to an upstream, and their cancellation.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use primrosehoist::coordination::admission::{self, Finish};
+use primrosehoist::transport::http::Payload;
+use primrosehoist::transport::http::upstream::{Error, Exchange, Gate};
+use serde_json::json;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::Task;
+use super::flight::Flight;
+use super::place::Place;
+
+/// For how long a broken stream keeps running at an engine that cannot be reached.
+const GRACE: Duration = Duration::from_secs(10);
+
+/// The longest time for one try to cancel.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The time between two tries to cancel.
+const CANCEL_PAUSE: Duration = Duration::from_millis(200);
+
+/// Returns the gate of a request: open while the lease holds.
+pub(crate) fn gate(task: &Task, place: &Place) -> Arc<Gate> {
+    let lease = Arc::clone(&task.lease);
+    let turn = Arc::clone(&place.turn);
+    Arc::new(Gate::new(turn, move |begun| {
+        let now = Instant::now();
+        // A holding that is given back lets what was begun go on.
+        if begun {
+            lease.covers(now)
+        } else {
+            lease.holds(now)
+        }
+    }))
+}
+
+/// Returns the request as the upstream gets it.
+pub(crate) fn request(task: &Task, body: Payload) -> Result<Request<Payload>, http::Error> {
+    let dispatch = &task.dispatch;
+    Request::builder()
+        .method(dispatch.method.as_str())
+        .uri(dispatch.path.as_str())
+        .header("host", task.upstream.address.to_string())
+        .header("content-type", dispatch.content_type.as_str())
+        .header("x-request-id", dispatch.attempt.as_str())
+        .header(
+            "x-priority",
+            u16::from(admission::priority(dispatch.prompt_tokens)),
+        )
+        .header("x-fencing-epoch", task.lease.epoch())
+        .header("x-holder", task.host.as_str())
+        .body(body)
+}
+
+/// Asks the engine for the rest of the stream from event `from` on.
+pub(crate) async fn resume(task: &Task, place: &Place, from: u64) -> Result<Exchange, Error> {
+    let content = json!({"id": task.dispatch.attempt, "from": from});
+    let request = admin(task, "/admin/resume", &content);
+    place.pool.send(request, &gate(task, place)).await
+}
+
+/// Cancels the attempt at the engine, and counts it as in flight until that is done or the
+/// engine has dropped it by itself.
+pub(crate) fn cancel(task: Arc<Task>, flight: Flight, finish: Finish) {
+    tokio::spawn(async move {
+        let end = Instant::now() + GRACE;
+        while Instant::now() < end {
+            if try_cancel(&task, flight.place()).await {
+                break;
+            }
+            sleep(CANCEL_PAUSE).await;
+        }
+        flight.finish(finish);
+    });
+}
+
+/// Counts an attempt as in flight for as long as the engine keeps it for its entry daemon to
+/// come back.
+pub(crate) fn abandon(flight: Flight) {
+    tokio::spawn(async move {
+        sleep(GRACE).await;
+        flight.finish(Finish::Cancelled);
+    });
+}
+
+async fn try_cancel(task: &Task, place: &Place) -> bool {
+    let content = json!({"id": task.dispatch.attempt});
+    let request = admin(task, "/admin/cancel", &content);
+    // Cancelling is safe without a lease: it names an attempt of this daemon.
+    let gate = Arc::new(Gate::new(Arc::clone(&place.turn), |_begun| true));
+    let sent = timeout(CANCEL_TIMEOUT, place.pool.send(request, &gate)).await;
+    let Ok(Ok(mut exchange)) = sent else {
+        return false;
+    };
+    let cancelled = exchange.response.status().is_success();
+    if exchange.response.body_mut().collect().await.is_ok() {
+        place.pool.give_back(exchange);
+    }
+    cancelled
+}
+
+fn admin(task: &Task, path: &str, content: &serde_json::Value) -> Request<Payload> {
+    let body = Full::new(Bytes::from(content.to_string()));
+    let mut request = Request::new(body.map_err(|never| match never {}).boxed_unsync());
+    *request.method_mut() = http::Method::POST;
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    let mut set = |key: &'static str, value: String| {
+        if let Ok(value) = value.parse() {
+            headers.insert(key, value);
+        }
+    };
+    set("host", task.upstream.address.to_string());
+    set("content-type", "application/json".to_owned());
+    set("x-fencing-epoch", task.lease.epoch().to_string());
+    set("x-holder", task.host.clone());
+    request
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -0,0 +1,61 @@
+//! A request that is counted at its upstream.
+
+use std::sync::Arc;
+
+use primrosehoist::coordination::admission::Finish;
+use primrosehoist::state::queue::Ticket;
+use tokio::time::Instant;
+
+use super::place::Place;
+
+/// Counts a request until it is finished or dropped.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    place: Arc<Place>,
+    ticket: Ticket,
+    finished: bool,
+}
+
+impl Flight {
+    /// Creates the guard of a request that is offered next.
+    pub(crate) fn new(place: &Arc<Place>, ticket: Ticket) -> Self {
+        Self {
+            place: Arc::clone(place),
+            ticket,
+            finished: false,
+        }
+    }
+
+    /// Returns the place of the upstream.
+    pub(crate) fn place(&self) -> &Arc<Place> {
+        &self.place
+    }
+
+    /// Records a part of the answer.
+    pub(crate) fn note_part(&self, first: bool) {
+        let ticket = self.ticket;
+        self.place.update(|scheduler| {
+            if first {
+                scheduler.first_token(ticket, Instant::now());
+            } else {
+                scheduler.token(ticket);
+            }
+        });
+    }
+
+    /// Records the end of the request.
+    pub(crate) fn finish(mut self, finish: Finish) {
+        self.finished = true;
+        let ticket = self.ticket;
+        self.place
+            .update(|scheduler| scheduler.finished(ticket, finish, Instant::now()));
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.place.withdraw(self.ticket);
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -0,0 +1,173 @@
+//! The holder's side of a request: admission to the upstream and the relay of its answer.
+
+mod call;
+mod flight;
+mod place;
+mod relay;
+mod responder;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::stream;
+use http_body_util::BodyExt;
+use primrosehoist::coordination::lease::Lease;
+use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::state::fleet::{Fleet, Kind, Upstream};
+use primrosehoist::state::queue::Item;
+use primrosehoist::transport::http::body::Measured;
+use primrosehoist::transport::http::{BoxError, Payload};
+use primrosehoist::transport::peer;
+use tokio::time::Instant;
+
+pub(crate) use self::place::Holder;
+pub(crate) use self::responder::Responder;
+
+use crate::node::Node;
+
+/// A dispatch with all that its run needs.
+#[derive(Debug)]
+pub(crate) struct Task {
+    pub(crate) dispatch: Dispatch,
+    pub(crate) upstream: Upstream,
+    pub(crate) engine: bool,
+    pub(crate) lease: Arc<Lease>,
+    pub(crate) host: String,
+    pub(crate) deadline: Instant,
+}
+
+/// Runs a request that another daemon dispatched.
+pub(crate) async fn serve_peer(
+    node: Arc<Node>,
+    dispatch: Dispatch,
+    body: peer::Body,
+    responder: peer::Responder,
+) {
+    let bytes = dispatch.body_bytes;
+    let pieces = stream::unfold(body, |mut body| async {
+        let piece = body.chunk().await.transpose()?;
+        Some((piece.map_err(BoxError::from), body))
+    });
+    let payload = Measured::new(Box::pin(pieces), bytes).boxed_unsync();
+    serve(node, dispatch, payload, Responder::Peer(responder)).await;
+}
+
+/// Runs a request on an upstream that this daemon holds, and answers through `responder`.
+pub(crate) async fn serve(
+    node: Arc<Node>,
+    dispatch: Dispatch,
+    body: Payload,
+    mut responder: Responder,
+) {
+    let _running = node.progress.enter();
+    let reply = match prepare(&node, dispatch) {
+        Ok((task, item)) => Some(run(&node, task, item, body, &mut responder).await),
+        Err(failure) => Some(Reply::Failed(failure)),
+    };
+    if let Some(reply) = reply {
+        // A peer that is gone needs no last word.
+        let _sent = responder.send(reply).await;
+    }
+}
+
+async fn run(
+    node: &Node,
+    task: Task,
+    item: Item,
+    body: Payload,
+    responder: &mut Responder,
+) -> Reply {
+    let since = Instant::now();
+    let place = node.holder.place(&task.upstream, &task.lease);
+    let admitted = tokio::select! {
+        admitted = place::admit(&place, item) => admitted,
+        _ = responder.closed() => return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request")),
+    };
+    let flight = match admitted {
+        Ok(flight) => flight,
+        Err(failure) => return Reply::Failed(failure),
+    };
+    let queued = since.elapsed();
+    node.metrics.queued(&task.upstream.service, queued);
+    let queued_ms = queued.as_millis() as u64;
+    if responder.send(Reply::Sent { queued_ms }).await.is_err() {
+        return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request"));
+    }
+    relay::run(task, body, flight, responder).await
+}
+
+/// Checks that the request may run here.
+fn prepare(node: &Node, dispatch: Dispatch) -> Result<(Task, Item), Failure> {
+    if node.is_draining() && dispatch.resume_from == 0 {
+        return Err(not_run(Reason::Draining, "the holder shuts down"));
+    }
+    let fleet = node.fleet.load();
+    let upstream = find(&fleet, &dispatch)?;
+    let lease = node.leases.load().get(&dispatch.upstream).cloned();
+    let now = Instant::now();
+    let lease = lease.filter(|lease| lease.holds(now)).ok_or_else(|| {
+        not_run(
+            Reason::Unavailable,
+            "this daemon does not hold the upstream",
+        )
+    })?;
+    let deadline = now + Duration::from_millis(dispatch.remaining_ms);
+    let weight = fleet
+        .workspaces
+        .get(&dispatch.workspace)
+        .map_or(1, |workspace| workspace.weight);
+    let item = Item {
+        ticket: node.holder.next_ticket(),
+        workspace: dispatch.workspace.clone(),
+        weight,
+        half: dispatch.half.clone(),
+        prompt_tokens: dispatch.prompt_tokens,
+        answer_tokens: dispatch.answer_tokens,
+        deadline,
+        suspect: dispatch.suspect,
+    };
+    let service = fleet.services.get(&upstream.service);
+    let engine = service.is_some_and(|service| matches!(service.kind, Kind::Engine(_)));
+    let host = node.host.to_string();
+    let task = Task {
+        dispatch,
+        upstream,
+        engine,
+        lease,
+        host,
+        deadline,
+    };
+    Ok((task, item))
+}
+
+fn find(fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
+    let upstream = fleet
+        .upstreams
+        .get(&dispatch.upstream)
+        .filter(|upstream| upstream.half == dispatch.half)
+        .ok_or_else(|| not_run(Reason::Unavailable, "the upstream is not of this half"))?;
+    // A stream that runs already may go on there; new work may not.
+    let resumes = dispatch.resume_from > 0;
+    let leaving = upstream.state != primrosehoist::state::fleet::Presence::Live;
+    if !resumes && (leaving || fleet.zones_out.contains(&upstream.zone)) {
+        return Err(not_run(
+            Reason::Unavailable,
+            "the upstream takes no new work",
+        ));
+    }
+    if fleet.quarantine.contains_key(&dispatch.fingerprint) {
+        return Err(not_run(Reason::Quarantined, "the request is quarantined"));
+    }
+    Ok(upstream.clone())
+}
+
+/// Returns a failure of a request that did not run.
+pub(crate) fn not_run(reason: Reason, message: &str) -> Failure {
+    Failure {
+        outcome: Outcome::NotRun,
+        reason,
+        message: message.to_owned(),
+        retry_after_ms: None,
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -0,0 +1,366 @@
+//! The relay of an answer from the upstream to the entry daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use primrosehoist::coordination::admission::Finish;
+use primrosehoist::protocol::openai::Rejection;
+use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist::protocol::sse::{self, Parser, Sequence, Step};
+use primrosehoist::protocol::wire::Reply;
+use primrosehoist::state::limit;
+use primrosehoist::transport::http::Payload;
+use primrosehoist::transport::http::upstream::{self, Exchange};
+use tokio::time::{sleep, timeout, timeout_at};
+
+use super::flight::Flight;
+use super::responder::{Gone, Responder};
+use super::{Task, call, not_run};
+
+/// The longest refusal that is read to learn whether the upstream ran anything, in bytes.
+const REFUSAL_BYTES_MAX: usize = 64 * 1024;
+
+/// The longest time for the rest of a refusal.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Tries to resume a stream at the same engine before the entry daemon is told.
+const RESUMES_MAX: u32 = 3;
+
+/// The time before a stream is resumed.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
+/// Why a relay ended without a whole answer.
+#[derive(Debug)]
+enum Stop {
+    /// The upstream refused the request and ran nothing.
+    Rejected(Failure),
+    /// The request was not sent.
+    Unsent(Failure),
+    /// The connection to the upstream failed after bytes were handed over.
+    Broken(Failure),
+    /// The upstream answered something that cannot belong to the request.
+    Invalid(Failure),
+    /// The time limit passed.
+    Expired,
+    /// Nobody waits for the answer any more.
+    Gone(Gone),
+}
+
+/// Sends the request and relays the answer; returns the last reply.
+pub(crate) async fn run(
+    task: Task,
+    body: Payload,
+    flight: Flight,
+    responder: &mut Responder,
+) -> Reply {
+    let task = Arc::new(task);
+    let relayed = if task.dispatch.resume_from > 0 {
+        stream(&task, None, &flight, responder).await
+    } else {
+        start(&task, body, &flight, responder).await
+    };
+    match relayed {
+        Ok(()) => {
+            flight.finish(Finish::Completed);
+            Reply::End
+        }
+        Err(stop) => settle(&task, flight, stop),
+    }
+}
+
+/// Ends the attempt at the upstream as its failure demands.
+fn settle(task: &Arc<Task>, flight: Flight, stop: Stop) -> Reply {
+    let (failure, finish, may_run) = match stop {
+        Stop::Rejected(failure) => (failure, Finish::Failed(limit::Failure::Refused), false),
+        Stop::Unsent(failure) => (failure, Finish::Failed(limit::Failure::Connect), false),
+        Stop::Broken(failure) | Stop::Invalid(failure) => {
+            (failure, Finish::Failed(limit::Failure::Broken), true)
+        }
+        Stop::Expired => (expired(), Finish::Failed(limit::Failure::Timeout), true),
+        Stop::Gone(Gone::Cut) if task.engine => {
+            call::abandon(flight);
+            return Reply::Failed(gone());
+        }
+        Stop::Gone(_) => (gone(), Finish::Cancelled, true),
+    };
+    // An engine may run on without its connection; a plain service is not asked to stop.
+    if may_run && task.engine {
+        call::cancel(Arc::clone(task), flight, finish);
+    } else {
+        flight.finish(finish);
+    }
+    Reply::Failed(failure)
+}
+
+async fn start(
+    task: &Task,
+    body: Payload,
+    flight: &Flight,
+    responder: &mut Responder,
+) -> Result<(), Stop> {
+    let place = flight.place();
+    let request = call::request(task, body).map_err(|_source| {
+        Stop::Unsent(not_run(
+            Reason::BadRequest,
+            "the request cannot be expressed",
+        ))
+    })?;
+    let gate = call::gate(task, place);
+    let sent = tokio::select! {
+        sent = timeout_at(task.deadline, place.pool.send(request, &gate)) => sent,
+        gone = responder.closed() => return Err(Stop::Gone(gone)),
+    };
+    match sent {
+        Ok(Ok(exchange)) => answer(task, exchange, flight, responder).await,
+        Ok(Err(error)) if !gate.handed() => Err(Stop::Unsent(unsent(&error))),
+        Ok(Err(error)) => Err(Stop::Broken(failed(&error.to_string()))),
+        Err(_) if !gate.handed() => Err(Stop::Unsent(not_run(Reason::Timeout, "not sent in time"))),
+        Err(_) => Err(Stop::Expired),
+    }
+}
+
+async fn answer(
+    task: &Task,
+    exchange: Exchange,
+    flight: &Flight,
+    responder: &mut Responder,
+) -> Result<(), Stop> {
+    let status = exchange.response.status().as_u16();
+    if matches!(status, 409 | 429 | 503) || (task.engine && status >= 500) {
+        return refused(task, status, exchange, flight, responder).await;
+    }
+    if task.dispatch.stream && status == 200 {
+        return stream(task, Some(exchange), flight, responder).await;
+    }
+    check_attempt(task, &exchange)?;
+    plain(task, exchange, flight, responder).await
+}
+
+/// Relays a stream of events, resuming it at the same engine when the connection breaks.
+async fn stream(
+    task: &Task,
+    exchange: Option<Exchange>,
+    flight: &Flight,
+    responder: &mut Responder,
+) -> Result<(), Stop> {
+    let mut sequence = Sequence::new(&task.dispatch.attempt, task.dispatch.resume_from);
+    let mut exchange = exchange;
+    let mut resumes = 0;
+    loop {
+        let current = match exchange.take() {
+            Some(current) => current,
+            None => resume(task, flight, responder, sequence.next_index()).await?,
+        };
+        match events(task, current, &mut sequence, flight, responder).await {
+            Err(Stop::Broken(_)) if resumes < RESUMES_MAX => {
+                resumes += 1;
+                sleep(RESUME_PAUSE).await;
+            }
+            ended => return ended,
+        }
+    }
+}
+
+async fn resume(
+    task: &Task,
+    flight: &Flight,
+    responder: &mut Responder,
+    from: u64,
+) -> Result<Exchange, Stop> {
+    let resumed = tokio::select! {
+        resumed = timeout_at(task.deadline, call::resume(task, flight.place(), from)) => resumed,
+        gone = responder.closed() => return Err(Stop::Gone(gone)),
+    };
+    let exchange = match resumed {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(error)) => return Err(Stop::Broken(failed(&error.to_string()))),
+        Err(_) => return Err(Stop::Expired),
+    };
+    if exchange.response.status() != http::StatusCode::OK {
+        return Err(Stop::Invalid(failed("the engine cannot resume the stream")));
+    }
+    Ok(exchange)
+}
+
+async fn events(
+    task: &Task,
+    mut exchange: Exchange,
+    sequence: &mut Sequence,
+    flight: &Flight,
+    responder: &mut Responder,
+) -> Result<(), Stop> {
+    let mut parser = Parser::default();
+    while let Some(data) = next_data(task, exchange.response.body_mut(), responder).await? {
+        parser.push(&data);
+        while let Some(event) = parser.next_event().map_err(|error| invalid(&error))? {
+            let step = sequence.accept(event).map_err(|error| invalid(&error))?;
+            relay_step(step, flight, responder).await?;
+        }
+    }
+    if !sequence.is_done() {
+        return Err(Stop::Broken(failed(
+            "the stream ended before its last event",
+        )));
+    }
+    if parser.is_partial() {
+        return Err(Stop::Invalid(failed("bytes follow the last event")));
+    }
+    flight.place().pool.give_back(exchange);
+    Ok(())
+}
+
+async fn relay_step(step: Step, flight: &Flight, responder: &mut Responder) -> Result<(), Stop> {
+    let Step::Part { index, data } = step else {
+        return Ok(());
+    };
+    flight.note_part(index == 0);
+    if index == 0 {
+        let content_type = "text/event-stream".to_owned();
+        let head = Reply::Head {
+            status: 200,
+            content_type,
+        };
+        responder.send(head).await.map_err(Stop::Gone)?;
+    }
+    let part = Reply::Part { index, data };
+    responder.send(part).await.map_err(Stop::Gone)
+}
+
+/// Relays an answer that is not a stream of events.
+async fn plain(
+    task: &Task,
+    mut exchange: Exchange,
+    flight: &Flight,
+    responder: &mut Responder,
+) -> Result<(), Stop> {
+    let head = Reply::Head {
+        status: exchange.response.status().as_u16(),
+        content_type: content_type(&exchange),
+    };
+    responder.send(head).await.map_err(Stop::Gone)?;
+    flight.note_part(true);
+    let mut index = 0;
+    while let Some(data) = next_data(task, exchange.response.body_mut(), responder).await? {
+        let part = Reply::Part { index, data };
+        responder.send(part).await.map_err(Stop::Gone)?;
+        index += 1;
+    }
+    flight.place().pool.give_back(exchange);
+    Ok(())
+}
+
+/// Reads a refusal; one that is not a plain word that nothing ran counts as a failure or, from
+/// a plain service, as its answer.
+async fn refused(
+    task: &Task,
+    status: u16,
+    mut exchange: Exchange,
+    flight: &Flight,
+    responder: &mut Responder,
+) -> Result<(), Stop> {
+    let head = Reply::Head {
+        status,
+        content_type: content_type(&exchange),
+    };
+    let limited = Limited::new(exchange.response.body_mut(), REFUSAL_BYTES_MAX).collect();
+    let Ok(Ok(body)) = timeout(REFUSAL_TIMEOUT, limited).await else {
+        return Err(Stop::Broken(failed("a refusal was not whole")));
+    };
+    let body = body.to_bytes();
+    flight.place().pool.give_back(exchange);
+    if let Some(rejection) = Rejection::read(status, &body) {
+        return Err(Stop::Rejected(rejected(rejection)));
+    }
+    if task.engine {
+        let message = format!("the upstream answered with status {status}");
+        return Err(Stop::Invalid(failed(&message)));
+    }
+    responder.send(head).await.map_err(Stop::Gone)?;
+    let part = Reply::Part {
+        index: 0,
+        data: body,
+    };
+    responder.send(part).await.map_err(Stop::Gone)
+}
+
+async fn next_data(
+    task: &Task,
+    body: &mut Incoming,
+    responder: &mut Responder,
+) -> Result<Option<Bytes>, Stop> {
+    loop {
+        let frame = tokio::select! {
+            frame = timeout_at(task.deadline, body.frame()) => frame,
+            gone = responder.closed() => return Err(Stop::Gone(gone)),
+        };
+        match frame {
+            Err(_) => return Err(Stop::Expired),
+            Ok(None) => return Ok(None),
+            Ok(Some(Err(_))) => return Err(Stop::Broken(failed("the answer was cut off"))),
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    return Ok(Some(data));
+                }
+            }
+        }
+    }
+}
+
+/// Checks that the answer of an engine names the attempt.
+fn check_attempt(task: &Task, exchange: &Exchange) -> Result<(), Stop> {
+    let named = exchange.response.headers().get("x-request-id");
+    let matches = named.is_some_and(|id| id.as_bytes() == task.dispatch.attempt.as_bytes());
+    if task.engine && !matches {
+        return Err(Stop::Invalid(failed(
+            "the answer belongs to another attempt",
+        )));
+    }
+    Ok(())
+}
+
+fn content_type(exchange: &Exchange) -> String {
+    let value = exchange.response.headers().get(http::header::CONTENT_TYPE);
+    let text = value.and_then(|value| value.to_str().ok());
+    text.unwrap_or("application/octet-stream").to_owned()
+}
+
+fn rejected(rejection: Rejection) -> Failure {
+    match rejection {
+        Rejection::Stale => not_run(Reason::Unavailable, "the upstream has another holder"),
+        Rejection::Full => not_run(Reason::Overloaded, "the upstream refused the request"),
+    }
+}
+
+fn unsent(error: &upstream::Error) -> Failure {
+    not_run(Reason::Unavailable, &error.to_string())
+}
+
+fn invalid(error: &sse::Error) -> Stop {
+    Stop::Invalid(failed(&error.to_string()))
+}
+
+fn expired() -> Failure {
+    Failure {
+        reason: Reason::Timeout,
+        ..failed("the time limit of the request passed")
+    }
+}
+
+fn gone() -> Failure {
+    Failure {
+        reason: Reason::Cancelled,
+        ..failed("the caller ended the request")
+    }
+}
+
+fn failed(message: &str) -> Failure {
+    Failure {
+        outcome: Outcome::Unknown,
+        reason: Reason::UpstreamFailed,
+        message: message.to_owned(),
+        retry_after_ms: None,
+    }
+}
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,6 +4,15 @@
 //! next. Transport performs it.
 
 pub mod admission;
+pub mod backoff;
 pub mod claim;
+pub mod heartbeat;
+pub mod holding;
 pub mod lease;
+pub mod membership;
 pub mod poison;
+pub mod promise;
+pub mod rendezvous;
+pub mod request;
+pub mod retry;
+pub mod spread;
