Test that the tool makes lost reads again

Cause: the retry of reads had no test. Change: the fake platform can lose reads; four lost reads pass, endless ones fail by name.

--- a/crates/primrosehoist-cli/tests/support/mod.rs
+++ b/crates/primrosehoist-cli/tests/support/mod.rs
@@ -28,6 +28,8 @@
     pub objects: BTreeMap<String, Value>,
     /// What the next creates meet; the first is next.
     pub faults: Vec<Fault>,
+    /// How many of the next reads get no answer.
+    pub lost_reads: usize,
     /// The number of creates that came in.
     pub creates: usize,
     /// The authorization of the last call.
@@ -71,6 +73,10 @@
         content.faults = faults.to_vec();
     }
 
+    pub fn lose_reads(&self, reads: usize) {
+        self.content.lock().expect("no thread panicked").lost_reads = reads;
+    }
+
     pub fn creates(&self) -> usize {
         self.content.lock().expect("no thread panicked").creates
     }
@@ -137,6 +143,10 @@
     content.authorization = call.authorization;
     let not_found = || (404, json!({}));
     match call.method.as_str() {
+        "GET" if content.lost_reads > 0 => {
+            content.lost_reads -= 1;
+            None
+        }
         "GET" => {
             let found = content.objects.get(&call.path);
             Some(found.map_or_else(not_found, |object| (200, object.clone())))
--- a/crates/primrosehoist-cli/tests/tool.rs
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -174,6 +174,22 @@
     assert_eq!(platform.creates(), 3);
 }
 
+#[test]
+fn lost_reads_are_made_again_and_give_up_in_the_end() {
+    let platform = Fake::start();
+    platform.lose_reads(4);
+    let run = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(run.code, 0, "{run:?}");
+    platform.lose_reads(usize::MAX);
+    let run = publish(&platform, &["--wait", "0s"]);
+    assert_eq!(run.code, 1, "{run:?}");
+    assert!(
+        run.err.contains("read the snapshot at 127.0.0.1:"),
+        "{run:?}"
+    );
+    assert_eq!(platform.creates(), 1);
+}
+
 #[test]
 fn a_lost_race_names_the_winner() {
     let platform = Fake::start();
