Collect the test fleet's files under the name that the tool looks for

Cause: the tool reads only hoist.toml and *.hoist.toml, so that no other TOML file is taken for one of ours; the harness wrote fleet.toml, and all five path tests ended at the publish. Change: the harness writes fleet.hoist.toml.

--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -185,7 +185,8 @@
         for service in &self.services {
             files.push_str(&self.upstream(service, "orders", ""));
         }
-        std::fs::write(self.directory.join("files/fleet.toml"), files).expect("files are written");
+        std::fs::write(self.directory.join("files/fleet.hoist.toml"), files)
+            .expect("files are written");
     }
 
     fn upstream(&self, backend: &Backend, service: &str, more: &str) -> String {
