Wait for the holder of upstreams that have none yet

Cause: a request that came between a start (or the death of a holder) and the next advert was refused as unavailable at once: 3 of 5 path tests failed in the first second after the start. Ruled out: a fault of the adverts; the view was filled within two seconds, and plain services were served. Change: an entry looks every 50 ms for up to 8 s (a takeover takes silence, lease and margin), if the configuration has an upstream that may come to be held; otherwise it refuses at once.

--- a/crates/primrosehoist-daemon/src/dispatch/choose.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/choose.rs
@@ -1,9 +1,13 @@
 //! The choice of the upstream for an attempt.
 
+use std::time::Duration;
+
 use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::state::fleet::Presence;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
 use primrosehoist::state::placement::{self, Ask, Refusal};
+use tokio::time::{Instant, sleep};
 
 use super::Job;
 use crate::holder::not_run;
@@ -12,12 +16,53 @@
 /// After how many milliseconds a caller retries when nothing can be chosen.
 const RETRY_AFTER_MS: u64 = 1000;
 
+/// How long a request waits for a holder of upstreams that have none.
+///
+/// Longer than a takeover: silence, lease and margin together.
+const HOLDER_WAIT: Duration = Duration::from_secs(8);
+
+/// The time between two looks for a holder.
+const HOLDER_POLL: Duration = Duration::from_millis(50);
+
+/// Chooses an upstream, and waits for one that has no holder at the moment.
+///
+/// # Errors
+///
+/// Returns why nothing can be chosen; the attempt did not run.
+pub(crate) async fn find(
+    node: &Node,
+    job: &Job,
+    excluded: &mut Set<name::Upstream>,
+) -> Result<name::Upstream, Failure> {
+    let end = job.deadline.min(Instant::now() + HOLDER_WAIT);
+    loop {
+        let chosen = choose(node, job, excluded);
+        let unheld = matches!(&chosen, Err(failure) if failure.reason == Reason::Unavailable);
+        if !unheld || !may_be_held(node, job) || Instant::now() + HOLDER_POLL >= end {
+            return chosen;
+        }
+        sleep(HOLDER_POLL).await;
+    }
+}
+
+/// Returns whether the configuration has an upstream that a daemon may come to hold.
+fn may_be_held(node: &Node, job: &Job) -> bool {
+    let fleet = node.fleet.load();
+    let of_job = fleet
+        .upstreams
+        .values()
+        .filter(|u| u.service == job.service);
+    of_job
+        .filter(|u| u.half == job.half && u.state == Presence::Live)
+        .any(|u| !fleet.zones_out.contains(&u.zone))
+}
+
 /// Chooses an upstream that is not in `excluded`; if only excluded ones are left, forgets them.
 ///
 /// # Errors
 ///
 /// Returns why nothing can be chosen; the attempt did not run.
-pub(crate) fn choose(
+fn choose(
     node: &Node,
     job: &Job,
     excluded: &mut Set<name::Upstream>,
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -168,7 +168,11 @@
     sink: &mut Sink,
 ) -> Action {
     if !plan.resumes {
-        match choose::choose(node, job, &mut plan.excluded) {
+        let chosen = tokio::select! {
+            chosen = choose::find(node, job, &mut plan.excluded) => chosen,
+            () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
+        };
+        match chosen {
             Ok(upstream) => {
                 plan.attempts += 1;
                 let id = format!("{}-{}", job.id, plan.attempts);
