Make the test of a predecessor's requests see the slots

Change: the test checks slots with free memory, then memory; no check was taken away. Ruled out: a second test, as one shows both in turn.

--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -216,7 +216,7 @@
     let mut scheduler = scheduler(2);
     scheduler.set_foreign(Foreign {
         requests: 2,
-        memory_tokens: MEMORY - 1_000,
+        memory_tokens: 0,
     });
     assert_eq!(scheduler.offer(item(1, 1_001, now), now), Verdict::Queued);
     assert_eq!(scheduler.offer(suspect(2, now), now), Verdict::Queued);
