Bound the queue by the learned limit, not by the present one

Cause: an upstream whose slots all hold long answers shows neither a first token nor a completion for more than 5 s. The present limit then falls to the cold value as a caution, and the queue's bound with it, so requests that wait for a healthy upstream were displaced. Change: the bound and the expected wait follow what was learned; only sends follow the present limit. Ruled out: tokens as a sign of warmth, because a cold upstream that holds too much work yields tokens too. Figures: long_answers_displace_no_one failed before and passes after.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -338,7 +338,7 @@
     }
 
     fn queue_max(&self, now: Instant) -> usize {
-        QUEUE_PER_SLOT * self.limit.current(now).max(1) as usize
+        QUEUE_PER_SLOT * self.limit.learned(now).max(1) as usize
     }
 
     fn slots(&self, now: Instant) -> u32 {
--- a/src/coordination/admission/refusal.rs
+++ b/src/coordination/admission/refusal.rs
@@ -48,7 +48,7 @@
 
     /// Returns the expected time until a slot is free for `item`.
     fn slot_wait(&self, item: &Item, now: Instant) -> Duration {
-        let slots = self.slots(now).max(1);
+        let slots = self.limit.learned(now).max(1);
         if self.flights.len() < slots as usize {
             return Duration::ZERO;
         }
--- a/src/state/limit.rs
+++ b/src/state/limit.rs
@@ -92,11 +92,10 @@
 
     /// Returns how many requests the upstream may have in flight.
     pub fn current(&self, now: Instant) -> u32 {
-        let stale = is_older(self.evidence, now, EVIDENCE_MAX);
-        let learned = if stale || is_older(self.touched, now, IDLE_MAX) {
+        let learned = if is_older(self.evidence, now, EVIDENCE_MAX) {
             self.cold
         } else {
-            self.learned()
+            self.learned(now)
         };
         match self.report {
             Some(report) if !is_older(Some(report.received), now, REPORT_MAX) => {
@@ -106,6 +105,18 @@
         }
     }
 
+    /// Returns the limit that completions have shown, whether or not it is in use at `now`.
+    ///
+    /// It serves to plan ahead, as for the bound of a queue. Only [`Limit::current`] may be sent.
+    pub fn learned(&self, now: Instant) -> u32 {
+        if is_older(self.touched, now, IDLE_MAX) {
+            return self.cold;
+        }
+        let completions = u64::from(self.completions.min(self.completions_to_warm));
+        let growth = u64::from(self.warm - self.cold) * completions;
+        self.cold + (growth / u64::from(self.completions_to_warm)) as u32
+    }
+
     /// Returns the shown prefill rate in tokens per second, if any was shown.
     pub fn rate(&self) -> Option<f64> {
         self.rate
@@ -180,12 +191,6 @@
         self.evidence = None;
     }
 
-    fn learned(&self) -> u32 {
-        let completions = u64::from(self.completions.min(self.completions_to_warm));
-        let growth = u64::from(self.warm - self.cold) * completions;
-        self.cold + (growth / u64::from(self.completions_to_warm)) as u32
-    }
-
     fn touch(&mut self, now: Instant) {
         if is_older(self.touched, now, IDLE_MAX) {
             self.cool();
--- a/tests/admission_rules.rs
+++ b/tests/admission_rules.rs
@@ -341,17 +341,22 @@
     assert_eq!(scheduler.offer(next, shown), Verdict::Send);
 }
 
-#[test]
-fn an_overdue_first_token_cools_and_displaces() {
-    let now = Instant::now();
-    let mut scheduler = scheduler(2);
-    let warm = now + Duration::from_millis(50);
+/// Shows the upstream warm, by short prompts sent at `now` and answered at `warm`.
+fn warm_up(scheduler: &mut Scheduler, now: Instant, warm: Instant) {
     for ticket in 0..64 {
         scheduler.offer(item(ticket, 1_000, now), now);
         scheduler.first_token(ticket, warm);
         scheduler.finished(ticket, Finish::Completed, warm);
     }
     assert_eq!(scheduler.advert(warm).limit, 16);
+}
+
+#[test]
+fn an_overdue_first_token_cools_and_displaces() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(2);
+    let warm = now + Duration::from_millis(50);
+    warm_up(&mut scheduler, now, warm);
     for ticket in 100..150 {
         scheduler.offer(item(ticket, 1_000, warm), warm);
     }
@@ -362,6 +367,20 @@
     assert_eq!(scheduler.displaced(overdue).len(), 34 - 2 * QUEUE_PER_SLOT);
 }
 
+#[test]
+fn long_answers_displace_no_one() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(2);
+    warm_up(&mut scheduler, now, now + Duration::from_millis(50));
+    for ticket in 100..150 {
+        scheduler.offer(item(ticket, 1_000, now), now);
+        scheduler.first_token(ticket, now);
+    }
+    let later = now + Duration::from_secs(20);
+    assert!(scheduler.next(later).is_empty() && scheduler.displaced(later).is_empty());
+    assert_eq!((scheduler.in_flight(), scheduler.queued()), (16, 34));
+}
+
 #[test]
 fn halves_do_not_use_an_upstream_together() {
     let now = Instant::now();
