--- /dev/null
+++ b/tests/admission_rules/runs.rs
@@ -0,0 +1,132 @@
+//! Random runs, in which no rule may be broken.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use arbtest::arbitrary::Unstructured;
+use arbtest::arbtest;
+use primrosehoist::coordination::admission::{Finish, Scheduler, Verdict};
+use primrosehoist::state::limit::Failure;
+use primrosehoist::state::queue::{Item, Ticket};
+use tokio::time::Instant;
+
+use crate::fixture::{MEMORY, half, item, upstream};
+
+/// The requests of a random run, by where they are.
+#[derive(Default)]
+struct Run {
+    offered: Vec<Item>,
+    waiting: BTreeSet<Ticket>,
+    flying: BTreeSet<Ticket>,
+}
+
+impl Run {
+    fn flying(&self) -> impl Iterator<Item = &Item> {
+        self.flying.iter().map(|t| &self.offered[*t as usize])
+    }
+
+    fn pick(u: &mut Unstructured<'_>, set: &BTreeSet<Ticket>) -> Option<Ticket> {
+        let index = u.choose_index(set.len().max(1)).ok()?;
+        set.iter().nth(index).copied()
+    }
+
+    fn offer(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        scheduler: &mut Scheduler,
+        now: Instant,
+    ) -> arbtest::arbitrary::Result<()> {
+        let ticket = self.offered.len() as Ticket;
+        let mut item = item(ticket, u.int_in_range(0..=MEMORY + 1_000)?, now);
+        if u.arbitrary()? {
+            item.prompt_tokens %= 4_000;
+        }
+        item.suspect = u.ratio(1, 10)?;
+        item.half = half(if u.ratio(1, 4)? { "g" } else { "h" });
+        item.deadline = now + Duration::from_millis(u.int_in_range(0..=30_000)?);
+        self.offered.push(item.clone());
+        match scheduler.offer(item, now) {
+            Verdict::Send => self.depart(ticket),
+            Verdict::Queued => assert!(self.waiting.insert(ticket)),
+            Verdict::Refused(..) => {}
+        }
+        Ok(())
+    }
+
+    /// Takes a request as sent, and checks that it does not mix with what is in flight.
+    fn depart(&mut self, ticket: Ticket) {
+        let item = &self.offered[ticket as usize];
+        let alone = item.suspect || self.flying().any(|other| other.suspect);
+        assert!(!alone || self.flying.is_empty(), "a suspect runs alone");
+        assert!(self.flying().all(|other| other.half == item.half));
+        assert!(self.flying.insert(ticket));
+    }
+
+    fn step(
+        &mut self,
+        u: &mut Unstructured<'_>,
+        scheduler: &mut Scheduler,
+        now: Instant,
+    ) -> arbtest::arbitrary::Result<()> {
+        let flying = Self::pick(u, &self.flying);
+        let mut left = Vec::new();
+        match (u.int_in_range(0..=11)?, flying) {
+            (0..=4, _) => self.offer(u, scheduler, now)?,
+            (5..=6, Some(ticket)) => scheduler.first_token(ticket, now),
+            (7..=9, Some(ticket)) => {
+                let ends = [
+                    Finish::Completed,
+                    Finish::Completed,
+                    Finish::Cancelled,
+                    Finish::NotSent,
+                    Finish::Failed(Failure::Broken),
+                ];
+                scheduler.finished(ticket, *u.choose(&ends)?, now);
+                self.flying.remove(&ticket);
+            }
+            (10, _) => left = scheduler.switch(half(if u.arbitrary()? { "g" } else { "h" })),
+            (11, _) if u.arbitrary()? => left = scheduler.drain(),
+            _ => {}
+        }
+        left.extend(scheduler.expire(now));
+        left.extend(scheduler.displaced(now));
+        for ticket in left {
+            assert!(self.waiting.remove(&ticket));
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn no_rule_is_broken_in_any_run() {
+    arbtest(|u| {
+        let mut now = Instant::now();
+        let reserve = u.int_in_range(0..=2)?;
+        let mut scheduler = Scheduler::new(&upstream(3), 1, reserve);
+        let mut run = Run::default();
+        for _ in 0..200 {
+            now += Duration::from_millis(u.int_in_range(0..=400)?);
+            let before = run.flying.len();
+            run.step(u, &mut scheduler, now)?;
+            for ticket in scheduler.next(now) {
+                assert!(run.waiting.remove(&ticket));
+                run.depart(ticket);
+            }
+            check(&run, &mut scheduler, before, reserve, now);
+        }
+        Ok(())
+    })
+    .budget_ms(3_000);
+}
+
+fn check(run: &Run, scheduler: &mut Scheduler, before: usize, reserve: u32, now: Instant) {
+    let advert = scheduler.advert(now);
+    let limit = scheduler.limit_mut().current(now);
+    let memory: u64 = run.flying().map(Item::memory_tokens).sum();
+    assert_eq!(scheduler.in_flight(), run.flying.len());
+    assert_eq!(scheduler.queued(), run.waiting.len());
+    assert_eq!(advert.limit, limit.saturating_sub(reserve));
+    assert!(run.flying.len() <= before.max(advert.limit as usize));
+    assert!(memory <= MEMORY);
+    assert_eq!(advert.memory_free, MEMORY - memory);
+}
