Wait for the counts of a stand-in that is down after a crash

Cause: a crashed engine refuses connections for a while, and the poison test read its counts then. Change: the harness waits up to 15 s for the counts.

--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -395,9 +395,18 @@
     assert!(reply.status < 300, "faults of {address}: {reply:?}");
 }
 
-/// Returns the counts of the stand-in at `address`.
+/// Returns the counts of the stand-in at `address`, which may be down after a crash for a while.
 pub fn counts(address: &str) -> Value {
-    caller::call("GET", &format!("http://{address}/standin/counts"), &[], "").json()
+    let url = format!("http://{address}/standin/counts");
+    let end = Instant::now() + Duration::from_secs(15);
+    loop {
+        let reply = caller::call("GET", &url, &[], "");
+        if reply.status == 200 {
+            return reply.json();
+        }
+        assert!(Instant::now() < end, "no counts from {address}: {reply:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
 }
 
 /// Returns the bearer token of operators.
