Add the demo and a caller that judges what comes back

Cause: nothing sent real prompts through the separate processes and judged the answers.

Change: 'primrosehoist-standin send' sends a plan in turn through daemons, checks that each answer is whole and its own, and compares with the stand-ins' counts; 'scripts/demo' starts a fleet on loopback, publishes examples/fleet, sends examples/demo.toml and ends all it started.

Ruled out: counting an engine's completed work beyond the complete answers as doubled. It counted requests that ran once and whose answer was lost on the way; runs are now held against the requests that may have run.

--- a/crates/primrosehoist-standin/src/command.rs
+++ b/crates/primrosehoist-standin/src/command.rs
@@ -109,17 +109,43 @@
     given.map_err(|error| Error::Option(key, error))
 }
 
+/// Reads an option that must be given.
+///
+/// # Errors
+///
+/// Returns [`Error::Option`] if it is missing or cannot be parsed.
+pub(crate) fn required<T>(arguments: &mut Arguments, key: &'static str) -> Result<T, Error>
+where
+    T: FromStr,
+    T::Err: std::fmt::Display,
+{
+    let given = arguments.value_from_str(key);
+    given.map_err(|error| Error::Option(key, error))
+}
+
+/// Addresses separated by commas.
+#[derive(Debug, Clone)]
+pub(crate) struct Addresses(pub(crate) Vec<SocketAddr>);
+
+impl FromStr for Addresses {
+    type Err = std::net::AddrParseError;
+
+    fn from_str(text: &str) -> Result<Addresses, Self::Err> {
+        let parsed: Result<_, _> = text.split(',').map(str::parse).collect();
+        parsed.map(Addresses)
+    }
+}
+
 /// Reads the address to listen on.
 ///
 /// # Errors
 ///
 /// Returns [`Error::Option`] if it is missing or no address.
 pub(crate) fn listen(arguments: &mut Arguments) -> Result<SocketAddr, Error> {
-    let given = arguments.value_from_str(LISTEN);
-    given.map_err(|error| Error::Option(LISTEN, error))
+    required(arguments, LISTEN)
 }
 
-/// Reads the options of a subcommand and runs it until a signal ends it.
+/// Reads the options of a subcommand and runs it to its end.
 pub(crate) fn run<Options, Parse, Serve, Running>(
     mut arguments: Arguments,
     help: &str,
@@ -157,7 +183,7 @@
         .map_err(|error| Error::Run("starting the runtime", error))?;
     let ended = runtime.block_on(serve(options));
     runtime.shutdown_background();
-    ended.map_err(|error| Error::Run("serving", error))?;
+    ended.map_err(|error| Error::Run("running", error))?;
     Ok(Outcome::Done)
 }
 
--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for what primrosehoist serves and depends on: the platform, an engine and a plain
 //! service. Each is a small, seeded model that counts what it was given.
 
+mod caller;
 mod command;
 mod connection;
 mod engine;
@@ -8,6 +9,7 @@
 mod logging;
 mod platform;
 mod reply;
+mod send;
 mod service;
 
 use std::process::ExitCode;
@@ -23,12 +25,13 @@
   platform   serves the platform's object API
   engine     serves a model of an inference engine
   service    serves a plain service
+  send       sends the prompts and calls of a plan and judges the answers
 
 Options:
   --help     prints this text, or that of a command
   --version  prints the version
 
-Exit codes: 0 ended by a signal, 1 failed while running, 2 wrong arguments.
+Exit codes: 0 done or ended by a signal, 1 failed while running, 2 wrong arguments.
 ";
 
 fn main() -> ExitCode {
@@ -50,6 +53,7 @@
         ),
         "engine" => command::run(arguments, engine::HELP, engine::options, engine::serve),
         "service" => command::run(arguments, service::HELP, service::options, service::serve),
+        "send" => command::run(arguments, send::HELP, send::options, send::run),
         other => command::finish(Err(command::Error::Command(other.to_owned()))),
     }
 }
--- /dev/null
+++ b/crates/primrosehoist-standin/src/send/judge.rs
@@ -0,0 +1,145 @@
+//! The judgement over all answers and the stand-ins' counts.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+
+use primrosehoist::state::map::{Map, Set};
+use serde_json::Value;
+
+use crate::caller::answer::Outcome;
+use crate::caller::connection;
+use crate::send::Sent;
+use crate::send::plan::Action;
+
+/// What came of a plan.
+#[derive(Debug, Default)]
+pub(crate) struct Verdict {
+    complete: u64,
+    refused: u64,
+    lost: u64,
+    doubled: u64,
+    unexpected: u64,
+}
+
+impl Verdict {
+    /// Judges what the caller saw.
+    pub(crate) fn of_answers(sent: &[Sent<'_>]) -> Verdict {
+        let mut verdict = Verdict::default();
+        for done in sent {
+            match done.answer.outcome {
+                Outcome::Complete => verdict.complete += 1,
+                Outcome::NotRun => verdict.refused += 1,
+                // A duplicate did not run, but the call that it repeats did.
+                Outcome::Unknown if done.is_expected() => verdict.refused += 1,
+                _ => verdict.lost += 1,
+            }
+            verdict.unexpected += u64::from(!done.is_expected());
+        }
+        verdict.count_repeats(sent);
+        verdict
+    }
+
+    /// Counts the calls that completed more than once for one idempotency key.
+    fn count_repeats(&mut self, sent: &[Sent<'_>]) {
+        let mut keys: Set<&str> = Set::default();
+        for done in sent {
+            let Action::Call(call) = &done.step.action else {
+                continue;
+            };
+            let is_complete = done.answer.outcome == Outcome::Complete;
+            let key = call.idempotency_key.as_deref().filter(|_| is_complete);
+            self.doubled += u64::from(key.is_some_and(|key| !keys.insert(key)));
+        }
+    }
+
+    /// Compares the prompts that completed with those that engines counted.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an engine cannot be reached.
+    pub(crate) async fn count_engines(
+        &mut self,
+        engines: &[SocketAddr],
+        sent: &[Sent<'_>],
+    ) -> io::Result<()> {
+        if engines.is_empty() {
+            return Ok(());
+        }
+        let mut completed = 0;
+        for engine in engines {
+            let counts = connection::counts(*engine).await?;
+            completed += counts["completed"].as_u64().unwrap_or(0);
+        }
+        self.compare(completed, sent, is_prompt);
+        Ok(())
+    }
+
+    /// Compares the calls that completed with those that services ran.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a service cannot be reached.
+    pub(crate) async fn count_services(
+        &mut self,
+        services: &[SocketAddr],
+        sent: &[Sent<'_>],
+    ) -> io::Result<()> {
+        if services.is_empty() {
+            return Ok(());
+        }
+        let mut unkeyed = 0;
+        let mut keyed: Map<String, u64> = Map::default();
+        for service in services {
+            let counts = connection::counts(*service).await?;
+            for call in counts["calls"].as_array().into_iter().flatten() {
+                match &call["idempotency_key"] {
+                    Value::String(key) => *keyed.entry(key.clone()).or_default() += 1,
+                    _ => unkeyed += 1,
+                }
+            }
+        }
+        let runs = unkeyed + keyed.values().sum::<u64>();
+        let repeats = runs - unkeyed - keyed.len() as u64;
+        self.doubled = self.doubled.max(repeats);
+        self.compare(runs, sent, |action| !is_prompt(action));
+        Ok(())
+    }
+
+    /// Runs fewer than the completed requests are lost; runs beyond those that may have run are
+    /// doubled.
+    fn compare<Counts>(&mut self, runs: u64, sent: &[Sent<'_>], counts: Counts)
+    where
+        Counts: Fn(&Action) -> bool,
+    {
+        let ended = |wanted: &[Outcome]| {
+            let counted = sent.iter().filter(|done| counts(&done.step.action));
+            let with = counted.filter(|done| wanted.contains(&done.answer.outcome));
+            with.count() as u64
+        };
+        let complete = ended(&[Outcome::Complete]);
+        let told_not_run = ended(&[Outcome::NotRun]);
+        let may_have_run = sent.iter().filter(|done| counts(&done.step.action)).count() as u64;
+        self.lost += complete.saturating_sub(runs);
+        self.doubled += runs.saturating_sub(may_have_run - told_not_run);
+    }
+
+    /// Returns whether nothing was lost, doubled or other than planned.
+    pub(crate) fn is_as_planned(&self) -> bool {
+        self.unexpected == 0 && self.lost == 0 && self.doubled == 0
+    }
+}
+
+fn is_prompt(action: &Action) -> bool {
+    matches!(action, Action::Prompt(_))
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "demo: complete={} refused={} lost={} doubled={}",
+            self.complete, self.refused, self.lost, self.doubled
+        )
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-standin/src/send/mod.rs
@@ -0,0 +1,137 @@
+//! Sends what a plan lists and judges every answer.
+
+mod judge;
+mod plan;
+mod table;
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pico_args::Arguments;
+
+use crate::caller::answer::Answer;
+use crate::command::{self, Addresses, Error};
+use judge::Verdict;
+use plan::{Action, Plan, Step};
+
+/// The help text of the subcommand.
+pub(crate) const HELP: &str = "\
+Sends the prompts and calls of a plan to daemons in turn and judges every answer.
+
+Usage: primrosehoist-standin send --callers A,B --plan FILE [OPTIONS]
+
+Options:
+  --callers A,B    caller ports of daemons
+  --plan FILE      what is sent, in TOML
+  --engines A,B    engine stand-ins whose counts are judged
+  --services A,B   service stand-ins whose counts are judged
+  --timeout-ms N   time limit of each request [default: 60000]
+  --log LEVEL      off, error, warn, info, debug or trace [default: warn]
+  --help           prints this text
+  --version        prints the version
+
+The plan lists [[prompt]] with key, model, file or tokens, max_tokens, and [[call]] with key,
+service, path, body, idempotency_key. Each may have times [default: 1] and expect: complete
+[default] or the code of the refusal. Files are relative to the plan.
+
+The last line is `demo: complete=N refused=N lost=N doubled=N`. Lost are requests that ended
+neither complete nor refused as not run, and completed ones that no stand-in counted; doubled
+are runs beyond one of a request or an idempotency key, and runs of requests told as not run. Exit codes: 0 all was as the plan says
+and nothing was lost or doubled, 1 it was not, 2 wrong arguments or plan.
+";
+
+/// The options of the subcommand.
+#[derive(Debug)]
+pub(crate) struct Options {
+    callers: Vec<SocketAddr>,
+    plan: Plan,
+    engines: Vec<SocketAddr>,
+    services: Vec<SocketAddr>,
+    timeout: Duration,
+}
+
+/// A step with what came back.
+#[derive(Debug)]
+struct Sent<'p> {
+    step: &'p Step,
+    prompt_tokens: Option<u64>,
+    answer: Answer,
+}
+
+impl Sent<'_> {
+    /// Returns whether the answer is what the plan says.
+    fn is_expected(&self) -> bool {
+        match self.answer.code.as_str() {
+            "" => self.step.expect == "complete",
+            code => self.step.expect == code,
+        }
+    }
+}
+
+/// Reads the options of the subcommand.
+///
+/// # Errors
+///
+/// Fails if an option is missing or wrong, or the plan cannot be read.
+pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
+    let path: String = command::required(arguments, "--plan")?;
+    let none = Addresses(Vec::new());
+    let timeout_ms = command::value(arguments, "--timeout-ms", 60_000)?;
+    Ok(Options {
+        callers: command::required::<Addresses>(arguments, "--callers")?.0,
+        engines: command::value(arguments, "--engines", none.clone())?.0,
+        services: command::value(arguments, "--services", none)?.0,
+        plan: plan::read(&path)?,
+        timeout: Duration::from_millis(timeout_ms),
+    })
+}
+
+/// Sends the plan, prints the table and the judgement.
+///
+/// # Errors
+///
+/// Fails if anything is not as the plan says, or a stand-in cannot be reached.
+pub(crate) async fn run(options: Options) -> io::Result<()> {
+    let mut sent = Vec::new();
+    table::print_head();
+    let steps = options.plan.steps.iter();
+    for (index, step) in steps.enumerate() {
+        let address = options.callers[index % options.callers.len()];
+        let done = send(&options, step, address, index).await;
+        table::print_row(&done, address);
+        sent.push(done);
+    }
+    let mut verdict = Verdict::of_answers(&sent);
+    verdict.count_engines(&options.engines, &sent).await?;
+    verdict.count_services(&options.services, &sent).await?;
+    println!("{verdict}");
+    if verdict.is_as_planned() {
+        Ok(())
+    } else {
+        Err(io::Error::other("not all was as the plan says"))
+    }
+}
+
+async fn send<'p>(
+    options: &Options,
+    step: &'p Step,
+    address: SocketAddr,
+    index: usize,
+) -> Sent<'p> {
+    match &step.action {
+        Action::Prompt(prompt) => {
+            let ask = prompt.ask(address, options.timeout, index as u64);
+            Sent {
+                step,
+                prompt_tokens: Some(ask.prompt_tokens()),
+                answer: ask.send().await,
+            }
+        }
+        Action::Call(call) => Sent {
+            step,
+            prompt_tokens: None,
+            answer: call.call(address, options.timeout).send().await,
+        },
+    }
+}
