Add an open-loop load with seeded mixes

Cause: nothing measured first-token times by prompt length under a mix of lengths.

Change: 'primrosehoist-standin load' draws requests of a mix from a seed, sends each when it is due, checks every answer, and reports quantiles by class of prompt length, outcomes, tokens by workspace and a series by second.

Ruled out: hashing a prompt before its send on the threads that serve sockets; a million tokens would hold up other requests, so it is done on a blocking thread before the time is taken.

--- a/crates/primrosehoist-standin/src/caller/answer.rs
+++ b/crates/primrosehoist-standin/src/caller/answer.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Returns an answer that could not be waited for.
+    pub(crate) fn failed<E>(error: E) -> Answer
+    where
+        E: std::fmt::Display,
+    {
+        let mut answer = Answer::none();
+        answer.broken(error);
+        answer
+    }
+
     /// Takes over the outcome and the reason of an error object.
     pub(crate) fn fail(&mut self, error: &Value) {
         self.outcome = match error["outcome"].as_str() {
--- a/crates/primrosehoist-standin/src/caller/prompt.rs
+++ b/crates/primrosehoist-standin/src/caller/prompt.rs
@@ -10,6 +10,7 @@
 use hyper::body::Frame;
 use primrosehoist::protocol::sse::{DONE, Event, Parser};
 use serde_json::{Value, json};
+use tokio::task;
 use tokio::time::{self, Instant};
 
 use crate::caller::answer::{Answer, Outcome};
@@ -80,9 +81,15 @@
 
     /// Sends the request, reads the answer to its end and judges it.
     pub(crate) async fn send(&self) -> Answer {
+        let text = self.text.clone();
+        // Hashing a long text would hold up the threads that send and receive.
+        let expected = match task::spawn_blocking(move || text.answer()).await {
+            Ok(expected) => expected,
+            Err(error) => return Answer::failed(error),
+        };
         let mut reading = Reading {
             answer: Answer::none(),
-            expected: self.text.answer(),
+            expected,
             max_tokens: self.max_tokens,
             started: Instant::now(),
             is_own: true,
--- /dev/null
+++ b/crates/primrosehoist-standin/src/load/progress.rs
@@ -0,0 +1,48 @@
+//! Progress on a terminal.
+
+use std::io::{IsTerminal, Write};
+use std::time::Duration;
+
+use crate::load::tally::Tally;
+
+/// Shows one line that is written over and over.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    is_shown: bool,
+}
+
+impl Progress {
+    /// Shows nothing yet.
+    pub(crate) fn new() -> Progress {
+        Progress {
+            is_shown: std::io::stderr().is_terminal(),
+        }
+    }
+
+    /// Shows how far the load is.
+    pub(crate) fn show(&mut self, elapsed: Duration, tally: &Tally) {
+        if !self.is_shown {
+            return;
+        }
+        let counts = tally.counts();
+        let mut out = std::io::stderr().lock();
+        let written = write!(
+            out,
+            "\r{:4} s  ended {} of {}  complete {}  refused {}  lost {} ",
+            elapsed.as_secs(),
+            counts.ended(),
+            counts.offered,
+            counts.complete,
+            counts.refused,
+            counts.lost
+        );
+        self.is_shown = written.and_then(|()| out.flush()).is_ok();
+    }
+
+    /// Ends the line.
+    pub(crate) fn end(self) {
+        if self.is_shown {
+            eprintln!();
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-standin/src/load/tally.rs
@@ -0,0 +1,211 @@
+//! Histograms and counters while a load runs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::caller::answer::{Answer, Outcome};
+use crate::load::Ended;
+use crate::load::arrival::{Arrival, Kind};
+use crate::load::mix::Mix;
+use crate::load::summary::{Class, Counts, Quantiles, Second, Summary, Workspace};
+
+/// The longest short prompt, in tokens.
+const SHORT_TOKENS: u64 = 4_096;
+/// The longest time that a histogram holds, in microseconds.
+const MICROSECONDS_MAX: u64 = 3_600_000_000;
+/// The names of the classes of prompt lengths and the longest prompt of each, in tokens.
+const CLASSES: [(&str, u64); 6] = [
+    ("1k", 2_000),
+    ("4k", 8_000),
+    ("16k", 32_000),
+    ("64k", 128_000),
+    ("256k", 512_000),
+    ("1M", u64::MAX),
+];
+
+#[derive(Debug)]
+struct Times(Histogram<u64>);
+
+impl Times {
+    fn new() -> Times {
+        let bounds = Histogram::new_with_bounds(1, MICROSECONDS_MAX, 3);
+        Times(bounds.expect("the bounds are valid"))
+    }
+
+    fn record(&mut self, time: Duration) {
+        self.0.saturating_record(time.as_micros() as u64);
+    }
+
+    fn quantiles(&self) -> Quantiles {
+        let at = |quantile| self.0.value_at_quantile(quantile) as f64 / 1_000.0;
+        Quantiles {
+            count: self.0.len(),
+            mean: self.0.mean() / 1_000.0,
+            p50: at(0.5),
+            p95: at(0.95),
+            p99: at(0.99),
+            max: self.0.max() as f64 / 1_000.0,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Group {
+    counts: Counts,
+    times: Times,
+}
+
+impl Group {
+    fn new() -> Group {
+        Group {
+            counts: Counts::default(),
+            times: Times::new(),
+        }
+    }
+}
+
+/// The counters of a load.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    mix: String,
+    all: Group,
+    late_max: Duration,
+    outcomes: BTreeMap<String, u64>,
+    classes: Vec<Group>,
+    calls: Times,
+    workspaces: Vec<Workspace>,
+    seconds: Vec<Group>,
+    last_end: Duration,
+}
+
+impl Tally {
+    /// Counts nothing yet.
+    pub(crate) fn new(mix: &Mix) -> Tally {
+        let workspaces = mix.workspaces.iter().map(|workspace| Workspace {
+            name: workspace.name.to_string(),
+            counts: Counts::default(),
+            offered_tokens: 0,
+            complete_tokens: 0,
+        });
+        Tally {
+            mix: mix.name.clone(),
+            all: Group::new(),
+            late_max: Duration::ZERO,
+            outcomes: BTreeMap::new(),
+            classes: CLASSES.iter().map(|_| Group::new()).collect(),
+            calls: Times::new(),
+            workspaces: workspaces.collect(),
+            seconds: Vec::new(),
+            last_end: Duration::ZERO,
+        }
+    }
+
+    /// Returns how all requests ended until now.
+    pub(crate) fn counts(&self) -> Counts {
+        self.all.counts
+    }
+
+    /// Counts requests that will be sent.
+    pub(crate) fn offer(&mut self, arrivals: &[Arrival]) {
+        for arrival in arrivals {
+            self.workspaces[arrival.workspace].offered_tokens += arrival.tokens();
+            self.each(arrival, |counts| counts.offered += 1);
+        }
+    }
+
+    /// Counts a request that ended.
+    pub(crate) fn add(&mut self, ended: &Ended) {
+        let Ended {
+            arrival,
+            answer,
+            late,
+        } = ended;
+        self.late_max = self.late_max.max(*late);
+        self.last_end = self.last_end.max(arrival.at + *late + answer.total);
+        *self.outcomes.entry(answer.word()).or_default() += 1;
+        self.each(arrival, |counts| match answer.outcome {
+            Outcome::Complete => counts.complete += 1,
+            Outcome::NotRun => counts.refused += 1,
+            _ => counts.lost += 1,
+        });
+        if answer.outcome == Outcome::Complete {
+            self.workspaces[arrival.workspace].complete_tokens += arrival.tokens();
+            self.time(arrival, answer);
+        }
+    }
+
+    fn time(&mut self, arrival: &Arrival, answer: &Answer) {
+        let Kind::Prompt { tokens, .. } = arrival.kind else {
+            return self.calls.record(answer.total);
+        };
+        let Some(first) = answer.first_token else {
+            return;
+        };
+        self.classes[class(tokens)].times.record(first);
+        if tokens <= SHORT_TOKENS {
+            self.all.times.record(first);
+            self.second(arrival).times.record(first);
+        }
+    }
+
+    fn second(&mut self, arrival: &Arrival) -> &mut Group {
+        let index = arrival.at.as_secs() as usize;
+        if self.seconds.len() <= index {
+            self.seconds.resize_with(index + 1, Group::new);
+        }
+        &mut self.seconds[index]
+    }
+
+    fn each<Change>(&mut self, arrival: &Arrival, change: Change)
+    where
+        Change: Fn(&mut Counts),
+    {
+        change(&mut self.all.counts);
+        change(&mut self.second(arrival).counts);
+        change(&mut self.workspaces[arrival.workspace].counts);
+        if let Kind::Prompt { tokens, .. } = arrival.kind {
+            change(&mut self.classes[class(tokens)].counts);
+        }
+    }
+
+    /// Returns the report; the settings of the load are left to be filled in.
+    pub(crate) fn summary(&self) -> Summary {
+        let complete: u64 = self.workspaces.iter().map(|w| w.complete_tokens).sum();
+        let classes = CLASSES.iter().zip(&self.classes);
+        let seconds = self.seconds.iter().enumerate();
+        Summary {
+            mix: self.mix.clone(),
+            late_ms_max: self.late_max.as_secs_f64() * 1_000.0,
+            counts: self.all.counts,
+            outcomes: self.outcomes.clone(),
+            short_first_token_ms: self.all.times.quantiles(),
+            call_total_ms: self.calls.quantiles(),
+            goodput_tokens_per_s: complete as f64 / self.last_end.as_secs_f64().max(1.0),
+            classes: classes
+                .map(|((name, most_tokens), group)| Class {
+                    name: (*name).to_owned(),
+                    most_tokens: *most_tokens,
+                    counts: group.counts,
+                    first_token_ms: group.times.quantiles(),
+                })
+                .collect(),
+            workspaces: self.workspaces.clone(),
+            series: seconds
+                .map(|(second, group)| Second {
+                    at_s: second as u64,
+                    counts: group.counts,
+                    short_first_token_ms: group.times.quantiles(),
+                })
+                .collect(),
+            ..Summary::default()
+        }
+    }
+}
+
+/// Returns the index of the class of a prompt of `tokens`.
+fn class(tokens: u64) -> usize {
+    let holds = |(_, most): &(&str, u64)| tokens <= *most;
+    CLASSES.iter().position(holds).unwrap_or(CLASSES.len() - 1)
+}
--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -6,6 +6,7 @@
 mod connection;
 mod engine;
 mod listener;
+mod load;
 mod logging;
 mod platform;
 mod reply;
@@ -25,6 +26,7 @@
   platform   serves the platform's object API
   engine     serves a model of an inference engine
   service    serves a plain service
+  load       sends a mix of requests in an open loop and reports what came back
   send       sends the prompts and calls of a plan and judges the answers
 
 Options:
@@ -53,6 +55,7 @@
         ),
         "engine" => command::run(arguments, engine::HELP, engine::options, engine::serve),
         "service" => command::run(arguments, service::HELP, service::options, service::serve),
+        "load" => command::run(arguments, load::HELP, load::options, load::run),
         "send" => command::run(arguments, send::HELP, send::options, send::run),
         other => command::finish(Err(command::Error::Command(other.to_owned()))),
     }
