Wait for the holder of an upstream that is not known yet

Cause: requests that came while holdings changed hands were refused, although an upstream of the service was live; every daemon refused for up to 2 s after the first configuration. Ruled out: an attempt at a guessed holder, which costs a retry. A daemon without a configuration says so instead of refusing the key.

--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -89,7 +89,9 @@
 
 fn status(node: &Node, cluster: &Cluster) -> Status {
     let view = node.view.load();
-    let others = view.daemons.values().map(|daemon| Member {
+    let others = view.daemons.values();
+    let others = others.filter(|daemon| daemon.member.host != node.host);
+    let others = others.map(|daemon| Member {
         host: daemon.member.host.clone(),
         zone: daemon.member.zone.clone(),
         version: daemon.version,
--- a/crates/primrosehoist-daemon/src/caller/mod.rs
+++ b/crates/primrosehoist-daemon/src/caller/mod.rs
@@ -69,6 +69,12 @@
         return Err(not_run(Reason::Draining, "this daemon shuts down"));
     }
     let fleet = node.fleet.load_full();
+    if fleet.version == 0 {
+        return Err(not_run(
+            Reason::Unavailable,
+            "the configuration is not known yet",
+        ));
+    }
     let index = node.keys.index(&fleet);
     let workspace = index.workspace(request.headers())?;
     let route = Route::try_from(&request)?;
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -138,6 +138,12 @@
 }
 
 impl Plan {
+    fn begin(&mut self, job: &Job, upstream: name::Upstream) {
+        self.attempts += 1;
+        let id = format!("{}-{}", job.id, self.attempts);
+        self.current = Some(Attempt { id, upstream });
+    }
+
     fn retry(&mut self, failure: Failure) {
         self.failed += 1;
         self.resumes = false;
@@ -168,12 +174,12 @@
     sink: &mut Sink,
 ) -> Action {
     if !plan.resumes {
-        match choose::choose(node, job, &mut plan.excluded) {
-            Ok(upstream) => {
-                plan.attempts += 1;
-                let id = format!("{}-{}", job.id, plan.attempts);
-                plan.current = Some(Attempt { id, upstream });
-            }
+        let chosen = tokio::select! {
+            chosen = choose::wait(node, job, &mut plan.excluded) => chosen,
+            () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
+        };
+        match chosen {
+            Ok(upstream) => plan.begin(job, upstream),
             Err(failure) => {
                 let failure = plan.last.take().unwrap_or(failure);
                 return machine.on(Event::Refused(failure), Instant::now());
