--- a/crates/primrosehoist-daemon/src/dispatch/choose.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/choose.rs
@@ -7,7 +7,6 @@
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
 use primrosehoist::state::placement::{self, Ask, Refusal};
-
 use tokio::time::{Instant, sleep};
 
 use super::Job;
@@ -17,51 +16,57 @@
 /// After how many milliseconds a caller retries when nothing can be chosen.
 const RETRY_AFTER_MS: u64 = 1000;
 
-/// For how long a request waits for the holder of an upstream to be known, as when holdings
-/// change hands.
-const HOLDER_PATIENCE: Duration = Duration::from_secs(8);
+/// How long a request waits for a holder of upstreams that have none.
+///
+/// Longer than a takeover: silence, lease and margin together.
+const HOLDER_WAIT: Duration = Duration::from_secs(8);
 
-/// The time between two choices while no holder is known.
-const HOLDER_PAUSE: Duration = Duration::from_millis(50);
+/// The time between two looks for a holder.
+const HOLDER_POLL: Duration = Duration::from_millis(50);
 
-/// Chooses an upstream that is not in `excluded`; if only excluded ones are left, forgets them.
-/// Waits while upstreams exist whose holder is not known yet.
+/// Chooses an upstream, and waits for one that has no holder at the moment.
 ///
 /// # Errors
 ///
 /// Returns why nothing can be chosen; the attempt did not run.
-pub(crate) async fn wait(
+pub(crate) async fn find(
     node: &Node,
     job: &Job,
     excluded: &mut Set<name::Upstream>,
 ) -> Result<name::Upstream, Failure> {
-    let end = job.deadline.min(Instant::now() + HOLDER_PATIENCE);
+    let end = job.deadline.min(Instant::now() + HOLDER_WAIT);
     loop {
-        match choose(node, job, excluded) {
-            Err(Refusal::Unavailable) if Instant::now() < end && is_served(node, job) => {
-                sleep(HOLDER_PAUSE).await;
-            }
-            chosen => return chosen.map_err(failure),
+        let chosen = choose(node, job, excluded);
+        let unheld = matches!(&chosen, Err(failure) if failure.reason == Reason::Unavailable);
+        if !unheld || !may_be_held(node, job) || Instant::now() + HOLDER_POLL >= end {
+            return chosen;
         }
+        sleep(HOLDER_POLL).await;
     }
 }
 
-/// Returns whether the configuration holds an upstream that may take the request.
-fn is_served(node: &Node, job: &Job) -> bool {
+/// Returns whether the configuration has an upstream that a daemon may come to hold.
+fn may_be_held(node: &Node, job: &Job) -> bool {
     let fleet = node.fleet.load();
-    fleet.upstreams.values().any(|upstream| {
-        upstream.service == job.service
-            && upstream.half == job.half
-            && upstream.state == Presence::Live
-            && !fleet.zones_out.contains(&upstream.zone)
-    })
+    let of_job = fleet
+        .upstreams
+        .values()
+        .filter(|u| u.service == job.service);
+    of_job
+        .filter(|u| u.half == job.half && u.state == Presence::Live)
+        .any(|u| !fleet.zones_out.contains(&u.zone))
 }
 
+/// Chooses an upstream that is not in `excluded`; if only excluded ones are left, forgets them.
+///
+/// # Errors
+///
+/// Returns why nothing can be chosen; the attempt did not run.
 fn choose(
     node: &Node,
     job: &Job,
     excluded: &mut Set<name::Upstream>,
-) -> Result<name::Upstream, Refusal> {
+) -> Result<name::Upstream, Failure> {
     let mut ask = Ask {
         service: job.service.clone(),
         half: job.half.clone(),
@@ -78,7 +83,7 @@
         ask.excluded.clear();
         chosen = place(node, &ask);
     }
-    chosen
+    chosen.map_err(failure)
 }
 
 fn place(node: &Node, ask: &Ask) -> Result<name::Upstream, Refusal> {
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -175,7 +175,7 @@
 ) -> Action {
     if !plan.resumes {
         let chosen = tokio::select! {
-            chosen = choose::wait(node, job, &mut plan.excluded) => chosen,
+            chosen = choose::find(node, job, &mut plan.excluded) => chosen,
             () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
         };
         match chosen {
