--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -85,10 +85,11 @@
         .resumable(job.stream);
     let budget = node.entry.budget(&job.service);
     budget.earn(job.retry_percent);
+    let bounded = node.mechanisms.retry_budget;
     loop {
         let action = step(node, job, &mut machine, plan, &mut sink).await;
         let action = match action {
-            Action::Retry(failure) if !budget.take() => machine.give_up(failure),
+            Action::Retry(failure) if bounded && !budget.take() => machine.give_up(failure),
             action => action,
         };
         match action {
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -29,6 +29,9 @@
 pub(crate) fn gate(task: &Task, place: &Place) -> Arc<Gate> {
     let lease = Arc::clone(&task.lease);
     let turn = Arc::clone(&place.turn);
+    if !task.checks_lease {
+        return Arc::new(Gate::new(turn, |_begun| true));
+    }
     Arc::new(Gate::new(turn, move |begun| {
         let now = Instant::now();
         // A holding that is given back lets what was begun go on.
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -14,7 +14,7 @@
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
 use primrosehoist::protocol::wire::{Dispatch, Reply};
-use primrosehoist::state::fleet::{Fleet, Kind, Upstream};
+use primrosehoist::state::fleet::{Fleet, Kind, Presence, Upstream};
 use primrosehoist::state::queue::Item;
 use primrosehoist::transport::http::body::Measured;
 use primrosehoist::transport::http::{BoxError, Payload};
@@ -33,6 +33,8 @@
     pub(crate) upstream: Upstream,
     pub(crate) engine: bool,
     pub(crate) lease: Arc<Lease>,
+    /// Whether the lease is checked at each write.
+    pub(crate) checks_lease: bool,
     pub(crate) host: String,
     pub(crate) deadline: Instant,
 }
@@ -103,7 +105,7 @@
         return Err(not_run(Reason::Draining, "the holder shuts down"));
     }
     let fleet = node.fleet.load();
-    let upstream = find(&fleet, &dispatch)?;
+    let upstream = find(node, &fleet, &dispatch)?;
     let lease = node.leases.load().get(&dispatch.upstream).cloned();
     let now = Instant::now();
     let lease = lease.filter(|lease| lease.holds(now)).ok_or_else(|| {
@@ -135,13 +137,14 @@
         upstream,
         engine,
         lease,
+        checks_lease: node.mechanisms.lease_check,
         host,
         deadline,
     };
     Ok((task, item))
 }
 
-fn find(fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
+fn find(node: &Node, fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
     let upstream = fleet
         .upstreams
         .get(&dispatch.upstream)
@@ -149,8 +152,9 @@
         .ok_or_else(|| not_run(Reason::Unavailable, "the upstream is not of this half"))?;
     // A stream that runs already may go on there; new work may not.
     let resumes = dispatch.resume_from > 0;
-    let leaving = upstream.state != primrosehoist::state::fleet::Presence::Live;
-    if !resumes && (leaving || fleet.zones_out.contains(&upstream.zone)) {
+    let leaving = upstream.state != Presence::Live;
+    let zone_out = node.mechanisms.zone_out && fleet.zones_out.contains(&upstream.zone);
+    if !resumes && (leaving || zone_out) {
         return Err(not_run(
             Reason::Unavailable,
             "the upstream takes no new work",
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -23,7 +23,7 @@
 use crate::holder::Holder;
 use crate::metrics::Metrics;
 use crate::progress::Progress;
-use crate::settings::{Placement, Settings};
+use crate::settings::{Mechanisms, Placement, Settings};
 
 /// Upstreams that this daemon may send work to.
 pub(crate) type Leases = Map<name::Upstream, Arc<Lease>>;
@@ -42,6 +42,8 @@
     pub(crate) leases: ArcSwap<Leases>,
     /// Whether the daemon shuts down.
     pub(crate) draining: AtomicBool,
+    /// Mechanisms that comparison runs switch off.
+    pub(crate) mechanisms: Mechanisms,
     /// The secret that daemons and operators share.
     pub(crate) secret: Arc<[u8]>,
     /// Links to other daemons.
@@ -78,6 +80,7 @@
             view: ArcSwap::default(),
             leases: ArcSwap::default(),
             draining: AtomicBool::new(false),
+            mechanisms: settings.mechanisms.clone(),
             secret: Arc::from(secret),
             peers: peer::Client::new(identity),
             keys: Keys::default(),
