Count the members of a roster that are gone as agreed to a takeover

Ruled out: to take the roster of the taker instead (a holder cut off may still live on the old one). Change: a gone member counts after a full lease and margin. The test now replaces hosts too; it passes.

--- a/src/coordination/holding/decide.rs
+++ b/src/coordination/holding/decide.rs
@@ -88,7 +88,7 @@
         self.revive(around.now);
         self.settle(around);
         self.finish_takeovers(around.now);
-        let takeovers = self.recorded_takeovers();
+        let takeovers = self.recorded_takeovers(around.now);
         for takeover in &takeovers {
             let own = self.own.clone();
             let answer = self.takeover(takeover, false, around.now);
@@ -124,11 +124,11 @@
     }
 
     /// Returns the takeovers that still need agreement.
-    fn recorded_takeovers(&self) -> Vec<Takeover> {
+    fn recorded_takeovers(&self, now: Instant) -> Vec<Takeover> {
         let pending = self.pending.iter();
         let recorded = pending.filter(|(_, pending)| pending.confirmed_at.is_some());
         recorded
-            .filter(|(_, pending)| !pending.is_agreed())
+            .filter(|(_, pending)| !pending.is_agreed(now))
             .filter_map(|(upstream, pending)| {
                 Some(Takeover {
                     taker: self.own.clone(),
--- a/src/coordination/holding/pending.rs
+++ b/src/coordination/holding/pending.rs
@@ -7,7 +7,7 @@
 
 use crate::coordination::holding::{Entry, Held, Holdings, LEASE, MARGIN, blocking, settle};
 use crate::coordination::lease::Lease;
-use crate::state::map::Set;
+use crate::state::map::{Map, Set};
 use crate::state::name;
 
 /// How long a hand-over may take before it is given up.
@@ -24,6 +24,8 @@
     /// When the record was first known to stand.
     pub(crate) confirmed_at: Option<Instant>,
     pub(crate) agreed: Set<name::Host>,
+    /// Members of the roster whose hosts are gone, and since when that is known.
+    gone: Map<name::Host, Instant>,
 }
 
 impl Pending {
@@ -34,6 +36,17 @@
             from,
             confirmed_at: None,
             agreed: Set::default(),
+            gone: Map::default(),
+        }
+    }
+
+    /// Records which members of the roster are gone.
+    pub(crate) fn record_gone<F>(&mut self, is_gone: F, now: Instant)
+    where
+        F: Fn(&name::Host) -> bool,
+    {
+        for host in self.roster.iter().filter(|host| is_gone(host)) {
+            self.gone.entry(host.clone()).or_insert(now);
         }
     }
 
@@ -44,20 +57,24 @@
     }
 
     /// Returns whether no promise can prolong the predecessor's lease any more.
-    pub(crate) fn is_agreed(&self) -> bool {
+    ///
+    /// A member that is gone gives none, and those that it gave have run out after a lease.
+    pub(crate) fn is_agreed(&self, now: Instant) -> bool {
         if self.roster.is_empty() {
             return true;
         }
-        let agreed = self
-            .roster
-            .iter()
-            .filter(|host| self.agreed.contains(*host));
+        let lapsed = |host| {
+            let since = self.gone.get(host);
+            since.is_some_and(|since| now >= *since + LEASE + MARGIN)
+        };
+        let members = self.roster.iter();
+        let agreed = members.filter(|host| self.agreed.contains(*host) || lapsed(*host));
         agreed.count() >= blocking(self.roster.len())
     }
 
     fn is_usable(&self, now: Instant) -> bool {
         let waited = |at| now >= at + LEASE + MARGIN;
-        self.confirmed_at.is_some_and(waited) && self.is_agreed()
+        self.confirmed_at.is_some_and(waited) && self.is_agreed(now)
     }
 }
 
--- a/src/coordination/holding/settle.rs
+++ b/src/coordination/holding/settle.rs
@@ -28,6 +28,9 @@
 impl Holdings {
     /// Adapts the reserve of each held upstream to what is known of its earlier holders.
     pub(crate) fn settle(&mut self, around: &Surroundings<'_>) {
+        for pending in self.pending.values_mut() {
+            pending.record_gone(around.is_gone, around.now);
+        }
         let Some(known) = self.known.as_ref() else {
             return;
         };
--- a/tests/holding_safety.rs
+++ b/tests/holding_safety.rs
@@ -32,7 +32,8 @@
         15 => world.platform.heal(),
         16 => world.network.heal(),
         17 => world.daemons[index].draining = !world.daemons[index].draining,
-        18..24 => {
+        18 | 19 => world.replace(index),
+        20..26 => {
             let upstream = world.upstreams[other % world.upstreams.len()].clone();
             let requests = world.rng.random_range(0..3);
             world.daemons[index].in_flight.insert(upstream, requests);
--- a/tests/simulation/mod.rs
+++ b/tests/simulation/mod.rs
@@ -44,6 +44,8 @@
     pub upstreams: Vec<name::Upstream>,
     pub platform: Platform,
     pub network: Network,
+    /// Hosts that were replaced, and when.
+    retired: Vec<(name::Host, Instant)>,
 }
 
 pub fn host(index: usize) -> name::Host {
@@ -64,6 +66,7 @@
                 .collect(),
             platform: Platform::default(),
             network: Network::default(),
+            retired: Vec::new(),
         }
     }
 
@@ -172,7 +175,14 @@
             since.is_some_and(|since| self.now >= since + GONE_AFTER)
         };
         let gone = self.daemons.iter().filter(dead);
-        gone.map(|daemon| daemon.host.clone()).collect()
+        let retired = self
+            .retired
+            .iter()
+            .filter(|(_, at)| self.now >= *at + GONE_AFTER);
+        let retired = retired.map(|(host, _)| host.clone());
+        gone.map(|daemon| daemon.host.clone())
+            .chain(retired)
+            .collect()
     }
 
     fn post(&mut self, from: usize, to: Option<usize>, message: Message) {
@@ -229,6 +239,15 @@
         self.daemons[index] = Daemon::new(host, process, self.now);
     }
 
+    /// Ends a daemon together with its host and starts one on a new host.
+    pub fn replace(&mut self, index: usize) {
+        let old = &self.daemons[index];
+        let process = old.process + 1;
+        self.retired.push((old.host.clone(), self.now));
+        let host = name::Host::try_from(format!("h{index}-{process}")).unwrap();
+        self.daemons[index] = Daemon::new(host, process, self.now);
+    }
+
     pub fn kill(&mut self, index: usize) {
         self.daemons[index].dead_since = Some(self.now);
     }
