--- /dev/null
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -0,0 +1,133 @@
+//! The admin port: health, metrics, and what operators ask for.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::header::{AUTHORIZATION, CONTENT_TYPE};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use primrosehoist::protocol::operator;
+use primrosehoist::protocol::status::{Holding, Member, Status};
+use primrosehoist::state::view::Advert;
+use primrosehoist::transport::http::server::{self, Limits};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::cluster::Cluster;
+use crate::node::Node;
+use crate::scrape::Scrape;
+
+type Answer = Response<Full<Bytes>>;
+
+/// What the admin port shows and controls.
+pub(crate) struct Port {
+    pub(crate) node: Arc<Node>,
+    pub(crate) cluster: Arc<Cluster>,
+    /// Set to `true` by an order to shut down.
+    pub(crate) drain: watch::Sender<bool>,
+    pub(crate) scrape: Scrape,
+}
+
+/// Serves the admin port until `stopped` turns true.
+pub(crate) async fn serve(
+    port: Arc<Port>,
+    listener: TcpListener,
+    limits: Limits,
+    stopped: watch::Receiver<bool>,
+) {
+    let handler = move |request| {
+        let answer = answer(&port, &request);
+        async move { answer }
+    };
+    server::serve(listener, limits, stopped, handler).await;
+}
+
+fn answer(port: &Port, request: &Request<Incoming>) -> Answer {
+    match (request.method(), request.uri().path()) {
+        (&Method::GET, "/healthz") => text(StatusCode::OK, "ok\n"),
+        (&Method::GET, "/readyz") if is_ready(&port.node) => text(StatusCode::OK, "ready\n"),
+        (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+        (&Method::GET, "/metrics") => metrics(port),
+        (method, path) if is_operator(&port.node, request) => order(port, method, path),
+        _ => text(
+            StatusCode::UNAUTHORIZED,
+            "the token is missing or not valid\n",
+        ),
+    }
+}
+
+fn order(port: &Port, method: &Method, path: &str) -> Answer {
+    match (method, path) {
+        (&Method::GET, "/admin/status") => json(&status(&port.node, &port.cluster)),
+        (&Method::POST, "/admin/drain") => {
+            port.drain.send_replace(true);
+            text(StatusCode::ACCEPTED, "shutting down\n")
+        }
+        _ => text(StatusCode::NOT_FOUND, "no such path\n"),
+    }
+}
+
+fn is_operator(node: &Node, request: &Request<Incoming>) -> bool {
+    let value = request.headers().get(AUTHORIZATION);
+    let token = value.and_then(|value| value.as_bytes().strip_prefix(b"Bearer "));
+    token.is_some_and(|token| operator::check(&node.secret, token))
+}
+
+/// Returns whether callers may be sent here: the configuration is known, and no shutdown began.
+fn is_ready(node: &Node) -> bool {
+    !node.is_draining() && node.fleet.load().version > 0
+}
+
+fn metrics(port: &Port) -> Answer {
+    match port.scrape.render(&port.node, &port.cluster) {
+        Ok(content) => text(StatusCode::OK, &content),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, &format!("{error}\n")),
+    }
+}
+
+fn status(node: &Node, cluster: &Cluster) -> Status {
+    let view = node.view.load();
+    let others = view.daemons.values().map(|daemon| Member {
+        host: daemon.member.host.clone(),
+        zone: daemon.member.zone.clone(),
+        version: daemon.version,
+        age_ms: 0,
+    });
+    let adverts = node.adverts(Instant::now());
+    Status {
+        host: node.host.clone(),
+        zone: node.zone.clone(),
+        version: node.fleet.load().version,
+        draining: node.is_draining(),
+        platform_age_ms: cluster.platform_age_ms(),
+        holdings: adverts.into_iter().map(holding).collect(),
+        members: others.collect(),
+        quarantine_pending: 0,
+    }
+}
+
+fn holding(advert: Advert) -> Holding {
+    Holding {
+        upstream: advert.upstream,
+        epoch: advert.epoch,
+        limit: advert.limit,
+        in_flight: advert.in_flight,
+        queued: advert.queued,
+    }
+}
+
+fn json(status: &Status) -> Answer {
+    let content = serde_json::to_vec(status).unwrap_or_default();
+    let mut answer = Response::new(Full::new(Bytes::from(content)));
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+fn text(status: StatusCode, content: &str) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(content.to_owned())));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -0,0 +1,266 @@
+//! The upstreams held here: their schedulers, connections, and requests that wait.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
+use std::time::Duration;
+
+use primrosehoist::coordination::admission::{self, Scheduler, Verdict};
+use primrosehoist::coordination::lease::Lease;
+use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::state::fleet::{Fleet, Upstream};
+use primrosehoist::state::map::Map;
+use primrosehoist::state::name;
+use primrosehoist::state::queue::{Item, Ticket};
+use primrosehoist::state::view::Advert;
+use primrosehoist::transport::http::upstream::Pool;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, interval};
+
+use super::flight::Flight;
+use super::not_run;
+use crate::node::Leases;
+
+/// The time between two looks at the queue without an event.
+const TICK: Duration = Duration::from_millis(100);
+
+type Turn = oneshot::Sender<Result<(), Failure>>;
+
+/// The upstreams held by this daemon.
+#[derive(Debug, Default)]
+pub(crate) struct Holder {
+    places: Mutex<Map<name::Upstream, Arc<Place>>>,
+    tickets: AtomicU64,
+}
+
+/// One held upstream.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(crate) pool: Pool,
+    pub(crate) epoch: u64,
+    /// Shared by the gates of all requests to the upstream.
+    pub(crate) turn: Arc<Mutex<()>>,
+    lease: Arc<Lease>,
+    /// An earlier holding by this daemon, whose requests may still run.
+    earlier: Option<Arc<Place>>,
+    state: Mutex<Queue>,
+}
+
+#[derive(Debug)]
+struct Queue {
+    scheduler: Scheduler,
+    waiting: Map<Ticket, Turn>,
+}
+
+impl Holder {
+    /// Returns a ticket that no other request of the process has.
+    pub(crate) fn next_ticket(&self) -> Ticket {
+        self.tickets.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the place of `upstream`, a new one if the holding or the address is new.
+    pub(crate) fn place(&self, upstream: &Upstream, lease: &Arc<Lease>) -> Arc<Place> {
+        let mut places = lock(&self.places);
+        if let Some(place) = places.get(&upstream.name)
+            && place.epoch == lease.epoch()
+            && place.pool.address() == upstream.address
+        {
+            return Arc::clone(place);
+        }
+        let earlier = places.remove(&upstream.name);
+        let place = Arc::new(Place::new(upstream, lease, earlier));
+        tokio::spawn(watch(Arc::downgrade(&place)));
+        places.insert(upstream.name.clone(), Arc::clone(&place));
+        place
+    }
+
+    /// Returns the requests of this daemon in flight at `upstream`, also those of a holding that
+    /// was given back.
+    pub(crate) fn in_flight(&self, upstream: &name::Upstream) -> u32 {
+        let place = lock(&self.places).get(upstream).cloned();
+        place.map_or(0, |place| place.in_flight())
+    }
+
+    /// Returns what is told to other daemons about the upstreams of `leases`, and drops the
+    /// places of all others that are idle.
+    pub(crate) fn adverts(&self, fleet: &Fleet, leases: &Leases, now: Instant) -> Vec<Advert> {
+        lock(&self.places)
+            .retain(|upstream, place| leases.contains_key(upstream) || place.in_flight() > 0);
+        let held = leases.iter().filter(|(_, lease)| lease.holds(now));
+        let known = held.filter_map(|(name, lease)| Some((fleet.upstreams.get(name)?, lease)));
+        known
+            .map(|(upstream, lease)| self.place(upstream, lease).advert(now))
+            .collect()
+    }
+}
+
+impl Place {
+    fn new(upstream: &Upstream, lease: &Arc<Lease>, earlier: Option<Arc<Place>>) -> Self {
+        let epoch = lease.epoch();
+        let left = earlier.as_ref().map_or(0, |place| place.in_flight());
+        let reserve = lease.reserve() + left;
+        Self {
+            pool: Pool::new(upstream.address),
+            epoch,
+            turn: Arc::default(),
+            lease: Arc::clone(lease),
+            earlier,
+            state: Mutex::new(Queue {
+                scheduler: Scheduler::new(upstream, epoch, reserve),
+                waiting: Map::default(),
+            }),
+        }
+    }
+
+    /// Returns what is told to other daemons.
+    pub(crate) fn advert(&self, now: Instant) -> Advert {
+        lock(&self.state).scheduler.advert(now)
+    }
+
+    /// Returns the requests in flight, those of earlier holdings by this daemon included.
+    pub(crate) fn in_flight(&self) -> u32 {
+        let own = lock(&self.state).scheduler.in_flight() as u32;
+        own + self.earlier.as_ref().map_or(0, |place| place.in_flight())
+    }
+
+    /// Returns whether earlier holders have nothing left at the upstream.
+    fn is_settled(&self) -> bool {
+        let left = self.earlier.as_ref().map_or(0, |place| place.in_flight());
+        self.lease.reserve() == 0 && left == 0
+    }
+
+    /// Runs `change` on the scheduler, then admits what may go out.
+    pub(crate) fn update<C>(&self, change: C)
+    where
+        C: FnOnce(&mut Scheduler),
+    {
+        let mut queue = lock(&self.state);
+        change(&mut queue.scheduler);
+        queue.admit_next(Instant::now());
+    }
+
+    /// Forgets a request that waited or was admitted, and was not sent.
+    pub(crate) fn withdraw(&self, ticket: Ticket) {
+        let now = Instant::now();
+        let mut queue = lock(&self.state);
+        queue.waiting.remove(&ticket);
+        if !queue.scheduler.withdraw(ticket) {
+            let finish = admission::Finish::NotSent;
+            queue.scheduler.finished(ticket, finish, now);
+        }
+        queue.admit_next(now);
+    }
+
+    fn offer(&self, item: Item) -> Result<Option<oneshot::Receiver<Result<(), Failure>>>, Failure> {
+        let ticket = item.ticket;
+        let now = Instant::now();
+        let mut queue = lock(&self.state);
+        match queue.scheduler.offer(item, now) {
+            Verdict::Send => Ok(None),
+            Verdict::Refused(reason, after) => Err(refusal(reason, after)),
+            Verdict::Queued => {
+                let (sender, receiver) = oneshot::channel();
+                queue.waiting.insert(ticket, sender);
+                queue.admit_next(now);
+                Ok(Some(receiver))
+            }
+        }
+    }
+}
+
+impl Queue {
+    fn admit_next(&mut self, now: Instant) {
+        loop {
+            let tickets = self.scheduler.next(now);
+            if tickets.is_empty() {
+                return;
+            }
+            for ticket in tickets {
+                self.admit(ticket, now);
+            }
+        }
+    }
+
+    fn admit(&mut self, ticket: Ticket, now: Instant) {
+        let turn = self.waiting.remove(&ticket);
+        let taken = turn.is_some_and(|turn| turn.send(Ok(())).is_ok());
+        if !taken {
+            self.scheduler
+                .finished(ticket, admission::Finish::NotSent, now);
+        }
+    }
+
+    fn refuse(&mut self, tickets: Vec<Ticket>, failure: &Failure) {
+        for ticket in tickets {
+            if let Some(turn) = self.waiting.remove(&ticket) {
+                // A request that was withdrawn meanwhile needs no answer.
+                let _answered = turn.send(Err(failure.clone()));
+            }
+        }
+    }
+}
+
+/// Waits until `item` may be sent.
+///
+/// # Errors
+///
+/// Returns why the request is refused; it did not run then.
+pub(crate) async fn admit(place: &Arc<Place>, item: Item) -> Result<Flight, Failure> {
+    let flight = Flight::new(place, item.ticket);
+    match place.offer(item)? {
+        None => Ok(flight),
+        Some(turn) => match turn.await {
+            Ok(Ok(())) => Ok(flight),
+            Ok(Err(failure)) => Err(failure),
+            Err(_) => Err(not_run(
+                Reason::Unavailable,
+                "the upstream is not held any more",
+            )),
+        },
+    }
+}
+
+/// Looks after the queue of a place for as long as the place lives.
+async fn watch(place: Weak<Place>) {
+    let mut ticks = interval(TICK);
+    loop {
+        ticks.tick().await;
+        let Some(place) = place.upgrade() else {
+            return;
+        };
+        let now = Instant::now();
+        let settled = place.is_settled();
+        let mut queue = lock(&place.state);
+        if settled {
+            queue.scheduler.settle();
+        }
+        let expired = queue.scheduler.expire(now);
+        let displaced = queue.scheduler.displaced(now);
+        queue.refuse(
+            expired,
+            &not_run(Reason::Timeout, "the time limit passed in the queue"),
+        );
+        queue.refuse(
+            displaced,
+            &not_run(Reason::Overloaded, "the upstream bears less now"),
+        );
+        queue.admit_next(now);
+    }
+}
+
+fn refusal(reason: admission::Reason, after: Duration) -> Failure {
+    let outward = match reason {
+        admission::Reason::TooLong => Reason::TooLong,
+        admission::Reason::OtherHalf => Reason::Unavailable,
+        admission::Reason::Full | admission::Reason::Late | admission::Reason::Busy => {
+            Reason::Overloaded
+        }
+    };
+    Failure {
+        retry_after_ms: Some(after.as_millis() as u64),
+        ..not_run(outward, &format!("the upstream admits no more: {reason}"))
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -62,6 +62,12 @@
         self.released.store(true, Ordering::Release);
     }
 
+    /// Returns whether work that was begun may go on at `now`, also after the lease was given up.
+    pub fn covers(&self, now: Instant) -> bool {
+        let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
+        now.saturating_duration_since(self.base) < until
+    }
+
     /// Returns whether work may be sent at `now`.
     pub fn holds(&self, now: Instant) -> bool {
         let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -3,11 +3,16 @@
 //! Modules here are state machines that are told what happened and when, and say what to do
 //! next. Transport performs it.
 
+pub mod admission;
 pub mod backoff;
+pub mod claim;
 pub mod heartbeat;
 pub mod holding;
 pub mod lease;
 pub mod membership;
+pub mod poison;
 pub mod promise;
 pub mod rendezvous;
+pub mod request;
+pub mod retry;
 pub mod spread;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,10 @@
 //! Messages: what goes over a connection and how it is encoded.
 
 pub mod codec;
+pub mod openai;
+pub mod operator;
 pub mod outcome;
 pub mod platform;
+pub mod sse;
+pub mod status;
 pub mod wire;
