Apply events of the host list and pass over bookmarks

Cause: the task that follows the platform's list of hosts took any line of the watch, a bookmark too, as a reason to read the whole list and to watch anew, so each idle daemon listed all hosts more than once in two seconds. The watch of changes took bookmarks for changes likewise.

Ruled out: broken watches; the platform ended none.

Change: bookmarks are passed over, events are applied to the list that was read, and the list is read again only when the watch ends or is silent for a minute.

Before: in 6 s three idle daemons opened 12 watches anew (test bookmarks_cause_no_calls failed). After: both tests of the file pass.

--- a/crates/primrosehoist-daemon/src/cluster/configuration.rs
+++ b/crates/primrosehoist-daemon/src/cluster/configuration.rs
@@ -164,8 +164,10 @@
             Err(error) => return Err(error),
         };
         let mut watch = self.platform.watch(CHANGES, &version).await?;
-        while watch.next().await?.is_some() {
-            self.changes.notify_one();
+        while let Some(event) = watch.next().await? {
+            if !event.is_bookmark() {
+                self.changes.notify_one();
+            }
         }
         Ok(())
     }
--- a/crates/primrosehoist-daemon/src/cluster/hosts.rs
+++ b/crates/primrosehoist-daemon/src/cluster/hosts.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use primrosehoist::coordination::backoff;
-use primrosehoist::protocol::platform::{HOSTS, Host, List, Object};
-use primrosehoist::state::map::Set;
+use primrosehoist::protocol::platform::{Event, HOSTS, Host, Object};
+use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::name;
 use primrosehoist::state::view::Member;
 use primrosehoist::transport::platform::Error;
@@ -13,8 +13,8 @@
 
 use crate::cluster::{Cluster, lock};
 
-/// The pause between two reads of the whole list when no event tells of a change.
-const RELIST: Duration = Duration::from_secs(60);
+/// A watch that sends neither events nor bookmarks for this long is given up.
+const WATCH_SILENCE: Duration = Duration::from_secs(60);
 
 /// The least pause between two reads of the whole list.
 const RELIST_MIN: Duration = Duration::from_millis(500);
@@ -26,7 +26,10 @@
 const ROLE_UPSTREAM: &str = "upstream";
 const STATE_LEAVING: &str = "leaving";
 
-/// Reads the list, then waits for an event, and so on.
+/// The hosts in the platform's list, by name.
+type Hosts = Map<String, Host>;
+
+/// Reads the list and watches it, and so on when the watch ends.
 pub(crate) async fn run(cluster: Arc<Cluster>) {
     let mut failures = 0;
     loop {
@@ -44,22 +47,28 @@
 }
 
 impl Cluster {
-    /// Reads the list and returns after the first event that follows it.
+    /// Reads the list and applies the events that follow, until the watch ends or is silent.
     async fn follow_hosts(&self) -> Result<(), Error> {
         let list = self.platform.list(HOSTS).await?;
         self.record_platform_answer();
-        let version = list.metadata.resource_version.clone();
-        self.learn_hosts(list);
+        let version = list.metadata.resource_version;
+        let mut hosts: Hosts = list.items.into_iter().filter_map(decode).collect();
+        self.learn_hosts(&hosts);
         let mut watch = self.platform.watch(HOSTS, &version).await?;
-        let event = tokio::time::timeout(backoff::jitter(RELIST), watch.next()).await;
-        match event {
-            Ok(Ok(_)) | Err(_) => Ok(()),
-            Ok(Err(error)) => Err(error),
+        loop {
+            match tokio::time::timeout(WATCH_SILENCE, watch.next()).await {
+                Ok(Ok(Some(event))) if event.is_bookmark() => {}
+                Ok(Ok(Some(event))) => {
+                    apply(&mut hosts, event);
+                    self.learn_hosts(&hosts);
+                }
+                Ok(Ok(None)) | Err(_) => return Ok(()),
+                Ok(Err(error)) => return Err(error),
+            }
         }
     }
 
-    fn learn_hosts(&self, list: List) {
-        let hosts: Vec<(String, Host)> = list.items.into_iter().filter_map(decode).collect();
+    fn learn_hosts(&self, hosts: &Hosts) {
         let members = hosts
             .iter()
             .filter(|(_, host)| host.role == ROLE_ENTRY)
@@ -67,9 +76,9 @@
             .collect();
         lock(&self.membership).learn_list(members, Instant::now());
         let leaving: Set<String> = hosts
-            .into_iter()
-            .filter(|(_, host)| host.role == ROLE_UPSTREAM && host.state == STATE_LEAVING)
-            .map(|(_, host)| host.address)
+            .values()
+            .filter(|host| host.role == ROLE_UPSTREAM && host.state == STATE_LEAVING)
+            .map(|host| host.address.clone())
             .collect();
         let mut known = lock(&self.leaving);
         if *known != leaving {
@@ -80,6 +89,20 @@
     }
 }
 
+/// Applies an event of the watch to the hosts that are known.
+fn apply(hosts: &mut Hosts, event: Event) {
+    let deleted = event.is_deleted();
+    let name = event.object.metadata.name.clone();
+    match decode(event.object) {
+        Some((name, host)) if !deleted => {
+            hosts.insert(name, host);
+        }
+        _ => {
+            hosts.remove(&name);
+        }
+    }
+}
+
 fn decode(object: Object) -> Option<(String, Host)> {
     let name = object.metadata.name;
     match serde_json::from_value(object.spec) {
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/tool.rs
@@ -0,0 +1,86 @@
+//! What the platform's list of hosts costs, and that its events are obeyed.
+
+mod common;
+
+use std::thread;
+use std::time::Duration;
+
+use serde_json::json;
+
+use common::caller::{Ask, call, complete};
+use common::{Fleet, Layout, counts, wait};
+
+/// Longer than several bookmarks of the platform stand-in.
+const IDLE: Duration = Duration::from_secs(6);
+
+#[test]
+fn bookmarks_cause_no_calls() {
+    let fleet = Fleet::start(Layout {
+        daemons_per_zone: 1,
+        ..Layout::default()
+    });
+    let calls = |key: &str| {
+        let counts = counts(&fleet.platform);
+        counts[key].as_u64().expect("the platform counts its calls")
+    };
+    // The first watches may have begun before the fleet was whole.
+    thread::sleep(Duration::from_secs(2));
+    let before = calls("watches");
+    thread::sleep(IDLE);
+    let opened = calls("watches") - before;
+    let daemons = fleet.daemons.len() as u64;
+    assert!(
+        opened < daemons,
+        "{daemons} idle daemons opened {opened} watches anew"
+    );
+}
+
+#[test]
+fn an_upstream_on_a_leaving_host_gets_nothing_until_the_host_is_live_again() {
+    let fleet = Fleet::start(Layout {
+        zones: vec!["zone-a"],
+        daemons_per_zone: 1,
+        ..Layout::default()
+    });
+    let ask = Ask {
+        timeout_ms: Some(2_000),
+        ..fleet.ask(0, "a question", 2)
+    };
+    let outcome = || complete(&ask).outcome();
+    let engine = &fleet.engines[0];
+    let url = format!("http://{}/standin/hosts/engine-host", fleet.platform);
+    let set = |state: &str| {
+        let host = json!({
+            "zone": "zone-a", "role": "upstream", "address": engine.address, "state": state,
+        });
+        let reply = call("PUT", &url, &[], &host.to_string());
+        assert!(reply.status < 300, "{state}: {reply:?}");
+    };
+    let received = || {
+        let counts = counts(&engine.address);
+        counts["received"].as_u64().expect("the engine counts")
+    };
+    wait(Duration::from_secs(20), "the engine serves", || {
+        outcome() == "complete"
+    });
+    for round in 0..2 {
+        set("leaving");
+        wait(Duration::from_secs(4), "the host's leave is obeyed", || {
+            outcome() == "not_run"
+        });
+        let before = received();
+        assert_eq!(outcome(), "not_run", "round {round}");
+        assert_eq!(received(), before, "round {round}");
+        if round == 0 {
+            set("live");
+        } else {
+            let reply = call("DELETE", &url, &[], "");
+            assert!(reply.status < 300, "delete: {reply:?}");
+        }
+        wait(
+            Duration::from_secs(4),
+            "the host's return is obeyed",
+            || outcome() == "complete",
+        );
+    }
+}
--- a/src/protocol/platform.rs
+++ b/src/protocol/platform.rs
@@ -69,6 +69,18 @@
     pub object: Object,
 }
 
+impl Event {
+    /// Returns whether the event tells only that the watch is alive and how far it is.
+    pub fn is_bookmark(&self) -> bool {
+        self.kind == "BOOKMARK"
+    }
+
+    /// Returns whether the object was deleted.
+    pub fn is_deleted(&self) -> bool {
+        self.kind == "DELETED"
+    }
+}
+
 /// The content of an object in [`HOSTS`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Host {
