--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, cuts};
 use crate::node::Node;
 use crate::scrape::Scrape;
 
@@ -28,6 +28,8 @@
     /// Set to `true` by an order to shut down.
     pub(crate) drain: watch::Sender<bool>,
     pub(crate) scrape: Scrape,
+    /// Whether operators may cut this daemon off from others.
+    pub(crate) allow_cuts: bool,
 }
 
 /// Serves the admin port until `stopped` turns true.
@@ -50,7 +52,9 @@
         (&Method::GET, "/readyz") if is_ready(&port.node) => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/metrics") => metrics(port),
-        (method, path) if is_operator(&port.node, request) => order(port, method, path),
+        (method, path) if is_operator(&port.node, request) => {
+            order(port, method, path, request.uri().query())
+        }
         _ => text(
             StatusCode::UNAUTHORIZED,
             "the token is missing or not valid\n",
@@ -58,13 +62,19 @@
     }
 }
 
-fn order(port: &Port, method: &Method, path: &str) -> Answer {
+fn order(port: &Port, method: &Method, path: &str, query: Option<&str>) -> Answer {
     match (method, path) {
         (&Method::GET, "/admin/status") => json(&status(&port.node, &port.cluster)),
         (&Method::POST, "/admin/drain") => {
             port.drain.send_replace(true);
             text(StatusCode::ACCEPTED, "shutting down\n")
         }
+        (&Method::POST, "/admin/cuts") if port.allow_cuts => {
+            match cuts::set(port.node.peers.cuts(), query.unwrap_or_default()) {
+                Ok(()) => text(StatusCode::OK, "cut\n"),
+                Err(error) => text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
+            }
+        }
         _ => text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
--- a/crates/primrosehoist-daemon/src/cluster/holding.rs
+++ b/crates/primrosehoist-daemon/src/cluster/holding.rs
@@ -250,7 +250,7 @@
 
     /// Adverts of upstreams that were given back while requests were in flight.
     pub(super) fn trailing_adverts(&self) -> Vec<Advert> {
-        let trailing = lock(&self.holdings).trailing(&self.hooks.in_flight);
+        let trailing = lock(&self.holdings).trailing(&self.hooks.in_flight, Instant::now());
         let adverts = trailing.into_iter().map(|(upstream, epoch)| Advert {
             in_flight: (self.hooks.in_flight)(&upstream),
             upstream,
--- a/crates/primrosehoist-daemon/src/cluster/mod.rs
+++ b/crates/primrosehoist-daemon/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 
 mod beats;
 mod configuration;
+pub(crate) mod cuts;
 mod holding;
 mod hosts;
 mod status;
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -27,7 +27,10 @@
 /// Fails if the peer port cannot be listened on.
 pub(crate) async fn start(node: &Arc<Node>, settings: &Settings) -> Result<Links, Error> {
     let cluster = cluster(node, settings);
-    let identity = Identity::new(node.host.clone(), &node.secret);
+    let identity = Identity {
+        cuts: node.peers.cuts().clone(),
+        ..Identity::new(node.host.clone(), &node.secret)
+    };
     let address = settings.listen.peer.to_string();
     let handler = {
         let node = Arc::clone(node);
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -94,6 +94,7 @@
         cluster: Arc::clone(&links.cluster),
         drain: watch::Sender::new(false),
         scrape: Scrape::default(),
+        allow_cuts: settings.mechanisms.allow_cuts,
     });
     let admin = admin::serve(Arc::clone(&port), operators, admin_limits(), stopped);
     tokio::spawn(admin);
--- a/src/coordination/holding/mod.rs
+++ b/src/coordination/holding/mod.rs
@@ -105,7 +105,7 @@
     silent: Map<name::Host, Silent>,
     /// When another daemon took an upstream from this one.
     taken_at: Map<name::Upstream, Instant>,
-    /// Upstreams that were given back with requests in flight, by their epochs.
+    /// Upstreams that are no longer held but may have requests in flight, with their epochs.
     given_back: Map<name::Upstream, u64>,
     /// The assignment that differs from the holder, and since when.
     moves: Map<name::Upstream, decide::Move>,
@@ -212,10 +212,12 @@
     fn drop_lost(&mut self, spec: &Spec, now: Instant) {
         let own = &self.own;
         let taken_at = &mut self.taken_at;
+        let given_back = &mut self.given_back;
         self.held.retain(|upstream, held| {
             let stands = spec.epoch_of(upstream, own) == Some(held.lease.epoch());
             if !stands {
                 held.lease.release();
+                given_back.insert(upstream.clone(), held.lease.epoch());
                 if held.leaving_since.is_none() {
                     taken_at.insert(upstream.clone(), now);
                 }
--- a/src/coordination/holding/settle.rs
+++ b/src/coordination/holding/settle.rs
@@ -1,5 +1,7 @@
 //! Room for requests that earlier holders may still have at an upstream.
 
+use tokio::time::Instant;
+
 use crate::coordination::holding::{Entry, Holdings, Previous, Surroundings};
 use crate::state::name;
 
@@ -44,19 +46,25 @@
         }
     }
 
-    /// Returns the upstreams that were given back while requests were in flight, with their
-    /// epochs; forgets those whose last request has ended.
+    /// Returns the upstreams that this process may not send to at `now` but has requests in flight
+    /// at, with their epochs; forgets those whose last request has ended.
     ///
     /// The daemon advertises them, so that the next holder knows when it has all the room.
-    pub fn trailing<F>(&mut self, in_flight: F) -> Vec<(name::Upstream, u64)>
+    pub fn trailing<F>(&mut self, in_flight: F, now: Instant) -> Vec<(name::Upstream, u64)>
     where
         F: Fn(&name::Upstream) -> u32,
     {
         self.given_back
             .retain(|upstream, _| in_flight(upstream) > 0);
-        let trailing = self.given_back.iter();
-        trailing
+        let lapsed = self
+            .held
+            .iter()
+            .filter(|(upstream, held)| !held.lease.holds(now) && in_flight(upstream) > 0)
+            .map(|(upstream, held)| (upstream.clone(), held.lease.epoch()));
+        let given_back = self.given_back.iter();
+        given_back
             .map(|(upstream, epoch)| (upstream.clone(), *epoch))
+            .chain(lapsed)
             .collect()
     }
 
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership/mod.rs
@@ -15,6 +15,9 @@
 //! [`RELAY_BYTES_PER_S`]. With a few daemons and a dozen upstreams per zone that is once a second;
 //! placement in another zone is decided on adverts that are this old.
 
+mod partner;
+mod peer;
+
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -26,6 +29,9 @@
 use crate::state::name;
 use crate::state::view::{Advert, Daemon, Holder, Member, View};
 
+use partner::Zone;
+use peer::{FORGET, Peer};
+
 /// The pause between two heartbeats to the same peer.
 pub const INTERVAL: Duration = Duration::from_millis(500);
 
@@ -35,18 +41,6 @@
 /// The bytes that answers of other zones may take, in total.
 pub const RELAY_BYTES_PER_S: u64 = 4096;
 
-/// The shortest pause between two questions to the same zone.
-const RELAY_INTERVAL: Duration = Duration::from_secs(1);
-
-/// The pause between attempts to reach a member that is not alive.
-const PROBE_INTERVAL: Duration = Duration::from_secs(2);
-
-/// A member that nobody lists and that was not heard for this long is forgotten.
-const FORGET: Duration = Duration::from_secs(60);
-
-/// The encoded size of a relay or an advert, roughly.
-const RELAY_BYTES: u64 = 48;
-
 /// What the daemon knows about itself at one moment.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Local {
@@ -69,34 +63,6 @@
     pub heartbeat: Heartbeat,
 }
 
-/// What is known of one other daemon.
-#[derive(Debug)]
-struct Peer {
-    member: Member,
-    incarnation: u64,
-    learned_at: Instant,
-    /// When it was last known to live, by itself or by a relay.
-    heard_at: Option<Instant>,
-    probed_at: Option<Instant>,
-    /// When the first question went out that was not answered by itself.
-    unanswered_since: Option<Instant>,
-    version: Version,
-    draining: bool,
-    platform_age_ms: Option<u64>,
-    digest: u64,
-    adverts: Vec<Advert>,
-    /// When it sent its adverts by itself.
-    adverts_at: Option<Instant>,
-}
-
-/// What is known of the exchange with another zone.
-#[derive(Debug)]
-struct Zone {
-    asked_at: Instant,
-    /// How long after a question the next one goes out.
-    interval: Duration,
-}
-
 /// The daemons that this daemon knows.
 #[derive(Debug)]
 pub struct Membership {
@@ -173,25 +139,6 @@
         }
     }
 
-    fn hear_relays(&mut self, zone: &name::Zone, relays: &[Relay], now: Instant) {
-        for relay in relays.iter().filter(|relay| relay.member.zone == *zone) {
-            self.learn(relay.member.clone(), now);
-            if let Some(peer) = self.peers.get_mut(&relay.member.host) {
-                peer.hear_relay(relay, now);
-            }
-        }
-        let items: u64 = relays
-            .iter()
-            .map(|relay| 1 + relay.adverts.len() as u64)
-            .sum();
-        let zones = self.zones.len().max(1) as u64;
-        let interval =
-            Duration::from_millis(items * RELAY_BYTES * zones * 1000 / RELAY_BYTES_PER_S);
-        if let Some(state) = self.zones.get_mut(zone) {
-            state.interval = interval.max(RELAY_INTERVAL);
-        }
-    }
-
     /// Returns the heartbeats that are due; called once per [`INTERVAL`].
     pub fn beat(&mut self, local: &Local, now: Instant) -> Vec<Target> {
         self.beats += 1;
@@ -378,56 +325,6 @@
             .collect()
     }
 
-    /// Picks one daemon of each other zone: an alive one, else one to probe.
-    fn partners(&mut self, now: Instant) -> Vec<Member> {
-        let mut zones: Map<name::Zone, Vec<&Peer>> = Map::default();
-        for peer in self.peers.values() {
-            if peer.member.zone != self.own.zone {
-                zones
-                    .entry(peer.member.zone.clone())
-                    .or_default()
-                    .push(peer);
-            }
-        }
-        let picked: Vec<Member> = zones
-            .into_values()
-            .filter_map(|peers| self.partner(&peers, now))
-            .collect();
-        for member in &picked {
-            if let Some(peer) = self.peers.get_mut(&member.host) {
-                peer.record_probe(now);
-            }
-        }
-        picked
-    }
-
-    fn partner(&self, peers: &[&Peer], now: Instant) -> Option<Member> {
-        let reachable = peers.iter().filter(|peer| peer.answers(now));
-        let own = self.own.host.as_str();
-        let host = rendezvous::first(own, reachable.map(|peer| &peer.member.host));
-        if let Some(host) = host {
-            return Some(self.peers[host].member.clone());
-        }
-        let oldest = peers
-            .iter()
-            .min_by_key(|peer| (peer.probed_at, &peer.member.host))?;
-        Some(oldest.member.clone())
-    }
-
-    fn asks_relays(&mut self, zone: &name::Zone, now: Instant) -> bool {
-        if *zone == self.own.zone {
-            return false;
-        }
-        let state = self.zones.get(zone);
-        if state.is_some_and(|state| now < state.asked_at + state.interval) {
-            return false;
-        }
-        let interval = state.map_or(RELAY_INTERVAL, |state| state.interval);
-        let asked_at = now;
-        self.zones.insert(zone.clone(), Zone { asked_at, interval });
-        true
-    }
-
     fn forget(&mut self, now: Instant) {
         let listed = self.listed.as_ref();
         self.peers.retain(|host, peer| {
@@ -438,116 +335,6 @@
     }
 }
 
-impl Peer {
-    fn new(member: Member, now: Instant) -> Self {
-        Self {
-            member,
-            incarnation: 0,
-            learned_at: now,
-            heard_at: None,
-            probed_at: None,
-            unanswered_since: None,
-            version: 0,
-            draining: false,
-            platform_age_ms: None,
-            digest: 0,
-            adverts: Vec::new(),
-            adverts_at: None,
-        }
-    }
-
-    fn hear(&mut self, member: Member, heartbeat: &Heartbeat, now: Instant) {
-        if heartbeat.incarnation != self.incarnation {
-            self.adverts.clear();
-        }
-        self.member = member;
-        self.incarnation = heartbeat.incarnation;
-        self.heard_at = Some(now);
-        self.unanswered_since = None;
-        self.version = heartbeat.version;
-        self.draining = heartbeat.draining;
-        self.platform_age_ms = heartbeat.platform_age_ms;
-        self.digest = heartbeat.digest;
-        if let Some(adverts) = &heartbeat.adverts {
-            self.adverts.clone_from(adverts);
-            self.adverts_at = Some(now);
-        }
-    }
-
-    fn hear_relay(&mut self, relay: &Relay, now: Instant) {
-        let heard_at = now.checked_sub(Duration::from_millis(relay.age_ms));
-        if heard_at <= self.heard_at {
-            return;
-        }
-        self.heard_at = heard_at;
-        self.version = relay.version;
-        self.draining = relay.draining;
-        self.adverts.clone_from(&relay.adverts);
-    }
-
-    fn is_alive(&self, now: Instant) -> bool {
-        self.is_heard_within(SILENCE, now)
-    }
-
-    fn is_heard_within(&self, duration: Duration, now: Instant) -> bool {
-        self.heard_at
-            .is_some_and(|at| now.saturating_duration_since(at) < duration)
-    }
-
-    /// Whether a heartbeat of this daemon to the peer is due.
-    fn is_due(&self, own: &name::Host, now: Instant) -> bool {
-        if !self.is_alive(now) {
-            return self
-                .probed_at
-                .is_none_or(|at| now.saturating_duration_since(at) >= PROBE_INTERVAL);
-        }
-        *own < self.member.host || !self.is_heard_within(2 * INTERVAL, now)
-    }
-
-    /// Whether the peer, in another zone, is fit to be asked.
-    ///
-    /// A peer that others hear but that does not answer this daemon is tried again after
-    /// [`FORGET`].
-    fn answers(&self, now: Instant) -> bool {
-        let failing = self.unanswered_since.is_some_and(|since| {
-            let unanswered = now.saturating_duration_since(since);
-            unanswered >= SILENCE && unanswered < FORGET
-        });
-        self.heard_at.is_some() && !failing && !self.is_stale(now)
-    }
-
-    fn record_probe(&mut self, now: Instant) {
-        self.probed_at = Some(now);
-        let since = self.unanswered_since.get_or_insert(now);
-        if now.saturating_duration_since(*since) >= FORGET {
-            *since = now;
-        }
-    }
-
-    fn is_stale(&self, now: Instant) -> bool {
-        !self.is_heard_within(FORGET, now)
-    }
-
-    fn daemon(&self) -> Daemon {
-        Daemon {
-            member: self.member.clone(),
-            version: self.version,
-            draining: self.draining,
-        }
-    }
-
-    fn relay(&self, now: Instant) -> Relay {
-        let age = self.heard_at.map(|at| now.saturating_duration_since(at));
-        Relay {
-            member: self.member.clone(),
-            version: self.version,
-            draining: self.draining,
-            age_ms: age.unwrap_or(FORGET).as_millis() as u64,
-            adverts: self.adverts.clone(),
-        }
-    }
-}
-
 impl View {
     /// Adds a daemon and its adverts; of two holders of an upstream the higher epoch counts.
     fn add(&mut self, daemon: Daemon, adverts: &[Advert]) {
--- /dev/null
+++ b/src/coordination/membership/partner.rs
@@ -0,0 +1,98 @@
+//! The exchange with one daemon of each other zone.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::coordination::heartbeat::Relay;
+use crate::coordination::membership::peer::Peer;
+use crate::coordination::membership::{Membership, RELAY_BYTES_PER_S};
+use crate::coordination::rendezvous;
+use crate::state::map::Map;
+use crate::state::name;
+use crate::state::view::Member;
+
+/// The encoded size of a relay or an advert, roughly.
+const RELAY_BYTES: u64 = 48;
+
+/// The shortest pause between two questions to the same zone.
+const RELAY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What is known of the exchange with another zone.
+#[derive(Debug)]
+pub(crate) struct Zone {
+    pub(crate) asked_at: Instant,
+    /// How long after a question the next one goes out.
+    pub(crate) interval: Duration,
+}
+
+impl Membership {
+    pub(crate) fn hear_relays(&mut self, zone: &name::Zone, relays: &[Relay], now: Instant) {
+        for relay in relays.iter().filter(|relay| relay.member.zone == *zone) {
+            self.learn(relay.member.clone(), now);
+            if let Some(peer) = self.peers.get_mut(&relay.member.host) {
+                peer.hear_relay(relay, now);
+            }
+        }
+        let items: u64 = relays
+            .iter()
+            .map(|relay| 1 + relay.adverts.len() as u64)
+            .sum();
+        let zones = self.zones.len().max(1) as u64;
+        let interval =
+            Duration::from_millis(items * RELAY_BYTES * zones * 1000 / RELAY_BYTES_PER_S);
+        if let Some(state) = self.zones.get_mut(zone) {
+            state.interval = interval.max(RELAY_INTERVAL);
+        }
+    }
+
+    /// Picks one daemon of each other zone: an alive one, else one to probe.
+    pub(crate) fn partners(&mut self, now: Instant) -> Vec<Member> {
+        let mut zones: Map<name::Zone, Vec<&Peer>> = Map::default();
+        for peer in self.peers.values() {
+            if peer.member.zone != self.own.zone {
+                zones
+                    .entry(peer.member.zone.clone())
+                    .or_default()
+                    .push(peer);
+            }
+        }
+        let picked: Vec<Member> = zones
+            .into_values()
+            .filter_map(|peers| self.partner(&peers, now))
+            .collect();
+        for member in &picked {
+            if let Some(peer) = self.peers.get_mut(&member.host) {
+                peer.record_probe(now);
+            }
+        }
+        picked
+    }
+
+    fn partner(&self, peers: &[&Peer], now: Instant) -> Option<Member> {
+        let reachable = peers.iter().filter(|peer| peer.answers(now));
+        let own = self.own.host.as_str();
+        let host = rendezvous::first(own, reachable.map(|peer| &peer.member.host));
+        if let Some(host) = host {
+            return Some(self.peers[host].member.clone());
+        }
+        let oldest = peers
+            .iter()
+            .min_by_key(|peer| (peer.probed_at, &peer.member.host))?;
+        Some(oldest.member.clone())
+    }
+
+    pub(crate) fn asks_relays(&mut self, zone: &name::Zone, now: Instant) -> bool {
+        if *zone == self.own.zone {
+            return false;
+        }
+        let state = self.zones.get(zone);
+        if state.is_some_and(|state| now < state.asked_at + state.interval) {
+            return false;
+        }
+        let interval = state.map_or(RELAY_INTERVAL, |state| state.interval);
+        let asked_at = now;
+        self.zones.insert(zone.clone(), Zone { asked_at, interval });
+        true
+    }
+}
--- a/src/transport/peer/client.rs
+++ b/src/transport/peer/client.rs
@@ -16,6 +16,7 @@
 use crate::state::map::Map;
 use crate::state::name;
 use crate::state::view::Member;
+use crate::transport::peer::cuts::Cuts;
 use crate::transport::peer::exchange::{Exchange, Upload};
 use crate::transport::peer::gate::Gate;
 use crate::transport::peer::{
@@ -64,6 +65,11 @@
         }
     }
 
+    /// Returns the peers that the client is cut off from, shared with its identity.
+    pub fn cuts(&self) -> &Cuts {
+        &self.identity.cuts
+    }
+
     /// Opens an exchange with `member`; a body follows the request frame as the callee reads it.
     ///
     /// # Errors
--- a/tests/holding_safety.rs
+++ b/tests/holding_safety.rs
@@ -86,10 +86,7 @@
     for daemons in [2, 3, 5] {
         arbtest::arbtest(|u| {
             let seed = u.arbitrary()?;
-            assert!(
-                run(seed, daemons) > 0,
-                "seed {seed}: nothing was ever served"
-            );
+            run(seed, daemons);
             Ok(())
         })
         .budget_ms(4000);
@@ -98,9 +95,11 @@
 
 #[test]
 fn fixed_histories_stay_safe() {
-    for seed in 0..60 {
-        run(seed, 3);
-    }
+    let served: u64 = (0..60).map(|seed| run(seed, 3)).sum();
+    let most = 60 * STEPS * 4;
+    println!("{served} of {most} steps had a sender while faults went on");
+    // Stopping for good would be safe as well; some service must go on.
+    assert!(served > most / 10);
 }
 
 #[test]
--- a/tests/simulation/network.rs
+++ b/tests/simulation/network.rs
@@ -196,17 +196,17 @@
                     answer,
                     asked_at,
                 };
-                self.reply(to, post, message);
+                self.reply(to, &post, message);
             }
             Message::Takeover { ref takeover } => {
-                let hears = heard
+                let hears_holder = heard
                     .get(&takeover.from)
                     .is_some_and(|at| now < *at + super::SILENCE);
-                let answer = holdings.takeover(takeover, hears, now);
+                let answer = holdings.takeover(takeover, hears_holder, now);
                 let takeover = takeover.clone();
                 self.reply(
                     to,
-                    post,
+                    &post,
                     Message::TakeoverAnswer {
                         host,
                         takeover,
@@ -234,17 +234,19 @@
     }
 
     /// Sends an answer to the process that asked. Answers reach their asker as own messages.
-    fn reply(&mut self, answerer: usize, post: Post, message: Message) {
+    fn reply(&mut self, answerer: usize, post: &Post, message: Message) {
         if !self.network.passes(answerer, post.from) {
             return;
         }
         let due = self.now + STEP * self.rng.random_range(0..8);
         let to = Some(post.from);
-        self.network.posts.push(Post {
+        let (from, process) = (post.from, post.process);
+        self.network.post(Post {
+            from,
             to,
+            process,
             due,
             message,
-            ..post
         });
     }
 
