Let comparison runs switch slow start off; wait until the engine runs in the caller test

Cause: the switch slow_start was read and not used, so the proof of cold start could not be shown to fail without its mechanism. Change: with slow_start = false an upstream is taken for warm from the start. The harness appends PRIMROSEHOIST_SETTINGS to every daemon's settings. The caller test waits until the engine runs the request instead of 500 ms.

--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -19,6 +19,7 @@
 use super::flight::Flight;
 use super::not_run;
 use crate::node::Leases;
+use crate::settings::Mechanisms;
 
 /// The time between two looks at the queue without an event.
 const TICK: Duration = Duration::from_millis(100);
@@ -30,6 +31,8 @@
 pub(crate) struct Holder {
     places: Mutex<Map<name::Upstream, Arc<Place>>>,
     tickets: AtomicU64,
+    /// Whether upstreams are taken for warm from the start, in comparison runs.
+    skips_slow_start: bool,
 }
 
 /// One held upstream.
@@ -52,6 +55,14 @@
 }
 
 impl Holder {
+    /// Creates a holder without upstreams.
+    pub(crate) fn new(mechanisms: &Mechanisms) -> Self {
+        Self {
+            skips_slow_start: !mechanisms.slow_start,
+            ..Self::default()
+        }
+    }
+
     /// Returns a ticket that no other request of the process has.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.tickets.fetch_add(1, Ordering::Relaxed)
@@ -67,7 +78,12 @@
             return Arc::clone(place);
         }
         let earlier = places.remove(&upstream.name);
-        let place = Arc::new(Place::new(upstream, lease, earlier));
+        let place = if self.skips_slow_start {
+            Place::new(&warm(upstream), lease, earlier)
+        } else {
+            Place::new(upstream, lease, earlier)
+        };
+        let place = Arc::new(place);
         tokio::spawn(watch(Arc::downgrade(&place)));
         places.insert(upstream.name.clone(), Arc::clone(&place));
         place
@@ -247,6 +263,14 @@
     }
 }
 
+/// Returns `upstream` as one that bears all its load in cold start.
+fn warm(upstream: &Upstream) -> Upstream {
+    Upstream {
+        cold_requests: upstream.warm_requests,
+        ..upstream.clone()
+    }
+}
+
 fn refusal(reason: admission::Reason, after: Duration) -> Failure {
     let outward = match reason {
         admission::Reason::TooLong => Reason::TooLong,
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -85,7 +85,7 @@
             peers: peer::Client::new(identity),
             keys: Keys::default(),
             entry: Entry::new(settings.limits.body_budget, policy),
-            holder: Holder::default(),
+            holder: Holder::new(&settings.mechanisms),
             metrics: Metrics::new()?,
             progress: Progress::default(),
         })
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -37,7 +37,8 @@
     pub warm_requests: u32,
     /// Whether engines check fencing numbers.
     pub fencing: bool,
-    /// TOML appended to every daemon's settings.
+    /// TOML appended to every daemon's settings, followed by `PRIMROSEHOIST_SETTINGS` of the
+    /// environment, by which a run switches a mechanism off to show that its proof fails.
     pub settings: &'static str,
 }
 
@@ -274,9 +275,10 @@
         self.register(index);
         let daemon = &self.daemons[index];
         let seeds: Vec<&str> = self.daemons.iter().map(|d| d.peer.as_str()).collect();
+        let more = std::env::var("PRIMROSEHOIST_SETTINGS").unwrap_or_default();
         let settings = format!(
             "host = \"{}\"\nzone = \"{}\"\nsecret_file = \"{}\"\n\n[listen]\ncaller = \"{}\"\npeer = \"{}\"\nadmin = \"{}\"\n\n\
-             [platform]\naddress = \"{}\"\n\n[peers]\nseeds = {}\n\n[log]\nlevel = \"info\"\n\n{}",
+             [platform]\naddress = \"{}\"\n\n[peers]\nseeds = {}\n\n[log]\nlevel = \"info\"\n\n{}{more}",
             daemon.host,
             daemon.zone,
             self.directory.join("secret").display(),
--- a/crates/primrosehoist-tests/tests/outcome.rs
+++ b/crates/primrosehoist-tests/tests/outcome.rs
@@ -161,10 +161,10 @@
     );
     let mut stream = std::net::TcpStream::connect(&ask.address).expect("the daemon listens");
     std::io::Write::write_all(&mut stream, request.as_bytes()).expect("the request is sent");
-    std::thread::sleep(Duration::from_millis(500));
-    assert!(
-        fleet.engine_sum("running") > 0,
-        "the engine runs the request"
+    common::wait(
+        Duration::from_secs(10),
+        "the engine runs the request",
+        || fleet.engine_sum("running") > 0,
     );
     drop(stream);
     wait_idle(&fleet);
