--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -10,6 +10,7 @@
 mod logging;
 mod platform;
 mod reply;
+mod report;
 mod send;
 mod service;
 
@@ -27,6 +28,7 @@
   engine     serves a model of an inference engine
   service    serves a plain service
   load       sends a mix of requests in an open loop and reports what came back
+  report     prints tables of the reports of loads and draws plots
   send       sends the prompts and calls of a plan and judges the answers
 
 Options:
@@ -56,6 +58,7 @@
         "engine" => command::run(arguments, engine::HELP, engine::options, engine::serve),
         "service" => command::run(arguments, service::HELP, service::options, service::serve),
         "load" => command::run(arguments, load::HELP, load::options, load::run),
+        "report" => command::run(arguments, report::HELP, report::options, report::run),
         "send" => command::run(arguments, send::HELP, send::options, send::run),
         other => command::finish(Err(command::Error::Command(other.to_owned()))),
     }
