--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -85,10 +85,11 @@
         .resumable(job.stream);
     let budget = node.entry.budget(&job.service);
     budget.earn(job.retry_percent);
+    let bounded = node.mechanisms.retry_budget;
     loop {
         let action = step(node, job, &mut machine, plan, &mut sink).await;
         let action = match action {
-            Action::Retry(failure) if !budget.take() => machine.give_up(failure),
+            Action::Retry(failure) if bounded && !budget.take() => machine.give_up(failure),
             action => action,
         };
         match action {
@@ -138,6 +139,12 @@
 }
 
 impl Plan {
+    fn begin(&mut self, job: &Job, upstream: name::Upstream) {
+        self.attempts += 1;
+        let id = format!("{}-{}", job.id, self.attempts);
+        self.current = Some(Attempt { id, upstream });
+    }
+
     fn retry(&mut self, failure: Failure) {
         self.failed += 1;
         self.resumes = false;
@@ -173,11 +180,7 @@
             () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
         };
         match chosen {
-            Ok(upstream) => {
-                plan.attempts += 1;
-                let id = format!("{}-{}", job.id, plan.attempts);
-                plan.current = Some(Attempt { id, upstream });
-            }
+            Ok(upstream) => plan.begin(job, upstream),
             Err(failure) => {
                 let failure = plan.last.take().unwrap_or(failure);
                 return machine.on(Event::Refused(failure), Instant::now());
