Say in status who is heard and how long ago, and who obeys an old order

Cause: the daemon's status listed itself among the daemons that it hears, with an age of zero for all; the tool hid the answers of the daemons when an order had nothing to change, and showed an expired time limit in the words of the system ("Resource temporarily unavailable").

Ruled out: a fault of the membership, which has the ages; the status did not ask for them.

Change: ages come from the membership, members and holdings are in order of name, an order given again reports who obeys, a call that expires says "not within 2 s".

--- a/crates/primrosehoist-cli/src/http.rs
+++ b/crates/primrosehoist-cli/src/http.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform and to admin ports.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -57,7 +57,7 @@
     pub(crate) fn call(&self, call: Call<'_>) -> Result<Answer, Error> {
         let step = call.step;
         self.exchange(call)
-            .map_err(|error| Error::Call(step, self.address.to_string(), error))
+            .map_err(|error| Error::Call(step, self.address.to_string(), explain(error)))
     }
 
     /// Gets a JSON document; a missing one is `None`.
@@ -125,6 +125,17 @@
     }
 }
 
+/// Words an expired time limit, which the library reports in the words of the system.
+fn explain(error: io::Error) -> io::Error {
+    match error.kind() {
+        ErrorKind::WouldBlock | ErrorKind::TimedOut => {
+            let reason = format!("not within {} s", CALL_TIMEOUT.as_secs());
+            io::Error::new(ErrorKind::TimedOut, reason)
+        }
+        _ => error,
+    }
+}
+
 /// Encodes a JSON body.
 ///
 /// # Errors
--- a/crates/primrosehoist-cli/src/publish.rs
+++ b/crates/primrosehoist-cli/src/publish.rs
@@ -50,10 +50,12 @@
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if !self.changed {
-            return writeln!(f, "version {}: nothing to change", self.version);
-        }
-        writeln!(f, "version {}: accepted", self.version)?;
+        let result = if self.changed {
+            "accepted"
+        } else {
+            "nothing to change"
+        };
+        writeln!(f, "version {}: {result}", self.version)?;
         for entry in &self.entries {
             writeln!(f, "  {}", describe(entry))?;
         }
--- a/crates/primrosehoist-cli/tests/tool.rs
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -252,6 +252,32 @@
     assert!(run.out.contains("obeyed by 1"), "{run:?}");
 }
 
+#[test]
+fn an_order_given_again_says_who_obeys() {
+    let secret = Secret::new("again");
+    let platform = Fake::start();
+    let daemon = daemon("a1", 1, &json!([]));
+    let address = daemon.address.to_string();
+    let more = ["--secret-file", secret.path(), "--daemons", &address];
+    assert_eq!(publish(&platform, &more).code, 0);
+    let again = publish(&platform, &more);
+    let expected = "version 1: nothing to change\nin force at 1 daemons\n";
+    assert_eq!(again.out, expected, "{again:?}");
+}
+
+#[test]
+fn a_daemon_that_does_not_answer_in_time_is_said_so() {
+    let secret = Secret::new("silent");
+    // Accepts connections by its backlog, and answers none.
+    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = silent.local_addr().expect("it has an address").to_string();
+    let options = ["--secret-file", secret.path(), "--daemons", &address];
+    let status = run(&[&["status"], options.as_slice()].concat());
+    assert_eq!(status.code, 1, "{status:?}");
+    let expected = format!("read the status at {address}: not within 2 s");
+    assert!(status.out.contains(&expected), "{status:?}");
+}
+
 #[test]
 fn orders_beside_the_files_become_changes() {
     let platform = Fake::start();
--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -88,14 +88,8 @@
 }
 
 fn status(node: &Node, cluster: &Cluster) -> Status {
-    let view = node.view.load();
-    let others = view.daemons.values().map(|daemon| Member {
-        host: daemon.member.host.clone(),
-        zone: daemon.member.zone.clone(),
-        version: daemon.version,
-        age_ms: 0,
-    });
-    let adverts = node.adverts(Instant::now());
+    let mut adverts = node.adverts(Instant::now());
+    adverts.sort_by(|left, right| left.upstream.cmp(&right.upstream));
     Status {
         host: node.host.clone(),
         zone: node.zone.clone(),
@@ -103,11 +97,30 @@
         draining: node.is_draining(),
         platform_age_ms: cluster.platform_age_ms(),
         holdings: adverts.into_iter().map(holding).collect(),
-        members: others.collect(),
+        members: members(node, cluster),
         quarantine_pending: 0,
     }
 }
 
+/// Returns the other daemons that count as alive, by name.
+fn members(node: &Node, cluster: &Cluster) -> Vec<Member> {
+    let view = node.view.load();
+    let others = view.daemons.values();
+    let mut members: Vec<Member> = others
+        .filter(|daemon| daemon.member.host != node.host)
+        .filter_map(|daemon| {
+            Some(Member {
+                host: daemon.member.host.clone(),
+                zone: daemon.member.zone.clone(),
+                version: daemon.version,
+                age_ms: cluster.heard_ms(&daemon.member.host)?,
+            })
+        })
+        .collect();
+    members.sort_by(|left, right| left.host.cmp(&right.host));
+    members
+}
+
 fn holding(advert: Advert) -> Holding {
     Holding {
         upstream: advert.upstream,
--- a/crates/primrosehoist-daemon/src/cluster/status.rs
+++ b/crates/primrosehoist-daemon/src/cluster/status.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use primrosehoist::protocol::codec;
+use primrosehoist::state::name;
 use primrosehoist::transport::platform;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -66,4 +67,10 @@
         let at = *lock(&self.platform_at);
         at.map(|at| Instant::now().saturating_duration_since(at).as_millis() as u64)
     }
+
+    /// Returns the milliseconds since `host` was heard, by itself or through another daemon.
+    pub(crate) fn heard_ms(&self, host: &name::Host) -> Option<u64> {
+        let age = lock(&self.membership).age(host, Instant::now());
+        age.map(|age| age.as_millis() as u64)
+    }
 }
--- a/crates/primrosehoist-tests/tests/tool.rs
+++ b/crates/primrosehoist-tests/tests/tool.rs
@@ -1,4 +1,4 @@
-//! What the platform's list of hosts costs, and that its events are obeyed.
+//! What operators rely on: the status of daemons, and the platform's list of hosts.
 
 mod common;
 
@@ -35,6 +35,36 @@
     );
 }
 
+#[test]
+fn the_status_tells_how_long_ago_each_other_daemon_was_heard() {
+    let mut fleet = Fleet::start(Layout {
+        zones: vec!["zone-a"],
+        daemons_per_zone: 3,
+        ..Layout::default()
+    });
+    let limit = Duration::from_secs(10);
+    wait(limit, "all others are heard", || {
+        heard(&fleet) == ["host-1", "host-2"]
+    });
+    fleet.daemons[2].process = None;
+    wait(limit, "the age of a silent daemon rises", || {
+        let status = fleet.status(0);
+        let mut members = status["members"].as_array().into_iter().flatten();
+        members.any(|it| it["host"] == "host-2" && it["age_ms"].as_u64() > Some(1_000))
+    });
+    wait(limit, "the silent daemon is left out", || {
+        heard(&fleet) == ["host-1"]
+    });
+}
+
+/// Returns the daemons that the first one hears, in the order that it tells them.
+fn heard(fleet: &Fleet) -> Vec<String> {
+    let status = fleet.status(0);
+    let members = status["members"].as_array().into_iter().flatten();
+    let hosts = members.filter_map(|it| it["host"].as_str());
+    hosts.map(str::to_owned).collect()
+}
+
 #[test]
 fn an_upstream_on_a_leaving_host_gets_nothing_until_the_host_is_live_again() {
     let fleet = Fleet::start(Layout {
--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -124,6 +124,12 @@
         }
     }
 
+    /// Returns how long ago `host` was known to live, by itself or by a relay.
+    pub fn age(&self, host: &name::Host, now: Instant) -> Option<Duration> {
+        let heard_at = self.peers.get(host)?.heard_at?;
+        Some(now.saturating_duration_since(heard_at))
+    }
+
     /// Records that `member` may exist.
     pub fn learn(&mut self, member: Member, now: Instant) {
         if member.host == self.own.host {
