Believe an epoch above the one read when promises are asked for

Ruled out: the holder's own lease (it asked in time and was refused). Change: a peer refuses only what its read speaks against; takeovers it agreed to still set a floor. Questions go out every 700 ms rather than with each decision.

--- a/src/coordination/holding/decide.rs
+++ b/src/coordination/holding/decide.rs
@@ -19,6 +19,9 @@
 /// How much longer each further daemon of the ranking waits before it writes the roster.
 const RANK_PAUSE: Duration = Duration::from_millis(500);
 
+/// The pause between two questions for promises.
+const ASK_INTERVAL: Duration = Duration::from_millis(700);
+
 /// How long daemons that agreed on a holder's silence are counted.
 const SILENT_AGE_MAX: Duration = Duration::from_secs(2);
 
@@ -103,11 +106,13 @@
     }
 
     /// Asks the zone for help when this daemon cannot read the platform itself.
-    fn ask(&self, now: Instant) -> Option<Promise> {
+    fn ask(&mut self, now: Instant) -> Option<Promise> {
         let read_at = self.read_at()?;
-        if now < read_at + READ_INTERVAL + READ_INTERVAL / 2 {
+        let asked_lately = self.asked_at.is_some_and(|at| now < at + ASK_INTERVAL);
+        if now < read_at + READ_INTERVAL + READ_INTERVAL / 2 || asked_lately {
             return None;
         }
+        self.asked_at = Some(now);
         let held = self.held.iter();
         let holdings: Vec<Holding> = held
             .filter(|(_, held)| held.leaving_since.is_none())
--- a/src/coordination/holding/mod.rs
+++ b/src/coordination/holding/mod.rs
@@ -69,6 +69,17 @@
     pub(crate) begun: Instant,
 }
 
+impl Known {
+    /// Returns whether `host` may have the holding by what was read.
+    pub(crate) fn allows(&self, holding: &Holding, host: &name::Host) -> bool {
+        let entry = self.spec.holdings.get(&holding.upstream);
+        entry.is_none_or(|entry| {
+            let same = entry.epoch == holding.epoch && entry.holder.as_ref() == Some(host);
+            entry.epoch < holding.epoch || same
+        })
+    }
+}
+
 /// An upstream that this process holds.
 #[derive(Debug)]
 struct Held {
@@ -111,6 +122,8 @@
     moves: Map<name::Upstream, decide::Move>,
     /// When the roster was first seen to differ from the daemons of the zone.
     joining_since: Option<Instant>,
+    /// When the zone was last asked for promises.
+    asked_at: Option<Instant>,
     /// When an entry held here was first seen to have an older roster.
     refresh_since: Option<Instant>,
     started_at: Instant,
@@ -139,6 +152,7 @@
             given_back: Map::default(),
             moves: Map::default(),
             joining_since: None,
+            asked_at: None,
             refresh_since: None,
             started_at: now,
             votes: Votes::new(now),
--- a/src/coordination/holding/votes.rs
+++ b/src/coordination/holding/votes.rs
@@ -41,7 +41,8 @@
     /// Gives the promises that `known`, read by this process, does not speak against.
     ///
     /// An earlier process of this host may have agreed to a takeover that this one does not know
-    /// of. That takeover was recorded before, so a read by this process has shown it.
+    /// of. That takeover was recorded before, so a read by this process has shown it. An epoch
+    /// above the one read is believed: the holder may have recorded it since.
     pub(crate) fn promise(
         &mut self,
         promise: &Promise,
@@ -54,9 +55,8 @@
         let mut answer = answer(known, &promise.holdings, now);
         let duration = Duration::from_millis(promise.duration_ms).min(LEASE);
         for holding in &promise.holdings {
-            let epoch = known.spec.epoch_of(&holding.upstream, &promise.holder);
             let floor = self.floors.get(&holding.upstream).copied().unwrap_or(0);
-            if epoch != Some(holding.epoch) || floor > holding.epoch {
+            if !known.allows(holding, &promise.holder) || floor > holding.epoch {
                 continue;
             }
             self.give(holding, now + duration);
--- a/tests/holding_safety.rs
+++ b/tests/holding_safety.rs
@@ -132,3 +132,20 @@
     // The lease and its margin are waited for in any case.
     assert!(simulation::STEP * steps > Duration::from_millis(3500));
 }
+
+#[test]
+fn an_outage_right_after_the_first_record_ends_no_holding() {
+    let mut world = World::new(9, 2);
+    while !world.is_placed() {
+        world.advance();
+    }
+    world.platform.unreachable = (0..2).collect();
+    // The lease may lapse once, until the first promises have arrived.
+    for _ in 0..60 {
+        world.advance();
+    }
+    for _ in 0..600 {
+        world.advance();
+        assert!(world.is_placed(), "an upstream was without its holder");
+    }
+}
