--- /dev/null
+++ b/tests/peer_platform.rs
@@ -0,0 +1,120 @@
+//! Tests what the platform client makes of answers, and of none.
+
+use primrosehoist::protocol::platform::{CHANGES, Metadata};
+use primrosehoist::state::name;
+use primrosehoist::transport::platform::{Call, Client, Error};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+
+/// Answers each connection with `answer` after it has read something, then closes it.
+async fn platform(answer: &'static str) -> Client {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let _head = stream.read(&mut [0; 4096]).await;
+            let _sent = stream.write_all(answer.as_bytes()).await;
+        }
+    });
+    client(&address)
+}
+
+fn client(address: &str) -> Client {
+    let host = name::Host::try_from("a1").unwrap();
+    let zone = name::Zone::try_from("zone-a").unwrap();
+    Client::new(address, host, zone)
+}
+
+#[tokio::test]
+async fn answers_become_typed_errors() {
+    let cases = [
+        (
+            "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n",
+            "not found",
+            false,
+        ),
+        (
+            "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n",
+            "conflict",
+            false,
+        ),
+        (
+            "HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n",
+            "too old",
+            false,
+        ),
+        (
+            "HTTP/1.1 429 Too Many\r\nretry-after: 3\r\ncontent-length: 0\r\n\r\n",
+            "rate limited for 3000 ms",
+            false,
+        ),
+        (
+            "HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n",
+            "status 503",
+            true,
+        ),
+        (
+            "HTTP/1.1 400 Bad\r\ncontent-length: 0\r\n\r\n",
+            "status 400",
+            false,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}",
+            "malformed",
+            true,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n{}",
+            "no answer",
+            true,
+        ),
+        ("", "no answer", true),
+    ];
+    for (answer, expected, uncertain) in cases {
+        let client = platform(answer).await;
+        let metadata = Metadata::default();
+        let error = client
+            .replace(CHANGES, &metadata, &json!({}))
+            .await
+            .unwrap_err();
+        assert!(error.to_string().contains(expected), "{answer:?}: {error}");
+        assert_eq!(error.is_uncertain(), uncertain, "{answer:?}: {error}");
+        assert_eq!(client.counts().get(Call::Replace), 1);
+    }
+}
+
+#[tokio::test]
+async fn a_call_that_cannot_be_sent_is_not_uncertain() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let error = client(&address)
+        .create(CHANGES, "x", &json!({}))
+        .await
+        .unwrap_err();
+    assert!(matches!(error, Error::Unreachable { .. }), "{error}");
+    assert!(!error.is_uncertain());
+}
+
+#[tokio::test]
+async fn a_silent_platform_is_given_up() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let error = client(&address).get(CHANGES, "x").await.unwrap_err();
+    assert!(matches!(error, Error::Lost { .. }), "{error}");
+}
+
+#[tokio::test]
+async fn events_of_a_watch_arrive_line_by_line() {
+    let answer = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n\
+        3d\r\n{\"type\":\"ADDED\",\"object\":{\"metadata\":{\"name\":\"a\"},\"spec\":1}}\n\r\n\
+        5\r\n{\"typ\r\n3a\r\ne\":\"ADDED\",\"object\":{\"metadata\":{\"name\":\"b\"},\"spec\":2}}\n\n\r\n\
+        0\r\n\r\n";
+    let client = platform(answer).await;
+    let mut watch = client.watch(CHANGES, "1").await.unwrap();
+    let first = watch.next().await.unwrap().unwrap();
+    assert_eq!(first.object.metadata.name, "a");
+    let second = watch.next().await.unwrap().unwrap();
+    assert_eq!(second.object.metadata.name, "b");
+}
