Count what earlier holders left running before an engine gets work

Cause: a holder that died or was restarted leaves requests at the engine, which the next holder's limit did not count; an engine in cold start would get more than it bears. Ruled out: a reserve of the last advertised count (late, and without an end when the predecessor stays silent). Change: a newly held engine is published only after GET /admin/running was answered; what runs by earlier epochs is part of Lease::reserve until it has ended. Not shown: a test that fails without this change.

--- a/crates/primrosehoist-daemon/src/cluster/holding.rs
+++ b/crates/primrosehoist-daemon/src/cluster/holding.rs
@@ -144,8 +144,11 @@
     }
 
     fn publish_leases(&self) {
+        // Held to the end, so that an older set never replaces a newer one.
         let holdings = lock(&self.holdings);
-        let leases = holdings.leases();
+        let mut leases = holdings.leases();
+        self.count_remains(&leases);
+        leases.retain(|_, lease| lease.is_counted());
         let published = self.node.leases.load();
         let same = leases.len() == published.len()
             && leases.iter().all(|(upstream, lease)| {
--- a/crates/primrosehoist-daemon/src/cluster/mod.rs
+++ b/crates/primrosehoist-daemon/src/cluster/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod cuts;
 mod holding;
 mod hosts;
+mod remains;
 mod status;
 
 use std::sync::atomic::Ordering;
@@ -24,7 +25,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::node::Node;
+use crate::node::{Leases, Node};
 
 /// What the cluster asks from, and tells, the rest of the daemon.
 pub(crate) struct Hooks {
@@ -47,6 +48,8 @@
     membership: Mutex<Membership>,
     spread: Mutex<Spread>,
     holdings: Mutex<Holdings>,
+    /// The leases for which requests of earlier holders are or were counted.
+    counted: Mutex<Leases>,
     /// The addresses of upstreams whose hosts leave by the platform's list.
     leaving: Mutex<Set<String>>,
     /// When the platform last answered a call.
@@ -80,6 +83,7 @@
             membership: Mutex::new(membership),
             spread: Mutex::default(),
             holdings: Mutex::new(holdings),
+            counted: Mutex::default(),
             leaving: Mutex::default(),
             platform_at: Mutex::default(),
             changes: Notify::new(),
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -9,6 +9,9 @@
 
 use tokio::time::Instant;
 
+/// Stands for requests that were not counted yet: more than any upstream bears.
+pub const REMAINS_UNKNOWN: u32 = 1 << 16;
+
 /// A lease on one upstream.
 #[derive(Debug)]
 pub struct Lease {
@@ -18,6 +21,7 @@
     until_ms: AtomicU64,
     released: AtomicBool,
     reserve: AtomicU32,
+    remains: AtomicU32,
 }
 
 impl Lease {
@@ -29,6 +33,7 @@
             until_ms: AtomicU64::new(0),
             released: AtomicBool::new(false),
             reserve: AtomicU32::new(0),
+            remains: AtomicU32::new(0),
         };
         lease.extend(until);
         lease
@@ -43,7 +48,19 @@
     ///
     /// The holder must leave room for them below the limit of the upstream.
     pub fn reserve(&self) -> u32 {
-        self.reserve.load(Ordering::Acquire)
+        let remains = self.remains.load(Ordering::Acquire);
+        self.reserve.load(Ordering::Acquire) + remains
+    }
+
+    /// Returns whether the requests of earlier epochs were counted, or need not be.
+    pub fn is_counted(&self) -> bool {
+        self.remains.load(Ordering::Acquire) != REMAINS_UNKNOWN
+    }
+
+    /// Sets the requests of earlier epochs that the upstream itself lists as running, or
+    /// [`REMAINS_UNKNOWN`] before it was asked.
+    pub fn set_remains(&self, requests: u32) {
+        self.remains.store(requests, Ordering::Release);
     }
 
     /// Sets the requests that earlier holders may still have at the upstream.
@@ -68,6 +85,11 @@
         now.saturating_duration_since(self.base) < until
     }
 
+    /// Returns whether the lease was given up.
+    pub fn is_released(&self) -> bool {
+        self.released.load(Ordering::Acquire)
+    }
+
     /// Returns whether work may be sent at `now`.
     pub fn holds(&self, now: Instant) -> bool {
         let until = Duration::from_millis(self.until_ms.load(Ordering::Acquire));
