Prove the lease check with a holder that is paused beyond its lease

Cause: the cold tests pass without the lease check, so nothing proved it. Requests in its queue are the hazard: they are sent as soon as a slot is free. Change: a test with 12 requests at one holder, paused until another took over, with engines that ignore fencing numbers; the stand-in counts what it took under an old number (stale_taken). The switch lease_check covers the check at arrival too, and zone_out clears the zones of the configuration, since placement reads them as well.

--- a/crates/primrosehoist-daemon/src/cluster/configuration.rs
+++ b/crates/primrosehoist-daemon/src/cluster/configuration.rs
@@ -245,6 +245,9 @@
                 }
             }
         }
+        if !self.node.mechanisms.zone_out {
+            Arc::make_mut(&mut fleet).zones_out.clear();
+        }
         let version = fleet.version;
         self.node.fleet.store(fleet);
         drop(spread);
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -105,15 +105,18 @@
         return Err(not_run(Reason::Draining, "the holder shuts down"));
     }
     let fleet = node.fleet.load();
-    let upstream = find(node, &fleet, &dispatch)?;
+    let upstream = find(&fleet, &dispatch)?;
     let lease = node.leases.load().get(&dispatch.upstream).cloned();
     let now = Instant::now();
-    let lease = lease.filter(|lease| lease.holds(now)).ok_or_else(|| {
-        not_run(
-            Reason::Unavailable,
-            "this daemon does not hold the upstream",
-        )
-    })?;
+    let checks_lease = node.mechanisms.lease_check;
+    let lease = lease
+        .filter(|lease| !checks_lease || lease.holds(now))
+        .ok_or_else(|| {
+            not_run(
+                Reason::Unavailable,
+                "this daemon does not hold the upstream",
+            )
+        })?;
     let deadline = now + Duration::from_millis(dispatch.remaining_ms);
     let weight = fleet
         .workspaces
@@ -137,14 +140,14 @@
         upstream,
         engine,
         lease,
-        checks_lease: node.mechanisms.lease_check,
+        checks_lease,
         host,
         deadline,
     };
     Ok((task, item))
 }
 
-fn find(node: &Node, fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
+fn find(fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
     let upstream = fleet
         .upstreams
         .get(&dispatch.upstream)
@@ -153,7 +156,7 @@
     // A stream that runs already may go on there; new work may not.
     let resumes = dispatch.resume_from > 0;
     let leaving = upstream.state != Presence::Live;
-    let zone_out = node.mechanisms.zone_out && fleet.zones_out.contains(&upstream.zone);
+    let zone_out = fleet.zones_out.contains(&upstream.zone);
     if !resumes && (leaving || zone_out) {
         return Err(not_run(
             Reason::Unavailable,
--- a/crates/primrosehoist-standin/src/engine/model.rs
+++ b/crates/primrosehoist-standin/src/engine/model.rs
@@ -202,6 +202,9 @@
     pub(crate) fn fence(&mut self, owner: &Owner) -> bool {
         let stale = owner.epoch < self.highest_epoch;
         self.highest_epoch = self.highest_epoch.max(owner.epoch);
+        if stale && self.settings.fencing == Fencing::Ignore {
+            self.tally.stale_taken += 1;
+        }
         if stale && self.settings.fencing == Fencing::Check {
             self.tally.stale_refused += 1;
             return false;
--- a/crates/primrosehoist-standin/src/engine/tally.rs
+++ b/crates/primrosehoist-standin/src/engine/tally.rs
@@ -83,6 +83,8 @@
     pub(crate) crashes: u64,
     /// Requests refused for their fencing epoch.
     pub(crate) stale_refused: u64,
+    /// Requests and orders taken although their fencing epoch was old.
+    pub(crate) stale_taken: u64,
     /// Requests refused for other reasons.
     pub(crate) refused: u64,
     /// Orders carried out.
--- a/crates/primrosehoist-tests/tests/cold.rs
+++ b/crates/primrosehoist-tests/tests/cold.rs
@@ -194,3 +194,54 @@
 fn faults_overload_nothing_with_engines_that_ignore_fencing() {
     faults(false, 12);
 }
+
+/// A holder is paused until another took over, with requests waiting in its queue.
+#[test]
+fn a_holder_that_was_paused_sends_nothing_after_its_lease() {
+    let fleet = Fleet::start(Layout {
+        zones: vec!["zone-a"],
+        daemons_per_zone: 3,
+        ..layout(false)
+    });
+    let engine = &fleet.engines[0];
+    let holds = |index: usize| {
+        let status = fleet.status(index);
+        let holdings = status["holdings"].as_array().cloned().unwrap_or_default();
+        holdings
+            .iter()
+            .any(|held| held["upstream"] == engine.name.as_str())
+    };
+    let holder = (0..3)
+        .find(|index| holds(*index))
+        .expect("the engine is held");
+    let others: Vec<usize> = (0..3).filter(|index| *index != holder).collect();
+    // More than the engine bears at once, so that most of them wait in the holder's queue.
+    let waiting: Vec<_> = (0..12)
+        .map(|caller| {
+            let prompt = format!("caller {caller} of a paused daemon");
+            let ask = Ask {
+                timeout_ms: Some(60_000),
+                ..fleet.ask(holder, &prompt, 100)
+            };
+            std::thread::spawn(move || complete(&ask))
+        })
+        .collect();
+    common::wait(Duration::from_secs(10), "the engine runs some", || {
+        common::counts(&engine.address)["received"].as_u64() > Some(0)
+    });
+    let process = fleet.daemons[holder].process.as_ref();
+    let process = process.expect("the daemon runs");
+    process.pause();
+    common::wait(Duration::from_secs(30), "another daemon takes over", || {
+        others.iter().any(|index| holds(*index))
+    });
+    let served = fleet.ask(others[0], "a question to the new holder", 10);
+    assert!(whole(&served, &complete(&served)));
+    process.resume();
+    for caller in waiting {
+        caller.join().expect("the caller ends");
+    }
+    let counts = common::counts(&engine.address);
+    assert_eq!(counts["stale_taken"], 0, "work under a lapsed lease");
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+}
