--- a/crates/primrosehoist-standin/src/load/mod.rs
+++ b/crates/primrosehoist-standin/src/load/mod.rs
@@ -37,8 +37,9 @@
   --duration S         seconds in which requests are sent [default: 20]
   --scale F            factor of the mix's rate [default: 1]
   --seed N             seed of the random choices [default: 1]
+  --timeout-ms N       time limit of each request [default: that of the mix]
   --most-tokens N      prompts that are longer are drawn, but not sent
-  --mark S=LABEL       marks a second in the report; may be given more than once
+  --mark S=LABEL       starts a phase of the report; may be given more than once, in order
   --json FILE          writes the report
   --log LEVEL          off, error, warn, info, debug or trace [default: warn]
   --help               prints this text
@@ -88,9 +89,11 @@
         return Err(Error::Range("--scale must be above 0".to_owned()));
     }
     let marks = arguments.values_from_str("--mark");
+    let mut mix = mix::read(&path)?;
+    mix.timeout_ms = command::value(arguments, "--timeout-ms", mix.timeout_ms)?;
     Ok(Options {
         callers: command::required::<Addresses>(arguments, "--callers")?.0,
-        mix: mix::read(&path)?,
+        mix,
         duration: duration.map_err(|error| Error::Range(format!("--duration: {error}")))?,
         scale,
         seed: command::value(arguments, "--seed", 1)?,
@@ -108,7 +111,7 @@
 pub(crate) async fn run(options: Options) -> io::Result<()> {
     let (ended, mut endings) = mpsc::unbounded_channel();
     let started = Instant::now();
-    let mut tally = Tally::new(&options.mix);
+    let mut tally = Tally::new(&options.mix, &options.marks);
     let arrivals = Arrivals::new(&options.mix, options.scale, options.seed);
     let in_time = arrivals.take_while(|arrival| arrival.at < options.duration);
     let wanted: Vec<Arrival> = in_time
@@ -162,7 +165,6 @@
     summary.seed = options.seed;
     summary.scale = options.scale;
     summary.duration_s = options.duration.as_secs_f64();
-    summary.marks.clone_from(&options.marks);
     print!("{summary}");
     match &options.json {
         Some(path) => fs::write(path, serde_json::to_vec_pretty(&summary)?),
--- a/crates/primrosehoist-standin/src/load/progress.rs
+++ b/crates/primrosehoist-standin/src/load/progress.rs
@@ -28,12 +28,13 @@
         let mut out = std::io::stderr().lock();
         let written = write!(
             out,
-            "\r{:4} s  ended {} of {}  complete {}  refused {}  lost {} ",
+            "\r{:4} s  ended {} of {}  complete {}  refused {}  failed {}  lost {} ",
             elapsed.as_secs(),
             counts.ended(),
             counts.offered,
             counts.complete,
             counts.refused,
+            counts.failed,
             counts.lost
         );
         self.is_shown = written.and_then(|()| out.flush()).is_ok();
--- a/crates/primrosehoist-standin/src/load/summary.rs
+++ b/crates/primrosehoist-standin/src/load/summary.rs
@@ -15,14 +15,16 @@
     pub(crate) complete: u64,
     /// Requests refused as not run.
     pub(crate) refused: u64,
-    /// All others.
+    /// Requests whose callers were told in time that they may have run or are incomplete.
+    pub(crate) failed: u64,
+    /// All others: the caller was told nothing, or got an answer that is not its own.
     pub(crate) lost: u64,
 }
 
 impl Counts {
     /// Returns the requests that ended.
     pub(crate) fn ended(&self) -> u64 {
-        self.complete + self.refused + self.lost
+        self.complete + self.refused + self.failed + self.lost
     }
 }
 
@@ -80,6 +82,17 @@
     pub(crate) short_first_token_ms: Quantiles,
 }
 
+/// The time from one mark to the next, by the time at which requests were due.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Phase {
+    /// The label of the mark that it starts with.
+    pub(crate) label: String,
+    /// How the requests due in it ended.
+    pub(crate) counts: Counts,
+    /// First-token times of short prompts.
+    pub(crate) short_first_token_ms: Quantiles,
+}
+
 /// A marked second.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Mark {
@@ -122,6 +135,8 @@
     pub(crate) outcomes: BTreeMap<String, u64>,
     /// First-token times of short prompts.
     pub(crate) short_first_token_ms: Quantiles,
+    /// How calls to plain services ended.
+    pub(crate) call_counts: Counts,
     /// Total times of calls to plain services.
     pub(crate) call_total_ms: Quantiles,
     /// Tokens a second of prompts and answers that completed.
@@ -134,19 +149,33 @@
     pub(crate) series: Vec<Second>,
     /// Marked seconds.
     pub(crate) marks: Vec<Mark>,
+    /// The times between marks.
+    pub(crate) phases: Vec<Phase>,
 }
 
 impl fmt::Display for Summary {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "{:<16} {:>8} {:>8} {:>8} {:>6} {:>10} {:>10} {:>10}",
-            "prompts", "offered", "complete", "refused", "lost", "p50 ms", "p95 ms", "p99 ms"
+            "{:<16} {:>8} {:>8} {:>8} {:>7} {:>6} {:>10} {:>10} {:>10}",
+            "prompts",
+            "offered",
+            "complete",
+            "refused",
+            "failed",
+            "lost",
+            "p50 ms",
+            "p95 ms",
+            "p99 ms"
         )?;
-        for class in &self.classes {
+        for class in self.classes.iter().filter(|c| c.counts.offered > 0) {
             write_row(f, &class.name, class.counts, class.first_token_ms)?;
         }
+        write_row(f, "calls", self.call_counts, self.call_total_ms)?;
         write_row(f, "all, short only", self.counts, self.short_first_token_ms)?;
+        for phase in &self.phases {
+            write_row(f, &phase.label, phase.counts, phase.short_first_token_ms)?;
+        }
         for (outcome, count) in &self.outcomes {
             writeln!(f, "  {outcome}: {count}")?;
         }
@@ -162,10 +191,11 @@
 ) -> fmt::Result {
     writeln!(
         f,
-        "{name:<16} {:>8} {:>8} {:>8} {:>6} {:>10.1} {:>10.1} {:>10.1}",
+        "{name:<16} {:>8} {:>8} {:>8} {:>7} {:>6} {:>10.2} {:>10.2} {:>10.2}",
         counts.offered,
         counts.complete,
         counts.refused,
+        counts.failed,
         counts.lost,
         times.p50,
         times.p95,
--- a/crates/primrosehoist-standin/src/load/tally.rs
+++ b/crates/primrosehoist-standin/src/load/tally.rs
@@ -9,7 +9,7 @@
 use crate::load::Ended;
 use crate::load::arrival::{Arrival, Kind};
 use crate::load::mix::Mix;
-use crate::load::summary::{Class, Counts, Quantiles, Second, Summary, Workspace};
+use crate::load::summary::{Class, Counts, Mark, Phase, Quantiles, Second, Summary, Workspace};
 
 /// The longest short prompt, in tokens.
 const SHORT_TOKENS: u64 = 4_096;
@@ -74,15 +74,17 @@
     late_max: Duration,
     outcomes: BTreeMap<String, u64>,
     classes: Vec<Group>,
-    calls: Times,
+    calls: Group,
     workspaces: Vec<Workspace>,
     seconds: Vec<Group>,
+    marks: Vec<Mark>,
+    phases: Vec<Group>,
     last_end: Duration,
 }
 
 impl Tally {
     /// Counts nothing yet.
-    pub(crate) fn new(mix: &Mix) -> Tally {
+    pub(crate) fn new(mix: &Mix, marks: &[Mark]) -> Tally {
         let workspaces = mix.workspaces.iter().map(|workspace| Workspace {
             name: workspace.name.to_string(),
             counts: Counts::default(),
@@ -95,9 +97,11 @@
             late_max: Duration::ZERO,
             outcomes: BTreeMap::new(),
             classes: CLASSES.iter().map(|_| Group::new()).collect(),
-            calls: Times::new(),
+            calls: Group::new(),
             workspaces: workspaces.collect(),
             seconds: Vec::new(),
+            marks: marks.to_vec(),
+            phases: (0..=marks.len()).map(|_| Group::new()).collect(),
             last_end: Duration::ZERO,
         }
     }
@@ -128,6 +132,7 @@
         self.each(arrival, |counts| match answer.outcome {
             Outcome::Complete => counts.complete += 1,
             Outcome::NotRun => counts.refused += 1,
+            Outcome::Unknown | Outcome::Incomplete => counts.failed += 1,
             _ => counts.lost += 1,
         });
         if answer.outcome == Outcome::Complete {
@@ -138,7 +143,7 @@
 
     fn time(&mut self, arrival: &Arrival, answer: &Answer) {
         let Kind::Prompt { tokens, .. } = arrival.kind else {
-            return self.calls.record(answer.total);
+            return self.calls.times.record(answer.total);
         };
         let Some(first) = answer.first_token else {
             return;
@@ -147,6 +152,7 @@
         if tokens <= SHORT_TOKENS {
             self.all.times.record(first);
             self.second(arrival).times.record(first);
+            self.phase(arrival).times.record(first);
         }
     }
 
@@ -158,15 +164,24 @@
         &mut self.seconds[index]
     }
 
+    fn phase(&mut self, arrival: &Arrival) -> &mut Group {
+        let at_s = arrival.at.as_secs_f64();
+        let passed = self.marks.iter().filter(|mark| mark.at_s <= at_s);
+        let index = passed.count();
+        &mut self.phases[index]
+    }
+
     fn each<Change>(&mut self, arrival: &Arrival, change: Change)
     where
         Change: Fn(&mut Counts),
     {
         change(&mut self.all.counts);
         change(&mut self.second(arrival).counts);
+        change(&mut self.phase(arrival).counts);
         change(&mut self.workspaces[arrival.workspace].counts);
-        if let Kind::Prompt { tokens, .. } = arrival.kind {
-            change(&mut self.classes[class(tokens)].counts);
+        match arrival.kind {
+            Kind::Prompt { tokens, .. } => change(&mut self.classes[class(tokens)].counts),
+            Kind::Call { .. } => change(&mut self.calls.counts),
         }
     }
 
@@ -181,7 +196,8 @@
             counts: self.all.counts,
             outcomes: self.outcomes.clone(),
             short_first_token_ms: self.all.times.quantiles(),
-            call_total_ms: self.calls.quantiles(),
+            call_counts: self.calls.counts,
+            call_total_ms: self.calls.times.quantiles(),
             goodput_tokens_per_s: complete as f64 / self.last_end.as_secs_f64().max(1.0),
             classes: classes
                 .map(|((name, most_tokens), group)| Class {
@@ -199,9 +215,22 @@
                     short_first_token_ms: group.times.quantiles(),
                 })
                 .collect(),
+            marks: self.marks.clone(),
+            phases: self.phases(),
             ..Summary::default()
         }
     }
+
+    fn phases(&self) -> Vec<Phase> {
+        let labels = self.marks.iter().map(|mark| mark.label.clone());
+        let labels = std::iter::once("start".to_owned()).chain(labels);
+        let phases = labels.zip(&self.phases).map(|(label, group)| Phase {
+            label,
+            counts: group.counts,
+            short_first_token_ms: group.times.quantiles(),
+        });
+        phases.collect()
+    }
 }
 
 /// Returns the index of the class of a prompt of `tokens`.
--- a/crates/primrosehoist-standin/src/report/table.rs
+++ b/crates/primrosehoist-standin/src/report/table.rs
@@ -7,11 +7,12 @@
 pub(crate) fn print(reports: &[Report]) {
     let base = reports[0].summary.short_first_token_ms;
     println!(
-        "{:<28} {:>8} {:>8} {:>8} {:>6} {:>10} {:>10} {:>9} {:>9} {:>11}",
+        "{:<24} {:>8} {:>8} {:>8} {:>7} {:>6} {:>10} {:>10} {:>9} {:>9} {:>11}",
         "report",
         "offered",
         "complete",
         "refused",
+        "failed",
         "lost",
         "short p50",
         "short p95",
@@ -22,10 +23,11 @@
     for Report { name, summary } in reports {
         let times = summary.short_first_token_ms;
         println!(
-            "{name:<28} {:>8} {:>8} {:>8} {:>6} {:>10.1} {:>10.1} {:>9.3} {:>9.3} {:>11.0}",
+            "{name:<24} {:>8} {:>8} {:>8} {:>7} {:>6} {:>10.2} {:>10.2} {:>9.3} {:>9.3} {:>11.0}",
             summary.counts.offered,
             summary.counts.complete,
             summary.counts.refused,
+            summary.counts.failed,
             summary.counts.lost,
             times.p50,
             times.p95,
@@ -36,17 +38,18 @@
     }
     print_classes(reports);
     print_workspaces(reports);
+    print_phases(reports);
 }
 
 fn print_classes(reports: &[Report]) {
     println!("\nfirst token, p50 / p95 in ms");
-    print!("{:<28}", "report");
+    print!("{:<24}", "report");
     for class in &reports[0].summary.classes {
         print!(" {:>17}", class.name);
     }
     println!();
     for Report { name, summary } in reports {
-        print!("{name:<28}");
+        print!("{name:<24}");
         for class in &summary.classes {
             let times = class.first_token_ms;
             let text = match times.count {
@@ -63,7 +66,29 @@
     println!("\ncompleted share of the tokens offered, by workspace");
     for Report { name, summary } in reports {
         let served = summary.workspaces.iter().map(served).collect::<Vec<_>>();
-        println!("{name:<28} {}", served.join("  "));
+        println!("{name:<24} {}", served.join("  "));
+    }
+}
+
+fn print_phases(reports: &[Report]) {
+    let marked = |report: &&Report| !report.summary.marks.is_empty();
+    for Report { name, summary } in reports.iter().filter(marked) {
+        println!("\n{name}: phases, short prompts, ratio to the first phase");
+        let base = summary.phases[0].short_first_token_ms;
+        for phase in &summary.phases {
+            let times = phase.short_first_token_ms;
+            println!(
+                "{:<28} refused {:>4} failed {:>4} lost {:>4}  p50 {:>7.1}  p95 {:>7.1}  ratio {:>6.3} {:>6.3}",
+                phase.label,
+                phase.counts.refused,
+                phase.counts.failed,
+                phase.counts.lost,
+                times.p50,
+                times.p95,
+                times.p50 / base.p50,
+                times.p95 / base.p95
+            );
+        }
     }
 }
 
--- a/scripts/fleet.bash
+++ b/scripts/fleet.bash
@@ -1,14 +1,16 @@
 # Functions that start a fleet of real processes on loopback and end it; sourced by other scripts.
 #
-# The script that sources it sets `bin`, the directory of the programs, and calls `fleet_begin`.
+# The script that sources it sets `bin`, the directory of the programs, may set `ip`, the address of
+# all processes, and calls `fleet_begin`.
 
-platform=127.0.0.1:7000
 zones=(zone-a zone-b zone-c)
 
 # Makes the directory of the fleet, and ends all processes when the script ends.
 fleet_begin() {
-    if (exec 3<>"/dev/tcp/127.0.0.1/7000") 2>/dev/null; then
-        echo "port 7000 is in use; is another fleet running?" >&2
+    ip=${ip:-127.0.0.1}
+    platform=$ip:7000
+    if (exec 3<>"/dev/tcp/$ip/7000") 2>/dev/null; then
+        echo "port 7000 of $ip is in use; is another fleet running?" >&2
         exit 1
     fi
     directory=$(mktemp -d)
@@ -114,25 +116,25 @@
 secret_file = "$directory/secret"
 
 [listen]
-caller = "127.0.0.1:710$index"
-peer = "127.0.0.1:720$index"
-admin = "127.0.0.1:730$index"
+caller = "$ip:710$index"
+peer = "$ip:720$index"
+admin = "$ip:730$index"
 
 [platform]
 address = "$platform"
 
 [peers]
-seeds = ["127.0.0.1:7200", "127.0.0.1:7202", "127.0.0.1:7204"]
+seeds = ["$ip:7200", "$ip:7202", "$ip:7204"]
 
 $3
 SETTINGS
-    local content="{\"zone\":\"$zone\",\"role\":\"entry\",\"address\":\"127.0.0.1:720$index\""
-    content+=",\"state\":\"live\",\"admin\":\"127.0.0.1:730$index\"}"
+    local content="{\"zone\":\"$zone\",\"role\":\"entry\",\"address\":\"$ip:720$index\""
+    content+=",\"state\":\"live\",\"admin\":\"$ip:730$index\"}"
     [[ $(request "$platform" PUT "/standin/hosts/$host" "$content") == *" 20"* ]]
     start "$host" "$bin/primrosehoistd" --settings "$directory/$host.toml"
     daemons+=($!)
-    callers+=("127.0.0.1:710$index")
-    admins+=("127.0.0.1:730$index")
+    callers+=("$ip:710$index")
+    admins+=("$ip:730$index")
 }
 
 # Starts two daemons in each zone, with further settings.
