--- a/crates/primrosehoist-daemon/src/caller/request.rs
+++ b/crates/primrosehoist-daemon/src/caller/request.rs
@@ -69,7 +69,7 @@
     } else {
         examine(call, route, &body)?
     };
-    if call.fleet.quarantine.contains_key(&content.fingerprint) {
+    if node.poison.is_quarantined(call.fleet, &content.fingerprint) {
         return Err(not_run(Reason::Quarantined, "the request is quarantined"));
     }
     let service = find_service(call, &content.service, route)?;
--- a/crates/primrosehoist-daemon/src/claims/mod.rs
+++ b/crates/primrosehoist-daemon/src/claims/mod.rs
@@ -48,8 +48,7 @@
 /// # Errors
 ///
 /// Returns what the caller is told if the call may not be dispatched.
-pub(crate) async fn acquire(
-    node: &Arc<Node>, job: &Job) -> Result<Option<Claim>, Failure> {
+pub(crate) async fn acquire(node: &Arc<Node>, job: &Job) -> Result<Option<Claim>, Failure> {
     let Some(key) = &job.key else {
         return Ok(None);
     };
@@ -114,12 +113,7 @@
 
 /// Calls the platform for one step. `metadata` gets the version of the record of `claimant`, never
 /// that of another one, so that the end of this claim cannot replace another claim.
-async fn perform(
-    node: &Node,
-    claimant: &Claimant,
-    step: &Step,
-    metadata: &mut Metadata,
-) -> Answer {
+async fn perform(node: &Node, claimant: &Claimant, step: &Step, metadata: &mut Metadata) -> Answer {
     let record = claimant.record();
     let platform = &node.platform;
     match step {
--- a/crates/primrosehoist-daemon/src/claims/sweep.rs
+++ b/crates/primrosehoist-daemon/src/claims/sweep.rs
@@ -55,7 +55,10 @@
 
 /// Removes the expired claims of one page; returns where the next one begins.
 async fn page(node: &Node, position: &str) -> Result<String, Error> {
-    let list = node.platform.list_page(CLAIMS, PAGE_CLAIMS, position).await?;
+    let list = node
+        .platform
+        .list_page(CLAIMS, PAGE_CLAIMS, position)
+        .await?;
     let now_ms = unix_ms();
     for object in list.items.into_iter().filter(|o| is_expired(o, now_ms)) {
         match node.platform.delete(CLAIMS, &object.metadata).await {
--- a/crates/primrosehoist-daemon/src/claims/write.rs
+++ b/crates/primrosehoist-daemon/src/claims/write.rs
@@ -57,10 +57,7 @@
     let mut known = !claim.metadata.resource_version.is_empty();
     while Instant::now() < give_up {
         if known {
-            let replaced = node
-                .platform
-                .replace(CLAIMS, &claim.metadata, &ended)
-                .await;
+            let replaced = node.platform.replace(CLAIMS, &claim.metadata, &ended).await;
             if replaced.is_ok() {
                 return;
             }
--- a/crates/primrosehoist-daemon/src/dispatch/attempt.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/attempt.rs
@@ -89,9 +89,13 @@
         }
         Some(Reply::End) => machine.on(Event::End, now),
         Some(Reply::Failed(failure)) => machine.on(Event::Failed(failure), now),
-        Some(Reply::Heartbeat(_) | Reply::Changes { .. } | Reply::Answer(_)) | None => {
-            machine.on(Event::Broken, now)
+        Some(Reply::Died(standing)) => {
+            node.poison
+                .learn(&job.fingerprint, standing, &node.fleet.load());
+            Action::Wait
         }
+        Some(Reply::Heartbeat(_) | Reply::Changes { .. } | Reply::Answer(_) | Reply::Noted)
+        | None => machine.on(Event::Broken, now),
     }
 }
 
@@ -113,7 +117,7 @@
         body_bytes: job.body.bytes().len() as u64,
         prompt_tokens: job.prompt_tokens,
         answer_tokens: job.answer_tokens,
-        suspect: false,
+        suspect: node.poison.is_suspect(&job.fingerprint),
         fingerprint: job.fingerprint.clone(),
         resume_from,
     }
--- a/crates/primrosehoist-daemon/src/dispatch/choose.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/choose.rs
@@ -21,6 +21,10 @@
 /// Longer than a takeover: silence, lease and margin together.
 const HOLDER_WAIT: Duration = Duration::from_secs(8);
 
+/// How long a suspect request looks for an idle upstream. After that it waits in the queue of a
+/// busy one, whose holder runs it alone.
+const IDLE_WAIT: Duration = Duration::from_secs(1);
+
 /// The time between two looks for a holder.
 const HOLDER_POLL: Duration = Duration::from_millis(50);
 
@@ -34,9 +38,22 @@
     job: &Job,
     excluded: &mut Set<name::Upstream>,
 ) -> Result<name::Upstream, Failure> {
-    let end = job.deadline.min(Instant::now() + HOLDER_WAIT);
+    let start = Instant::now();
+    let end = job.deadline.min(start + HOLDER_WAIT);
     loop {
-        let chosen = choose(node, job, excluded);
+        if node
+            .poison
+            .is_quarantined(&node.fleet.load(), &job.fingerprint)
+        {
+            return Err(not_run(Reason::Quarantined, "the request is quarantined"));
+        }
+        let seeks_idle = start.elapsed() < IDLE_WAIT;
+        let suspect = seeks_idle && node.poison.is_suspect(&job.fingerprint);
+        let chosen = choose(node, job, suspect, excluded);
+        if suspect && chosen.is_err() {
+            sleep(HOLDER_POLL).await;
+            continue;
+        }
         let unheld = matches!(&chosen, Err(failure) if failure.reason == Reason::Unavailable);
         if !unheld || !may_be_held(node, job) || Instant::now() + HOLDER_POLL >= end {
             return chosen;
@@ -65,6 +82,7 @@
 fn choose(
     node: &Node,
     job: &Job,
+    suspect: bool,
     excluded: &mut Set<name::Upstream>,
 ) -> Result<name::Upstream, Failure> {
     let mut ask = Ask {
@@ -74,7 +92,7 @@
         prompt_tokens: job.prompt_tokens,
         answer_tokens: job.answer_tokens,
         prefix: None,
-        suspect: false,
+        suspect,
         excluded: excluded.clone(),
     };
     let mut chosen = place(node, &ask);
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -11,7 +11,7 @@
 
 use primrosehoist::coordination::request::{Action, Event, Request};
 use primrosehoist::coordination::retry;
-use primrosehoist::protocol::outcome::Failure;
+use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
 use primrosehoist::transport::http::body::Stored;
@@ -200,7 +200,9 @@
         match chosen {
             Ok(upstream) => plan.begin(job, upstream),
             Err(failure) => {
-                let failure = plan.last.take().unwrap_or(failure);
+                let last = plan.last.take();
+                let quarantined = failure.reason == Reason::Quarantined;
+                let failure = last.filter(|_| !quarantined).unwrap_or(failure);
                 return machine.on(Event::Refused(failure), Instant::now());
             }
         }
--- a/crates/primrosehoist-daemon/src/holder/flight.rs
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use primrosehoist::coordination::admission::Finish;
+use primrosehoist::state::fleet::Fingerprint;
 use primrosehoist::state::queue::Ticket;
 use tokio::time::Instant;
 
@@ -31,6 +32,16 @@
         &self.place
     }
 
+    /// Records that the upstream runs the request with this content.
+    pub(crate) fn runs(&self, fingerprint: &Fingerprint) {
+        self.place.running.enter(self.ticket, fingerprint);
+    }
+
+    /// Returns the ticket of the request.
+    pub(crate) fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
     /// Records a part of the answer.
     pub(crate) fn note_part(&self, first: bool) {
         let ticket = self.ticket;
@@ -54,6 +65,7 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.place.running.leave(self.ticket);
         if !self.finished {
             self.place.withdraw(self.ticket);
         }
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
-use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::protocol::wire::{Dispatch, Reply, Standing};
 use primrosehoist::state::fleet::{Fleet, Kind, Presence, Upstream};
 use primrosehoist::state::queue::Item;
 use primrosehoist::transport::http::body::Measured;
@@ -96,7 +96,7 @@
     if responder.send(Reply::Sent { queued_ms }).await.is_err() {
         return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request"));
     }
-    relay::run(task, body, flight, responder).await
+    relay::run(node, task, body, flight, responder).await
 }
 
 /// Checks that the request may run here.
@@ -105,6 +105,10 @@
         return Err(not_run(Reason::Draining, "the holder shuts down"));
     }
     let fleet = node.fleet.load();
+    if dispatch.suspect {
+        let fingerprint = &dispatch.fingerprint;
+        node.poison.learn(fingerprint, Standing::Suspect, &fleet);
+    }
     let upstream = find(node, &fleet, &dispatch)?;
     let lease = node.leases.load().get(&dispatch.upstream).cloned();
     let now = Instant::now();
@@ -127,7 +131,7 @@
         prompt_tokens: dispatch.prompt_tokens,
         answer_tokens: dispatch.answer_tokens,
         deadline,
-        suspect: dispatch.suspect,
+        suspect: node.poison.is_suspect(&dispatch.fingerprint),
     };
     let service = fleet.services.get(&upstream.service);
     let engine = service.is_some_and(|service| matches!(service.kind, Kind::Engine(_)));
@@ -160,7 +164,7 @@
             "the upstream takes no new work",
         ));
     }
-    if fleet.quarantine.contains_key(&dispatch.fingerprint) {
+    if node.poison.is_quarantined(fleet, &dispatch.fingerprint) {
         return Err(not_run(Reason::Quarantined, "the request is quarantined"));
     }
     Ok(upstream.clone())
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -19,6 +19,7 @@
 use super::flight::Flight;
 use super::not_run;
 use crate::node::Leases;
+use crate::poison::Running;
 
 /// The time between two looks at the queue without an event.
 const TICK: Duration = Duration::from_millis(100);
@@ -39,6 +40,8 @@
     pub(crate) epoch: u64,
     /// Shared by the gates of all requests to the upstream.
     pub(crate) turn: Arc<Mutex<()>>,
+    /// What the upstream runs.
+    pub(crate) running: Running,
     lease: Arc<Lease>,
     /// An earlier holding by this daemon, whose requests may still run.
     earlier: Option<Arc<Place>>,
@@ -102,6 +105,7 @@
             pool: Pool::new(upstream.address),
             epoch,
             turn: Arc::default(),
+            running: Running::default(),
             lease: Arc::clone(lease),
             earlier,
             state: Mutex::new(Queue {
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -19,6 +19,8 @@
 use super::flight::Flight;
 use super::responder::{Gone, Responder};
 use super::{Task, call, not_run};
+use crate::node::Node;
+use crate::poison;
 
 /// The longest refusal that is read to learn whether the upstream ran anything, in bytes.
 const REFUSAL_BYTES_MAX: usize = 64 * 1024;
@@ -51,6 +53,7 @@
 
 /// Sends the request and relays the answer; returns the last reply.
 pub(crate) async fn run(
+    node: &Node,
     task: Task,
     body: Payload,
     flight: Flight,
@@ -64,10 +67,35 @@
     };
     match relayed {
         Ok(()) => {
+            node.poison.completed(&task.dispatch.fingerprint);
             flight.finish(Finish::Completed);
             Reply::End
         }
-        Err(stop) => settle(&task, flight, stop),
+        Err(stop) => {
+            report_death(node, &task, &flight, &stop, responder).await;
+            settle(&task, flight, stop)
+        }
+    }
+}
+
+/// Tells the entry daemon if the upstream died while it ran the request.
+async fn report_death(
+    node: &Node,
+    task: &Task,
+    flight: &Flight,
+    stop: &Stop,
+    responder: &mut Responder,
+) {
+    if !matches!(stop, Stop::Broken(_) | Stop::Invalid(_)) {
+        return;
+    }
+    let fingerprint = &task.dispatch.fingerprint;
+    let place = flight.place();
+    let address = place.pool.address();
+    let judged = poison::judge(node, &place.running, address, flight.ticket(), fingerprint);
+    if let Some(standing) = judged.await {
+        // An entry daemon that is gone hears of it as all others do.
+        let _told = responder.send(Reply::Died(standing)).await;
     }
 }
 
@@ -109,6 +137,7 @@
         ))
     })?;
     let gate = call::gate(task, place);
+    flight.runs(&task.dispatch.fingerprint);
     let sent = tokio::select! {
         sent = timeout_at(task.deadline, place.pool.send(request, &gate)) => sent,
         gone = responder.closed() => return Err(Stop::Gone(gone)),
@@ -154,6 +183,7 @@
             Some(current) => current,
             None => resume(task, flight, responder, sequence.next_index()).await?,
         };
+        flight.runs(&task.dispatch.fingerprint);
         match events(task, current, &mut sequence, flight, responder).await {
             Err(Stop::Broken(_)) if resumes < RESUMES_MAX => {
                 resumes += 1;
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -10,6 +10,7 @@
 use crate::cluster::{Cluster, Hooks};
 use crate::holder;
 use crate::node::Node;
+use crate::poison;
 use crate::settings::Settings;
 
 /// The running links to other daemons and the platform.
@@ -39,6 +40,7 @@
     };
     let server = Server::bind(&address, identity, handler).await?;
     cluster.start();
+    poison::start(node);
     Ok(Links {
         cluster,
         _server: server,
@@ -66,10 +68,14 @@
         let node = Arc::clone(node);
         Box::new(move |upstream: &_| node.holder.in_flight(upstream))
     };
+    let fleet_changed = {
+        let node = Arc::clone(node);
+        Box::new(move || node.poison.confirm(&node.fleet.load()))
+    };
     Hooks {
         adverts,
         in_flight,
-        fleet_changed: Box::new(|| {}),
+        fleet_changed,
     }
 }
 
@@ -80,11 +86,15 @@
     body: Body,
     mut responder: Responder,
 ) {
-    if let Request::Dispatch(dispatch) = request {
-        return holder::serve_peer(node, dispatch, body, responder).await;
-    }
     let peer = responder.peer().clone();
-    let Some(reply) = cluster.answer(&peer, &request) else {
+    let reply = match request {
+        Request::Dispatch(dispatch) => {
+            return holder::serve_peer(node, dispatch, body, responder).await;
+        }
+        Request::Poison(told) => Some(poison::hear(&node, &told)),
+        request => cluster.answer(&peer, &request),
+    };
+    let Some(reply) = reply else {
         log::warn!(peer = peer.as_str(); "refused a request in the name of another daemon");
         return;
     };
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -12,6 +12,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod poison;
 mod progress;
 mod scrape;
 mod service;
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -24,6 +24,7 @@
 use crate::dispatch::Entry;
 use crate::holder::Holder;
 use crate::metrics::Metrics;
+use crate::poison::Poison;
 use crate::progress::Progress;
 use crate::settings::{Mechanisms, Placement, Settings};
 
@@ -62,6 +63,8 @@
     pub(crate) holder: Holder,
     /// The instruments.
     pub(crate) metrics: Metrics,
+    /// Requests that end upstreams.
+    pub(crate) poison: Poison,
     /// Requests in progress, on the entry's and on the holder's side.
     pub(crate) progress: Progress,
 }
@@ -99,6 +102,7 @@
             entry: Entry::new(settings.limits.body_budget, policy),
             holder: Holder::default(),
             metrics: Metrics::new()?,
+            poison: Poison::new(settings.mechanisms.poison),
             progress: Progress::default(),
         })
     }
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -51,11 +51,18 @@
             cold_requests: 2,
             warm_requests: 16,
             fencing: true,
-            settings: "",
+            settings: without(),
         }
     }
 }
 
+/// Returns settings that switch off the mechanism that `PRIMROSEHOIST_WITHOUT` names, if it does,
+/// to see a proof fail without it.
+fn without() -> &'static str {
+    let named = std::env::var("PRIMROSEHOIST_WITHOUT").ok();
+    named.map_or("", |name| format!("[mechanisms]\n{name} = false\n").leak())
+}
+
 /// One daemon with its ports.
 pub struct Daemon {
     pub host: String,
--- a/crates/primrosehoist-tests/tests/once.rs
+++ b/crates/primrosehoist-tests/tests/once.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -115,6 +115,99 @@
     );
 }
 
+#[test]
+fn expired_claims_are_removed() {
+    let fleet = Fleet::start(Layout {
+        engines_per_zone: 0,
+        ..Layout::default()
+    });
+    let now_ms = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("the clock is set")
+        .as_millis() as u64;
+    let day_ms = 24 * 3600 * 1000;
+    // More than one page, the expired ones among others.
+    for index in 0..600 {
+        let age_ms = if index % 100 == 0 {
+            day_ms + 60_000
+        } else {
+            day_ms - 600_000
+        };
+        create_claim(&fleet, &format!("{index:064}"), now_ms - age_ms);
+    }
+    common::wait(
+        Duration::from_secs(60),
+        "the expired claims are gone",
+        || claims(&fleet) == 594,
+    );
+    std::thread::sleep(Duration::from_secs(15));
+    assert_eq!(claims(&fleet), 594);
+}
+
+fn create_claim(fleet: &Fleet, name: &str, time_ms: u64) {
+    let object = json!({"metadata": {"name": name}, "spec": {
+        "nonce": "n", "host": "host-9", "incarnation": 1, "state": "claimed", "body": "b",
+        "time_ms": time_ms,
+    }});
+    let url = format!("http://{}/apis/primrosehoist/v1/claims", fleet.platform);
+    let reply = call("POST", &url, &[], &object.to_string());
+    assert_eq!(reply.status, 201, "{reply:?}");
+}
+
+fn claims(fleet: &Fleet) -> usize {
+    let url = format!("http://{}/apis/primrosehoist/v1/claims", fleet.platform);
+    let list = call("GET", &url, &[], "").json();
+    list["items"].as_array().map_or(0, Vec::len)
+}
+
+#[test]
+fn a_key_answers_for_each_case() {
+    let fleet = Fleet::start(Layout {
+        engines_per_zone: 0,
+        ..Layout::default()
+    });
+    let order = |daemon: usize, key: &str, body: &str| {
+        let address = &fleet.daemons[daemon].caller;
+        let url = format!("http://{address}/services/north-orders/orders/{key}");
+        let headers = [
+            ("authorization", "Bearer key-north"),
+            ("idempotency-key", key),
+            ("x-timeout-ms", "6000"),
+        ];
+        let start = Instant::now();
+        let reply = call("POST", &url, &headers, body);
+        assert!(start.elapsed() < Duration::from_secs(8), "{reply:?}");
+        let error = reply.json()["error"].clone();
+        let text = |field: &str| error[field].as_str().unwrap_or_default().to_owned();
+        (reply.status, text("code"), text("outcome"))
+    };
+    let told =
+        |status: u16, code: &str, outcome: &str| (status, code.to_owned(), outcome.to_owned());
+    assert_eq!(order(0, "a", "one"), told(200, "", ""));
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(order(3, "a", "one"), told(409, "duplicate", "unknown"));
+    assert_eq!(order(5, "a", "two"), told(422, "body_mismatch", "not_run"));
+    let services = |faults: &serde_json::Value| {
+        for service in &fleet.services {
+            fault(&service.address, faults);
+        }
+    };
+    services(&json!({"refuse": true}));
+    assert_eq!(order(1, "b", "one").2, "not_run");
+    services(&json!({"refuse": false}));
+    assert_eq!(order(2, "b", "one"), told(200, "", ""));
+    fault(&fleet.platform, &json!({"down": true}));
+    assert_eq!(
+        order(4, "c", "one"),
+        told(503, "claim_unavailable", "not_run")
+    );
+    fault(&fleet.platform, &json!({"down": false}));
+    assert_eq!(
+        runs(&fleet),
+        BTreeMap::from([("a".to_owned(), 1), ("b".to_owned(), 1)])
+    );
+}
+
 fn runs(fleet: &Fleet) -> BTreeMap<String, usize> {
     let mut runs = BTreeMap::new();
     for service in &fleet.services {
--- a/src/coordination/claim.rs
+++ b/src/coordination/claim.rs
@@ -65,7 +65,7 @@
 }
 
 /// How a claimed call ended at its owner.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
     /// No byte was handed to an upstream, or each upstream that got one refused to run it.
     NotRun,
--- a/src/coordination/poison.rs
+++ b/src/coordination/poison.rs
@@ -6,10 +6,12 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+use strum::Display;
 use tokio::time::Instant;
 
 use crate::state::fleet::{Fingerprint, Fleet};
-use crate::state::map::{Map, Set};
+use crate::state::map::Map;
 
 /// How long a suspicion lasts without a further death.
 pub const SUSPICION_MAX: Duration = Duration::from_secs(15 * 60);
@@ -23,6 +25,34 @@
 /// Deaths after which a request that ran alone is quarantined.
 pub const DEATHS_MAX: u32 = 2;
 
+/// For how long a suspicion is reported to other daemons.
+pub const REPORT_MAX: Duration = Duration::from_secs(5);
+
+/// The largest number of reports in one message.
+pub const REPORTS_MAX: usize = 64;
+
+/// How long a quarantine that another daemon found is left to that daemon to be recorded.
+pub const HEARD_PATIENCE: Duration = Duration::from_secs(8);
+
+/// What is known of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// An upstream died while it ran the request, perhaps beside others.
+    Suspect,
+    /// The request must not run.
+    Quarantined,
+}
+
+/// What a daemon tells others about a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// What is known of it.
+    pub standing: Standing,
+}
+
 /// A suspected request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Suspect {
@@ -30,11 +60,18 @@
     last: Instant,
 }
 
+/// A quarantine that is not part of the configuration yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Pending {
+    /// When this daemon is to record it.
+    due: Instant,
+}
+
 /// The suspected and newly quarantined requests.
 #[derive(Debug, Default)]
 pub struct Ledger {
     suspects: Map<Fingerprint, Suspect>,
-    pending: Set<Fingerprint>,
+    pending: Map<Fingerprint, Pending>,
 }
 
 impl Ledger {
@@ -48,7 +85,7 @@
         for fingerprint in running {
             let deaths = self.add_death(fingerprint, now);
             if alone && deaths >= DEATHS_MAX {
-                self.quarantine(fingerprint);
+                self.quarantine(fingerprint, now);
                 return Some(fingerprint.clone());
             }
         }
@@ -64,7 +101,7 @@
 
     /// Returns whether a request must not run.
     pub fn is_quarantined(&self, fleet: &Fleet, fingerprint: &str) -> bool {
-        fleet.quarantine.contains_key(fingerprint) || self.pending.contains(fingerprint)
+        fleet.quarantine.contains_key(fingerprint) || self.pending.contains_key(fingerprint)
     }
 
     /// Records that a request completed, which clears it of suspicion.
@@ -80,9 +117,55 @@
         }
     }
 
+    /// Returns what is known of a request here, if anything is.
+    pub fn standing(&self, fingerprint: &str, now: Instant) -> Option<Standing> {
+        if self.pending.contains_key(fingerprint) {
+            return Some(Standing::Quarantined);
+        }
+        let suspect = self.is_suspect(fingerprint, now);
+        suspect.then_some(Standing::Suspect)
+    }
+
+    /// Takes the report of another daemon; returns whether it was news.
+    pub fn hear(&mut self, report: &Report, fleet: &Fleet, now: Instant) -> bool {
+        let fingerprint = &report.fingerprint;
+        if self.is_quarantined(fleet, fingerprint) {
+            return false;
+        }
+        match report.standing {
+            Standing::Suspect if self.is_suspect(fingerprint, now) => return false,
+            Standing::Suspect => self.suspect(fingerprint, now),
+            Standing::Quarantined => self.quarantine(fingerprint, now + HEARD_PATIENCE),
+        }
+        true
+    }
+
+    /// Returns what other daemons are to be told, the quarantines first.
+    pub fn reports(&self, now: Instant) -> Vec<Report> {
+        let report = |fingerprint: Fingerprint, standing| Report {
+            fingerprint,
+            standing,
+        };
+        let pending = self.pending().into_iter();
+        let mut reports: Vec<Report> = pending
+            .map(|fingerprint| report(fingerprint, Standing::Quarantined))
+            .collect();
+        let young = self.suspects.iter();
+        let young = young.filter(|(_, s)| now.saturating_duration_since(s.last) < REPORT_MAX);
+        reports.extend(young.map(|(f, _)| report(f.clone(), Standing::Suspect)));
+        reports.truncate(REPORTS_MAX);
+        reports
+    }
+
+    /// Returns the quarantines that this daemon is to make part of the configuration now.
+    pub fn due(&self, now: Instant) -> Vec<Fingerprint> {
+        let due = |f: &Fingerprint| self.pending.get(f).is_some_and(|p| p.due <= now);
+        self.pending().into_iter().filter(due).collect()
+    }
+
     /// Returns the quarantines that are not part of the configuration yet, in order.
     pub fn pending(&self) -> Vec<Fingerprint> {
-        let mut pending: Vec<Fingerprint> = self.pending.iter().cloned().collect();
+        let mut pending: Vec<Fingerprint> = self.pending.keys().cloned().collect();
         pending.sort_unstable();
         pending
     }
@@ -91,7 +174,8 @@
     ///
     /// From then on the configuration decides, so that an operator can release a request.
     pub fn confirm(&mut self, fleet: &Fleet) {
-        self.pending.retain(|f| !fleet.quarantine.contains_key(f));
+        self.pending
+            .retain(|f, _| !fleet.quarantine.contains_key(f));
     }
 
     /// Returns the number of suspects.
@@ -99,9 +183,9 @@
         self.suspects.len()
     }
 
-    /// Returns whether there are no suspects.
+    /// Returns whether nothing is suspected and no quarantine is pending.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.suspects.is_empty() && self.pending.is_empty()
     }
 
     fn add_death(&mut self, fingerprint: &Fingerprint, now: Instant) -> u32 {
@@ -115,11 +199,11 @@
         suspect.deaths
     }
 
-    fn quarantine(&mut self, fingerprint: &Fingerprint) {
+    fn quarantine(&mut self, fingerprint: &Fingerprint, due: Instant) {
         // A released request starts without suspicion.
         self.suspects.remove(fingerprint);
         if self.pending.len() < PENDING_MAX {
-            self.pending.insert(fingerprint.clone());
+            self.pending.insert(fingerprint.clone(), Pending { due });
         }
     }
 
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -12,6 +12,7 @@
 use crate::state::name;
 
 pub use crate::coordination::heartbeat::{Heartbeat, Relay};
+pub use crate::coordination::poison::{Report, Standing};
 pub use crate::coordination::promise::{Answer, Holding, Promise, Takeover};
 
 /// The version of the frames. A peer of another version is refused.
@@ -33,6 +34,8 @@
     Promise(Promise),
     /// Tells the callee that the caller takes an upstream over.
     Takeover(Takeover),
+    /// Tells the callee which requests end upstreams.
+    Poison(Poison),
 }
 
 /// Answers an exchange; a dispatch is answered by several.
@@ -72,6 +75,10 @@
     Failed(Failure),
     /// Whether the callee gives the promise or accepts the takeover.
     Answer(Answer),
+    /// The upstream died while it ran the request; a failure follows.
+    Died(Standing),
+    /// The callee took note.
+    Noted,
 }
 
 impl Reply {
@@ -79,11 +86,21 @@
     pub fn is_last(&self) -> bool {
         !matches!(
             self,
-            Self::Sent { .. } | Self::Head { .. } | Self::Part { .. }
+            Self::Sent { .. } | Self::Head { .. } | Self::Part { .. } | Self::Died(_)
         )
     }
 }
 
+/// Requests that are suspected to end upstreams, or are quarantined and not yet part of the
+/// configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Poison {
+    /// The configuration version in force at the sender.
+    pub version: Version,
+    /// The requests, at most [`REPORTS_MAX`](crate::coordination::poison::REPORTS_MAX).
+    pub reports: Vec<Report>,
+}
+
 /// A request to run on one upstream.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Dispatch {
--- a/src/transport/platform/client.rs
+++ b/src/transport/platform/client.rs
@@ -98,7 +98,10 @@
         self.counts.add(Call::Delete);
         let step = format!("delete {kind}/{}", metadata.name);
         let version = &metadata.resource_version;
-        let path = format!("{PREFIX}/{kind}/{}?resourceVersion={version}", metadata.name);
+        let path = format!(
+            "{PREFIX}/{kind}/{}?resourceVersion={version}",
+            metadata.name
+        );
         self.call(step, Method::DELETE, &path, Bytes::new()).await
     }
 
--- a/tests/claim_once.rs
+++ b/tests/claim_once.rs
@@ -23,9 +23,7 @@
 }
 
 fn done() -> End {
-    End::Completed {
-        status: 200,
-    }
+    End::Completed { status: 200 }
 }
 
 /// A write that the platform has not applied yet.
@@ -220,9 +218,7 @@
 
 #[test]
 fn each_answer_leads_to_its_step() {
-    let finished = || State::Done {
-        status: 201,
-    };
+    let finished = || State::Done { status: 201 };
     let lost = || Answer::Lost;
     let conflict = || Answer::Conflict;
     let refuse = Step::Refuse;
--- a/tests/claim_shard.rs
+++ b/tests/claim_shard.rs
@@ -60,9 +60,7 @@
             host: name::Host::try_from("h".repeat(name::LENGTH_MAX)).unwrap(),
             incarnation: u64::MAX,
             body: "b".repeat(64),
-            state: State::Done {
-                status: 200,
-            },
+            state: State::Done { status: 200 },
             time_ms: 1_700_000_000_000,
         },
     };
--- a/tests/poison_ledger.rs
+++ b/tests/poison_ledger.rs
@@ -3,7 +3,10 @@
 use std::time::Duration;
 
 use arbtest::arbtest;
-use primrosehoist::coordination::poison::{Ledger, PENDING_MAX, SUSPECTS_MAX, SUSPICION_MAX};
+use primrosehoist::coordination::poison::{
+    HEARD_PATIENCE, Ledger, PENDING_MAX, REPORT_MAX, REPORTS_MAX, Report, SUSPECTS_MAX,
+    SUSPICION_MAX, Standing,
+};
 use primrosehoist::state::fleet::Fleet;
 use tokio::time::Instant;
 
@@ -69,6 +72,48 @@
     .budget_ms(500);
 }
 
+#[test]
+fn a_report_is_news_once() {
+    let now = Instant::now();
+    let fleet = Fleet::default();
+    let report = |standing| Report {
+        fingerprint: "a".to_owned(),
+        standing,
+    };
+    let mut ledger = Ledger::default();
+    assert!(ledger.hear(&report(Standing::Suspect), &fleet, now));
+    assert!(!ledger.hear(&report(Standing::Suspect), &fleet, now));
+    assert_eq!(ledger.reports(now), [report(Standing::Suspect)]);
+    assert!(ledger.reports(now + REPORT_MAX).is_empty());
+    assert!(ledger.hear(&report(Standing::Quarantined), &fleet, now));
+    assert!(!ledger.hear(&report(Standing::Quarantined), &fleet, now));
+    assert!(!ledger.hear(&report(Standing::Suspect), &fleet, now));
+    assert_eq!(
+        ledger.reports(now + SUSPICION_MAX),
+        [report(Standing::Quarantined)]
+    );
+    let mut recorded = Fleet::default();
+    recorded.quarantine.insert("a".to_owned(), String::new());
+    ledger.confirm(&recorded);
+    assert!(!ledger.hear(&report(Standing::Quarantined), &recorded, now));
+    assert!(ledger.reports(now).is_empty() && ledger.is_empty());
+}
+
+#[test]
+fn the_finder_records_a_quarantine_first() {
+    let now = Instant::now();
+    let mut finder = Ledger::default();
+    finder.upstream_died(&names(&["a"]), now);
+    finder.upstream_died(&names(&["a"]), now);
+    assert_eq!(finder.due(now), ["a"]);
+    let mut other = Ledger::default();
+    for report in finder.reports(now) {
+        other.hear(&report, &Fleet::default(), now);
+    }
+    assert!(other.due(now).is_empty());
+    assert_eq!(other.due(now + HEARD_PATIENCE), ["a"]);
+}
+
 #[test]
 fn the_ledger_is_bounded() {
     let now = Instant::now();
@@ -90,4 +135,5 @@
         );
     }
     assert_eq!(ledger.pending().len(), PENDING_MAX);
+    assert_eq!(ledger.reports(now).len(), REPORTS_MAX);
 }
