--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, cuts};
 use crate::node::Node;
 use crate::scrape::Scrape;
 
@@ -28,6 +28,8 @@
     /// Set to `true` by an order to shut down.
     pub(crate) drain: watch::Sender<bool>,
     pub(crate) scrape: Scrape,
+    /// Whether operators may cut this daemon off from others.
+    pub(crate) allow_cuts: bool,
 }
 
 /// Serves the admin port until `stopped` turns true.
@@ -50,7 +52,9 @@
         (&Method::GET, "/readyz") if is_ready(&port.node) => text(StatusCode::OK, "ready\n"),
         (&Method::GET, "/readyz") => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
         (&Method::GET, "/metrics") => metrics(port),
-        (method, path) if is_operator(&port.node, request) => order(port, method, path),
+        (method, path) if is_operator(&port.node, request) => {
+            order(port, method, path, request.uri().query())
+        }
         _ => text(
             StatusCode::UNAUTHORIZED,
             "the token is missing or not valid\n",
@@ -58,13 +62,19 @@
     }
 }
 
-fn order(port: &Port, method: &Method, path: &str) -> Answer {
+fn order(port: &Port, method: &Method, path: &str, query: Option<&str>) -> Answer {
     match (method, path) {
         (&Method::GET, "/admin/status") => json(&status(&port.node, &port.cluster)),
         (&Method::POST, "/admin/drain") => {
             port.drain.send_replace(true);
             text(StatusCode::ACCEPTED, "shutting down\n")
         }
+        (&Method::POST, "/admin/cuts") if port.allow_cuts => {
+            match cuts::set(port.node.peers.cuts(), query.unwrap_or_default()) {
+                Ok(()) => text(StatusCode::OK, "cut\n"),
+                Err(error) => text(StatusCode::BAD_REQUEST, &format!("{error}\n")),
+            }
+        }
         _ => text(StatusCode::NOT_FOUND, "no such path\n"),
     }
 }
@@ -88,16 +98,8 @@
 }
 
 fn status(node: &Node, cluster: &Cluster) -> Status {
-    let view = node.view.load();
-    let others = view.daemons.values();
-    let others = others.filter(|daemon| daemon.member.host != node.host);
-    let others = others.map(|daemon| Member {
-        host: daemon.member.host.clone(),
-        zone: daemon.member.zone.clone(),
-        version: daemon.version,
-        age_ms: 0,
-    });
-    let adverts = node.adverts(Instant::now());
+    let mut adverts = node.adverts(Instant::now());
+    adverts.sort_by(|left, right| left.upstream.cmp(&right.upstream));
     Status {
         host: node.host.clone(),
         zone: node.zone.clone(),
@@ -105,11 +107,30 @@
         draining: node.is_draining(),
         platform_age_ms: cluster.platform_age_ms(),
         holdings: adverts.into_iter().map(holding).collect(),
-        members: others.collect(),
+        members: members(node, cluster),
         quarantine_pending: 0,
     }
 }
 
+/// Returns the other daemons that count as alive, by name.
+fn members(node: &Node, cluster: &Cluster) -> Vec<Member> {
+    let view = node.view.load();
+    let others = view.daemons.values();
+    let mut members: Vec<Member> = others
+        .filter(|daemon| daemon.member.host != node.host)
+        .filter_map(|daemon| {
+            Some(Member {
+                host: daemon.member.host.clone(),
+                zone: daemon.member.zone.clone(),
+                version: daemon.version,
+                age_ms: cluster.heard_ms(&daemon.member.host)?,
+            })
+        })
+        .collect();
+    members.sort_by(|left, right| left.host.cmp(&right.host));
+    members
+}
+
 fn holding(advert: Advert) -> Holding {
     Holding {
         upstream: advert.upstream,
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -100,7 +100,7 @@
             peers: peer::Client::new(identity),
             keys: Keys::default(),
             entry: Entry::new(settings.limits.body_budget, policy),
-            holder: Holder::default(),
+            holder: Holder::new(&settings.mechanisms),
             metrics: Metrics::new()?,
             poison: Poison::new(settings.mechanisms.poison),
             progress: Progress::default(),
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -37,7 +37,8 @@
     pub warm_requests: u32,
     /// Whether engines check fencing numbers.
     pub fencing: bool,
-    /// TOML appended to every daemon's settings.
+    /// TOML appended to every daemon's settings, followed by `PRIMROSEHOIST_SETTINGS` of the
+    /// environment, by which a run switches a mechanism off to show that its proof fails.
     pub settings: &'static str,
 }
 
@@ -281,9 +282,10 @@
         self.register(index);
         let daemon = &self.daemons[index];
         let seeds: Vec<&str> = self.daemons.iter().map(|d| d.peer.as_str()).collect();
+        let more = std::env::var("PRIMROSEHOIST_SETTINGS").unwrap_or_default();
         let settings = format!(
             "host = \"{}\"\nzone = \"{}\"\nsecret_file = \"{}\"\n\n[listen]\ncaller = \"{}\"\npeer = \"{}\"\nadmin = \"{}\"\n\n\
-             [platform]\naddress = \"{}\"\n\n[peers]\nseeds = {}\n\n[log]\nlevel = \"info\"\n\n{}",
+             [platform]\naddress = \"{}\"\n\n[peers]\nseeds = {}\n\n[log]\nlevel = \"info\"\n\n{}{more}",
             daemon.host,
             daemon.zone,
             self.directory.join("secret").display(),
@@ -402,9 +404,18 @@
     assert!(reply.status < 300, "faults of {address}: {reply:?}");
 }
 
-/// Returns the counts of the stand-in at `address`.
+/// Returns the counts of the stand-in at `address`, which may be down after a crash for a while.
 pub fn counts(address: &str) -> Value {
-    caller::call("GET", &format!("http://{address}/standin/counts"), &[], "").json()
+    let url = format!("http://{address}/standin/counts");
+    let end = Instant::now() + Duration::from_secs(15);
+    loop {
+        let reply = caller::call("GET", &url, &[], "");
+        if reply.status == 200 {
+            return reply.json();
+        }
+        assert!(Instant::now() < end, "no counts from {address}: {reply:?}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
 }
 
 /// Returns the bearer token of operators.
--- a/src/coordination/holding/decide.rs
+++ b/src/coordination/holding/decide.rs
@@ -19,6 +19,9 @@
 /// How much longer each further daemon of the ranking waits before it writes the roster.
 const RANK_PAUSE: Duration = Duration::from_millis(500);
 
+/// The pause between two questions for promises.
+const ASK_INTERVAL: Duration = Duration::from_millis(700);
+
 /// How long daemons that agreed on a holder's silence are counted.
 const SILENT_AGE_MAX: Duration = Duration::from_secs(2);
 
@@ -88,7 +91,7 @@
         self.revive(around.now);
         self.settle(around);
         self.finish_takeovers(around.now);
-        let takeovers = self.recorded_takeovers();
+        let takeovers = self.recorded_takeovers(around.now);
         for takeover in &takeovers {
             let own = self.own.clone();
             let answer = self.takeover(takeover, false, around.now);
@@ -103,11 +106,13 @@
     }
 
     /// Asks the zone for help when this daemon cannot read the platform itself.
-    fn ask(&self, now: Instant) -> Option<Promise> {
+    fn ask(&mut self, now: Instant) -> Option<Promise> {
         let read_at = self.read_at()?;
-        if now < read_at + READ_INTERVAL + READ_INTERVAL / 2 {
+        let asked_lately = self.asked_at.is_some_and(|at| now < at + ASK_INTERVAL);
+        if now < read_at + READ_INTERVAL + READ_INTERVAL / 2 || asked_lately {
             return None;
         }
+        self.asked_at = Some(now);
         let held = self.held.iter();
         let holdings: Vec<Holding> = held
             .filter(|(_, held)| held.leaving_since.is_none())
@@ -124,11 +129,11 @@
     }
 
     /// Returns the takeovers that still need agreement.
-    fn recorded_takeovers(&self) -> Vec<Takeover> {
+    fn recorded_takeovers(&self, now: Instant) -> Vec<Takeover> {
         let pending = self.pending.iter();
         let recorded = pending.filter(|(_, pending)| pending.confirmed_at.is_some());
         recorded
-            .filter(|(_, pending)| !pending.is_agreed())
+            .filter(|(_, pending)| !pending.is_agreed(now))
             .filter_map(|(upstream, pending)| {
                 Some(Takeover {
                     taker: self.own.clone(),
--- a/src/coordination/holding/mod.rs
+++ b/src/coordination/holding/mod.rs
@@ -69,6 +69,17 @@
     pub(crate) begun: Instant,
 }
 
+impl Known {
+    /// Returns whether `host` may have the holding by what was read.
+    pub(crate) fn allows(&self, holding: &Holding, host: &name::Host) -> bool {
+        let entry = self.spec.holdings.get(&holding.upstream);
+        entry.is_none_or(|entry| {
+            let same = entry.epoch == holding.epoch && entry.holder.as_ref() == Some(host);
+            entry.epoch < holding.epoch || same
+        })
+    }
+}
+
 /// An upstream that this process holds.
 #[derive(Debug)]
 struct Held {
@@ -105,12 +116,14 @@
     silent: Map<name::Host, Silent>,
     /// When another daemon took an upstream from this one.
     taken_at: Map<name::Upstream, Instant>,
-    /// Upstreams that were given back with requests in flight, by their epochs.
+    /// Upstreams that are no longer held but may have requests in flight, with their epochs.
     given_back: Map<name::Upstream, u64>,
     /// The assignment that differs from the holder, and since when.
     moves: Map<name::Upstream, decide::Move>,
     /// When the roster was first seen to differ from the daemons of the zone.
     joining_since: Option<Instant>,
+    /// When the zone was last asked for promises.
+    asked_at: Option<Instant>,
     /// When an entry held here was first seen to have an older roster.
     refresh_since: Option<Instant>,
     started_at: Instant,
@@ -139,6 +152,7 @@
             given_back: Map::default(),
             moves: Map::default(),
             joining_since: None,
+            asked_at: None,
             refresh_since: None,
             started_at: now,
             votes: Votes::new(now),
@@ -212,10 +226,12 @@
     fn drop_lost(&mut self, spec: &Spec, now: Instant) {
         let own = &self.own;
         let taken_at = &mut self.taken_at;
+        let given_back = &mut self.given_back;
         self.held.retain(|upstream, held| {
             let stands = spec.epoch_of(upstream, own) == Some(held.lease.epoch());
             if !stands {
                 held.lease.release();
+                given_back.insert(upstream.clone(), held.lease.epoch());
                 if held.leaving_since.is_none() {
                     taken_at.insert(upstream.clone(), now);
                 }
