--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -321,7 +321,8 @@
         let secret = self.directory.join("secret").display().to_string();
         let mut command = Command::new(process::program("primrosehoist"));
         command.args(arguments).args(["--platform", &self.platform]);
-        if arguments.first() != Some(&"audit") {
+        let reads = matches!(arguments, ["audit", ..] | ["quarantine", "list", ..]);
+        if !reads {
             command.args(["--secret-file", &secret]);
         }
         command.output().expect("the tool runs")
