Let a long prompt pass longer ones that the engine processes after it

Cause: an upstream processed two long prompts at once, whatever their lengths. Prompts of 16k to 128k tokens waited in the holder's queue behind prompts of up to a million tokens, although the engine would have processed them first by their priority.

Ruled out: the priorities themselves; the engine obeys them once a prompt is sent. Texts now differ from load to load, lengths and arrivals do not.

Change: only long prompts of the same or a more urgent priority count against the two.

--- a/crates/primrosehoist-standin/src/load/arrival.rs
+++ b/crates/primrosehoist-standin/src/load/arrival.rs
@@ -42,7 +42,7 @@
     pub(crate) workspace: usize,
     /// What it is.
     pub(crate) kind: Kind,
-    /// The seed of its text.
+    /// Tells its text from that of other requests of the load.
     text: u64,
 }
 
@@ -76,8 +76,9 @@
         }
     }
 
-    /// Returns the request to `address`.
-    pub(crate) fn work(&self, mix: &Mix, address: SocketAddr) -> Work {
+    /// Returns the request to `address`. Texts and keys of loads of another `salt` differ.
+    pub(crate) fn work(&self, mix: &Mix, address: SocketAddr, salt: u64) -> Work {
+        let text = self.text ^ salt;
         let key = mix.workspaces[self.workspace].key.clone();
         let timeout = Duration::from_millis(mix.timeout_ms);
         match self.kind {
@@ -94,7 +95,7 @@
                     max_tokens: answer_tokens,
                     timeout,
                 };
-                ask.text = ask.generated(self.text, tokens);
+                ask.text = ask.generated(text, tokens);
                 Work::Ask(ask)
             }
             Kind::Call { index } => Work::Call(Call {
@@ -102,9 +103,7 @@
                 key,
                 service: mix.calls[index].service.clone(),
                 path: mix.calls[index].path.clone(),
-                idempotency_key: mix.calls[index]
-                    .keyed
-                    .then(|| format!("load-{:016x}", self.text)),
+                idempotency_key: mix.calls[index].keyed.then(|| format!("load-{text:016x}")),
                 body: format!("call {}", self.number),
                 timeout,
             }),
--- a/crates/primrosehoist-standin/src/load/mod.rs
+++ b/crates/primrosehoist-standin/src/load/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::caller::answer::Answer;
 use crate::command::{self, Addresses, Error};
+use crate::reply;
 use arrival::{Arrival, Arrivals, Work};
 use mix::Mix;
 use progress::Progress;
@@ -45,8 +46,9 @@
   --help               prints this text
   --version            prints the version
 
-The same seed and mix draw the same requests, also with another --most-tokens. Prompts of up to
-4096 tokens are called short. Times are taken from the send; late_ms_max says by how much a send
+The same seed and mix draw the same arrivals and lengths, also with another --most-tokens. Texts and
+idempotency keys differ from load to load, so that no cache holds them and no key was used before.
+Prompts of up to 4096 tokens are called short. Times are taken from the send; late_ms_max says by how much a send
 was late at most. Progress is shown on a terminal.
 ";
 
@@ -120,10 +122,11 @@
     tally.offer(&wanted);
     let callers = options.callers.clone();
     let mix = options.mix.clone();
+    let salt = reply::unix_ms();
     let sender = task::spawn(async move {
         for arrival in wanted {
             let address = callers[arrival.number as usize % callers.len()];
-            let work = arrival.work(&mix, address);
+            let work = arrival.work(&mix, address, salt);
             time::sleep_until(started + arrival.at).await;
             task::spawn(send(arrival, work, started, ended.clone()));
         }
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -22,7 +22,7 @@
 use crate::state::queue::{Item, Queue, Ticket, Waiting};
 use crate::state::view::Advert;
 
-/// Long prompts that an upstream processes at once.
+/// Long prompts of the same or a more urgent priority that an upstream processes at once.
 pub const LONG_PREFILLS_MAX: usize = 2;
 
 /// Queued requests per slot of the limit.
--- a/src/coordination/admission/room.rs
+++ b/src/coordination/admission/room.rs
@@ -2,7 +2,7 @@
 
 use tokio::time::Instant;
 
-use super::{LONG_PATIENCE, LONG_PREFILLS_MAX, SUSPECT_PATIENCE, Scheduler};
+use super::{LONG_PATIENCE, LONG_PREFILLS_MAX, SUSPECT_PATIENCE, Scheduler, priority};
 use crate::state::placement::is_long;
 use crate::state::queue::{Item, Waiting};
 
@@ -36,13 +36,28 @@
     }
 }
 
+/// The priorities of the long prompts that the upstream processes.
+#[derive(Debug)]
+struct Prefills(Vec<u8>);
+
+impl Prefills {
+    /// Returns whether another prompt may be processed.
+    ///
+    /// The upstream processes less urgent ones after it, so that only the others count.
+    fn allow(&self, item: &Item) -> bool {
+        let own = priority(item.prompt_tokens);
+        let ahead = self.0.iter().filter(|other| **other <= own);
+        ahead.count() < LONG_PREFILLS_MAX
+    }
+}
+
 /// What an upstream can take at one moment.
 #[derive(Debug)]
 pub(super) struct Room {
     idle: bool,
     slots: usize,
     long_slots: usize,
-    long_prefills: usize,
+    long_prefills: Prefills,
     memory: Option<Memory>,
     suspect_due: bool,
     long_due: bool,
@@ -63,7 +78,7 @@
             return false;
         }
         let long = is_long(item.prompt_tokens);
-        if long && (self.long_slots == 0 || self.long_prefills >= LONG_PREFILLS_MAX) {
+        if long && (self.long_slots == 0 || !self.long_prefills.allow(item)) {
             return false;
         }
         match &self.memory {
@@ -89,13 +104,15 @@
         let closed = flights().any(|f| f.item.suspect || f.item.half != self.half);
         let free = (slots as usize).saturating_sub(in_flight);
         let long_slots = ((slots - kept) as usize).saturating_sub(long_flights);
-        let long_prefills = flights()
-            .filter(|f| f.in_prefill() && long(&f.item))
-            .count();
+        let in_prefill = flights().filter(|f| f.in_prefill() && long(&f.item));
+        let long_prefills = Prefills(in_prefill.map(|f| priority(f.item.prompt_tokens)).collect());
         let waited = |w: &Waiting, patience| now.saturating_duration_since(w.since) >= patience;
-        let long_waits = |w: &Waiting| long(&w.item) && waited(w, LONG_PATIENCE);
         // A long prompt that waits for other long ones gains nothing from holding back short ones.
-        let lacks_memory_only = long_slots > 0 && long_prefills < LONG_PREFILLS_MAX;
+        let lacks_memory_only = |item: &Item| long_slots > 0 && long_prefills.allow(item);
+        let long_due = self
+            .queue
+            .iter()
+            .any(|w| long(&w.item) && waited(w, LONG_PATIENCE) && lacks_memory_only(&w.item));
         Room {
             idle: in_flight == 0 && self.foreign.requests == 0,
             slots: if closed { 0 } else { free },
@@ -111,7 +128,7 @@
                 .queue
                 .iter()
                 .any(|w| w.item.suspect && waited(w, SUSPECT_PATIENCE)),
-            long_due: lacks_memory_only && self.queue.iter().any(long_waits),
+            long_due,
         }
     }
 }
--- a/tests/admission_rules/main.rs
+++ b/tests/admission_rules/main.rs
@@ -77,6 +77,27 @@
     assert_eq!(scheduler.next(now), [9]);
 }
 
+#[test]
+fn only_prompts_that_go_first_hold_back_a_long_one() {
+    const HUGE: u64 = 150_000;
+    let cases = [
+        (HUGE, 20_000, Verdict::Send),
+        (20_000, HUGE, Verdict::Queued),
+        (20_000, 20_000, Verdict::Queued),
+        (HUGE, HUGE, Verdict::Queued),
+    ];
+    let now = Instant::now();
+    for (running, offered, verdict) in cases {
+        let mut scheduler = scheduler(16);
+        for ticket in 0..LONG_PREFILLS_MAX as u64 {
+            let sent = scheduler.offer(item(ticket, running, now), now);
+            assert_eq!(sent, Verdict::Send, "{running}");
+        }
+        let last = scheduler.offer(item(9, offered, now), now);
+        assert_eq!(last, verdict, "{offered} after {running}");
+    }
+}
+
 #[test]
 fn long_prompts_leave_slots_for_short_ones() {
     let now = Instant::now();
