--- a/src/state/placement.rs
+++ b/src/state/placement.rs
@@ -20,7 +20,7 @@
 pub const LONG_TOKENS: u64 = 16_384;
 
 /// The expected wait of a long prompt above which the next upstream is opened to long prompts.
-pub const LONG_WAIT_MAX: Duration = Duration::from_secs(2);
+pub const LONG_WAIT_MAX: Duration = Duration::from_secs(10);
 
 /// The largest number of upstreams that answer one prompt together.
 pub const GROUP_MAX: usize = 4;
