--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -2,6 +2,8 @@
 
 mod admin;
 mod caller;
+mod claims;
+mod clock;
 mod cluster;
 mod command;
 mod dispatch;
@@ -10,6 +12,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod poison;
 mod progress;
 mod scrape;
 mod service;
