--- a/crates/primrosehoist-cli/tests/tool.rs
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -243,7 +243,7 @@
         "zone": "zone-a", "role": "entry", "address": "127.0.0.1:7200", "state": "live",
         "admin": daemon.address.to_string(),
     }});
-    let list = json!({"metadata": {"name": ""}, "items": [host]});
+    let list = json!({"metadata": {"resourceVersion": "7"}, "items": [host]});
     platform.set("/apis/primrosehoist/v1/hosts", list);
     let more = ["--secret-file", secret.path(), "--wait", "300ms"];
     let run = publish(&platform, &more);
