--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -64,7 +64,7 @@
 /// Asks the engine for the rest of the stream from event `from` on.
 pub(crate) async fn resume(task: &Task, place: &Place, from: u64) -> Result<Exchange, Error> {
     let content = json!({"id": task.dispatch.attempt, "from": from});
-    let request = admin(task, "/admin/resume", &content);
+    let request = post(place, &task.host, "/admin/resume", &content);
     place.pool.send(request, &gate(task, place)).await
 }
 
@@ -74,7 +74,9 @@
     tokio::spawn(async move {
         let end = Instant::now() + GRACE;
         while Instant::now() < end {
-            if try_cancel(&task, flight.place()).await {
+            // A later holder may have resumed the attempt once the lease has lapsed.
+            let lapsed = task.checks_lease && !task.lease.covers(Instant::now());
+            if !lapsed && try_cancel(&task, flight.place()).await {
                 break;
             }
             sleep(CANCEL_PAUSE).await;
@@ -83,18 +85,22 @@
     });
 }
 
-/// Counts an attempt as in flight for as long as the engine keeps it for its entry daemon to
-/// come back.
-pub(crate) fn abandon(flight: Flight) {
+/// Counts an attempt as in flight for as long as its entry daemon may come back for it, then
+/// cancels it unless that has happened.
+pub(crate) fn abandon(task: Arc<Task>, flight: Flight) {
     tokio::spawn(async move {
         sleep(GRACE).await;
-        flight.finish(Finish::Cancelled);
+        if flight.is_resumed() {
+            flight.finish(Finish::Cancelled);
+        } else {
+            cancel(task, flight, Finish::Cancelled);
+        }
     });
 }
 
 async fn try_cancel(task: &Task, place: &Place) -> bool {
     let content = json!({"id": task.dispatch.attempt});
-    let request = admin(task, "/admin/cancel", &content);
+    let request = post(place, &task.host, "/admin/cancel", &content);
     // Cancelling is safe without a lease: it names an attempt of this daemon.
     let gate = Arc::new(Gate::new(Arc::clone(&place.turn), |_begun| true));
     let sent = timeout(CANCEL_TIMEOUT, place.pool.send(request, &gate)).await;
@@ -108,10 +114,26 @@
     cancelled
 }
 
-fn admin(task: &Task, path: &str, content: &serde_json::Value) -> Request<Payload> {
+/// Returns an order to an engine.
+pub(crate) fn post(
+    place: &Place,
+    host: &str,
+    path: &str,
+    content: &serde_json::Value,
+) -> Request<Payload> {
+    let mut request = get(place, host, path);
+    *request.method_mut() = http::Method::POST;
     let body = Full::new(Bytes::from(content.to_string()));
+    *request.body_mut() = body.map_err(|never| match never {}).boxed_unsync();
+    let json = http::HeaderValue::from_static("application/json");
+    request.headers_mut().insert("content-type", json);
+    request
+}
+
+/// Returns a question to an engine.
+pub(crate) fn get(place: &Place, host: &str, path: &str) -> Request<Payload> {
+    let body = Full::new(Bytes::new());
     let mut request = Request::new(body.map_err(|never| match never {}).boxed_unsync());
-    *request.method_mut() = http::Method::POST;
     *request.uri_mut() = path.parse().unwrap_or_default();
     let headers = request.headers_mut();
     let mut set = |key: &'static str, value: String| {
@@ -119,9 +141,8 @@
             headers.insert(key, value);
         }
     };
-    set("host", task.upstream.address.to_string());
-    set("content-type", "application/json".to_owned());
-    set("x-fencing-epoch", task.lease.epoch().to_string());
-    set("x-holder", task.host.clone());
+    set("host", place.pool.address().to_string());
+    set("x-fencing-epoch", place.epoch.to_string());
+    set("x-holder", host.to_owned());
     request
 }
--- a/crates/primrosehoist-daemon/src/holder/flight.rs
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -13,15 +13,18 @@
 pub(crate) struct Flight {
     place: Arc<Place>,
     ticket: Ticket,
+    attempt: String,
     finished: bool,
 }
 
 impl Flight {
     /// Creates the guard of a request that is offered next.
-    pub(crate) fn new(place: &Arc<Place>, ticket: Ticket) -> Self {
+    pub(crate) fn new(place: &Arc<Place>, ticket: Ticket, attempt: &str) -> Self {
+        place.attempts.add(attempt);
         Self {
             place: Arc::clone(place),
             ticket,
+            attempt: attempt.to_owned(),
             finished: false,
         }
     }
@@ -31,6 +34,11 @@
         &self.place
     }
 
+    /// Returns whether another flight of this process continues the attempt.
+    pub(crate) fn is_resumed(&self) -> bool {
+        self.place.flights_of(&self.attempt) > 1
+    }
+
     /// Records a part of the answer.
     pub(crate) fn note_part(&self, first: bool) {
         let ticket = self.ticket;
@@ -57,5 +65,6 @@
         if !self.finished {
             self.place.withdraw(self.ticket);
         }
+        self.place.attempts.remove(&self.attempt);
     }
 }
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -1,8 +1,10 @@
 //! The holder's side of a request: admission to the upstream and the relay of its answer.
 
+mod attempts;
 mod call;
 mod flight;
 mod place;
+pub(crate) mod reconcile;
 mod relay;
 mod responder;
 
@@ -14,7 +16,7 @@
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
 use primrosehoist::protocol::wire::{Dispatch, Reply};
-use primrosehoist::state::fleet::{Fleet, Kind, Presence, Upstream};
+use primrosehoist::state::fleet::{Fleet, Presence, Upstream};
 use primrosehoist::state::queue::Item;
 use primrosehoist::transport::http::body::Measured;
 use primrosehoist::transport::http::{BoxError, Payload};
@@ -24,6 +26,7 @@
 pub(crate) use self::place::Holder;
 pub(crate) use self::responder::Responder;
 
+use self::flight::Flight;
 use crate::node::Node;
 
 /// A dispatch with all that its run needs.
@@ -81,15 +84,34 @@
     responder: &mut Responder,
 ) -> Reply {
     let since = Instant::now();
-    let place = node.holder.place(&task.upstream, &task.lease);
+    let listed = node.mechanisms.reconcile && task.engine;
+    let place = node.holder.place(&task.upstream, &task.lease, listed);
+    let attempt = task.dispatch.attempt.as_str();
+    if task.dispatch.resume_from > 0 {
+        // The stream runs, so its place among the foreign ones is taken over, not added to.
+        let flight = place::adopt(&place, item, attempt);
+        return sent(node, task, since, body, flight, responder).await;
+    }
     let admitted = tokio::select! {
-        admitted = place::admit(&place, item) => admitted,
+        admitted = place::admit(&place, item, attempt) => admitted,
         _ = responder.closed() => return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request")),
     };
     let flight = match admitted {
         Ok(flight) => flight,
         Err(failure) => return Reply::Failed(failure),
     };
+    sent(node, task, since, body, flight, responder).await
+}
+
+/// Tells the entry daemon of the admission, then relays.
+async fn sent(
+    node: &Node,
+    task: Task,
+    since: Instant,
+    body: Payload,
+    flight: Flight,
+    responder: &mut Responder,
+) -> Reply {
     let queued = since.elapsed();
     node.metrics.queued(&task.upstream.service, queued);
     let queued_ms = queued.as_millis() as u64;
@@ -129,8 +151,7 @@
         deadline,
         suspect: dispatch.suspect,
     };
-    let service = fleet.services.get(&upstream.service);
-    let engine = service.is_some_and(|service| matches!(service.kind, Kind::Engine(_)));
+    let engine = fleet.is_engine(&upstream);
     let host = node.host.to_string();
     let task = Task {
         dispatch,
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
-use primrosehoist::coordination::admission::{self, Scheduler, Verdict};
+use primrosehoist::coordination::admission::{self, Foreign, Scheduler, Verdict};
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::state::fleet::{Fleet, Upstream};
-use primrosehoist::state::map::Map;
+use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::name;
 use primrosehoist::state::queue::{Item, Ticket};
 use primrosehoist::state::view::Advert;
@@ -16,13 +16,21 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, interval};
 
+use super::attempts::Attempts;
 use super::flight::Flight;
 use super::not_run;
+use super::reconcile::Books;
 use crate::node::Leases;
 
 /// The time between two looks at the queue without an event.
 const TICK: Duration = Duration::from_millis(100);
 
+/// Stands for the work of earlier holders until it is known; leaves no slot.
+const UNKNOWN: Foreign = Foreign {
+    requests: u32::MAX,
+    memory_tokens: 0,
+};
+
 type Turn = oneshot::Sender<Result<(), Failure>>;
 
 /// The upstreams held by this daemon.
@@ -39,7 +47,11 @@
     pub(crate) epoch: u64,
     /// Shared by the gates of all requests to the upstream.
     pub(crate) turn: Arc<Mutex<()>>,
-    lease: Arc<Lease>,
+    pub(crate) lease: Arc<Lease>,
+    /// The attempts in the charge of this process.
+    pub(crate) attempts: Attempts,
+    /// The comparison with what the engine lists.
+    pub(crate) books: Mutex<Books>,
     /// An earlier holding by this daemon, whose requests may still run.
     earlier: Option<Arc<Place>>,
     state: Mutex<Queue>,
@@ -58,7 +70,14 @@
     }
 
     /// Returns the place of `upstream`, a new one if the holding or the address is new.
-    pub(crate) fn place(&self, upstream: &Upstream, lease: &Arc<Lease>) -> Arc<Place> {
+    ///
+    /// If `listed` is set, a new one admits nothing until it is known what earlier holders left.
+    pub(crate) fn place(
+        &self,
+        upstream: &Upstream,
+        lease: &Arc<Lease>,
+        listed: bool,
+    ) -> Arc<Place> {
         let mut places = lock(&self.places);
         if let Some(place) = places.get(&upstream.name)
             && place.epoch == lease.epoch()
@@ -68,6 +87,9 @@
         }
         let earlier = places.remove(&upstream.name);
         let place = Arc::new(Place::new(upstream, lease, earlier));
+        if listed {
+            place.update(|scheduler| scheduler.set_foreign(UNKNOWN));
+        }
         tokio::spawn(watch(Arc::downgrade(&place)));
         places.insert(upstream.name.clone(), Arc::clone(&place));
         place
@@ -82,13 +104,22 @@
 
     /// Returns what is told to other daemons about the upstreams of `leases`, and drops the
     /// places of all others that are idle.
-    pub(crate) fn adverts(&self, fleet: &Fleet, leases: &Leases, now: Instant) -> Vec<Advert> {
+    pub(crate) fn adverts(
+        &self,
+        fleet: &Fleet,
+        leases: &Leases,
+        reconcile: bool,
+        now: Instant,
+    ) -> Vec<Advert> {
         lock(&self.places)
             .retain(|upstream, place| leases.contains_key(upstream) || place.in_flight() > 0);
         let held = leases.iter().filter(|(_, lease)| lease.holds(now));
         let known = held.filter_map(|(name, lease)| Some((fleet.upstreams.get(name)?, lease)));
         known
-            .map(|(upstream, lease)| self.place(upstream, lease).advert(now))
+            .map(|(upstream, lease)| {
+                let listed = reconcile && fleet.is_engine(upstream);
+                self.place(upstream, lease, listed).advert(now)
+            })
             .collect()
     }
 }
@@ -103,6 +134,8 @@
             epoch,
             turn: Arc::default(),
             lease: Arc::clone(lease),
+            attempts: Attempts::default(),
+            books: Mutex::default(),
             earlier,
             state: Mutex::new(Queue {
                 scheduler: Scheduler::new(upstream, epoch, reserve),
@@ -123,11 +156,26 @@
     }
 
     /// Returns whether earlier holders have nothing left at the upstream.
-    fn is_settled(&self) -> bool {
+    pub(crate) fn is_settled(&self) -> bool {
         let left = self.earlier.as_ref().map_or(0, |place| place.in_flight());
         self.lease.reserve() == 0 && left == 0
     }
 
+    /// Returns the flights of an attempt in this process, by this or an earlier holding.
+    pub(crate) fn flights_of(&self, attempt: &str) -> u32 {
+        let earlier = self.earlier.as_ref().map_or(0, |e| e.flights_of(attempt));
+        self.attempts.flights(attempt) + earlier
+    }
+
+    /// Returns the attempts in the charge of this process, by this or an earlier holding.
+    pub(crate) fn all_attempts(&self) -> Set<String> {
+        let mut attempts = self.attempts.all();
+        if let Some(earlier) = &self.earlier {
+            attempts.extend(earlier.all_attempts());
+        }
+        attempts
+    }
+
     /// Runs `change` on the scheduler, then admits what may go out.
     pub(crate) fn update<C>(&self, change: C)
     where
@@ -204,8 +252,12 @@
 /// # Errors
 ///
 /// Returns why the request is refused; it did not run then.
-pub(crate) async fn admit(place: &Arc<Place>, item: Item) -> Result<Flight, Failure> {
-    let flight = Flight::new(place, item.ticket);
+pub(crate) async fn admit(
+    place: &Arc<Place>,
+    item: Item,
+    attempt: &str,
+) -> Result<Flight, Failure> {
+    let flight = Flight::new(place, item.ticket, attempt);
     match place.offer(item)? {
         None => Ok(flight),
         Some(turn) => match turn.await {
@@ -219,6 +271,13 @@
     }
 }
 
+/// Counts a request that runs at the upstream already.
+pub(crate) fn adopt(place: &Arc<Place>, item: Item, attempt: &str) -> Flight {
+    let flight = Flight::new(place, item.ticket, attempt);
+    place.update(|scheduler| scheduler.adopt(item, Instant::now()));
+    flight
+}
+
 /// Looks after the queue of a place for as long as the place lives.
 async fn watch(place: Weak<Place>) {
     let mut ticks = interval(TICK);
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -81,7 +81,7 @@
         }
         Stop::Expired => (expired(), Finish::Failed(limit::Failure::Timeout), true),
         Stop::Gone(Gone::Cut) if task.engine => {
-            call::abandon(flight);
+            call::abandon(Arc::clone(task), flight);
             return Reply::Failed(gone());
         }
         Stop::Gone(_) => (gone(), Finish::Cancelled, true),
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -43,6 +43,7 @@
     };
     let server = Server::bind(&address, identity, handler).await?;
     cluster.start();
+    tokio::spawn(holder::reconcile::run(Arc::clone(node)));
     Ok(Links {
         cluster,
         _server: server,
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -95,7 +95,8 @@
     pub(crate) fn adverts(&self, now: Instant) -> Vec<Advert> {
         let fleet = self.fleet.load();
         let leases = self.leases.load();
-        self.holder.adverts(&fleet, &leases, now)
+        self.holder
+            .adverts(&fleet, &leases, self.mechanisms.reconcile, now)
     }
 
     /// Returns whether the daemon shuts down.
--- a/crates/primrosehoist-daemon/src/settings.rs
+++ b/crates/primrosehoist-daemon/src/settings.rs
@@ -172,6 +172,8 @@
     pub(crate) poison: bool,
     /// Gives no new work to zones that are out of service.
     pub(crate) zone_out: bool,
+    /// Counts and frees what earlier holders left at engines.
+    pub(crate) reconcile: bool,
     /// Lets operators cut the daemon off from others, for tests of partitions.
     pub(crate) allow_cuts: bool,
 }
@@ -362,6 +364,7 @@
         retry_budget: switch("retry_budget"),
         poison: switch("poison"),
         zone_out: switch("zone_out"),
+        reconcile: switch("reconcile"),
         allow_cuts: table.value_or("allow_cuts", false, value::flag),
     };
     table.finish();
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -169,6 +169,12 @@
         Verdict::Queued
     }
 
+    /// Counts a request as in flight that runs at the upstream already, such as a stream that is
+    /// resumed. It adds no work, so it waits for no room.
+    pub fn adopt(&mut self, item: Item, now: Instant) {
+        self.send(item, now);
+    }
+
     /// Takes the requests from the queue that are to be sent now, and counts them as in flight.
     ///
     /// The caller asks after each event, and at least once a second while requests wait.
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -12,6 +12,7 @@
 pub mod membership;
 pub mod poison;
 pub mod promise;
+pub mod reconcile;
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -31,6 +31,14 @@
     pub quarantine: Map<Fingerprint, String>,
 }
 
+impl Fleet {
+    /// Returns whether `upstream` is a model engine.
+    pub fn is_engine(&self, upstream: &Upstream) -> bool {
+        let service = self.services.get(&upstream.service);
+        service.is_some_and(|service| matches!(service.kind, Kind::Engine(_)))
+    }
+}
+
 /// A set of upstreams that answer alike.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
