--- a/crates/primrosehoist-daemon/src/cluster/holding.rs
+++ b/crates/primrosehoist-daemon/src/cluster/holding.rs
@@ -144,6 +144,7 @@
     }
 
     fn publish_leases(&self) {
+        // Held to the end, so that an older set never replaces a newer one.
         let holdings = lock(&self.holdings);
         let leases = holdings.leases();
         let published = self.node.leases.load();
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -21,6 +21,7 @@
 use super::not_run;
 use super::reconcile::Books;
 use crate::node::Leases;
+use crate::settings::Mechanisms;
 
 /// The time between two looks at the queue without an event.
 const TICK: Duration = Duration::from_millis(100);
@@ -38,6 +39,10 @@
 pub(crate) struct Holder {
     places: Mutex<Map<name::Upstream, Arc<Place>>>,
     tickets: AtomicU64,
+    /// Whether upstreams are taken for warm from the start, in comparison runs.
+    skips_slow_start: bool,
+    /// Whether it is found out what earlier holders left at engines.
+    reconciles: bool,
 }
 
 /// One held upstream.
@@ -64,6 +69,15 @@
 }
 
 impl Holder {
+    /// Creates a holder without upstreams.
+    pub(crate) fn new(mechanisms: &Mechanisms) -> Self {
+        Self {
+            skips_slow_start: !mechanisms.slow_start,
+            reconciles: mechanisms.reconcile,
+            ..Self::default()
+        }
+    }
+
     /// Returns a ticket that no other request of the process has.
     pub(crate) fn next_ticket(&self) -> Ticket {
         self.tickets.fetch_add(1, Ordering::Relaxed)
@@ -71,12 +85,12 @@
 
     /// Returns the place of `upstream`, a new one if the holding or the address is new.
     ///
-    /// If `listed` is set, a new one admits nothing until it is known what earlier holders left.
+    /// A new one of an engine admits nothing until it is known what earlier holders left there.
     pub(crate) fn place(
         &self,
         upstream: &Upstream,
         lease: &Arc<Lease>,
-        listed: bool,
+        engine: bool,
     ) -> Arc<Place> {
         let mut places = lock(&self.places);
         if let Some(place) = places.get(&upstream.name)
@@ -86,8 +100,13 @@
             return Arc::clone(place);
         }
         let earlier = places.remove(&upstream.name);
-        let place = Arc::new(Place::new(upstream, lease, earlier));
-        if listed {
+        let place = if self.skips_slow_start {
+            Place::new(&warm(upstream), lease, earlier)
+        } else {
+            Place::new(upstream, lease, earlier)
+        };
+        let place = Arc::new(place);
+        if engine && self.reconciles {
             place.update(|scheduler| scheduler.set_foreign(UNKNOWN));
         }
         tokio::spawn(watch(Arc::downgrade(&place)));
@@ -104,21 +123,15 @@
 
     /// Returns what is told to other daemons about the upstreams of `leases`, and drops the
     /// places of all others that are idle.
-    pub(crate) fn adverts(
-        &self,
-        fleet: &Fleet,
-        leases: &Leases,
-        reconcile: bool,
-        now: Instant,
-    ) -> Vec<Advert> {
+    pub(crate) fn adverts(&self, fleet: &Fleet, leases: &Leases, now: Instant) -> Vec<Advert> {
         lock(&self.places)
             .retain(|upstream, place| leases.contains_key(upstream) || place.in_flight() > 0);
         let held = leases.iter().filter(|(_, lease)| lease.holds(now));
         let known = held.filter_map(|(name, lease)| Some((fleet.upstreams.get(name)?, lease)));
         known
             .map(|(upstream, lease)| {
-                let listed = reconcile && fleet.is_engine(upstream);
-                self.place(upstream, lease, listed).advert(now)
+                let engine = fleet.is_engine(upstream);
+                self.place(upstream, lease, engine).advert(now)
             })
             .collect()
     }
@@ -306,6 +319,14 @@
     }
 }
 
+/// Returns `upstream` as one that bears all its load in cold start.
+fn warm(upstream: &Upstream) -> Upstream {
+    Upstream {
+        cold_requests: upstream.warm_requests,
+        ..upstream.clone()
+    }
+}
+
 fn refusal(reason: admission::Reason, after: Duration) -> Failure {
     let outward = match reason {
         admission::Reason::TooLong => Reason::TooLong,
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -85,7 +85,7 @@
             peers: peer::Client::new(identity),
             keys: Keys::default(),
             entry: Entry::new(settings.limits.body_budget, policy),
-            holder: Holder::default(),
+            holder: Holder::new(&settings.mechanisms),
             metrics: Metrics::new()?,
             progress: Progress::default(),
         })
@@ -95,8 +95,7 @@
     pub(crate) fn adverts(&self, now: Instant) -> Vec<Advert> {
         let fleet = self.fleet.load();
         let leases = self.leases.load();
-        self.holder
-            .adverts(&fleet, &leases, self.mechanisms.reconcile, now)
+        self.holder.adverts(&fleet, &leases, now)
     }
 
     /// Returns whether the daemon shuts down.
