Charge the retry budget only for attempts that cost somebody work; keep one budget

The budget did not refill with time, and a refused connection drew on it. A second budget, in the state layer, did refill and was used nowhere. Ruled out: placement alone. It keeps choosing a dead engine until the next advert, for up to a second, whatever the budget. Change: the budget of the state layer is the only one; a retry after an attempt that reached nobody (no holder, connection refused) is bounded by the backoff alone.

--- a/crates/primrosehoist-daemon/src/dispatch/entry.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/entry.rs
@@ -1,13 +1,15 @@
 //! What all requests that enter at this daemon share.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Mutex, PoisonError};
 
-use primrosehoist::coordination::retry;
+use primrosehoist::coordination::retry::{self, Reach};
+use primrosehoist::state::budget::Budget;
 use primrosehoist::state::map::Map;
 use primrosehoist::state::name;
 use primrosehoist::state::placement::Policy;
 use primrosehoist::transport::http::body;
+use tokio::time::Instant;
 
 /// Shared state of the entry's side.
 #[derive(Debug)]
@@ -16,7 +18,7 @@
     pub(crate) bodies: body::Budget,
     policy: Policy,
     turn: AtomicU64,
-    budgets: Mutex<Map<name::Service, Arc<retry::Budget>>>,
+    budgets: Mutex<Map<name::Service, Budget>>,
 }
 
 impl Entry {
@@ -43,9 +45,27 @@
         }
     }
 
-    /// Returns the retry budget of `service`.
-    pub(crate) fn budget(&self, service: &name::Service) -> Arc<retry::Budget> {
+    /// Records a first attempt of `service`, which earns `percent` hundredths of a retry.
+    pub(crate) fn attempt(&self, service: &name::Service, percent: u32, now: Instant) {
+        self.with_budget(service, now, |budget| {
+            budget.set_percent(percent);
+            budget.attempt();
+        });
+    }
+
+    /// Returns whether a request of `service` whose attempt came as far as `reach` may be retried.
+    pub(crate) fn may_retry(&self, service: &name::Service, reach: Reach, now: Instant) -> bool {
+        self.with_budget(service, now, |budget| retry::may_retry(budget, reach, now))
+    }
+
+    fn with_budget<U, T>(&self, service: &name::Service, now: Instant, update: U) -> T
+    where
+        U: FnOnce(&mut Budget) -> T,
+    {
         let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(budgets.entry(service.clone()).or_default())
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(0, now));
+        update(budget)
     }
 }
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use primrosehoist::coordination::request::{Action, Event, Request};
-use primrosehoist::coordination::retry;
-use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::coordination::retry::{self, Reach};
+use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist::state::budget;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
 use primrosehoist::transport::http::body::Stored;
@@ -101,13 +102,12 @@
     let mut machine = Request::new(Instant::now(), job.deadline, SILENCE)
         .repeatable(job.repeatable)
         .resumable(job.stream);
-    let budget = node.entry.budget(&job.service);
-    budget.earn(job.retry_percent);
-    let bounded = node.mechanisms.retry_budget;
+    node.entry
+        .attempt(&job.service, job.retry_percent, Instant::now());
     loop {
         let action = step(node, job, &mut machine, plan, sink).await;
         let action = match action {
-            Action::Retry(failure) if bounded && !budget.take() => machine.give_up(failure),
+            Action::Retry(failure) if !may_retry(node, job, &failure) => machine.give_up(failure),
             action => action,
         };
         match action {
@@ -122,6 +122,16 @@
     }
 }
 
+fn may_retry(node: &Node, job: &Job, failure: &Failure) -> bool {
+    let nowhere = failure.outcome == Outcome::NotRun && failure.reason == Reason::Unavailable;
+    let reach = if nowhere {
+        Reach::Nowhere
+    } else {
+        Reach::Somewhere
+    };
+    !node.mechanisms.retry_budget || node.entry.may_retry(&job.service, reach, Instant::now())
+}
+
 /// Does the last action of a request.
 async fn end(job: &Job, sink: Sink, last: Action) -> Ending {
     match last {
@@ -219,7 +229,7 @@
     let delay = if plan.resumes {
         retry::resume_delay(rand::random())
     } else {
-        retry::delay(plan.failed, rand::random())
+        budget::backoff(plan.failed.saturating_sub(1), rand::random())
     };
     let end = Instant::now() + delay;
     if end >= job.deadline {
--- a/crates/primrosehoist-tests/tests/outcome.rs
+++ b/crates/primrosehoist-tests/tests/outcome.rs
@@ -93,6 +93,33 @@
     }
 }
 
+#[test]
+fn an_engine_that_stays_down_costs_no_request() {
+    let fleet = Fleet::start(Layout {
+        engine_arguments: vec![
+            "--prefill-rate",
+            "100000",
+            "--decode-ms",
+            "5",
+            "--crash-downtime-ms",
+            "20000",
+        ],
+        ..Layout::default()
+    });
+    let engine = fleet.engines.iter().find(|e| e.name.starts_with("north"));
+    let engine = engine.expect("north has engines");
+    fault(&engine.address, &json!({"crash": true}));
+    common::wait(Duration::from_secs(5), "the engine is down", || {
+        std::net::TcpStream::connect(&engine.address).is_err()
+    });
+    for round in 0..8 {
+        for caller in started(&asks(&fleet, 4)) {
+            let (ask, answer) = caller.join().expect("the caller ends");
+            assert!(whole(&ask, &answer), "round {round}: {answer:?}");
+        }
+    }
+}
+
 #[test]
 fn a_stream_survives_the_death_of_its_holder() {
     let mut fleet = Fleet::start(slow());
--- a/src/coordination/retry.rs
+++ b/src/coordination/retry.rs
@@ -1,34 +1,28 @@
-//! Decides when a request is tried again, and how often in all.
+//! Decides whether a retry draws on the retry budget, and when a broken stream is resumed.
 
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-/// The mean delay before the second attempt doubles from twice this value.
-pub const DELAY_BASE: Duration = Duration::from_millis(20);
+use crate::state::budget::Budget;
+use tokio::time::Instant;
 
 /// The longest delay before a broken stream is resumed.
 pub const RESUME_DELAY_MAX: Duration = Duration::from_millis(400);
 
-/// The longest delay between attempts.
-pub const DELAY_MAX: Duration = Duration::from_secs(1);
-
-/// Retries that a service has at hand without first attempts, so that a rare request can be
-/// retried too.
-pub const FLOOR_RETRIES: u64 = 10;
-
-/// The most retries that a budget saves up.
-pub const SAVED_RETRIES_MAX: u64 = 100;
-
-/// Hundredths of a retry in one retry.
-const UNIT: u64 = 100;
+/// How far a failed attempt came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Nothing took the request: no holder, or an upstream that cannot be reached.
+    Nowhere,
+    /// A holder or an upstream spent work on the request, if only to refuse it.
+    Somewhere,
+}
 
-/// Returns the delay before the attempt that follows `failed` failed ones, drawn by `dice` evenly
-/// between zero and an exponential limit.
-pub fn delay(failed: u32, dice: u64) -> Duration {
-    let doublings = failed.min(16);
-    let limit = DELAY_BASE.saturating_mul(1 << doublings).min(DELAY_MAX);
-    let micros = limit.as_micros() as u64;
-    Duration::from_micros(dice % (micros + 1))
+/// Returns whether a retry may be made, and draws on `budget` if the attempt cost anybody work.
+///
+/// An attempt that reached nobody added no load, so its retry cannot multiply load either; the
+/// backoff alone bounds it.
+pub fn may_retry(budget: &mut Budget, reach: Reach, now: Instant) -> bool {
+    reach == Reach::Nowhere || budget.retry(now)
 }
 
 /// Returns the delay before a broken stream is resumed, drawn by `dice`.
@@ -36,45 +30,3 @@
     let micros = RESUME_DELAY_MAX.as_micros() as u64;
     Duration::from_micros(dice % (micros + 1))
 }
-
-/// The retries that a service may still make.
-///
-/// First attempts earn a percentage of a retry each. A failing service thus multiplies its load
-/// by no more than that percentage, once the floor is spent.
-#[derive(Debug)]
-pub struct Budget {
-    /// Saved retries, in hundredths.
-    saved: AtomicU64,
-}
-
-impl Default for Budget {
-    fn default() -> Self {
-        Self {
-            saved: AtomicU64::new(FLOOR_RETRIES * UNIT),
-        }
-    }
-}
-
-impl Budget {
-    /// Notes a first attempt, which earns `percent` hundredths of a retry.
-    pub fn earn(&self, percent: u32) {
-        let add = |saved: u64| Some((saved + u64::from(percent)).min(SAVED_RETRIES_MAX * UNIT));
-        // The update always succeeds, because `add` always yields a value.
-        let _before = self
-            .saved
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, add);
-    }
-
-    /// Takes one retry; returns whether there was one.
-    pub fn take(&self) -> bool {
-        let spend = |saved: u64| saved.checked_sub(UNIT);
-        self.saved
-            .fetch_update(Ordering::AcqRel, Ordering::Acquire, spend)
-            .is_ok()
-    }
-
-    /// Returns the whole retries at hand.
-    pub fn saved(&self) -> u64 {
-        self.saved.load(Ordering::Acquire) / UNIT
-    }
-}
