--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -89,6 +89,9 @@
         Err(failure) => return end(job, sink, Action::Fail(failure)).await,
     };
     let last = attempts(node, job, plan, &mut sink).await;
+    if last == Action::Finish {
+        node.poison.completed(&job.fingerprint);
+    }
     if let Some(claim) = claim {
         let ended = claims::end(&last, plan.attempts, sink.status());
         claims::finish(node, claim, ended).await;
