--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -44,6 +44,7 @@
     let server = Server::bind(&address, identity, handler).await?;
     cluster.start();
     poison::start(node);
+    tokio::spawn(holder::reconcile::run(Arc::clone(node)));
     Ok(Links {
         cluster,
         _server: server,
--- a/crates/primrosehoist-standin/src/load/mod.rs
+++ b/crates/primrosehoist-standin/src/load/mod.rs
@@ -19,6 +19,7 @@
 
 use crate::caller::answer::Answer;
 use crate::command::{self, Addresses, Error};
+use crate::reply;
 use arrival::{Arrival, Arrivals, Work};
 use mix::Mix;
 use progress::Progress;
@@ -37,15 +38,17 @@
   --duration S         seconds in which requests are sent [default: 20]
   --scale F            factor of the mix's rate [default: 1]
   --seed N             seed of the random choices [default: 1]
+  --timeout-ms N       time limit of each request [default: that of the mix]
   --most-tokens N      prompts that are longer are drawn, but not sent
-  --mark S=LABEL       marks a second in the report; may be given more than once
+  --mark S=LABEL       starts a phase of the report; may be given more than once, in order
   --json FILE          writes the report
   --log LEVEL          off, error, warn, info, debug or trace [default: warn]
   --help               prints this text
   --version            prints the version
 
-The same seed and mix draw the same requests, also with another --most-tokens. Prompts of up to
-4096 tokens are called short. Times are taken from the send; late_ms_max says by how much a send
+The same seed and mix draw the same arrivals and lengths, also with another --most-tokens. Texts and
+idempotency keys differ from load to load, so that no cache holds them and no key was used before.
+Prompts of up to 4096 tokens are called short. Times are taken from the send; late_ms_max says by how much a send
 was late at most. Progress is shown on a terminal.
 ";
 
@@ -88,9 +91,11 @@
         return Err(Error::Range("--scale must be above 0".to_owned()));
     }
     let marks = arguments.values_from_str("--mark");
+    let mut mix = mix::read(&path)?;
+    mix.timeout_ms = command::value(arguments, "--timeout-ms", mix.timeout_ms)?;
     Ok(Options {
         callers: command::required::<Addresses>(arguments, "--callers")?.0,
-        mix: mix::read(&path)?,
+        mix,
         duration: duration.map_err(|error| Error::Range(format!("--duration: {error}")))?,
         scale,
         seed: command::value(arguments, "--seed", 1)?,
@@ -108,7 +113,7 @@
 pub(crate) async fn run(options: Options) -> io::Result<()> {
     let (ended, mut endings) = mpsc::unbounded_channel();
     let started = Instant::now();
-    let mut tally = Tally::new(&options.mix);
+    let mut tally = Tally::new(&options.mix, &options.marks);
     let arrivals = Arrivals::new(&options.mix, options.scale, options.seed);
     let in_time = arrivals.take_while(|arrival| arrival.at < options.duration);
     let wanted: Vec<Arrival> = in_time
@@ -117,10 +122,11 @@
     tally.offer(&wanted);
     let callers = options.callers.clone();
     let mix = options.mix.clone();
+    let salt = reply::unix_ms();
     let sender = task::spawn(async move {
         for arrival in wanted {
             let address = callers[arrival.number as usize % callers.len()];
-            let work = arrival.work(&mix, address);
+            let work = arrival.work(&mix, address, salt);
             time::sleep_until(started + arrival.at).await;
             task::spawn(send(arrival, work, started, ended.clone()));
         }
@@ -162,7 +168,6 @@
     summary.seed = options.seed;
     summary.scale = options.scale;
     summary.duration_s = options.duration.as_secs_f64();
-    summary.marks.clone_from(&options.marks);
     print!("{summary}");
     match &options.json {
         Some(path) => fs::write(path, serde_json::to_vec_pretty(&summary)?),
