--- a/crates/primrosehoist-daemon/src/holder/flight.rs
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use primrosehoist::coordination::admission::Finish;
+use primrosehoist::state::fleet::Fingerprint;
 use primrosehoist::state::queue::Ticket;
 use tokio::time::Instant;
 
@@ -39,6 +40,16 @@
         self.place.flights_of(&self.attempt) > 1
     }
 
+    /// Records that the upstream runs the request with this content.
+    pub(crate) fn runs(&self, fingerprint: &Fingerprint) {
+        self.place.running.enter(self.ticket, fingerprint);
+    }
+
+    /// Returns the ticket of the request.
+    pub(crate) fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
     /// Records a part of the answer.
     pub(crate) fn note_part(&self, first: bool) {
         let ticket = self.ticket;
@@ -62,6 +73,7 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.place.running.leave(self.ticket);
         if !self.finished {
             self.place.withdraw(self.ticket);
         }
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -21,6 +21,7 @@
 use super::not_run;
 use super::reconcile::Books;
 use crate::node::Leases;
+use crate::poison::Running;
 use crate::settings::Mechanisms;
 
 /// The time between two looks at the queue without an event.
@@ -52,6 +53,8 @@
     pub(crate) epoch: u64,
     /// Shared by the gates of all requests to the upstream.
     pub(crate) turn: Arc<Mutex<()>>,
+    /// What the upstream runs.
+    pub(crate) running: Running,
     pub(crate) lease: Arc<Lease>,
     /// The attempts in the charge of this process.
     pub(crate) attempts: Attempts,
@@ -146,6 +149,7 @@
             pool: Pool::new(upstream.address),
             epoch,
             turn: Arc::default(),
+            running: Running::default(),
             lease: Arc::clone(lease),
             attempts: Attempts::default(),
             books: Mutex::default(),
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -16,12 +16,15 @@
 use primrosehoist::state::placement::Policy;
 use primrosehoist::state::view::{Advert, View};
 use primrosehoist::transport::peer::{self, Identity};
+use primrosehoist::transport::platform;
 use tokio::time::Instant;
 
 use crate::caller::Keys;
+use crate::clock::unix_ms;
 use crate::dispatch::Entry;
 use crate::holder::Holder;
 use crate::metrics::Metrics;
+use crate::poison::Poison;
 use crate::progress::Progress;
 use crate::settings::{Mechanisms, Placement, Settings};
 
@@ -46,6 +49,10 @@
     pub(crate) mechanisms: Mechanisms,
     /// The secret that daemons and operators share.
     pub(crate) secret: Arc<[u8]>,
+    /// Rises with each start of a daemon on this host.
+    pub(crate) incarnation: u64,
+    /// The platform.
+    pub(crate) platform: platform::Client,
     /// Links to other daemons.
     pub(crate) peers: peer::Client,
     /// Look-ups derived from the configuration.
@@ -56,6 +63,8 @@
     pub(crate) holder: Holder,
     /// The instruments.
     pub(crate) metrics: Metrics,
+    /// Requests that end upstreams.
+    pub(crate) poison: Poison,
     /// Requests in progress, on the entry's and on the holder's side.
     pub(crate) progress: Progress,
 }
@@ -82,11 +91,18 @@
             draining: AtomicBool::new(false),
             mechanisms: settings.mechanisms.clone(),
             secret: Arc::from(secret),
+            incarnation: unix_ms(),
+            platform: platform::Client::new(
+                &settings.platform.address.to_string(),
+                settings.host.clone(),
+                settings.zone.clone(),
+            ),
             peers: peer::Client::new(identity),
             keys: Keys::default(),
             entry: Entry::new(settings.limits.body_budget, policy),
             holder: Holder::new(&settings.mechanisms),
             metrics: Metrics::new()?,
+            poison: Poison::new(settings.mechanisms.poison),
             progress: Progress::default(),
         })
     }
