--- a/crates/primrosehoist-daemon/src/dispatch/attempt.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/attempt.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use primrosehoist::coordination::request::{Action, Event, Request};
-use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::protocol::outcome::Failure;
+use primrosehoist::protocol::wire::{Dispatch, Reply, Shard};
 use primrosehoist::state::name;
 use tokio::time::{Instant, sleep_until};
 
 use super::Job;
 use super::exchange::Exchange;
+use super::group::Group;
 use super::sink::Sink;
 use crate::node::Node;
 
@@ -23,6 +25,8 @@
     /// The id that the upstream sees.
     pub(crate) id: String,
     pub(crate) upstream: name::Upstream,
+    /// The part of the prompt for the upstream, if several answer together.
+    pub(crate) shard: Option<Shard>,
 }
 
 /// Runs the attempt until it is decided what follows.
@@ -30,6 +34,7 @@
     node: &Arc<Node>,
     job: &Job,
     attempt: &Attempt,
+    group: &mut Group,
     machine: &mut Request,
     sink: &mut Sink,
 ) -> Action {
@@ -40,12 +45,13 @@
     sink.restart();
     let dispatch = dispatch(node, job, attempt, machine.next_part());
     machine.on(Event::Opened, Instant::now());
-    let Some(mut exchange) = Exchange::open(node, dispatch, &job.body).await else {
+    let Some(mut exchange) = Exchange::open(node, dispatch, Some(&job.body)).await else {
         return machine.on(Event::Unreachable, Instant::now());
     };
     loop {
         let reply = tokio::select! {
             reply = exchange.next() => reply,
+            failure = group.broken() => return break_off(machine, failure),
             () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
             () = sleep_until(machine.limit()) => {
                 return machine.on(Event::Expired, Instant::now());
@@ -58,6 +64,15 @@
     }
 }
 
+/// Ends an attempt that lacks a part of its prompt. Its answer cannot be continued.
+fn break_off(machine: &mut Request, failure: Failure) -> Action {
+    if machine.next_part() > 0 {
+        machine.give_up(failure)
+    } else {
+        machine.on(Event::Failed(failure), Instant::now())
+    }
+}
+
 /// Takes a reply in; yields [`Action::Wait`] while the attempt goes on.
 async fn on_reply(
     node: &Node,
@@ -99,7 +114,8 @@
     }
 }
 
-fn dispatch(node: &Node, job: &Job, attempt: &Attempt, resume_from: u64) -> Dispatch {
+/// Returns the dispatch of an attempt.
+pub(crate) fn dispatch(node: &Node, job: &Job, attempt: &Attempt, resume_from: u64) -> Dispatch {
     let remaining = job.deadline.saturating_duration_since(Instant::now());
     let margin = MARGIN.min(remaining / 10);
     Dispatch {
@@ -120,5 +136,6 @@
         suspect: node.poison.is_suspect(&job.fingerprint),
         fingerprint: job.fingerprint.clone(),
         resume_from,
+        shard: attempt.shard,
     }
 }
--- a/crates/primrosehoist-daemon/src/dispatch/choose.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/choose.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use primrosehoist::protocol::outcome::{Failure, Reason};
-use primrosehoist::state::fleet::Presence;
+use primrosehoist::state::fleet::{Fleet, Presence};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
-use primrosehoist::state::placement::{self, Ask, Refusal};
+use primrosehoist::state::placement::{self, Ask, GROUP_MAX, Refusal};
 use tokio::time::{Instant, sleep};
 
 use super::Job;
@@ -28,6 +28,15 @@
 /// The time between two looks for a holder.
 const HOLDER_POLL: Duration = Duration::from_millis(50);
 
+/// Where an attempt runs.
+#[derive(Debug)]
+pub(crate) struct Chosen {
+    /// The upstream that answers.
+    pub(crate) upstream: name::Upstream,
+    /// Those that keep a part of the prompt beside it, by name and before it.
+    pub(crate) others: Vec<name::Upstream>,
+}
+
 /// Chooses an upstream, and waits for one that has no holder at the moment.
 ///
 /// # Errors
@@ -37,7 +46,7 @@
     node: &Node,
     job: &Job,
     excluded: &mut Set<name::Upstream>,
-) -> Result<name::Upstream, Failure> {
+) -> Result<Chosen, Failure> {
     let start = Instant::now();
     let end = job.deadline.min(start + HOLDER_WAIT);
     loop {
@@ -84,7 +93,7 @@
     job: &Job,
     suspect: bool,
     excluded: &mut Set<name::Upstream>,
-) -> Result<name::Upstream, Failure> {
+) -> Result<Chosen, Failure> {
     let mut ask = Ask {
         service: job.service.clone(),
         half: job.half.clone(),
@@ -101,25 +110,60 @@
         ask.excluded.clear();
         chosen = place(node, &ask);
     }
-    chosen.map_err(failure)
+    chosen.map_err(|refusal| failure(refusal, job, &node.fleet.load()))
 }
 
-fn place(node: &Node, ask: &Ask) -> Result<name::Upstream, Refusal> {
+fn place(node: &Node, ask: &Ask) -> Result<Chosen, Refusal> {
     let fleet = node.fleet.load();
     let view = node.view.load();
     let policy = node.entry.policy();
-    placement::choose(&fleet, &view, ask, policy, node.entry.dice(policy))
+    match placement::choose(&fleet, &view, ask, policy, node.entry.dice(policy)) {
+        Ok(upstream) => Ok(Chosen {
+            upstream,
+            others: Vec::new(),
+        }),
+        Err(Refusal::TooLong) if !ask.suspect => {
+            let group = match placement::group(&fleet, &view, ask) {
+                Err(Refusal::Busy) => placement::group_when_idle(&fleet, &view, ask),
+                group => group,
+            };
+            let mut others = group?;
+            let upstream = others.pop().ok_or(Refusal::TooLong)?;
+            Ok(Chosen { upstream, others })
+        }
+        Err(refusal) => Err(refusal),
+    }
 }
 
-fn failure(refusal: Refusal) -> Failure {
+fn failure(refusal: Refusal, job: &Job, fleet: &Fleet) -> Failure {
     let (reason, message) = match refusal {
-        Refusal::Unavailable => (Reason::Unavailable, "no upstream of the service takes work"),
-        Refusal::TooLong => (Reason::TooLong, "no upstream has memory for the prompt"),
-        Refusal::Busy => (Reason::Overloaded, "no upstream is free for the request"),
+        Refusal::Unavailable => (
+            Reason::Unavailable,
+            "no upstream of the service takes work".to_owned(),
+        ),
+        Refusal::TooLong => (Reason::TooLong, too_long(job, fleet)),
+        Refusal::Busy => (
+            Reason::Overloaded,
+            "no upstream is free for the request".to_owned(),
+        ),
     };
     let retry_after_ms = (reason != Reason::TooLong).then_some(RETRY_AFTER_MS);
     Failure {
         retry_after_ms,
-        ..not_run(reason, message)
+        ..not_run(reason, &message)
     }
 }
+
+fn too_long(job: &Job, fleet: &Fleet) -> String {
+    let upstreams = fleet.upstreams.values();
+    let of_job = upstreams.filter(|u| u.service == job.service && u.half == job.half);
+    let memories: Vec<u64> = of_job.map(|upstream| upstream.memory_tokens).collect();
+    format!(
+        "a prompt of {} tokens with {} of answer fits no {GROUP_MAX} upstreams together: the \
+         service has {}, the largest of {} tokens",
+        job.prompt_tokens,
+        job.answer_tokens,
+        memories.len(),
+        memories.iter().max().unwrap_or(&0),
+    )
+}
--- a/crates/primrosehoist-daemon/src/dispatch/exchange.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/exchange.rs
@@ -27,21 +27,27 @@
 
 impl Exchange {
     /// Hands `dispatch` to the holder of its upstream; yields nothing if no byte reached it.
-    pub(crate) async fn open(node: &Arc<Node>, dispatch: Dispatch, body: &Stored) -> Option<Self> {
+    ///
+    /// Without a body it asks for a reservation.
+    pub(crate) async fn open(
+        node: &Arc<Node>,
+        dispatch: Dispatch,
+        body: Option<&Stored>,
+    ) -> Option<Self> {
         let view = node.view.load_full();
         let holder = view.holders.get(&dispatch.upstream)?;
         if holder.member.host != node.host {
             return open_peer(node, &holder.member, dispatch, body).await;
         }
         let (sender, replies) = mpsc::channel(REPLIES_MAX);
-        let payload = body.replay().boxed_unsync();
         let responder = Responder::Local(sender);
-        tokio::spawn(holder::serve(
-            Arc::clone(node),
-            dispatch,
-            payload,
-            responder,
-        ));
+        let node = Arc::clone(node);
+        if let Some(body) = body {
+            let payload = body.replay().boxed_unsync();
+            tokio::spawn(holder::serve(node, dispatch, payload, responder));
+        } else {
+            tokio::spawn(holder::group::serve(node, dispatch, responder));
+        }
         Some(Self::Local(replies))
     }
 
@@ -61,18 +67,19 @@
     node: &Node,
     holder: &Member,
     dispatch: Dispatch,
-    body: &Stored,
+    body: Option<&Stored>,
 ) -> Option<Exchange> {
-    let pieces = stream::unfold(body.replay(), |mut replay| async {
-        let piece = replay.next_piece()?;
-        Some((piece, replay))
+    let request = match body {
+        Some(_) => wire::Request::Dispatch(dispatch),
+        None => wire::Request::Reserve(dispatch),
+    };
+    let pieces = body.map(|body| -> peer::Upload {
+        Box::pin(stream::unfold(body.replay(), |mut replay| async {
+            let piece = replay.next_piece()?;
+            Some((piece, replay))
+        }))
     });
-    let request = wire::Request::Dispatch(dispatch);
-    match node
-        .peers
-        .open(holder, &request, Some(Box::pin(pieces)))
-        .await
-    {
+    match node.peers.open(holder, &request, pieces).await {
         Ok(exchange) => Some(Exchange::Peer(exchange)),
         Err(error) => {
             log::info!("cannot reach a holder: {error}");
--- a/crates/primrosehoist-daemon/src/dispatch/mod.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod choose;
 mod entry;
 mod exchange;
+mod group;
 mod sink;
 
 use std::sync::Arc;
@@ -12,6 +13,7 @@
 use primrosehoist::coordination::request::{Action, Event, Request};
 use primrosehoist::coordination::retry;
 use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::protocol::wire::Shard;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
 use primrosehoist::transport::http::body::Stored;
@@ -21,6 +23,7 @@
 pub(crate) use self::sink::{Opening, Sink};
 
 use self::attempt::Attempt;
+use self::group::Group;
 use crate::claims;
 use crate::node::Node;
 
@@ -152,20 +155,30 @@
     excluded: Set<name::Upstream>,
     /// The attempt to continue, if any.
     current: Option<Attempt>,
+    /// What is reserved for the attempt at further upstreams.
+    group: Group,
     resumes: bool,
     last: Option<Failure>,
 }
 
 impl Plan {
-    fn begin(&mut self, job: &Job, upstream: name::Upstream) {
+    fn begin(&mut self, job: &Job, upstream: name::Upstream, others: usize) -> String {
         self.attempts += 1;
         let id = format!("{}-{}", job.id, self.attempts);
-        self.current = Some(Attempt { id, upstream });
+        let count = others as u64 + 1;
+        let shard = (others > 0).then_some(Shard { index: 0, count });
+        self.current = Some(Attempt {
+            id: id.clone(),
+            upstream,
+            shard,
+        });
+        id
     }
 
     fn retry(&mut self, failure: Failure) {
         self.failed += 1;
         self.resumes = false;
+        self.group = Group::default();
         self.last = Some(failure);
         if let Some(attempt) = self.current.take() {
             self.excluded.insert(attempt.upstream);
@@ -184,7 +197,7 @@
     }
 }
 
-/// Chooses an upstream unless an attempt is to be continued, and runs the attempt.
+/// Begins an attempt unless one is to be continued, and runs it.
 async fn step(
     node: &Arc<Node>,
     job: &Job,
@@ -192,25 +205,42 @@
     plan: &mut Plan,
     sink: &mut Sink,
 ) -> Action {
-    if !plan.resumes {
-        let chosen = tokio::select! {
-            chosen = choose::find(node, job, &mut plan.excluded) => chosen,
-            () = sink.closed() => return machine.on(Event::Gone, Instant::now()),
-        };
-        match chosen {
-            Ok(upstream) => plan.begin(job, upstream),
-            Err(failure) => {
-                let last = plan.last.take();
-                let quarantined = failure.reason == Reason::Quarantined;
-                let failure = last.filter(|_| !quarantined).unwrap_or(failure);
-                return machine.on(Event::Refused(failure), Instant::now());
-            }
-        }
+    if !plan.resumes
+        && let Err(event) = begin(node, job, plan, sink).await
+    {
+        return machine.on(event, Instant::now());
     }
-    match plan.current.clone() {
-        Some(attempt) => attempt::run(node, job, &attempt, machine, sink).await,
-        None => Action::Cancel,
+    let Some(attempt) = plan.current.clone() else {
+        return Action::Cancel;
+    };
+    let action = attempt::run(node, job, &attempt, &mut plan.group, machine, sink).await;
+    if !matches!(action, Action::Resume(..)) {
+        plan.group = Group::default();
     }
+    action
+}
+
+/// Chooses where the next attempt runs, and reserves what it needs beside that.
+///
+/// # Errors
+///
+/// Returns what happened instead.
+async fn begin(node: &Arc<Node>, job: &Job, plan: &mut Plan, sink: &mut Sink) -> Result<(), Event> {
+    let chosen = tokio::select! {
+        chosen = choose::find(node, job, &mut plan.excluded) => chosen,
+        () = sink.closed() => return Err(Event::Gone),
+    };
+    let chosen = chosen.map_err(|failure| {
+        let last = plan.last.take();
+        let quarantined = failure.reason == Reason::Quarantined;
+        Event::Refused(last.filter(|_| !quarantined).unwrap_or(failure))
+    })?;
+    let id = plan.begin(job, chosen.upstream, chosen.others.len());
+    plan.group = tokio::select! {
+        group = Group::gather(node, job, &id, &chosen.others) => group.map_err(Event::Failed)?,
+        () = sink.closed() => return Err(Event::Gone),
+    };
+    Ok(())
 }
 
 /// Waits before the next attempt; yields an action if the request ends meanwhile.
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -47,7 +47,7 @@
 /// Returns the request as the upstream gets it.
 pub(crate) fn request(task: &Task, body: Payload) -> Result<Request<Payload>, http::Error> {
     let dispatch = &task.dispatch;
-    Request::builder()
+    let request = Request::builder()
         .method(dispatch.method.as_str())
         .uri(dispatch.path.as_str())
         .header("host", task.upstream.address.to_string())
@@ -58,8 +58,12 @@
             u16::from(admission::priority(dispatch.prompt_tokens)),
         )
         .header("x-fencing-epoch", task.lease.epoch())
-        .header("x-holder", task.host.as_str())
-        .body(body)
+        .header("x-holder", task.host.as_str());
+    let request = match dispatch.shard {
+        Some(shard) => request.header("x-shard", format!("{}/{}", shard.index, shard.count)),
+        None => request,
+    };
+    request.body(body)
 }
 
 /// Asks the engine for the rest of the stream from event `from` on.
@@ -72,12 +76,21 @@
 /// Cancels the attempt at the engine, and counts it as in flight until that is done or the
 /// engine has dropped it by itself.
 pub(crate) fn cancel(task: Arc<Task>, flight: Flight, finish: Finish) {
+    end(task, flight, finish, "/admin/cancel");
+}
+
+/// Releases the reservation of the attempt, and counts it until that is done.
+pub(crate) fn release(task: Arc<Task>, flight: Flight) {
+    end(task, flight, Finish::Cancelled, "/admin/kv/release");
+}
+
+fn end(task: Arc<Task>, flight: Flight, finish: Finish, path: &'static str) {
     tokio::spawn(async move {
         let end = Instant::now() + GRACE;
         while Instant::now() < end {
             // A later holder may have resumed the attempt once the lease has lapsed.
             let lapsed = task.checks_lease && !task.lease.covers(Instant::now());
-            if !lapsed && try_cancel(&task, flight.place()).await {
+            if !lapsed && try_end(&task, flight.place(), path).await {
                 break;
             }
             sleep(CANCEL_PAUSE).await;
@@ -99,9 +112,9 @@
     });
 }
 
-async fn try_cancel(task: &Task, place: &Place) -> bool {
+async fn try_end(task: &Task, place: &Place, path: &str) -> bool {
     let content = json!({"id": task.dispatch.attempt});
-    let request = post(place, &task.host, "/admin/cancel", &content);
+    let request = post(place, &task.host, path, &content);
     // Cancelling is safe without a lease: it names an attempt of this daemon.
     let gate = Arc::new(Gate::new(Arc::clone(&place.turn), |_begun| true));
     let sent = timeout(CANCEL_TIMEOUT, place.pool.send(request, &gate)).await;
--- a/crates/primrosehoist-daemon/src/holder/flight.rs
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -50,6 +50,11 @@
         self.ticket
     }
 
+    /// Records that the request only keeps memory.
+    pub(crate) fn hold(&self) {
+        self.place.update(|scheduler| scheduler.hold(self.ticket));
+    }
+
     /// Records a part of the answer.
     pub(crate) fn note_part(&self, first: bool) {
         let ticket = self.ticket;
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/holder/group.rs
@@ -0,0 +1,115 @@
+//! Memory that is reserved at an upstream for a part of a prompt.
+//!
+//! A reservation lasts as long as the exchange that asked for it. It is released when the entry
+//! daemon ends the exchange or dies, and by reconciliation when this process dies.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use primrosehoist::protocol::outcome::{Failure, Reason};
+use primrosehoist::protocol::wire::{Dispatch, Reply};
+use primrosehoist::state::queue::Item;
+use serde_json::json;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::flight::Flight;
+use super::responder::Responder;
+use super::{Task, call, not_run, place, prepare};
+use crate::node::Node;
+
+/// The longest time for the call that reserves.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The time between two looks at the lease.
+const LEASE_POLL: Duration = Duration::from_millis(200);
+
+/// Reserves what `dispatch` asks for until its entry daemon ends the exchange.
+pub(crate) async fn serve(node: Arc<Node>, dispatch: Dispatch, mut responder: Responder) {
+    let _running = node.progress.enter();
+    let failure = match prepare(&node, dispatch) {
+        Ok((task, item)) => run(&node, Arc::new(task), item, &mut responder).await,
+        Err(failure) => failure,
+    };
+    // An entry daemon that is gone needs no last word.
+    let _sent = responder.send(Reply::Failed(failure)).await;
+}
+
+async fn run(node: &Node, task: Arc<Task>, item: Item, responder: &mut Responder) -> Failure {
+    let since = Instant::now();
+    // The upstream that makes the answer keeps the memory for it.
+    let item = Item {
+        answer_tokens: 0,
+        ..item
+    };
+    let place = node.holder.place(&task.upstream, &task.lease, task.engine);
+    let admitted = tokio::select! {
+        admitted = place::admit(&place, item, &task.dispatch.attempt) => admitted,
+        _ = responder.closed() => return ended(),
+    };
+    let flight = match admitted {
+        Ok(flight) => flight,
+        Err(failure) => return failure,
+    };
+    flight.hold();
+    let queued_ms = since.elapsed().as_millis() as u64;
+    let failure = match reserve(&task, &flight).await {
+        Ok(()) => keep(&task, queued_ms, responder).await,
+        Err(failure) => failure,
+    };
+    // Also after a failed call, which may have reserved.
+    call::release(task, flight);
+    failure
+}
+
+async fn reserve(task: &Task, flight: &Flight) -> Result<(), Failure> {
+    let place = flight.place();
+    let content = json!({
+        "id": task.dispatch.attempt,
+        "tokens": task.dispatch.part_tokens(),
+    });
+    let request = call::post(place, &task.host, "/admin/kv/reserve", &content);
+    let gate = call::gate(task, place);
+    let sent = timeout(CALL_TIMEOUT, place.pool.send(request, &gate)).await;
+    let unavailable = |message: &str| not_run(Reason::Unavailable, message);
+    let mut exchange = match sent {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(error)) => return Err(unavailable(&error.to_string())),
+        Err(_) => return Err(unavailable("the engine does not answer a reservation")),
+    };
+    let status = exchange.response.status();
+    if let Ok(Ok(_)) = timeout(CALL_TIMEOUT, exchange.response.body_mut().collect()).await {
+        place.pool.give_back(exchange);
+    }
+    match status.as_u16() {
+        200 => Ok(()),
+        507 => Err(not_run(
+            Reason::Overloaded,
+            "the engine has no memory for a part of the prompt",
+        )),
+        status => Err(unavailable(&format!(
+            "the engine refused a reservation with status {status}"
+        ))),
+    }
+}
+
+/// Waits for the end of the exchange or of the lease, after which a successor may release.
+async fn keep(task: &Task, queued_ms: u64, responder: &mut Responder) -> Failure {
+    if responder.send(Reply::Sent { queued_ms }).await.is_err() {
+        return ended();
+    }
+    loop {
+        tokio::select! {
+            _ = responder.closed() => return ended(),
+            () = sleep(LEASE_POLL) => {}
+        }
+        if task.checks_lease && !task.lease.covers(Instant::now()) {
+            let message = "the holder of a part of the prompt lost its lease";
+            return not_run(Reason::Unavailable, message);
+        }
+    }
+}
+
+fn ended() -> Failure {
+    not_run(Reason::Cancelled, "the caller ended the request")
+}
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod call;
 mod flight;
+pub(crate) mod group;
 mod place;
 pub(crate) mod reconcile;
 mod relay;
@@ -152,7 +153,7 @@
         workspace: dispatch.workspace.clone(),
         weight,
         half: dispatch.half.clone(),
-        prompt_tokens: dispatch.prompt_tokens,
+        prompt_tokens: dispatch.part_tokens(),
         answer_tokens: dispatch.answer_tokens,
         deadline,
         suspect: node.poison.is_suspect(&dispatch.fingerprint),
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -95,6 +95,9 @@
         Request::Dispatch(dispatch) => {
             return holder::serve_peer(node, dispatch, body, responder).await;
         }
+        Request::Reserve(dispatch) => {
+            return holder::group::serve(node, dispatch, holder::Responder::Peer(responder)).await;
+        }
         Request::Poison(told) => Some(poison::hear(&node, &told)),
         request => cluster.answer(&peer, &request),
     };
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -35,6 +35,8 @@
     pub engine_arguments: Vec<&'static str>,
     pub cold_requests: u32,
     pub warm_requests: u32,
+    /// KV memory of each engine.
+    pub memory_tokens: u64,
     /// Whether engines check fencing numbers.
     pub fencing: bool,
     /// TOML appended to every daemon's settings, followed by `PRIMROSEHOIST_SETTINGS` of the
@@ -51,6 +53,7 @@
             engine_arguments: vec!["--prefill-rate", "200000", "--decode-ms", "2"],
             cold_requests: 2,
             warm_requests: 16,
+            memory_tokens: 3_000_000,
             fencing: true,
             settings: without(),
         }
@@ -187,8 +190,9 @@
             )
             .expect("writing to a string succeeds");
         }
+        let memory = format!("memory_tokens = {}\n", self.layout.memory_tokens);
         for engine in &self.engines {
-            files.push_str(&self.upstream(engine, "model", "memory_tokens = \"3M\"\n"));
+            files.push_str(&self.upstream(engine, "model", &memory));
         }
         for service in &self.services {
             files.push_str(&self.upstream(service, "orders", ""));
@@ -236,6 +240,7 @@
         };
         let cold = self.layout.cold_requests.to_string();
         let warm = self.layout.warm_requests.to_string();
+        let memory = self.layout.memory_tokens.to_string();
         let fencing = if self.layout.fencing {
             "check"
         } else {
@@ -250,7 +255,7 @@
             "--model",
             model,
             "--memory-tokens",
-            "3000000",
+            &memory,
             "--cold-requests",
             &cold,
             "--warm-requests",
--- a/crates/primrosehoist-tests/tests/memory.rs
+++ b/crates/primrosehoist-tests/tests/memory.rs
@@ -207,3 +207,108 @@
 fn deaths_and_pauses_lose_no_memory_of_engines_that_ignore_fencing() {
     everything_is_freed(false, 52);
 }
+
+/// Four engines of the north half, of 100,000 tokens each.
+fn small_engines() -> Layout {
+    Layout {
+        engines_per_zone: 2,
+        memory_tokens: 100_000,
+        ..layout(true)
+    }
+}
+
+/// A prompt of 2.3 times the memory of one engine.
+fn beyond_one_engine(number: usize) -> String {
+    format!("{number} {}", "word ".repeat(184_000))
+}
+
+/// Waits until nothing is owned at any engine.
+fn wait_free(fleet: &Fleet, what: &str) {
+    let since = Instant::now();
+    let mut left = owned(fleet);
+    while !left.is_empty() && since.elapsed() < FREE_WITHIN {
+        std::thread::sleep(Duration::from_millis(200));
+        left = owned(fleet);
+    }
+    assert_eq!(left, Vec::<String>::new(), "still owned: {what}");
+    println!("{what}: free after {:?}", since.elapsed());
+}
+
+/// Returns how many engines keep a reservation.
+fn reserving(fleet: &Fleet) -> usize {
+    let listed = |address: &str| {
+        let url = format!("http://{address}/admin/running");
+        call("GET", &url, &[], "").json()["reservations"]
+            .as_array()
+            .map_or(0, Vec::len)
+    };
+    fleet.engines.iter().map(|e| listed(&e.address)).sum()
+}
+
+#[test]
+fn prompts_beyond_one_engine_are_answered_by_several() {
+    let fleet = Fleet::start(small_engines());
+    let asks: Vec<Ask> = (0..4)
+        .map(|n| fleet.ask(n, &beyond_one_engine(n), 10))
+        .collect();
+    // At most one at a time fits; the others wait for its engines.
+    let threads: Vec<_> = asks
+        .iter()
+        .map(|ask| {
+            let ask = ask.clone();
+            std::thread::spawn(move || complete(&ask))
+        })
+        .collect();
+    for (ask, thread) in asks.iter().zip(threads) {
+        let answer = thread.join().expect("the caller ends");
+        assert!(whole(ask, &answer), "{answer:?}");
+    }
+    let beyond = fleet.ask(0, &"word ".repeat(400_000), 10);
+    let refused = complete(&beyond);
+    let error = refused.error.clone().unwrap_or_default();
+    assert_eq!(refused.outcome(), "not_run", "{refused:?}");
+    assert_eq!(error["code"], "too_long", "{refused:?}");
+    let message = error["message"].as_str().unwrap_or_default();
+    assert!(message.contains("100000"), "{message}");
+    wait_free(&fleet, "after the answers");
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+}
+
+#[test]
+fn a_killed_entry_or_holder_leaves_no_reservation() {
+    let mut fleet = Fleet::start(small_engines());
+    for (round, kill_entry) in [true, false].into_iter().enumerate() {
+        let entry = 5 - round;
+        let ask = fleet.ask(entry, &beyond_one_engine(round), 3000);
+        let caller = std::thread::spawn(move || (complete(&ask), ask));
+        let fleet_now = &fleet;
+        common::wait(Duration::from_secs(20), "two parts are reserved", || {
+            reserving(fleet_now) == 2
+        });
+        let victim = if kill_entry {
+            entry
+        } else {
+            holder_of_a_part(&fleet)
+        };
+        let process = fleet.daemons[victim].process.take();
+        process.expect("the daemon runs").kill();
+        let (answer, ask) = caller.join().expect("the caller ends");
+        assert!(!answer.done && prefix(&ask, &answer), "{answer:?}");
+        wait_free(&fleet, if kill_entry { "entry" } else { "holder" });
+        fleet.start_daemon(victim);
+        fleet.wait_held(Duration::from_secs(30));
+    }
+}
+
+/// Returns the daemon that made some reservation.
+fn holder_of_a_part(fleet: &Fleet) -> usize {
+    let holders = fleet.engines.iter().filter_map(|engine| {
+        let url = format!("http://{}/admin/running", engine.address);
+        let listed = call("GET", &url, &[], "").json();
+        Some(listed["reservations"].as_array()?.first()?["holder"].clone())
+    });
+    let host = holders.into_iter().next().expect("a part is reserved");
+    let daemons = fleet.daemons.iter();
+    let mut named = daemons.enumerate().filter(|(_, d)| host == d.host.as_str());
+    named.next().expect("the holder is a daemon").0
+}
--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -252,6 +252,14 @@
             .first_token(now, flight.item.prompt_tokens, work, elapsed);
     }
 
+    /// Takes a request in flight for one that only keeps memory and shows no speed.
+    pub fn hold(&mut self, ticket: Ticket) {
+        if let Some(flight) = self.flights.get_mut(&ticket) {
+            flight.slow = true;
+            flight.answered = 1;
+        }
+    }
+
     /// Records a further token of an answer.
     pub fn token(&mut self, ticket: Ticket) {
         if let Some(flight) = self.flights.get_mut(&ticket) {
--- a/src/protocol/wire.rs
+++ b/src/protocol/wire.rs
@@ -30,6 +30,10 @@
     Changes(Version),
     /// Asks the callee to run a request on an upstream that it holds.
     Dispatch(Dispatch),
+    /// Asks the callee to reserve memory for a part of a prompt at an upstream that it holds.
+    ///
+    /// The reservation lasts as long as the exchange. [`Reply::Sent`] says that it stands.
+    Reserve(Dispatch),
     /// Asks the callee not to take the upstream from its holder for a while.
     Promise(Promise),
     /// Tells the callee that the caller takes an upstream over.
@@ -138,4 +142,23 @@
     pub fingerprint: String,
     /// The first part that is still wanted. Above zero, the attempt resumes a stream.
     pub resume_from: u64,
+    /// The part of the prompt that the upstream takes, if several answer together.
+    pub shard: Option<Shard>,
+}
+
+impl Dispatch {
+    /// Returns the prompt tokens that the upstream takes.
+    pub fn part_tokens(&self) -> u64 {
+        let count = self.shard.map_or(1, |shard| shard.count.max(1));
+        self.prompt_tokens.div_ceil(count)
+    }
+}
+
+/// One of several equal parts of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shard {
+    /// The position of the part; the upstream of part 0 answers.
+    pub index: u64,
+    /// The number of parts.
+    pub count: u64,
 }
--- a/src/state/placement.rs
+++ b/src/state/placement.rs
@@ -147,33 +147,63 @@
 ///
 /// # Errors
 ///
-/// Says why no group can be chosen; [`Refusal::TooLong`] if no group would do even when idle.
+/// Says why no group can be chosen; [`Refusal::TooLong`] if no group of all upstreams of the
+/// service would do, [`Refusal::Unavailable`] if those that take work at present do not suffice.
 pub fn group(fleet: &Fleet, view: &View, ask: &Ask) -> Result<Vec<name::Upstream>, Refusal> {
-    let mut usable = usable(fleet, view, ask);
-    if usable.is_empty() {
-        return Err(Refusal::Unavailable);
-    }
-    if smallest_group(&mut usable, ask, |c| c.upstream.memory_tokens).is_none() {
+    let idle = group_when_idle(fleet, view, ask);
+    let free = |c: &Candidate<'_>| c.advert.memory_free;
+    idle.and_then(|_| smallest_group(usable(fleet, view, ask), ask, free).ok_or(Refusal::Busy))
+}
+
+/// Chooses as [`group`] does, but by the whole memory of the upstreams.
+///
+/// The request has to wait for the memory of such a group.
+///
+/// # Errors
+///
+/// As [`group`], but never [`Refusal::Busy`].
+pub fn group_when_idle(
+    fleet: &Fleet,
+    view: &View,
+    ask: &Ask,
+) -> Result<Vec<name::Upstream>, Refusal> {
+    let of_service = fleet
+        .upstreams
+        .values()
+        .filter(|u| u.service == ask.service && u.half == ask.half);
+    let mut memories: Vec<u64> = of_service.map(|u| u.memory_tokens).collect();
+    memories.sort_unstable_by_key(|memory| Reverse(*memory));
+    if smallest_count(&memories, ask).is_none() {
         return Err(Refusal::TooLong);
     }
-    let count = smallest_group(&mut usable, ask, |c| c.advert.memory_free).ok_or(Refusal::Busy)?;
-    let mut names: Vec<name::Upstream> = usable[..count]
-        .iter()
-        .map(|c| c.upstream.name.clone())
-        .collect();
-    names.sort_unstable();
-    Ok(names)
+    let whole = |c: &Candidate<'_>| c.upstream.memory_tokens;
+    smallest_group(usable(fleet, view, ask), ask, whole).ok_or(Refusal::Unavailable)
 }
 
-/// Sorts by memory, largest first, and returns how many of the first ones suffice.
-fn smallest_group<M>(candidates: &mut [Candidate<'_>], ask: &Ask, memory: M) -> Option<usize>
+/// Returns the names of the smallest group by the given memory.
+fn smallest_group<M>(
+    mut candidates: Vec<Candidate<'_>>,
+    ask: &Ask,
+    memory: M,
+) -> Option<Vec<name::Upstream>>
 where
     M: Fn(&Candidate<'_>) -> u64,
 {
     candidates.sort_by_key(|c| (Reverse(memory(c)), c.upstream.name.clone()));
-    (1..=candidates.len().min(GROUP_MAX)).find(|count| {
-        let part = ask.memory_tokens().div_ceil(*count as u64);
-        memory(&candidates[count - 1]) >= part
+    let memories: Vec<u64> = candidates.iter().map(memory).collect();
+    let count = smallest_count(&memories, ask)?;
+    let names = candidates[..count].iter().map(|c| c.upstream.name.clone());
+    let mut names: Vec<name::Upstream> = names.collect();
+    names.sort_unstable();
+    Some(names)
+}
+
+/// Returns how many of the first memories, the largest of which is first, suffice.
+fn smallest_count(memories: &[u64], ask: &Ask) -> Option<usize> {
+    (1..=memories.len().min(GROUP_MAX)).find(|count| {
+        // One of them makes the whole answer.
+        let part = ask.prompt_tokens.div_ceil(*count as u64);
+        memories[count - 1] >= part.saturating_add(ask.answer_tokens)
     })
 }
 
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -5,7 +5,9 @@
 use primrosehoist::state::fleet::{Fleet, Presence, Upstream};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
-use primrosehoist::state::placement::{Ask, LONG_TOKENS, Policy, Refusal, choose, group};
+use primrosehoist::state::placement::{
+    Ask, LONG_TOKENS, Policy, Refusal, choose, group, group_when_idle,
+};
 use primrosehoist::state::view::{Advert, Daemon, Holder, Member, View};
 
 const MEMORY: u64 = 500_000;
@@ -232,7 +234,7 @@
         let Ok(names) = group(&world.fleet, &world.view, &ask) else {
             return Ok(());
         };
-        let part = ask.memory_tokens().div_ceil(names.len() as u64);
+        let part = ask.prompt_tokens.div_ceil(names.len() as u64) + ask.answer_tokens;
         assert!(names.is_sorted() && !names.is_empty());
         for raw in &names {
             assert!(is_allowed(&world, &ask, raw));
@@ -253,7 +255,13 @@
         world.advert(&format!("u{index}")).memory_free = MEMORY / 10;
     }
     assert_eq!(group(&world.fleet, &world.view, &huge), Err(Refusal::Busy));
+    let idle = group_when_idle(&world.fleet, &world.view, &huge).unwrap();
+    assert!(idle.len() == 3 && idle.is_sorted());
     let beyond = ask(MEMORY * 5);
+    assert_eq!(
+        group_when_idle(&world.fleet, &world.view, &beyond),
+        Err(Refusal::TooLong)
+    );
     assert_eq!(
         group(&world.fleet, &world.view, &beyond),
         Err(Refusal::TooLong)
