--- a/crates/primrosehoist-tests/tests/memory.rs
+++ b/crates/primrosehoist-tests/tests/memory.rs
@@ -274,6 +274,27 @@
     assert_eq!(fleet.engine_sum("overloads"), 0);
 }
 
+#[test]
+fn a_prompt_whose_engines_stay_busy_is_refused_as_overloaded() {
+    let fleet = Fleet::start(small_engines());
+    let first = fleet.ask(0, &beyond_one_engine(0), 400);
+    let caller = std::thread::spawn(move || (complete(&first), first));
+    common::wait(Duration::from_secs(20), "two parts are reserved", || {
+        reserving(&fleet) == 2
+    });
+    let second = Ask {
+        timeout_ms: Some(3000),
+        ..fleet.ask(1, &beyond_one_engine(1), 10)
+    };
+    let refused = complete(&second);
+    let error = refused.error.clone().unwrap_or_default();
+    assert_eq!(refused.outcome(), "not_run", "{refused:?}");
+    assert_eq!(error["code"], "overloaded", "{refused:?}");
+    let (answer, first) = caller.join().expect("the caller ends");
+    assert!(whole(&first, &answer), "{answer:?}");
+    wait_free(&fleet, "after a refusal");
+}
+
 #[test]
 fn a_killed_entry_or_holder_leaves_no_reservation() {
     let mut fleet = Fleet::start(small_engines());
--- a/tests/admission_rules/main.rs
+++ b/tests/admission_rules/main.rs
@@ -61,6 +61,40 @@
     assert_eq!(scheduler.next(now), [1]);
 }
 
+#[test]
+fn a_resumed_stream_is_counted_without_waiting_for_room() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(2);
+    let left = |requests| Foreign {
+        requests,
+        memory_tokens: 0,
+    };
+    scheduler.set_foreign(left(2));
+    scheduler.adopt(item(1, 1_000, now), now);
+    assert_eq!(scheduler.in_flight(), 1);
+    scheduler.set_foreign(left(1));
+    assert_eq!(scheduler.offer(item(2, 1_000, now), now), Verdict::Queued);
+    scheduler.finished(1, Finish::Completed, now);
+    assert_eq!(scheduler.next(now), [2]);
+}
+
+#[test]
+fn what_only_keeps_memory_shows_no_speed_and_is_no_prefill() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(16);
+    for ticket in 0..LONG_PREFILLS_MAX as u64 {
+        assert_eq!(scheduler.offer(item(ticket, LONG, now), now), Verdict::Send);
+        scheduler.hold(ticket);
+        scheduler.first_token(ticket, now + Duration::from_secs(60));
+    }
+    let later = now + Duration::from_secs(120);
+    let advert = scheduler.advert(later);
+    assert_eq!(advert.prefill_rate, 0);
+    let kept = LONG_PREFILLS_MAX as u64 * LONG;
+    assert_eq!(advert.memory_free, MEMORY - kept);
+    assert_eq!(scheduler.offer(item(9, LONG, later), later), Verdict::Send);
+}
+
 #[test]
 fn long_prompts_leave_room_for_short_ones() {
     let now = Instant::now();
