--- a/crates/primrosehoist-daemon/src/holder/flight.rs
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -35,6 +35,11 @@
         &self.place
     }
 
+    /// Returns whether another flight of this process continues the attempt.
+    pub(crate) fn is_resumed(&self) -> bool {
+        self.place.flights_of(&self.attempt) > 1
+    }
+
     /// Records that the upstream runs the request with this content.
     pub(crate) fn runs(&self, fingerprint: &Fingerprint) {
         self.place.running.enter(self.ticket, fingerprint);
@@ -45,9 +50,9 @@
         self.ticket
     }
 
-    /// Returns whether another flight of this process continues the attempt.
-    pub(crate) fn is_resumed(&self) -> bool {
-        self.place.flights_of(&self.attempt) > 1
+    /// Records that the request only keeps memory.
+    pub(crate) fn hold(&self) {
+        self.place.update(|scheduler| scheduler.hold(self.ticket));
     }
 
     /// Records a part of the answer.
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -43,8 +43,8 @@
     };
     let server = Server::bind(&address, identity, handler).await?;
     cluster.start();
-    poison::start(node);
     tokio::spawn(holder::reconcile::run(Arc::clone(node)));
+    poison::start(node);
     Ok(Links {
         cluster,
         _server: server,
@@ -95,6 +95,9 @@
         Request::Dispatch(dispatch) => {
             return holder::serve_peer(node, dispatch, body, responder).await;
         }
+        Request::Reserve(dispatch) => {
+            return holder::group::serve(node, dispatch, holder::Responder::Peer(responder)).await;
+        }
         Request::Poison(told) => Some(poison::hear(&node, &told)),
         request => cluster.answer(&peer, &request),
     };
