--- a/crates/primrosehoist-standin/src/platform/api.rs
+++ b/crates/primrosehoist-standin/src/platform/api.rs
@@ -114,7 +114,7 @@
             (false, true) => calls.watches += 1,
             (false, false) => calls.reads += 1,
         });
-    if state.faults.is_down(caller.zone.as_deref()) {
+    if state.faults.is_down(&caller.client, caller.zone.as_deref()) {
         state
             .tally
             .add(&caller.client, |calls| calls.outage_refused += 1);
--- a/crates/primrosehoist-standin/src/platform/fault.rs
+++ b/crates/primrosehoist-standin/src/platform/fault.rs
@@ -30,9 +30,10 @@
         self.down_for = given.down_for.or(self.down_for.take());
     }
 
-    /// Returns whether the platform is out of reach for clients of `zone`.
-    pub(crate) fn is_down(&self, zone: Option<&str>) -> bool {
-        let listed = |zones: &Vec<String>| zones.iter().any(|down| Some(down.as_str()) == zone);
+    /// Returns whether the platform is out of reach for `client`, which is in `zone`.
+    pub(crate) fn is_down(&self, client: &str, zone: Option<&str>) -> bool {
+        let is_cut = |cut: &String| cut == client || Some(cut.as_str()) == zone;
+        let listed = |cuts: &Vec<String>| cuts.iter().any(is_cut);
         self.down == Some(true) || self.down_for.as_ref().is_some_and(listed)
     }
 
--- a/crates/primrosehoist-standin/src/platform/mod.rs
+++ b/crates/primrosehoist-standin/src/platform/mod.rs
@@ -36,7 +36,7 @@
 
 POST /standin/faults merges the given keys; a rate of 0 means no limit:
 {\"down\":bool,\"slow_ms\":n,\"lose_answers_percent\":n,\"writes_per_s\":n,\"reads_per_s\":n,
-\"hosts_lag_ms\":n,\"down_for\":[\"ZONE\"]}. While down, calls are answered 503 and watches are
+\"hosts_lag_ms\":n,\"down_for\":[\"ZONE or HOST\"]}. While down, calls are answered 503 and watches are
 closed. A lost answer is a write that takes effect and is not answered.
 PUT and DELETE of /standin/hosts/NAME change the hosts; GET /standin/counts answers counters.
 ";
--- a/crates/primrosehoist-standin/src/platform/watch.rs
+++ b/crates/primrosehoist-standin/src/platform/watch.rs
@@ -78,7 +78,7 @@
 
     fn collect(&mut self) -> Result<(), Closed> {
         let state = self.platform.state();
-        if state.faults.is_down(self.zone.as_deref()) {
+        if state.faults.is_down(&self.client, self.zone.as_deref()) {
             return Err(Closed::Now);
         }
         let batch = state.store.since(&self.kind, self.version);
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -4,13 +4,15 @@
 
 pub mod caller;
 pub mod history;
+pub mod load;
 pub mod process;
+pub mod versions;
 
 use std::fmt::Write as _;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 use std::sync::atomic::{AtomicU8, Ordering};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
@@ -37,6 +39,8 @@
     pub warm_requests: u32,
     /// Whether engines check fencing numbers.
     pub fencing: bool,
+    /// Whether engines serve the models of both halves.
+    pub any_model: bool,
     /// TOML appended to every daemon's settings, followed by `PRIMROSEHOIST_SETTINGS` of the
     /// environment, by which a run switches a mechanism off to show that its proof fails.
     pub settings: &'static str,
@@ -52,6 +56,7 @@
             cold_requests: 2,
             warm_requests: 16,
             fencing: true,
+            any_model: false,
             settings: "",
         }
     }
@@ -70,6 +75,8 @@
 /// One engine or plain service.
 pub struct Backend {
     pub name: String,
+    /// The half that the files declare.
+    pub half: &'static str,
     pub zone: &'static str,
     pub address: String,
     pub process: Option<Process>,
@@ -150,6 +157,7 @@
                 let address = format!("{ip}:{}", 7400 + index);
                 self.engines.push(Backend {
                     name,
+                    half,
                     zone,
                     address,
                     process: None,
@@ -160,6 +168,7 @@
             let address = format!("{ip}:{}", 7600 + index);
             self.services.push(Backend {
                 name,
+                half,
                 zone,
                 address,
                 process: None,
@@ -191,7 +200,7 @@
     }
 
     fn upstream(&self, backend: &Backend, service: &str, more: &str) -> String {
-        let half = half_of(&backend.name);
+        let half = backend.half;
         format!(
             "[[upstream]]\nname = \"{}\"\nservice = \"{half}-{service}\"\nhalf = \"{half}\"\nzone = \"{}\"\naddress = \"{}\"\n\
              cold_requests = {}\nwarm_requests = {}\nfencing = {}\n{more}\n",
@@ -222,11 +231,7 @@
     /// Starts engine `index`.
     pub fn start_engine(&mut self, index: usize) {
         let engine = &self.engines[index];
-        let model = if half_of(&engine.name) == "north" {
-            "braid-7b"
-        } else {
-            "lens-7b"
-        };
+        let model = model_of(engine.half);
         let cold = self.layout.cold_requests.to_string();
         let warm = self.layout.warm_requests.to_string();
         let fencing = if self.layout.fencing {
@@ -240,8 +245,6 @@
             &engine.address,
             "--name",
             &engine.name,
-            "--model",
-            model,
             "--memory-tokens",
             "3000000",
             "--cold-requests",
@@ -251,6 +254,9 @@
             "--fencing",
             fencing,
         ]);
+        if !self.layout.any_model {
+            arguments.extend(words(&["--model", model]));
+        }
         arguments.extend(words(&self.layout.engine_arguments));
         let process = Process::start("primrosehoist-standin", &arguments, &self.log(&engine.name));
         wait_open(&engine.address);
@@ -322,12 +328,56 @@
 
     /// Publishes the files.
     pub fn publish(&self, reason: &str) -> Output {
+        self.publish_within(reason, "10s")
+    }
+
+    /// Publishes the files and waits for `wait` until they are in force.
+    fn publish_within(&self, reason: &str, wait: &str) -> Output {
         let files = self.directory.join("files").display().to_string();
         self.tool(&[
-            "publish", &files, "--author", "tests", "--reason", reason, "--wait", "10s",
+            "publish", &files, "--author", "tests", "--reason", reason, "--wait", wait,
         ])
     }
 
+    /// Publishes the files and does not wait; returns the time before, in Unix milliseconds.
+    pub fn publish_changed(&self, reason: &str) -> u64 {
+        self.write_files();
+        let begun_ms = now_ms();
+        let published = self.publish_within(reason, "0s");
+        assert!(published.status.success(), "publish: {}", text(&published));
+        begun_ms
+    }
+
+    /// Sends an order to the admin port of daemon `index`.
+    fn order(&self, index: usize, path: &str) {
+        let authorization = format!("Bearer {}", operator_token());
+        let url = format!("http://{}{path}", self.daemons[index].admin);
+        let reply = caller::call("POST", &url, &[("authorization", &authorization)], "");
+        assert!(reply.status < 300, "{path} at host-{index}: {reply:?}");
+    }
+
+    /// Replaces the daemons that daemon `index` reaches neither, `to`, nor hears, `from`.
+    pub fn cut(&self, index: usize, to: &[usize], from: &[usize]) {
+        let hosts = |list: &[usize]| {
+            let hosts: Vec<_> = list
+                .iter()
+                .map(|i| self.daemons[*i].host.as_str())
+                .collect();
+            hosts.join(",")
+        };
+        self.order(
+            index,
+            &format!("/admin/cuts?to={}&from={}", hosts(to), hosts(from)),
+        );
+    }
+
+    /// Returns the daemons of `zone`, or all others.
+    pub fn in_zone(&self, zone: &str, inside: bool) -> Vec<usize> {
+        let daemons = self.daemons.iter().enumerate();
+        let chosen = daemons.filter(|(_, daemon)| (daemon.zone == zone) == inside);
+        chosen.map(|(index, _)| index).collect()
+    }
+
     /// Returns the status of daemon `index`, or null.
     pub fn status(&self, index: usize) -> Value {
         let authorization = format!("Bearer {}", operator_token());
@@ -419,9 +469,13 @@
     hex::encode(mac.finalize().into_bytes())
 }
 
-/// Returns the half that an upstream's name tells.
-pub fn half_of(name: &str) -> &str {
-    name.split('-').next().unwrap_or_default()
+/// Returns the model of a half.
+pub fn model_of(half: &str) -> &'static str {
+    if half == "north" {
+        "braid-7b"
+    } else {
+        "lens-7b"
+    }
 }
 
 /// Returns what a program printed.
@@ -433,6 +487,30 @@
     )
 }
 
+/// Returns the milliseconds since the Unix epoch.
+pub fn now_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .expect("the clock is set")
+        .as_millis() as u64
+}
+
+/// Returns the attempts that an engine received after `from_ms` and until `to_ms`, as Unix times.
+pub fn received(address: &str, from_ms: u64, to_ms: u64) -> Vec<String> {
+    let counts = counts(address);
+    let attempts = counts["attempts"]
+        .as_array()
+        .expect("the engine lists attempts");
+    attempts
+        .iter()
+        .filter(|a| {
+            let at_ms = a["at_ms"].as_u64().expect("an attempt has a time");
+            at_ms > from_ms && at_ms <= to_ms
+        })
+        .map(|a| a["id"].as_str().expect("an attempt has an id").to_owned())
+        .collect()
+}
+
 fn words(words: &[&str]) -> Vec<String> {
     words.iter().map(|word| (*word).to_owned()).collect()
 }
--- a/crates/primrosehoist-tests/tests/fleet.rs
+++ b/crates/primrosehoist-tests/tests/fleet.rs
@@ -2,89 +2,21 @@
 
 mod common;
 
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::sync::Arc;
+use std::time::Duration;
 
 use serde_json::json;
 
-use common::caller::{Answer, Ask, complete, whole};
-use common::{Fleet, Layout, counts, fault, text};
+use common::caller::{complete, whole};
+use common::load::{Load, Plan, assert_whole};
+use common::{Fleet, Layout, fault, now_ms, received, text};
 
 /// The time within which a change must be obeyed.
 const OBEYED_WITHIN: Duration = Duration::from_secs(4);
 
-fn now_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .expect("the clock is set")
-        .as_millis() as u64
-}
-
-/// Callers that ask through every daemon until they are stopped.
-struct Load {
-    stop: Arc<AtomicBool>,
-    results: Arc<Mutex<Vec<(Ask, Answer)>>>,
-    threads: Vec<std::thread::JoinHandle<()>>,
-}
-
-impl Load {
-    fn start(fleet: &Fleet, daemons: &[usize]) -> Self {
-        let stop = Arc::new(AtomicBool::new(false));
-        let results = Arc::new(Mutex::new(Vec::new()));
-        let threads = daemons
-            .iter()
-            .map(|index| {
-                let (stop, results) = (Arc::clone(&stop), Arc::clone(&results));
-                let ask = fleet.ask(*index, "", 20);
-                let index = *index;
-                std::thread::spawn(move || {
-                    let mut round = 0;
-                    while !stop.load(Ordering::Relaxed) {
-                        round += 1;
-                        let prompt =
-                            format!("caller {index} round {round} {}", "word ".repeat(300));
-                        let ask = Ask {
-                            prompt,
-                            ..ask.clone()
-                        };
-                        let answer = complete(&ask);
-                        results
-                            .lock()
-                            .expect("results are whole")
-                            .push((ask, answer));
-                    }
-                })
-            })
-            .collect();
-        Self {
-            stop,
-            results,
-            threads,
-        }
-    }
-
-    fn stop(self) -> Vec<(Ask, Answer)> {
-        self.stop.store(true, Ordering::Relaxed);
-        for thread in self.threads {
-            thread.join().expect("the caller ends");
-        }
-        let results = self.results.lock().expect("results are whole");
-        results.clone()
-    }
-}
-
 /// Returns how many requests an upstream received after a Unix time.
 fn received_after(address: &str, time_ms: u64) -> usize {
-    let counts = counts(address);
-    let attempts = counts["attempts"]
-        .as_array()
-        .expect("the engine lists attempts")
-        .clone();
-    attempts
-        .iter()
-        .filter(|a| a["at_ms"].as_u64().expect("an attempt has a time") > time_ms)
-        .count()
+    received(address, time_ms, u64::MAX).len()
 }
 
 fn settle(accepted_ms: u64) -> u64 {
@@ -96,7 +28,7 @@
 #[test]
 fn a_zone_taken_out_gets_no_new_work_and_loses_none() {
     let fleet = Fleet::start(Layout::default());
-    let load = Load::start(&fleet, &[0, 1, 2, 3, 4, 5]);
+    let load = Load::start(&fleet, &[0, 1, 2, 3, 4, 5], &Plan::default());
     std::thread::sleep(Duration::from_secs(1));
     let out = fleet.tool(&[
         "zone",
@@ -129,18 +61,7 @@
     assert!(back.status.success(), "{}", text(&back));
     let returned = now_ms();
     std::thread::sleep(OBEYED_WITHIN);
-    let results = load.stop();
-    let lost: Vec<_> = results
-        .iter()
-        .filter(|(ask, answer)| !whole(ask, answer))
-        .collect();
-    assert!(
-        lost.is_empty(),
-        "{} of {} lost, first: {:?}",
-        lost.len(),
-        results.len(),
-        lost[0].1
-    );
+    assert_whole(&load.stop(), "all", 1, |_| true);
     let zone: Vec<_> = fleet
         .engines
         .iter()
@@ -157,7 +78,7 @@
 #[test]
 fn an_upstream_that_leaves_gets_no_new_work() {
     let fleet = Fleet::start(Layout::default());
-    let load = Load::start(&fleet, &[0, 1, 2, 3]);
+    let load = Load::start(&fleet, &[0, 1, 2, 3], &Plan::default());
     std::thread::sleep(Duration::from_secs(1));
     let engine = fleet
         .engines
@@ -176,8 +97,7 @@
     assert!(out.status.success(), "{}", text(&out));
     let deadline = settle(now_ms());
     assert_eq!(received_after(&engine.address, deadline), 0);
-    let results = load.stop();
-    assert!(results.iter().all(|(ask, answer)| whole(ask, answer)));
+    assert_whole(&load.stop(), "all", 1, |_| true);
 }
 
 #[test]
@@ -268,19 +188,9 @@
     let fleet = Fleet::start(Layout::default());
     fault(&fleet.platform, &json!({"down": true}));
     std::thread::sleep(Duration::from_secs(5));
-    let load = Load::start(&fleet, &[0, 1, 2, 3, 4, 5]);
+    let load = Load::start(&fleet, &[0, 1, 2, 3, 4, 5], &Plan::default());
     std::thread::sleep(Duration::from_secs(6));
-    let results = load.stop();
+    let records = load.stop();
     fault(&fleet.platform, &json!({"down": false}));
-    let served = results
-        .iter()
-        .filter(|(ask, answer)| whole(ask, answer))
-        .count();
-    assert_eq!(
-        served,
-        results.len(),
-        "{:?}",
-        results.iter().find(|(a, b)| !whole(a, b)).map(|r| &r.1)
-    );
-    assert!(served > 10);
+    assert_whole(&records, "all", 11, |_| true);
 }
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/partition.rs
@@ -0,0 +1,311 @@
+//! Promises while daemons are cut off, replaced or started all at once.
+
+mod common;
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use common::load::{Load, Plan, Record, assert_honest, assert_whole};
+use common::versions::Sampler;
+use common::{Fleet, Layout, counts, fault, now_ms, received, wait};
+
+/// The time within which a change must be in force.
+const OBEYED_WITHIN: Duration = Duration::from_secs(4);
+
+/// How long a cut lasts.
+const CUT: Duration = Duration::from_secs(15);
+
+/// The longest time until an upstream whose holder fell silent is held by another: silence, a
+/// lease with its margin, and some steps of the holding loop.
+const TAKEN_OVER_WITHIN: Duration = Duration::from_secs(10);
+
+/// The most platform calls per daemon and second, on average.
+const CALLS_PER_DAEMON_AND_S: u64 = 6;
+
+/// The time over which platform calls are averaged.
+const CALLS_OVER: Duration = Duration::from_secs(10);
+
+const ALL: [usize; 6] = [0, 1, 2, 3, 4, 5];
+
+fn layout(fencing: bool) -> Layout {
+    Layout {
+        fencing,
+        engine_arguments: vec![
+            "--prefill-rate",
+            "100000",
+            "--decode-ms",
+            "5",
+            "--warm-after",
+            "60",
+            "--crash-downtime-ms",
+            "500",
+        ],
+        settings: "[mechanisms]\nallow_cuts = true\n",
+        ..Layout::default()
+    }
+}
+
+/// Cuts the daemons of `zone` off from those of other zones, both ways.
+fn cut_zone(fleet: &Fleet, zone: &str) {
+    let others = fleet.in_zone(zone, false);
+    for index in fleet.in_zone(zone, true) {
+        fleet.cut(index, &others, &others);
+    }
+}
+
+fn heal(fleet: &Fleet) {
+    fault(&fleet.platform, &json!({"down_for": []}));
+    for index in ALL {
+        fleet.cut(index, &[], &[]);
+    }
+}
+
+/// Changes the declared limits a little and publishes; returns the time before.
+fn publish_change(fleet: &mut Fleet) -> u64 {
+    fleet.layout.warm_requests += 1;
+    fleet.publish_changed("another limit")
+}
+
+fn ms(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
+
+/// Returns the upstreams that daemon `index` holds.
+fn held(fleet: &Fleet, index: usize) -> Vec<String> {
+    let status = fleet.status(index);
+    let holdings = status["holdings"].as_array().cloned().unwrap_or_default();
+    let names = holdings.iter().filter_map(|h| h["upstream"].as_str());
+    names.map(str::to_owned).collect()
+}
+
+#[test]
+fn a_zone_cut_from_the_platform_follows_through_peers() {
+    let mut fleet = Fleet::start(layout(true));
+    let sampler = Sampler::start(&fleet);
+    let load = Load::start(&fleet, &ALL, &Plan::default());
+    std::thread::sleep(Duration::from_secs(1));
+    fault(&fleet.platform, &json!({"down_for": ["zone-a"]}));
+    std::thread::sleep(Duration::from_secs(4));
+    let published = publish_change(&mut fleet);
+    std::thread::sleep(Duration::from_secs(7));
+    heal(&fleet);
+    std::thread::sleep(Duration::from_secs(1));
+    let records = load.stop();
+    let versions = sampler.stop();
+    assert_whole(&records, "all", 100, |_| true);
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+    versions.assert_forward();
+    versions.assert_in_force(&ALL, 2, published, OBEYED_WITHIN);
+}
+
+#[test]
+fn a_zone_cut_from_everything_serves_on_and_catches_up() {
+    let mut fleet = Fleet::start(layout(true));
+    let sampler = Sampler::start(&fleet);
+    let load = Load::start(&fleet, &ALL, &Plan::default());
+    std::thread::sleep(Duration::from_secs(1));
+    fault(&fleet.platform, &json!({"down_for": ["zone-a"]}));
+    cut_zone(&fleet, "zone-a");
+    let cut = now_ms();
+    std::thread::sleep(CUT / 2);
+    let published = publish_change(&mut fleet);
+    std::thread::sleep(CUT / 2);
+    let ends = now_ms();
+    heal(&fleet);
+    let healed = now_ms();
+    std::thread::sleep(OBEYED_WITHIN + Duration::from_secs(2));
+    let records = load.stop();
+    let versions = sampler.stop();
+    assert_honest(&records);
+    let settled = cut + ms(OBEYED_WITHIN);
+    let inside = |record: &Record| record.sent_ms > settled && record.ended_ms < ends;
+    let in_zone = |record: &Record| fleet.daemons[record.daemon].zone == "zone-a";
+    assert_whole(&records, "cut zone", 20, |r| inside(r) && in_zone(r));
+    assert_whole(&records, "other zones", 20, |r| inside(r) && !in_zone(r));
+    assert_whole(&records, "after the cut", 20, |r| {
+        r.sent_ms > healed + ms(OBEYED_WITHIN)
+    });
+    let own = fleet
+        .engines
+        .iter()
+        .find(|engine| engine.zone == "zone-a" && engine.half == "north")
+        .expect("the zone has an engine");
+    assert!(
+        received(&own.address, settled, ends).len() >= 20,
+        "the zone's own engine serves it"
+    );
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+    versions.assert_forward();
+    versions.assert_in_force(&fleet.in_zone("zone-a", false), 2, published, OBEYED_WITHIN);
+    versions.assert_in_force(&fleet.in_zone("zone-a", true), 2, healed, OBEYED_WITHIN);
+    let early = versions.delay_ms(0, 2, 0).expect("the version came") < ends;
+    assert!(!early, "a cut-off zone cannot have heard of the change");
+}
+
+/// Cuts one daemon off and checks that another of its zone takes its upstreams over.
+fn cut_one(fencing: bool) {
+    let fleet = Fleet::start(layout(fencing));
+    let plan = Plan {
+        callers_per_daemon: 3,
+        max_tokens: 60,
+        ..Plan::default()
+    };
+    let alone = if held(&fleet, 0)
+        .iter()
+        .any(|name| name.starts_with("north-engine"))
+    {
+        0
+    } else {
+        1
+    };
+    let upstreams = held(&fleet, alone);
+    println!("host-{alone} holds {upstreams:?}");
+    let load = Load::start(&fleet, &ALL, &plan);
+    std::thread::sleep(Duration::from_secs(1));
+    let others: Vec<_> = ALL.into_iter().filter(|index| *index != alone).collect();
+    fault(
+        &fleet.platform,
+        &json!({"down_for": [fleet.daemons[alone].host]}),
+    );
+    fleet.cut(alone, &others, &others);
+    let cut = now_ms();
+    let taker = 1 - alone;
+    wait(TAKEN_OVER_WITHIN, "the upstreams are taken over", || {
+        let holds = held(&fleet, taker);
+        upstreams.iter().all(|upstream| holds.contains(upstream))
+    });
+    println!("taken over {} ms after the cut", now_ms() - cut);
+    std::thread::sleep((CUT).saturating_sub(Duration::from_millis(now_ms() - cut)));
+    let ends = now_ms();
+    heal(&fleet);
+    let healed = now_ms();
+    std::thread::sleep(OBEYED_WITHIN + Duration::from_secs(2));
+    let records = load.stop();
+    assert_honest(&records);
+    let settled = cut + ms(TAKEN_OVER_WITHIN);
+    assert_whole(&records, "other daemons", 20, |r| {
+        r.daemon != alone && r.sent_ms > settled && r.ended_ms < ends
+    });
+    assert_whole(&records, "after the cut", 20, |r| {
+        r.sent_ms > healed + ms(OBEYED_WITHIN)
+    });
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+    if !fencing {
+        assert_eq!(fleet.engine_sum("stale_taken"), 0);
+    }
+}
+
+#[test]
+fn a_daemon_cut_from_everything_loses_its_upstreams_safely() {
+    cut_one(true);
+}
+
+#[test]
+fn a_daemon_cut_from_everything_sends_nothing_to_engines_that_ignore_fencing() {
+    cut_one(false);
+}
+
+#[test]
+fn a_daemon_that_sends_and_hears_nothing_harms_nobody() {
+    let fleet = Fleet::start(layout(false));
+    let load = Load::start(&fleet, &ALL, &Plan::default());
+    std::thread::sleep(Duration::from_secs(1));
+    let others = &ALL[1..];
+    fleet.cut(0, &[], others);
+    let cut = now_ms();
+    std::thread::sleep(CUT);
+    let ends = now_ms();
+    heal(&fleet);
+    let healed = now_ms();
+    std::thread::sleep(OBEYED_WITHIN + Duration::from_secs(2));
+    let records = load.stop();
+    assert_honest(&records);
+    let settled = cut + ms(TAKEN_OVER_WITHIN);
+    let inside = |record: &Record| record.sent_ms > settled && record.ended_ms < ends;
+    assert_whole(&records, "other daemons", 20, |r| {
+        inside(r) && r.daemon != 0
+    });
+    assert_whole(&records, "after the cut", 20, |r| {
+        r.sent_ms > healed + ms(OBEYED_WITHIN)
+    });
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+    assert_eq!(fleet.engine_sum("stale_taken"), 0);
+}
+
+#[test]
+fn a_rolling_replacement_of_all_daemons_cuts_nothing() {
+    let mut fleet = Fleet::start(layout(true));
+    let plan = Plan {
+        moves: true,
+        ..Plan::default()
+    };
+    let load = Load::start(&fleet, &ALL, &plan);
+    std::thread::sleep(Duration::from_secs(1));
+    for index in ALL {
+        let mut process = fleet.daemons[index]
+            .process
+            .take()
+            .expect("the daemon runs");
+        process.terminate();
+        let status = process.wait(Duration::from_secs(40));
+        assert!(
+            status.is_some_and(|status| status.success()),
+            "host-{index}: {status:?}"
+        );
+        fleet.start_daemon(index);
+        fleet.wait_version(1, OBEYED_WITHIN);
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    fleet.wait_held(TAKEN_OVER_WITHIN);
+    let records = load.stop();
+    assert_whole(&records, "all", 100, |_| true);
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+}
+
+fn platform_calls(fleet: &Fleet) -> u64 {
+    let counts = counts(&fleet.platform);
+    let calls = ["reads", "writes", "watches"];
+    calls
+        .iter()
+        .map(|call| counts[call].as_u64().expect("the platform counts calls"))
+        .sum()
+}
+
+#[test]
+fn a_mass_start_does_not_flood_a_platform_that_just_came_back() {
+    let mut fleet = Fleet::start(layout(true));
+    fault(&fleet.platform, &json!({"down": true}));
+    for daemon in &mut fleet.daemons {
+        daemon.process.take().expect("the daemon runs").kill();
+    }
+    fault(&fleet.platform, &json!({"down": false, "slow_ms": 2000}));
+    let before = platform_calls(&fleet);
+    let begun = now_ms();
+    for index in ALL {
+        fleet.start_daemon(index);
+    }
+    let load = Load::start(&fleet, &ALL, &Plan::default());
+    std::thread::sleep(CALLS_OVER.saturating_sub(Duration::from_millis(now_ms() - begun)));
+    let calls = platform_calls(&fleet) - before;
+    let elapsed_ms = now_ms() - begun;
+    fault(&fleet.platform, &json!({"slow_ms": 0}));
+    fleet.wait_version(1, Duration::from_secs(10));
+    fleet.wait_held(Duration::from_secs(20));
+    let served = now_ms();
+    std::thread::sleep(Duration::from_secs(3));
+    let records = load.stop();
+    println!(
+        "{calls} platform calls by {} daemons in {elapsed_ms} ms",
+        ALL.len()
+    );
+    assert!(
+        calls * 1000 <= CALLS_PER_DAEMON_AND_S * ALL.len() as u64 * elapsed_ms,
+        "{calls} calls in {elapsed_ms} ms"
+    );
+    assert_honest(&records);
+    assert_whole(&records, "once upstreams are held", 20, |r| {
+        r.sent_ms > served
+    });
+    assert_eq!(fleet.engine_sum("overloads"), 0);
+}
