--- a/crates/primrosehoist-daemon/src/holder/flight.rs
+++ b/crates/primrosehoist-daemon/src/holder/flight.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use primrosehoist::coordination::admission::Finish;
+use primrosehoist::state::fleet::Fingerprint;
 use primrosehoist::state::queue::Ticket;
 use tokio::time::Instant;
 
@@ -13,15 +14,18 @@
 pub(crate) struct Flight {
     place: Arc<Place>,
     ticket: Ticket,
+    attempt: String,
     finished: bool,
 }
 
 impl Flight {
     /// Creates the guard of a request that is offered next.
-    pub(crate) fn new(place: &Arc<Place>, ticket: Ticket) -> Self {
+    pub(crate) fn new(place: &Arc<Place>, ticket: Ticket, attempt: &str) -> Self {
+        place.attempts.add(attempt);
         Self {
             place: Arc::clone(place),
             ticket,
+            attempt: attempt.to_owned(),
             finished: false,
         }
     }
@@ -31,6 +35,21 @@
         &self.place
     }
 
+    /// Records that the upstream runs the request with this content.
+    pub(crate) fn runs(&self, fingerprint: &Fingerprint) {
+        self.place.running.enter(self.ticket, fingerprint);
+    }
+
+    /// Returns the ticket of the request.
+    pub(crate) fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
+    /// Returns whether another flight of this process continues the attempt.
+    pub(crate) fn is_resumed(&self) -> bool {
+        self.place.flights_of(&self.attempt) > 1
+    }
+
     /// Records a part of the answer.
     pub(crate) fn note_part(&self, first: bool) {
         let ticket = self.ticket;
@@ -54,8 +73,10 @@
 
 impl Drop for Flight {
     fn drop(&mut self) {
+        self.place.running.leave(self.ticket);
         if !self.finished {
             self.place.withdraw(self.ticket);
         }
+        self.place.attempts.remove(&self.attempt);
     }
 }
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -1,8 +1,10 @@
 //! The holder's side of a request: admission to the upstream and the relay of its answer.
 
+mod attempts;
 mod call;
 mod flight;
 mod place;
+pub(crate) mod reconcile;
 mod relay;
 mod responder;
 
@@ -13,8 +15,8 @@
 use http_body_util::BodyExt;
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
-use primrosehoist::protocol::wire::{Dispatch, Reply};
-use primrosehoist::state::fleet::{Fleet, Kind, Presence, Upstream};
+use primrosehoist::protocol::wire::{Dispatch, Reply, Standing};
+use primrosehoist::state::fleet::{Fleet, Presence, Upstream};
 use primrosehoist::state::queue::Item;
 use primrosehoist::transport::http::body::Measured;
 use primrosehoist::transport::http::{BoxError, Payload};
@@ -24,6 +26,7 @@
 pub(crate) use self::place::Holder;
 pub(crate) use self::responder::Responder;
 
+use self::flight::Flight;
 use crate::node::Node;
 
 /// A dispatch with all that its run needs.
@@ -81,22 +84,40 @@
     responder: &mut Responder,
 ) -> Reply {
     let since = Instant::now();
-    let place = node.holder.place(&task.upstream, &task.lease);
+    let place = node.holder.place(&task.upstream, &task.lease, task.engine);
+    let attempt = task.dispatch.attempt.as_str();
+    if task.dispatch.resume_from > 0 {
+        // The stream runs, so its place among the foreign ones is taken over, not added to.
+        let flight = place::adopt(&place, item, attempt);
+        return sent(node, task, since, body, flight, responder).await;
+    }
     let admitted = tokio::select! {
-        admitted = place::admit(&place, item) => admitted,
+        admitted = place::admit(&place, item, attempt) => admitted,
         _ = responder.closed() => return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request")),
     };
     let flight = match admitted {
         Ok(flight) => flight,
         Err(failure) => return Reply::Failed(failure),
     };
+    sent(node, task, since, body, flight, responder).await
+}
+
+/// Tells the entry daemon of the admission, then relays.
+async fn sent(
+    node: &Node,
+    task: Task,
+    since: Instant,
+    body: Payload,
+    flight: Flight,
+    responder: &mut Responder,
+) -> Reply {
     let queued = since.elapsed();
     node.metrics.queued(&task.upstream.service, queued);
     let queued_ms = queued.as_millis() as u64;
     if responder.send(Reply::Sent { queued_ms }).await.is_err() {
         return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request"));
     }
-    relay::run(task, body, flight, responder).await
+    relay::run(node, task, body, flight, responder).await
 }
 
 /// Checks that the request may run here.
@@ -105,7 +126,11 @@
         return Err(not_run(Reason::Draining, "the holder shuts down"));
     }
     let fleet = node.fleet.load();
-    let upstream = find(&fleet, &dispatch)?;
+    if dispatch.suspect {
+        let fingerprint = &dispatch.fingerprint;
+        node.poison.learn(fingerprint, Standing::Suspect, &fleet);
+    }
+    let upstream = find(node, &fleet, &dispatch)?;
     let lease = node.leases.load().get(&dispatch.upstream).cloned();
     let now = Instant::now();
     let checks_lease = node.mechanisms.lease_check;
@@ -130,10 +155,9 @@
         prompt_tokens: dispatch.prompt_tokens,
         answer_tokens: dispatch.answer_tokens,
         deadline,
-        suspect: dispatch.suspect,
+        suspect: node.poison.is_suspect(&dispatch.fingerprint),
     };
-    let service = fleet.services.get(&upstream.service);
-    let engine = service.is_some_and(|service| matches!(service.kind, Kind::Engine(_)));
+    let engine = fleet.is_engine(&upstream);
     let host = node.host.to_string();
     let task = Task {
         dispatch,
@@ -147,7 +171,7 @@
     Ok((task, item))
 }
 
-fn find(fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
+fn find(node: &Node, fleet: &Fleet, dispatch: &Dispatch) -> Result<Upstream, Failure> {
     let upstream = fleet
         .upstreams
         .get(&dispatch.upstream)
@@ -163,7 +187,7 @@
             "the upstream takes no new work",
         ));
     }
-    if fleet.quarantine.contains_key(&dispatch.fingerprint) {
+    if node.poison.is_quarantined(fleet, &dispatch.fingerprint) {
         return Err(not_run(Reason::Quarantined, "the request is quarantined"));
     }
     Ok(upstream.clone())
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -5,12 +5,12 @@
 use primrosehoist::protocol::wire::Request;
 use primrosehoist::state::view::Member;
 use primrosehoist::transport::peer::{Body, Error, Identity, Responder, Server};
-use primrosehoist::transport::platform;
 use tokio::time::Instant;
 
 use crate::cluster::{Cluster, Hooks};
 use crate::holder;
 use crate::node::Node;
+use crate::poison;
 use crate::settings::Settings;
 
 /// The running links to other daemons and the platform.
@@ -43,6 +43,8 @@
     };
     let server = Server::bind(&address, identity, handler).await?;
     cluster.start();
+    poison::start(node);
+    tokio::spawn(holder::reconcile::run(Arc::clone(node)));
     Ok(Links {
         cluster,
         _server: server,
@@ -55,8 +57,7 @@
         zone: node.zone.clone(),
         address: settings.listen.peer.to_string(),
     };
-    let address = settings.platform.address.to_string();
-    let platform = platform::Client::new(&address, node.host.clone(), node.zone.clone());
+    let platform = node.platform.clone();
     let seeds = settings.seeds.iter().map(ToString::to_string).collect();
     let peers = node.peers.clone();
     Cluster::new(Arc::clone(node), own, seeds, peers, platform, hooks(node))
@@ -73,7 +74,11 @@
     };
     let fleet_changed = {
         let node = Arc::clone(node);
-        Box::new(move || node.holder.follow(&node.fleet.load()))
+        Box::new(move || {
+            let fleet = node.fleet.load();
+            node.holder.follow(&fleet);
+            node.poison.confirm(&fleet);
+        })
     };
     Hooks {
         adverts,
@@ -89,11 +94,15 @@
     body: Body,
     mut responder: Responder,
 ) {
-    if let Request::Dispatch(dispatch) = request {
-        return holder::serve_peer(node, dispatch, body, responder).await;
-    }
     let peer = responder.peer().clone();
-    let Some(reply) = cluster.answer(&peer, &request) else {
+    let reply = match request {
+        Request::Dispatch(dispatch) => {
+            return holder::serve_peer(node, dispatch, body, responder).await;
+        }
+        Request::Poison(told) => Some(poison::hear(&node, &told)),
+        request => cluster.answer(&peer, &request),
+    };
+    let Some(reply) = reply else {
         log::warn!(peer = peer.as_str(); "refused a request in the name of another daemon");
         return;
     };
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -57,11 +57,18 @@
             warm_requests: 16,
             fencing: true,
             any_model: false,
-            settings: "",
+            settings: without(),
         }
     }
 }
 
+/// Returns settings that switch off the mechanism that `PRIMROSEHOIST_WITHOUT` names, if it does,
+/// to see a proof fail without it.
+fn without() -> &'static str {
+    let named = std::env::var("PRIMROSEHOIST_WITHOUT").ok();
+    named.map_or("", |name| format!("[mechanisms]\n{name} = false\n").leak())
+}
+
 /// One daemon with its ports.
 pub struct Daemon {
     pub host: String,
@@ -320,7 +327,8 @@
         let secret = self.directory.join("secret").display().to_string();
         let mut command = Command::new(process::program("primrosehoist"));
         command.args(arguments).args(["--platform", &self.platform]);
-        if arguments.first() != Some(&"audit") {
+        let reads = matches!(arguments, ["audit", ..] | ["quarantine", "list", ..]);
+        if !reads {
             command.args(["--secret-file", &secret]);
         }
         command.output().expect("the tool runs")
