--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -74,7 +74,11 @@
     };
     let fleet_changed = {
         let node = Arc::clone(node);
-        Box::new(move || node.poison.confirm(&node.fleet.load()))
+        Box::new(move || {
+            let fleet = node.fleet.load();
+            node.holder.follow(&fleet);
+            node.poison.confirm(&fleet);
+        })
     };
     Hooks {
         adverts,
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -7,6 +7,10 @@
 /// Retries per second that are allowed whatever the number of first attempts.
 pub const FLOOR_PER_SECOND: u64 = 1;
 
+/// Retries that a service has at hand from the start, so that the first callers of a daemon can
+/// go round an upstream that refuses.
+pub const BURST: u64 = 10;
+
 /// The largest number of retries that can be saved up.
 pub const SAVED_MAX: u64 = 50;
 
@@ -36,7 +40,7 @@
     pub fn new(percent: u32, now: Instant) -> Self {
         Self {
             percent,
-            units: UNITS_PER_RETRY * FLOOR_PER_SECOND,
+            units: UNITS_PER_RETRY * BURST,
             refilled: now,
         }
     }
