Mend the one import against the layers; make failures in one place

Cause: read as a newcomer: coordination::request imported protocol::outcome, against the rule that a layer imports only from those below; the makers of failures stood in three modules, and the operators' tool derived its token by a copy of protocol::operator. Change: outcomes move to the state layer and are still reached through protocol; Failure::not_run and Failure::upstream_failed replace the copies; the tool calls protocol::operator::token. Conclusion: behaviour is unchanged.

--- a/crates/primrosehoist-cli/src/admin.rs
+++ b/crates/primrosehoist-cli/src/admin.rs
@@ -4,10 +4,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
-use hmac::{Hmac, KeyInit, Mac};
 use oxhttp::model::Method;
+use primrosehoist::protocol::operator;
 use primrosehoist::protocol::status::Status;
-use sha2::Sha256;
 
 use crate::error::Error;
 use crate::http::{Call, Peer};
@@ -15,9 +14,6 @@
 /// The fewest bytes of a shared secret.
 const SECRET_BYTES_MIN: usize = 16;
 
-/// What the token of operators is the code of.
-const TOKEN_PURPOSE: &[u8] = b"operator";
-
 /// The right to use admin ports.
 #[derive(Debug, Clone)]
 pub(crate) struct Admin {
@@ -37,11 +33,7 @@
         if secret.len() < SECRET_BYTES_MIN {
             return Err(Error::Secret(path.to_owned()));
         }
-        let Ok(mut code) = Hmac::<Sha256>::new_from_slice(secret) else {
-            return Err(Error::Secret(path.to_owned()));
-        };
-        code.update(TOKEN_PURPOSE);
-        let token = hex::encode(code.finalize().into_bytes());
+        let token = operator::token(secret);
         Ok(Self { token })
     }
 
--- a/crates/primrosehoist-daemon/src/caller/keys.rs
+++ b/crates/primrosehoist-daemon/src/caller/keys.rs
@@ -12,8 +12,6 @@
 use primrosehoist::state::name;
 use sha2::{Digest, Sha256};
 
-use crate::holder::not_run;
-
 /// Keeps the [`Index`] of the newest configuration.
 #[derive(Debug, Default)]
 pub(crate) struct Keys {
@@ -71,7 +69,7 @@
     ///
     /// Fails if there is no key or it opens nothing.
     pub(crate) fn workspace(&self, headers: &HeaderMap) -> Result<&Workspace, Failure> {
-        let refused = || not_run(Reason::Unauthorized, "the key is missing or not valid");
+        let refused = || Failure::not_run(Reason::Unauthorized, "the key is missing or not valid");
         let value = headers.get(AUTHORIZATION).ok_or_else(refused)?;
         let key = value
             .as_bytes()
--- a/crates/primrosehoist-daemon/src/caller/mod.rs
+++ b/crates/primrosehoist-daemon/src/caller/mod.rs
@@ -11,7 +11,7 @@
 
 use http::{Request, Response};
 use hyper::body::Incoming;
-use primrosehoist::protocol::outcome::Reason;
+use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::transport::http::body;
 use tokio::time::Instant;
 
@@ -20,7 +20,6 @@
 
 use self::route::Route;
 use crate::dispatch::{self, Sink};
-use crate::holder::not_run;
 use crate::node::Node;
 
 /// The longest time in which a body makes no progress.
@@ -66,11 +65,11 @@
     received: Instant,
 ) -> Result<Response<Answer>, primrosehoist::protocol::outcome::Failure> {
     if node.is_draining() {
-        return Err(not_run(Reason::Draining, "this daemon shuts down"));
+        return Err(Failure::not_run(Reason::Draining, "this daemon shuts down"));
     }
     let fleet = node.fleet.load_full();
     if fleet.version == 0 {
-        return Err(not_run(
+        return Err(Failure::not_run(
             Reason::Unavailable,
             "the configuration is not known yet",
         ));
--- a/crates/primrosehoist-daemon/src/caller/request.rs
+++ b/crates/primrosehoist-daemon/src/caller/request.rs
@@ -15,7 +15,6 @@
 use super::keys::Index;
 use super::route::Route;
 use crate::dispatch::Job;
-use crate::holder::not_run;
 use crate::node::Node;
 
 /// Bodies of at least this many bytes are examined off the threads that serve connections.
@@ -70,7 +69,10 @@
         examine(call, route, &body)?
     };
     if node.poison.is_quarantined(call.fleet, &content.fingerprint) {
-        return Err(not_run(Reason::Quarantined, "the request is quarantined"));
+        return Err(Failure::not_run(
+            Reason::Quarantined,
+            "the request is quarantined",
+        ));
     }
     let service = find_service(call, &content.service, route)?;
     let time_limit = time_limit(&head.headers, service)?;
@@ -101,11 +103,11 @@
     match route {
         Route::Completion(path) => {
             let prompt = Prompt::try_from(bytes.as_ref())
-                .map_err(|error| not_run(Reason::BadRequest, &error.to_string()))?;
+                .map_err(|error| Failure::not_run(Reason::BadRequest, &error.to_string()))?;
             let service = call
                 .index
                 .service(&call.workspace.half, &prompt.model)
-                .ok_or_else(|| not_run(Reason::NotFound, "no such model"))?;
+                .ok_or_else(|| Failure::not_run(Reason::NotFound, "no such model"))?;
             Ok(Content {
                 service: service.clone(),
                 path: path.clone(),
@@ -123,7 +125,7 @@
             answer_tokens: 0,
             fingerprint: fingerprint(service, path, bytes),
         }),
-        Route::Models => Err(not_run(Reason::NotFound, "no such path")),
+        Route::Models => Err(Failure::not_run(Reason::NotFound, "no such path")),
     }
 }
 
@@ -138,7 +140,7 @@
         .get(name)
         .filter(|service| service.half == call.workspace.half)
         .filter(|service| (service.kind == Kind::Plain) == plain)
-        .ok_or_else(|| not_run(Reason::NotFound, "no such service"))
+        .ok_or_else(|| Failure::not_run(Reason::NotFound, "no such service"))
 }
 
 fn time_limit(headers: &HeaderMap, service: &Service) -> Result<Duration, Failure> {
@@ -147,8 +149,9 @@
         return Ok(cap);
     };
     let millis = value.to_str().ok().and_then(|text| text.parse().ok());
-    let millis =
-        millis.ok_or_else(|| not_run(Reason::BadRequest, "X-Timeout-Ms is not a number of ms"))?;
+    let millis = millis.ok_or_else(|| {
+        Failure::not_run(Reason::BadRequest, "X-Timeout-Ms is not a number of ms")
+    })?;
     Ok(Duration::from_millis(millis).min(cap))
 }
 
@@ -159,7 +162,7 @@
     let text = value.to_str().unwrap_or_default();
     if text.is_empty() || text.len() > KEY_BYTES_MAX {
         let message = "Idempotency-Key is not a text of 1 to 255 visible characters";
-        return Err(not_run(Reason::BadRequest, message));
+        return Err(Failure::not_run(Reason::BadRequest, message));
     }
     Ok(Some(text.to_owned()))
 }
@@ -189,6 +192,6 @@
     };
     Failure {
         retry_after_ms: (reason == Reason::Overloaded).then_some(RETRY_AFTER_MS),
-        ..not_run(reason, &error.to_string())
+        ..Failure::not_run(reason, &error.to_string())
     }
 }
--- a/crates/primrosehoist-daemon/src/caller/route.rs
+++ b/crates/primrosehoist-daemon/src/caller/route.rs
@@ -4,8 +4,6 @@
 use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::state::name;
 
-use crate::holder::not_run;
-
 /// What a request asks for.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) enum Route {
@@ -29,7 +27,7 @@
             (&Method::GET, "/v1/models") => Ok(Self::Models),
             (_, path) => match path.strip_prefix("/services/") {
                 Some(rest) => service(rest, request.uri().query()),
-                None => Err(not_run(Reason::NotFound, "no such path")),
+                None => Err(Failure::not_run(Reason::NotFound, "no such path")),
             },
         }
     }
@@ -38,7 +36,7 @@
 fn service(rest: &str, query: Option<&str>) -> Result<Route, Failure> {
     let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
     let service = name::Service::try_from(service)
-        .map_err(|_source| not_run(Reason::NotFound, "no such service"))?;
+        .map_err(|_source| Failure::not_run(Reason::NotFound, "no such service"))?;
     let path = match query {
         Some(query) => format!("/{path}?{query}"),
         None => format!("/{path}"),
--- a/crates/primrosehoist-daemon/src/dispatch/choose.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/choose.rs
@@ -10,7 +10,6 @@
 use tokio::time::{Instant, sleep};
 
 use super::Job;
-use crate::holder::not_run;
 use crate::node::Node;
 
 /// After how many milliseconds a caller retries when nothing can be chosen.
@@ -54,7 +53,10 @@
             .poison
             .is_quarantined(&node.fleet.load(), &job.fingerprint)
         {
-            return Err(not_run(Reason::Quarantined, "the request is quarantined"));
+            return Err(Failure::not_run(
+                Reason::Quarantined,
+                "the request is quarantined",
+            ));
         }
         let seeks_idle = start.elapsed() < IDLE_WAIT;
         let suspect = seeks_idle && node.poison.is_suspect(&job.fingerprint);
@@ -150,7 +152,7 @@
     let retry_after_ms = (reason != Reason::TooLong).then_some(RETRY_AFTER_MS);
     Failure {
         retry_after_ms,
-        ..not_run(reason, &message)
+        ..Failure::not_run(reason, &message)
     }
 }
 
--- a/crates/primrosehoist-daemon/src/dispatch/group.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/group.rs
@@ -15,7 +15,6 @@
 use super::Job;
 use super::attempt::{self, Attempt};
 use super::exchange::Exchange;
-use crate::holder::not_run;
 use crate::node::Node;
 
 /// The reservations for one attempt. Dropping it gives them back.
@@ -71,7 +70,7 @@
 
 async fn reserve(node: &Arc<Node>, job: &Job, part: &Attempt) -> Result<Exchange, Failure> {
     let dispatch = attempt::dispatch(node, job, part, 0);
-    let unreachable = || not_run(Reason::Unavailable, "a holder cannot be reached");
+    let unreachable = || Failure::not_run(Reason::Unavailable, "a holder cannot be reached");
     let opened = Exchange::open(node, dispatch, None).await;
     let mut exchange = opened.ok_or_else(unreachable)?;
     match exchange.next().await {
@@ -84,7 +83,7 @@
 }
 
 fn busy() -> Failure {
-    not_run(
+    Failure::not_run(
         Reason::Overloaded,
         "the upstreams that hold the prompt together were not free in time",
     )
--- a/crates/primrosehoist-daemon/src/holder/group.rs
+++ b/crates/primrosehoist-daemon/src/holder/group.rs
@@ -15,7 +15,7 @@
 
 use super::flight::Flight;
 use super::responder::Responder;
-use super::{Task, call, not_run, place, prepare};
+use super::{Task, call, place, prepare};
 use crate::node::Node;
 
 /// The longest time for the call that reserves.
@@ -71,7 +71,7 @@
     let request = call::post(place, &task.host, "/admin/kv/reserve", &content);
     let gate = call::gate(task, place);
     let sent = timeout(CALL_TIMEOUT, place.pool.send(request, &gate)).await;
-    let unavailable = |message: &str| not_run(Reason::Unavailable, message);
+    let unavailable = |message: &str| Failure::not_run(Reason::Unavailable, message);
     let mut exchange = match sent {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(error)) => return Err(unavailable(&error.to_string())),
@@ -83,7 +83,7 @@
     }
     match status.as_u16() {
         200 => Ok(()),
-        507 => Err(not_run(
+        507 => Err(Failure::not_run(
             Reason::Overloaded,
             "the engine has no memory for a part of the prompt",
         )),
@@ -105,11 +105,11 @@
         }
         if task.checks_lease && !task.lease.covers(Instant::now()) {
             let message = "the holder of a part of the prompt lost its lease";
-            return not_run(Reason::Unavailable, message);
+            return Failure::not_run(Reason::Unavailable, message);
         }
     }
 }
 
 fn ended() -> Failure {
-    not_run(Reason::Cancelled, "the caller ended the request")
+    Failure::not_run(Reason::Cancelled, "the caller ended the request")
 }
--- a/crates/primrosehoist-daemon/src/holder/mod.rs
+++ b/crates/primrosehoist-daemon/src/holder/mod.rs
@@ -15,7 +15,7 @@
 use futures_util::stream;
 use http_body_util::BodyExt;
 use primrosehoist::coordination::lease::Lease;
-use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::protocol::wire::{Dispatch, Reply, Standing};
 use primrosehoist::state::fleet::{Fleet, Presence, Upstream};
 use primrosehoist::state::queue::Item;
@@ -94,7 +94,7 @@
     }
     let admitted = tokio::select! {
         admitted = place::admit(&place, item, attempt) => admitted,
-        _ = responder.closed() => return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request")),
+        _ = responder.closed() => return Reply::Failed(Failure::not_run(Reason::Cancelled, "the caller ended the request")),
     };
     let flight = match admitted {
         Ok(flight) => flight,
@@ -116,7 +116,10 @@
     node.metrics.queued(&task.upstream.service, queued);
     let queued_ms = queued.as_millis() as u64;
     if responder.send(Reply::Sent { queued_ms }).await.is_err() {
-        return Reply::Failed(not_run(Reason::Cancelled, "the caller ended the request"));
+        return Reply::Failed(Failure::not_run(
+            Reason::Cancelled,
+            "the caller ended the request",
+        ));
     }
     relay::run(node, task, body, flight, responder).await
 }
@@ -124,7 +127,7 @@
 /// Checks that the request may run here.
 fn prepare(node: &Node, dispatch: Dispatch) -> Result<(Task, Item), Failure> {
     if node.is_draining() && dispatch.resume_from == 0 {
-        return Err(not_run(Reason::Draining, "the holder shuts down"));
+        return Err(Failure::not_run(Reason::Draining, "the holder shuts down"));
     }
     let fleet = node.fleet.load();
     if dispatch.suspect {
@@ -138,7 +141,7 @@
     let lease = lease
         .filter(|lease| !checks_lease || lease.holds(now))
         .ok_or_else(|| {
-            not_run(
+            Failure::not_run(
                 Reason::Unavailable,
                 "this daemon does not hold the upstream",
             )
@@ -177,29 +180,22 @@
         .upstreams
         .get(&dispatch.upstream)
         .filter(|upstream| upstream.half == dispatch.half)
-        .ok_or_else(|| not_run(Reason::Unavailable, "the upstream is not of this half"))?;
+        .ok_or_else(|| Failure::not_run(Reason::Unavailable, "the upstream is not of this half"))?;
     // A stream that runs already may go on there; new work may not.
     let resumes = dispatch.resume_from > 0;
     let leaving = upstream.state != Presence::Live;
     let zone_out = fleet.zones_out.contains(&upstream.zone);
     if !resumes && (leaving || zone_out) {
-        return Err(not_run(
+        return Err(Failure::not_run(
             Reason::Unavailable,
             "the upstream takes no new work",
         ));
     }
     if node.poison.is_quarantined(fleet, &dispatch.fingerprint) {
-        return Err(not_run(Reason::Quarantined, "the request is quarantined"));
+        return Err(Failure::not_run(
+            Reason::Quarantined,
+            "the request is quarantined",
+        ));
     }
     Ok(upstream.clone())
 }
-
-/// Returns a failure of a request that did not run.
-pub(crate) fn not_run(reason: Reason, message: &str) -> Failure {
-    Failure {
-        outcome: Outcome::NotRun,
-        reason,
-        message: message.to_owned(),
-        retry_after_ms: None,
-    }
-}
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -18,7 +18,6 @@
 
 use super::attempts::Attempts;
 use super::flight::Flight;
-use super::not_run;
 use super::reconcile::Books;
 use crate::node::Leases;
 use crate::poison::Running;
@@ -200,7 +199,7 @@
         let former = queue.scheduler.switch(half.clone());
         queue.refuse(
             former,
-            &not_run(Reason::Unavailable, "the upstream went to the other half"),
+            &Failure::not_run(Reason::Unavailable, "the upstream went to the other half"),
         );
         queue.admit_next(Instant::now());
     }
@@ -307,7 +306,7 @@
         Some(turn) => match turn.await {
             Ok(Ok(())) => Ok(flight),
             Ok(Err(failure)) => Err(failure),
-            Err(_) => Err(not_run(
+            Err(_) => Err(Failure::not_run(
                 Reason::Unavailable,
                 "the upstream is not held any more",
             )),
@@ -340,11 +339,11 @@
         let displaced = queue.scheduler.displaced(now);
         queue.refuse(
             expired,
-            &not_run(Reason::Timeout, "the time limit passed in the queue"),
+            &Failure::not_run(Reason::Timeout, "the time limit passed in the queue"),
         );
         queue.refuse(
             displaced,
-            &not_run(Reason::Overloaded, "the upstream bears less now"),
+            &Failure::not_run(Reason::Overloaded, "the upstream bears less now"),
         );
         queue.admit_next(now);
     }
@@ -368,7 +367,7 @@
     };
     Failure {
         retry_after_ms: Some(after.as_millis() as u64),
-        ..not_run(outward, &format!("the upstream admits no more: {reason}"))
+        ..Failure::not_run(outward, &format!("the upstream admits no more: {reason}"))
     }
 }
 
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use primrosehoist::coordination::admission::Finish;
 use primrosehoist::protocol::openai::Rejection;
-use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::protocol::sse::{self, Parser, Sequence, Step};
 use primrosehoist::protocol::wire::Reply;
 use primrosehoist::state::limit;
@@ -18,7 +18,7 @@
 
 use super::flight::Flight;
 use super::responder::{Gone, Responder};
-use super::{Task, call, not_run};
+use super::{Task, call};
 use crate::node::Node;
 use crate::poison;
 
@@ -131,7 +131,7 @@
 ) -> Result<(), Stop> {
     let place = flight.place();
     let request = call::request(task, body).map_err(|_source| {
-        Stop::Unsent(not_run(
+        Stop::Unsent(Failure::not_run(
             Reason::BadRequest,
             "the request cannot be expressed",
         ))
@@ -145,8 +145,11 @@
     match sent {
         Ok(Ok(exchange)) => answer(task, exchange, flight, responder).await,
         Ok(Err(error)) if !gate.handed() => Err(Stop::Unsent(unsent(&error))),
-        Ok(Err(error)) => Err(Stop::Broken(failed(&error.to_string()))),
-        Err(_) if !gate.handed() => Err(Stop::Unsent(not_run(Reason::Timeout, "not sent in time"))),
+        Ok(Err(error)) => Err(Stop::Broken(Failure::upstream_failed(&error.to_string()))),
+        Err(_) if !gate.handed() => Err(Stop::Unsent(Failure::not_run(
+            Reason::Timeout,
+            "not sent in time",
+        ))),
         Err(_) => Err(Stop::Expired),
     }
 }
@@ -206,11 +209,13 @@
     };
     let exchange = match resumed {
         Ok(Ok(exchange)) => exchange,
-        Ok(Err(error)) => return Err(Stop::Broken(failed(&error.to_string()))),
+        Ok(Err(error)) => return Err(Stop::Broken(Failure::upstream_failed(&error.to_string()))),
         Err(_) => return Err(Stop::Expired),
     };
     if exchange.response.status() != http::StatusCode::OK {
-        return Err(Stop::Invalid(failed("the engine cannot resume the stream")));
+        return Err(Stop::Invalid(Failure::upstream_failed(
+            "the engine cannot resume the stream",
+        )));
     }
     Ok(exchange)
 }
@@ -231,12 +236,14 @@
         }
     }
     if !sequence.is_done() {
-        return Err(Stop::Broken(failed(
+        return Err(Stop::Broken(Failure::upstream_failed(
             "the stream ended before its last event",
         )));
     }
     if parser.is_partial() {
-        return Err(Stop::Invalid(failed("bytes follow the last event")));
+        return Err(Stop::Invalid(Failure::upstream_failed(
+            "bytes follow the last event",
+        )));
     }
     flight.place().pool.give_back(exchange);
     Ok(())
@@ -297,7 +304,9 @@
     };
     let limited = Limited::new(exchange.response.body_mut(), REFUSAL_BYTES_MAX).collect();
     let Ok(Ok(body)) = timeout(REFUSAL_TIMEOUT, limited).await else {
-        return Err(Stop::Broken(failed("a refusal was not whole")));
+        return Err(Stop::Broken(Failure::upstream_failed(
+            "a refusal was not whole",
+        )));
     };
     let body = body.to_bytes();
     flight.place().pool.give_back(exchange);
@@ -306,7 +315,7 @@
     }
     if task.engine {
         let message = format!("the upstream answered with status {status}");
-        return Err(Stop::Invalid(failed(&message)));
+        return Err(Stop::Invalid(Failure::upstream_failed(&message)));
     }
     responder.send(head).await.map_err(Stop::Gone)?;
     let part = Reply::Part {
@@ -329,7 +338,11 @@
         match frame {
             Err(_) => return Err(Stop::Expired),
             Ok(None) => return Ok(None),
-            Ok(Some(Err(_))) => return Err(Stop::Broken(failed("the answer was cut off"))),
+            Ok(Some(Err(_))) => {
+                return Err(Stop::Broken(Failure::upstream_failed(
+                    "the answer was cut off",
+                )));
+            }
             Ok(Some(Ok(frame))) => {
                 if let Ok(data) = frame.into_data() {
                     return Ok(Some(data));
@@ -344,7 +357,7 @@
     let named = exchange.response.headers().get("x-request-id");
     let matches = named.is_some_and(|id| id.as_bytes() == task.dispatch.attempt.as_bytes());
     if task.engine && !matches {
-        return Err(Stop::Invalid(failed(
+        return Err(Stop::Invalid(Failure::upstream_failed(
             "the answer belongs to another attempt",
         )));
     }
@@ -359,38 +372,31 @@
 
 fn rejected(rejection: Rejection) -> Failure {
     match rejection {
-        Rejection::Stale => not_run(Reason::Unavailable, "the upstream has another holder"),
-        Rejection::Full => not_run(Reason::Overloaded, "the upstream refused the request"),
+        Rejection::Stale => {
+            Failure::not_run(Reason::Unavailable, "the upstream has another holder")
+        }
+        Rejection::Full => Failure::not_run(Reason::Overloaded, "the upstream refused the request"),
     }
 }
 
 fn unsent(error: &upstream::Error) -> Failure {
-    not_run(Reason::Unavailable, &error.to_string())
+    Failure::not_run(Reason::Unavailable, &error.to_string())
 }
 
 fn invalid(error: &sse::Error) -> Stop {
-    Stop::Invalid(failed(&error.to_string()))
+    Stop::Invalid(Failure::upstream_failed(&error.to_string()))
 }
 
 fn expired() -> Failure {
     Failure {
         reason: Reason::Timeout,
-        ..failed("the time limit of the request passed")
+        ..Failure::upstream_failed("the time limit of the request passed")
     }
 }
 
 fn gone() -> Failure {
     Failure {
         reason: Reason::Cancelled,
-        ..failed("the caller ended the request")
-    }
-}
-
-fn failed(message: &str) -> Failure {
-    Failure {
-        outcome: Outcome::Unknown,
-        reason: Reason::UpstreamFailed,
-        message: message.to_owned(),
-        retry_after_ms: None,
+        ..Failure::upstream_failed("the caller ended the request")
     }
 }
--- a/src/coordination/request.rs
+++ b/src/coordination/request.rs
@@ -9,7 +9,7 @@
 use strum::Display;
 use tokio::time::Instant;
 
-use crate::protocol::outcome::{Failure, Outcome, Reason};
+use crate::state::outcome::{Failure, Outcome, Reason};
 
 /// For how long a broken stream is resumed before it is given up. Engines keep a stream whose
 /// connection broke for about this time.
@@ -159,9 +159,13 @@
             Event::Sent => self.advance(State::Dispatched, now),
             Event::Part(index) => self.on_part(index, now),
             Event::End => self.end(Action::Finish),
-            Event::Unreachable => {
-                self.on_failure(not_run("the holder of the upstream cannot be reached"), now)
-            }
+            Event::Unreachable => self.on_failure(
+                Failure::not_run(
+                    Reason::Unavailable,
+                    "the holder of the upstream cannot be reached",
+                ),
+                now,
+            ),
             Event::Failed(failure) => self.on_failure(failure, now),
             Event::Broken => self.on_failure(broken(self.state), now),
             Event::Refused(failure) => self.fail(failure),
@@ -190,7 +194,7 @@
             return Action::Discard;
         }
         if index > self.next {
-            return self.fail(failed("a part of the answer is missing"));
+            return self.fail(Failure::upstream_failed("a part of the answer is missing"));
         }
         self.next += 1;
         self.broken = None;
@@ -226,7 +230,10 @@
 
     fn on_expired(&mut self, now: Instant) -> Action {
         if now < self.deadline && self.state == State::Streaming {
-            return self.on_failure(failed("the upstream stopped answering"), now);
+            return self.on_failure(
+                Failure::upstream_failed("the upstream stopped answering"),
+                now,
+            );
         }
         // A holder that was asked may have sent the request, even if it did not say so.
         self.maybe_ran |= self.state != State::Admitted;
@@ -280,26 +287,8 @@
     }
 }
 
-fn not_run(message: &str) -> Failure {
-    Failure {
-        outcome: Outcome::NotRun,
-        reason: Reason::Unavailable,
-        message: message.to_owned(),
-        retry_after_ms: None,
-    }
-}
-
-fn failed(message: &str) -> Failure {
-    Failure {
-        outcome: Outcome::Unknown,
-        reason: Reason::UpstreamFailed,
-        message: message.to_owned(),
-        retry_after_ms: None,
-    }
-}
-
 fn broken(state: State) -> Failure {
-    failed(match state {
+    Failure::upstream_failed(match state {
         State::Admitted | State::Queued => "the holder failed before it answered",
         _ => "the holder failed while the upstream answered",
     })
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,8 +3,9 @@
 pub mod codec;
 pub mod openai;
 pub mod operator;
-pub mod outcome;
 pub mod platform;
 pub mod sse;
 pub mod status;
 pub mod wire;
+
+pub use crate::state::outcome;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub mod limit;
 pub mod map;
 pub mod name;
+pub mod outcome;
 pub mod placement;
 pub mod plan;
 pub mod queue;
--- a/src/protocol/outcome.rs
+++ b/src/state/outcome.rs
@@ -65,3 +65,25 @@
     /// After how many milliseconds a retry makes sense, if it does.
     pub retry_after_ms: Option<u64>,
 }
+
+impl Failure {
+    /// Returns a failure of a request of which no upstream ran anything.
+    pub fn not_run(reason: Reason, message: &str) -> Self {
+        Self {
+            outcome: Outcome::NotRun,
+            reason,
+            message: message.to_owned(),
+            retry_after_ms: None,
+        }
+    }
+
+    /// Returns a failure of a request that an upstream may have run.
+    pub fn upstream_failed(message: &str) -> Self {
+        Self {
+            outcome: Outcome::Unknown,
+            reason: Reason::UpstreamFailed,
+            message: message.to_owned(),
+            retry_after_ms: None,
+        }
+    }
+}
