--- a/crates/primrosehoist-cli/src/wait.rs
+++ b/crates/primrosehoist-cli/src/wait.rs
@@ -5,6 +5,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use crossbeam::channel;
 use primrosehoist::protocol::status::Status;
 use primrosehoist::state::fleet::Version;
 use serde::Serialize;
@@ -16,6 +17,9 @@
 /// The pause between two rounds of questions.
 const POLL_PAUSE: Duration = Duration::from_millis(200);
 
+/// The most daemons that are asked at once.
+const ASKERS_MAX: usize = 64;
+
 /// The role of hosts that run daemons, in the platform's list.
 const ENTRY_ROLE: &str = "entry";
 
@@ -83,20 +87,30 @@
     pub(crate) status: Result<Status, Error>,
 }
 
-/// Asks all daemons at once for their status.
+/// Asks all daemons for their status, many at once; answers in the order of `daemons`.
 pub(crate) fn statuses(admin: &Admin, daemons: &[SocketAddr]) -> Vec<Answer> {
+    let (questions, waiting) = channel::unbounded();
+    let (answered, answers) = channel::unbounded();
+    for question in daemons.iter().copied().enumerate() {
+        // Sending succeeds, because this function keeps the receiver.
+        let _sent = questions.send(question);
+    }
+    drop(questions);
     thread::scope(|scope| {
-        let ask = |address: &SocketAddr| {
-            let address = *address;
-            scope.spawn(move || Answer {
-                address,
-                status: admin.status(address),
-            })
-        };
-        let threads: Vec<_> = daemons.iter().map(ask).collect();
-        let answers = threads.into_iter().map(thread::ScopedJoinHandle::join);
-        answers.filter_map(Result::ok).collect()
-    })
+        for _ in 0..daemons.len().min(ASKERS_MAX) {
+            let (waiting, answered) = (waiting.clone(), answered.clone());
+            scope.spawn(move || {
+                for (position, address) in waiting {
+                    let status = admin.status(address);
+                    let _sent = answered.send((position, Answer { address, status }));
+                }
+            });
+        }
+    });
+    drop(answered);
+    let mut answers: Vec<(usize, Answer)> = answers.into_iter().collect();
+    answers.sort_unstable_by_key(|(position, _)| *position);
+    answers.into_iter().map(|(_, answer)| answer).collect()
 }
 
 fn ask(admin: &Admin, daemons: &[SocketAddr], version: Version) -> Force {
--- a/crates/primrosehoist-daemon/src/dispatch/entry.rs
+++ b/crates/primrosehoist-daemon/src/dispatch/entry.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+use crossbeam::utils::CachePadded;
 use primrosehoist::coordination::retry::{self, Reach};
 use primrosehoist::state::budget::Budget;
 use primrosehoist::state::map::Map;
@@ -17,7 +18,8 @@
     /// Memory for the bodies of requests.
     pub(crate) bodies: body::Budget,
     policy: Policy,
-    turn: AtomicU64,
+    /// Written by all requests, so it has a cache line of its own.
+    turn: CachePadded<AtomicU64>,
     budgets: Mutex<Map<name::Service, Budget>>,
 }
 
@@ -27,7 +29,7 @@
         Self {
             bodies: body::Budget::new(body_bytes),
             policy,
-            turn: AtomicU64::new(0),
+            turn: CachePadded::new(AtomicU64::new(0)),
             budgets: Mutex::default(),
         }
     }
--- a/crates/primrosehoist-daemon/src/holder/place.rs
+++ b/crates/primrosehoist-daemon/src/holder/place.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
 
+use crossbeam::utils::CachePadded;
 use primrosehoist::coordination::admission::{self, Foreign, Scheduler, Verdict};
 use primrosehoist::coordination::lease::Lease;
 use primrosehoist::protocol::outcome::{Failure, Reason};
@@ -38,7 +39,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Holder {
     places: Mutex<Map<name::Upstream, Arc<Place>>>,
-    tickets: AtomicU64,
+    /// Written by all requests, so it has a cache line of its own.
+    tickets: CachePadded<AtomicU64>,
     /// Whether upstreams are taken for warm from the start, in comparison runs.
     skips_slow_start: bool,
     /// Whether it is found out what earlier holders left at engines.
--- a/src/coordination/lease.rs
+++ b/src/coordination/lease.rs
@@ -3,6 +3,19 @@
 //! The holding loop extends a lease each time it learns that the holding still stands. Senders
 //! read it without a lock right before the first byte goes out. A process that was paused finds
 //! the lease lapsed, because the clock went on.
+//!
+//! ```
+//! use std::time::Duration;
+//! use primrosehoist::coordination::lease::Lease;
+//! use tokio::time::Instant;
+//!
+//! let now = Instant::now();
+//! let lease = Lease::new(7, now, now + Duration::from_secs(3));
+//! assert!(lease.holds(now + Duration::from_secs(2)));
+//! assert!(!lease.holds(now + Duration::from_secs(4)));
+//! lease.release();
+//! assert!(!lease.holds(now));
+//! ```
 
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
--- a/src/state/budget.rs
+++ b/src/state/budget.rs
@@ -28,6 +28,22 @@
 ///
 /// Every first attempt earns a share of a retry, and time earns a small floor. A service whose
 /// upstreams all fail therefore gets little more work than its callers send.
+///
+/// ```
+/// use primrosehoist::state::budget::{BURST, Budget};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut budget = Budget::new(20, now);
+/// for _ in 0..BURST {
+///     assert!(budget.retry(now));
+/// }
+/// assert!(!budget.retry(now));
+/// for _ in 0..5 {
+///     budget.attempt();
+/// }
+/// assert!(budget.retry(now), "five first attempts earn one retry at 20 percent");
+/// ```
 #[derive(Debug, Clone)]
 pub struct Budget {
     percent: u32,
--- a/src/state/change.rs
+++ b/src/state/change.rs
@@ -58,6 +58,27 @@
     /// Applies `change` if it is the next one; returns whether it was.
     ///
     /// A change that was applied already, or one with a gap before it, leaves the fleet as it is.
+    ///
+    /// ```
+    /// use primrosehoist::state::change::{Change, Entry};
+    /// use primrosehoist::state::fleet::Fleet;
+    /// use primrosehoist::state::name::Zone;
+    ///
+    /// let zone = Zone::try_from("zone-a")?;
+    /// let change = Change {
+    ///     version: 1,
+    ///     author: "ada".to_owned(),
+    ///     reason: "power work".to_owned(),
+    ///     time_ms: 0,
+    ///     nonce: "5f3a".to_owned(),
+    ///     entries: vec![Entry::ZoneOut(zone.clone())],
+    /// };
+    /// let mut fleet = Fleet::default();
+    /// assert!(fleet.apply(&change));
+    /// assert!(fleet.zones_out.contains(&zone));
+    /// assert!(!fleet.apply(&change), "a change applies once");
+    /// # Ok::<(), primrosehoist::state::name::Error>(())
+    /// ```
     pub fn apply(&mut self, change: &Change) -> bool {
         if change.version != self.version + 1 {
             return false;
--- a/src/state/name.rs
+++ b/src/state/name.rs
@@ -2,6 +2,15 @@
 //!
 //! A name is an immutable shared string: cloning one copies a pointer. Names appear in URLs,
 //! object names and log lines, so only a small alphabet is accepted.
+//!
+//! ```
+//! use primrosehoist::state::name::{Error, Zone};
+//!
+//! let zone = Zone::try_from("zone-a")?;
+//! assert_eq!(zone.as_str(), "zone-a");
+//! assert_eq!(Zone::try_from("Zone A"), Err(Error::Character('Z')));
+//! # Ok::<(), Error>(())
+//! ```
 
 use std::fmt;
 use std::sync::Arc;
