--- a/crates/primrosehoist-daemon/src/command.rs
+++ b/crates/primrosehoist-daemon/src/command.rs
@@ -15,6 +15,9 @@
 Serves prompts of callers on the upstreams of the fleet.
 
 usage: primrosehoistd --settings FILE [--check]
+       primrosehoistd platform
+
+  platform         runs on the users' platform, with the settings file that it writes
 
   --settings FILE  the settings, in TOML
   --check          checks the settings and exits
@@ -47,6 +50,8 @@
     Print(String),
     /// Check the settings only.
     Check,
+    /// Run the daemon on the users' platform.
+    Gateway,
     /// Run the daemon.
     Run(Box<Settings>),
 }
@@ -65,6 +70,9 @@
         let version = format!("primrosehoistd {}\n", env!("CARGO_PKG_VERSION"));
         return Ok(Command::Print(version));
     }
+    if arguments.clone().subcommand()?.as_deref() == Some("platform") {
+        return Ok(Command::Gateway);
+    }
     let check = arguments.contains("--check");
     let path: PathBuf = arguments.value_from_str("--settings")?;
     if let Some(unknown) = arguments.finish().first() {
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -0,0 +1,424 @@
+//! Attempts of a request until one is answered.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::{HeaderMap, Request, StatusCode};
+use http_body_util::BodyExt;
+use primrosehoist::coordination::course::{Course, Failure, Next};
+use primrosehoist::state::map::Set;
+use primrosehoist::state::roster::Upstream;
+use primrosehoist::state::route::Kind;
+use primrosehoist::state::trust::Ending;
+use primrosehoist::transport::http::Payload;
+use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Pool, Terms};
+use primrosehoist_platform::header;
+use tokio::time::{Instant, timeout};
+
+use super::choose::{self, Refusal};
+use super::context::Context;
+use super::flight::Flight;
+use super::job::Job;
+
+/// The longest time to connect to an upstream. A host that lives answers within a few
+/// milliseconds; one second later the opening packet would be sent again.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// The longest time for which a connection may have been idle before it carries a request that
+/// may not run twice: a connection that its upstream just closed would leave it uncertain.
+const IDLE_MAX_ONCE: Duration = Duration::from_millis(500);
+
+/// How much earlier than its stated time-out an idle connection is given up.
+const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
+
+/// The time that must be left for an attempt to be made.
+const REMAINING_MIN: Duration = Duration::from_millis(5);
+
+/// The shortest time in which an upstream may be silent before a request is tried elsewhere.
+const SILENCE_MIN: Duration = Duration::from_millis(1100);
+
+/// The longest time for reading the body of a rejection.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// The attempts of one request.
+pub(crate) struct Attempts {
+    pub(crate) context: Arc<Context>,
+    pub(crate) job: Arc<Job>,
+    course: Course,
+    excluded: Set<Arc<str>>,
+    /// Attempts so far.
+    pub(crate) count: u32,
+    /// The newest failure that an upstream reported, with its whole answer.
+    reported: Option<Whole>,
+}
+
+/// An answer whose head has come.
+pub(crate) struct Open {
+    pub(crate) flight: Flight,
+    pub(crate) exchange: Exchange,
+    pub(crate) pool: Arc<Pool>,
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    closes: bool,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Whole {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: bytes::Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub(crate) enum Unanswered {
+    /// The request did not run and will not.
+    NotRun(&'static str),
+    /// The request may have run.
+    Uncertain(&'static str),
+    /// The time is over; the request may have run if `true`.
+    Expired(bool),
+    /// An upstream reported a failure.
+    Reported(Whole),
+}
+
+impl Attempts {
+    /// Creates the attempts of `job`.
+    pub(crate) fn new(context: Arc<Context>, job: Arc<Job>) -> Self {
+        let course = Course::new(job.route.is_repeatable(), job.route.attempts_max);
+        context
+            .allowance
+            .lock()
+            .request(&job.service.name, Instant::now());
+        Self {
+            context,
+            job,
+            course,
+            excluded: Set::default(),
+            count: 0,
+            reported: None,
+        }
+    }
+
+    /// Makes attempts until the head of a successful answer comes. `last_event` resumes a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the client is to be told.
+    pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Open, Unanswered> {
+        loop {
+            if self.job.remaining() < REMAINING_MIN {
+                return Err(Unanswered::Expired(self.course.may_have_run()));
+            }
+            let fingerprint = self.job.fingerprint;
+            if self
+                .context
+                .crashes
+                .lock()
+                .is_refused(fingerprint, Instant::now())
+            {
+                return Err(self.unanswered("crashes_upstreams"));
+            }
+            let placed = choose::place(&self.context, &self.job, &self.excluded).await;
+            let flight = match placed {
+                Ok(flight) => flight,
+                Err(Refusal::Full) => return Err(self.unanswered("full")),
+                Err(Refusal::Nowhere) => return Err(self.unanswered("no_upstream")),
+            };
+            let upstream = Arc::clone(&flight.upstream);
+            self.count += 1;
+            match self.send(flight, last_event).await {
+                Ok(open) => return Ok(open),
+                Err(failure) => self.next(&upstream, failure)?,
+            }
+        }
+    }
+
+    fn unanswered(&mut self, reason: &'static str) -> Unanswered {
+        if let Some(whole) = self.reported.take() {
+            return Unanswered::Reported(whole);
+        }
+        if self.course.may_have_run() {
+            return Unanswered::Uncertain(reason);
+        }
+        Unanswered::NotRun(reason)
+    }
+
+    /// Takes in a failure; returns if another attempt may be made.
+    ///
+    /// # Errors
+    ///
+    /// Returns what the client is to be told if not.
+    pub(crate) fn next(
+        &mut self,
+        upstream: &Arc<Upstream>,
+        failure: Failure,
+    ) -> Result<(), Unanswered> {
+        let now = Instant::now();
+        let service = &self.job.service.name;
+        self.excluded.insert(Arc::clone(&upstream.id));
+        let next = self.course.on_failure(failure, || {
+            self.context.allowance.lock().retry(service, now)
+        });
+        log::info!(
+            request = self.job.said.id.as_str(),
+            upstream = upstream.id.as_ref(),
+            attempt = self.count,
+            failure:%, next:%;
+            "attempt failed"
+        );
+        match next {
+            Next::Retry => {
+                self.context.metrics.retried(service);
+                Ok(())
+            }
+            Next::PassOn | Next::NotRun | Next::Uncertain => Err(self.unanswered("upstream")),
+        }
+    }
+
+    /// Makes one attempt.
+    async fn send(&mut self, flight: Flight, last_event: Option<u64>) -> Result<Open, Failure> {
+        let upstream = Arc::clone(&flight.upstream);
+        let remaining = self.job.remaining();
+        let gate = self.gate(&upstream);
+        let request = self.request(&flight, remaining, last_event);
+        let pool = self.context.pool(upstream.address);
+        let terms = self.terms();
+        let limit = self.silence_limit(remaining);
+        let sent = timeout(limit, pool.send_on(&terms, request, &gate)).await;
+        let exchange = match sent {
+            Ok(Ok(exchange)) => exchange,
+            Ok(Err(error)) => return Err(self.on_error(&upstream, &gate, &error)),
+            Err(_elapsed) => {
+                self.record(&upstream, Ending::Unreachable);
+                return Err(if gate.handed() {
+                    Failure::Lost
+                } else {
+                    Failure::Unsent
+                });
+            }
+        };
+        self.on_head(flight, exchange, pool).await
+    }
+
+    fn on_error(&self, upstream: &Arc<Upstream>, gate: &Gate, error: &Error) -> Failure {
+        log::info!(
+            request = self.job.said.id.as_str(),
+            upstream = upstream.id.as_ref(),
+            handed = gate.handed(),
+            error:%;
+            "upstream gave no answer"
+        );
+        self.record(upstream, Ending::Unreachable);
+        if !gate.handed() {
+            return Failure::Unsent;
+        }
+        self.record_death(upstream);
+        Failure::Lost
+    }
+
+    /// Records that the connection broke while the upstream had the request.
+    pub(crate) fn record_death(&self, upstream: &Upstream) {
+        let now = Instant::now();
+        let id = super::job::fingerprint(&upstream.id, &self.job.said.id, &[]);
+        let mut crashes = self.context.crashes.lock();
+        crashes.record(self.job.fingerprint, id, now);
+    }
+
+    async fn on_head(
+        &mut self,
+        flight: Flight,
+        mut exchange: Exchange,
+        pool: Arc<Pool>,
+    ) -> Result<Open, Failure> {
+        let upstream = Arc::clone(&flight.upstream);
+        let status = exchange.response.status();
+        let headers = exchange.response.headers();
+        let answer = header::Answer::new(status, headers, &self.job.said.id);
+        let kept = answer
+            .keep_alive
+            .map(|time| time.saturating_sub(KEEP_ALIVE_MARGIN));
+        let headers = header::end_to_end(headers);
+        if let Some(time) = kept {
+            exchange.keep_for(time);
+        }
+        let open = Open {
+            flight,
+            exchange,
+            pool,
+            status,
+            headers,
+            closes: answer.closes,
+        };
+        if answer.not_run {
+            self.on_rejection(&open, &answer, &upstream);
+            open.discard().await;
+            return Err(Failure::Rejected);
+        }
+        let sound = answer.echoed && !answer.encoded;
+        if !sound || (status.is_success() && !answer.receipt) {
+            log::warn!(
+                request = self.job.said.id.as_str(),
+                upstream = upstream.id.as_ref(),
+                status = status.as_u16(),
+                echoed = answer.echoed,
+                receipt = answer.receipt;
+                "answer does not belong to the request"
+            );
+            self.record(&upstream, Ending::Bad);
+            return Err(Failure::Lost);
+        }
+        if status.is_success() {
+            return Ok(open);
+        }
+        self.record(&upstream, Ending::Bad);
+        match self.collect(open).await {
+            Ok(whole) => self.reported = Some(whole),
+            Err(failure) => return Err(failure),
+        }
+        Err(Failure::Reported)
+    }
+
+    fn on_rejection(&self, open: &Open, answer: &header::Answer, upstream: &Arc<Upstream>) {
+        log::info!(
+            request = self.job.said.id.as_str(),
+            upstream = upstream.id.as_ref(),
+            status = open.status.as_u16(),
+            faulty = answer.faulty.as_deref().unwrap_or("");
+            "upstream did not run the request"
+        );
+        if open.status == StatusCode::MISDIRECTED_REQUEST {
+            // The address belongs to another process now.
+            self.record(upstream, Ending::Unreachable);
+        }
+    }
+
+    /// Reads the body of an answer to its end and gives the connection back.
+    ///
+    /// # Errors
+    ///
+    /// Returns how the answer failed if it is not whole.
+    pub(crate) async fn collect(&self, mut open: Open) -> Result<Whole, Failure> {
+        let upstream = Arc::clone(&open.flight.upstream);
+        let limit = self.silence_limit(self.job.remaining());
+        let collected = timeout(limit, open.exchange.response.body_mut().collect()).await;
+        match collected {
+            Ok(Ok(body)) => {
+                let whole = Whole {
+                    status: open.status,
+                    headers: open.headers.clone(),
+                    body: body.to_bytes(),
+                };
+                open.finish();
+                Ok(whole)
+            }
+            Ok(Err(error)) => {
+                log::info!(
+                    request = self.job.said.id.as_str(),
+                    upstream = upstream.id.as_ref(),
+                    error:%;
+                    "answer was cut off"
+                );
+                self.record(&upstream, Ending::Unreachable);
+                self.record_death(&upstream);
+                Err(Failure::Lost)
+            }
+            Err(_elapsed) => {
+                self.record(&upstream, Ending::Unreachable);
+                Err(Failure::Lost)
+            }
+        }
+    }
+
+    /// Takes in how an attempt ended for the upstream.
+    pub(crate) fn record(&self, upstream: &Arc<Upstream>, ending: Ending) {
+        let mut trust = self.context.trust.lock();
+        trust.record(&upstream.id, ending, Instant::now());
+    }
+
+    /// Returns whether a further attempt could be made if this one is given up.
+    pub(crate) fn may_repeat(&self) -> bool {
+        self.job.route.is_repeatable() && u64::from(self.count) < self.job.route.attempts_max
+    }
+
+    fn terms(&self) -> Terms {
+        let idle_max = if self.job.route.is_repeatable() {
+            Terms::default().idle_max
+        } else {
+            IDLE_MAX_ONCE
+        };
+        Terms {
+            connect: CONNECT_TIMEOUT,
+            idle_max,
+        }
+    }
+
+    /// Returns how long the upstream may be silent. Only a request that may run again elsewhere
+    /// is given up before its deadline.
+    fn silence_limit(&self, remaining: Duration) -> Duration {
+        if !self.may_repeat() {
+            return remaining;
+        }
+        let patience = match self.job.route.kind {
+            Kind::Stream => self.job.route.target.mul_f64(2.0),
+            Kind::Idempotent | Kind::Once => self.job.route.target.mul_f64(3.0),
+        };
+        remaining.min(patience.max(SILENCE_MIN))
+    }
+
+    /// Returns the gate that checks, before each write, that the upstream may still get work.
+    fn gate(&self, upstream: &Arc<Upstream>) -> Arc<Gate> {
+        let context = Arc::clone(&self.context);
+        let job = Arc::clone(&self.job);
+        let upstream = Arc::clone(upstream);
+        let allowed = move |begun: bool| {
+            begun || (job.remaining() >= REMAINING_MIN && context.roster.lock().may_send(&upstream))
+        };
+        Arc::new(Gate::new(Arc::default(), allowed))
+    }
+
+    fn request(
+        &self,
+        flight: &Flight,
+        remaining: Duration,
+        last_event: Option<u64>,
+    ) -> Request<Payload> {
+        let helpers: Vec<_> = flight
+            .helpers
+            .iter()
+            .map(|helper| (helper.address, None))
+            .collect();
+        let said = header::Forward {
+            upstream: &flight.upstream.id,
+            remaining,
+            workspace: self.job.workspace.as_deref(),
+            last_event,
+            helpers: &helpers,
+        };
+        let body = self.job.body.replay().boxed_unsync();
+        let mut request = Request::new(body);
+        *request.method_mut() = self.job.method.clone();
+        // The target was parsed from a request, so it is one again.
+        *request.uri_mut() = self.job.target.parse().unwrap_or_default();
+        *request.headers_mut() = header::forward(&self.job.headers, &said);
+        request
+    }
+}
+
+impl Open {
+    /// Reads the rest of an answer that is of no use, to keep the connection if that is quick.
+    async fn discard(mut self) {
+        let rest = self.exchange.response.body_mut().collect();
+        if matches!(timeout(DISCARD_TIMEOUT, rest).await, Ok(Ok(_))) {
+            self.finish();
+        }
+    }
+
+    /// Gives the connection of a whole answer back.
+    pub(crate) fn finish(self) {
+        if !self.closes {
+            self.pool.give_back(self.exchange);
+        }
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -0,0 +1,142 @@
+//! Finds a place for an attempt, waiting for one if that may still serve the client.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::coordination::assign::{self, Choice, Seat};
+use primrosehoist::state::map::Set;
+use primrosehoist::state::occupancy::Load;
+use primrosehoist::state::roster::Upstream;
+use strum::Display;
+use tokio::time::{Instant, timeout};
+
+use super::context::Context;
+use super::flight::Flight;
+use super::job::Job;
+
+/// How long a waiting request does not look for a place at most. Reports of other daemons and
+/// the passage of time also free places.
+const LOOK_EVERY: Duration = Duration::from_millis(25);
+
+/// The shortest time for which a request waits for a place, whatever its objective.
+const PATIENCE_MIN: Duration = Duration::from_millis(300);
+
+/// The part of the remaining time after which waiting ends, so that the client can still come
+/// back.
+const PATIENCE_SHARE: f64 = 0.4;
+
+/// Why no place was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub(crate) enum Refusal {
+    /// All places stayed taken.
+    Full,
+    /// No upstream of the service can take work.
+    Nowhere,
+}
+
+/// Finds a place for `job` on an upstream that is not in `excluded` and takes it.
+///
+/// # Errors
+///
+/// Returns why the request should not wait any longer.
+pub(crate) async fn place(
+    context: &Arc<Context>,
+    job: &Job,
+    excluded: &Set<Arc<str>>,
+) -> Result<Flight, Refusal> {
+    let share = job.remaining().mul_f64(PATIENCE_SHARE);
+    let patience = job.route.target.max(PATIENCE_MIN).min(share);
+    let until = Instant::now() + patience;
+    let ticket = context.waiting.enter(job.priority, job.due());
+    loop {
+        let refusal = match look(context, job, excluded) {
+            Ok(flight) => return Ok(flight),
+            Err(refusal) => refusal,
+        };
+        if Instant::now() >= until {
+            return Err(refusal);
+        }
+        // Woken or not, the request looks again.
+        let _woken = timeout(LOOK_EVERY, ticket.woken()).await.is_ok();
+    }
+}
+
+/// Looks for a place once.
+fn look(context: &Arc<Context>, job: &Job, excluded: &Set<Arc<str>>) -> Result<Flight, Refusal> {
+    let seats = seats(context, job, excluded);
+    let choice = match &job.service.engine {
+        Some(engine) => assign::generate(&seats, &job.need(), engine),
+        None => assign::plain(&seats),
+    };
+    match choice {
+        Choice::Send { first, helpers } => Ok(take(context, job, &seats, first, &helpers)),
+        Choice::Wait => Err(Refusal::Full),
+        Choice::Nowhere => Err(Refusal::Nowhere),
+    }
+}
+
+/// Returns the upstreams that may be chosen now.
+fn seats(context: &Context, job: &Job, excluded: &Set<Arc<str>>) -> Vec<Seat> {
+    let now = Instant::now();
+    let roster = context.roster.lock();
+    let occupancy = context.occupancy.lock();
+    let mut allowance = context.allowance.lock();
+    let trust = context.trust.lock();
+    let candidates = roster.candidates(&job.service.name);
+    let seats = candidates.filter_map(|upstream| {
+        if excluded.contains(&upstream.id)
+            || !allowance.may_send(&upstream.id, job.service.cold_rate, now)
+        {
+            return None;
+        }
+        let work = occupancy.work(&upstream.id);
+        Some(Seat {
+            work,
+            local: upstream.zone == context.settings.zone,
+            cold: roster.is_cold(&upstream.id, now),
+            distrust: trust.cost(&upstream.id, work.running, now)?,
+            upstream: Arc::clone(upstream),
+        })
+    });
+    let mut seats: Vec<Seat> = seats.collect();
+    // The same order on all daemons lets them pack onto the same upstreams.
+    seats.sort_by(|one, other| one.upstream.id.cmp(&other.upstream.id));
+    seats
+}
+
+/// Takes the chosen places.
+fn take(
+    context: &Arc<Context>,
+    job: &Job,
+    seats: &[Seat],
+    first: usize,
+    helpers: &[usize],
+) -> Flight {
+    let now = Instant::now();
+    let upstream = |index: usize| -> Arc<Upstream> { Arc::clone(&seats[index].upstream) };
+    let helpers: Vec<_> = helpers.iter().map(|index| upstream(*index)).collect();
+    let first = upstream(first);
+    let mut allowance = context.allowance.lock();
+    for chosen in helpers.iter().chain([&first]) {
+        allowance.sent(&chosen.id, now);
+    }
+    drop(allowance);
+    let parts = helpers.len() as f64 + 1.0;
+    let tokens = job.said.prompt_tokens;
+    let engine = job.service.engine.as_ref();
+    let part_ms = engine.map_or(0.0, |engine| engine.read_ms(tokens) / parts);
+    let own = Load {
+        pace: Some(job.pace()),
+        weight: assign::weight(tokens) as f32,
+        reading_ms: part_ms as f32,
+        memory_tokens: u32::try_from(tokens + job.said.answer_tokens).unwrap_or(u32::MAX),
+    };
+    let part = Load {
+        pace: None,
+        weight: 0.0,
+        reading_ms: part_ms as f32,
+        memory_tokens: 0,
+    };
+    Flight::new(context, first, own, helpers, part)
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -0,0 +1,127 @@
+//! What the tasks of the gateway share, in small parts with one writer each where possible.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+
+use arc_swap::ArcSwapOption;
+use parking_lot::Mutex;
+use primrosehoist::coordination::allowance::Allowance;
+use primrosehoist::protocol::notice::Horizon;
+use primrosehoist::state::crash::Crashes;
+use primrosehoist::state::map::Map;
+use primrosehoist::state::occupancy::Occupancy;
+use primrosehoist::state::roster::Roster;
+use primrosehoist::state::route::Table;
+use primrosehoist::state::trust::Trust;
+use primrosehoist::transport::http::body::Budget;
+use primrosehoist::transport::http::upstream::Pool;
+use primrosehoist_platform::settings::Settings;
+use primrosehoist_platform::store;
+use tokio::sync::{Notify, watch};
+
+use super::waiting::Waiting;
+use crate::metrics::Metrics;
+
+/// The part of the process's memory that request bodies may take: a half, in bytes per megabyte.
+const BODY_BYTES_PER_MB: u64 = 512 * 1024;
+
+/// The shared state of the gateway.
+pub(crate) struct Context {
+    /// The settings at the start of the process.
+    pub(crate) settings: Settings,
+    /// The configuration in force. Written by the store's watch and by links.
+    pub(crate) table: ArcSwapOption<Table>,
+    /// The upstreams. Written by the store's watch and by links.
+    pub(crate) roster: Mutex<Roster>,
+    /// What runs on the upstreams.
+    pub(crate) occupancy: Mutex<Occupancy>,
+    /// The shares of common limits.
+    pub(crate) allowance: Mutex<Allowance>,
+    /// Recent failures of upstreams.
+    pub(crate) trust: Mutex<Trust>,
+    /// Requests that upstreams died of.
+    pub(crate) crashes: Mutex<Crashes>,
+    /// Connections to upstreams.
+    pub(crate) pools: Mutex<Map<SocketAddr, Arc<Pool>>>,
+    /// Requests that wait for a place.
+    pub(crate) waiting: Waiting,
+    /// How new the picture of the platform is.
+    pub(crate) horizon: Mutex<Horizon>,
+    /// Whether the whole list of upstreams was read.
+    pub(crate) listed: AtomicBool,
+    /// Whether the daemon shuts down.
+    pub(crate) draining: AtomicBool,
+    /// Requests in progress.
+    pub(crate) in_progress: AtomicUsize,
+    /// Told when the own work on upstreams changed.
+    pub(crate) changed: Notify,
+    /// The newest horizon that another daemon named, for the watches of the store.
+    pub(crate) heard: watch::Sender<Horizon>,
+    /// Memory for request bodies.
+    pub(crate) bodies: Budget,
+    /// The platform's store.
+    pub(crate) store: store::Client,
+    /// The instruments.
+    pub(crate) metrics: Metrics,
+    /// When the process started, in Unix milliseconds.
+    pub(crate) started_ms: u64,
+}
+
+impl Context {
+    /// Creates the state of a gateway that knows nothing yet.
+    pub(crate) fn new(settings: Settings, metrics: Metrics, started_ms: u64) -> Self {
+        Self {
+            table: ArcSwapOption::empty(),
+            roster: Mutex::default(),
+            occupancy: Mutex::default(),
+            allowance: Mutex::new(Allowance::new(settings.bounds.clone())),
+            trust: Mutex::default(),
+            crashes: Mutex::default(),
+            pools: Mutex::default(),
+            waiting: Waiting::default(),
+            horizon: Mutex::default(),
+            listed: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            in_progress: AtomicUsize::new(0),
+            changed: Notify::new(),
+            heard: watch::Sender::new(Horizon::default()),
+            bodies: Budget::new(settings.memory_mb * BODY_BYTES_PER_MB),
+            store: store::Client::new(&settings.store.to_string()),
+            metrics,
+            started_ms,
+            settings,
+        }
+    }
+
+    /// Returns whether the daemon shuts down.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Returns whether clients may be sent to this daemon.
+    pub(crate) fn is_ready(&self) -> bool {
+        !self.is_draining() && self.listed.load(Ordering::Acquire) && self.table.load().is_some()
+    }
+
+    /// Returns the connections to the upstream at `address`.
+    pub(crate) fn pool(&self, address: SocketAddr) -> Arc<Pool> {
+        let mut pools = self.pools.lock();
+        let pool = pools.entry(address);
+        Arc::clone(pool.or_insert_with(|| Arc::new(Pool::new(address))))
+    }
+
+    /// Puts `table` into force if it is newer than the one in force; returns whether it was.
+    pub(crate) fn accept_table(&self, table: Table) -> bool {
+        let current = self.table.load();
+        let version = table.version();
+        if current.as_ref().is_some_and(|now| now.version() >= version) {
+            return false;
+        }
+        self.table.store(Some(Arc::new(table)));
+        self.horizon.lock().configuration = version;
+        self.metrics.version(version);
+        self.waiting.wake();
+        true
+    }
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -0,0 +1,83 @@
+//! A request that was admitted, with what its attempts need.
+
+use std::hash::{Hash, Hasher};
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::HeaderMap;
+use primrosehoist::coordination::assign::{self, Need};
+use primrosehoist::state::occupancy::Pace;
+use primrosehoist::state::route::{Route, Service};
+use primrosehoist::transport::http::body::Stored;
+use primrosehoist_platform::header;
+use rustc_hash::FxHasher;
+use tokio::time::Instant;
+
+use super::suspension;
+
+/// An admitted request.
+#[derive(Debug)]
+pub(crate) struct Job {
+    /// What the headers say.
+    pub(crate) said: header::Request,
+    /// The headers as the client sent them.
+    pub(crate) headers: HeaderMap,
+    pub(crate) method: http::Method,
+    /// The path and query.
+    pub(crate) target: String,
+    pub(crate) body: Stored,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<Service>,
+    pub(crate) workspace: Option<Arc<str>>,
+    /// The rank; 0 is the highest.
+    pub(crate) priority: u64,
+    /// When the request was received.
+    pub(crate) received: Instant,
+    /// When the client or the route gives up.
+    pub(crate) deadline: Instant,
+    /// For how long the host had been suspended when the request was received.
+    pub(crate) suspended: Duration,
+    /// The hash of client, path and body.
+    pub(crate) fingerprint: u64,
+}
+
+impl Job {
+    /// Returns the time that is left, less the time for which the host was suspended meanwhile.
+    pub(crate) fn remaining(&self) -> Duration {
+        let suspended = suspension::total().saturating_sub(self.suspended);
+        self.deadline
+            .saturating_duration_since(Instant::now())
+            .saturating_sub(suspended)
+    }
+
+    /// Returns when the objective is missed.
+    pub(crate) fn due(&self) -> Instant {
+        self.received + self.route.target
+    }
+
+    /// Returns how long the request may be held up while it writes.
+    pub(crate) fn pace(&self) -> Pace {
+        Pace::from(self.route.pause)
+    }
+
+    /// Returns what the request needs of an engine.
+    pub(crate) fn need(&self) -> Need {
+        let left = self.due().saturating_duration_since(Instant::now());
+        Need {
+            prompt_tokens: self.said.prompt_tokens,
+            answer_tokens: self.said.answer_tokens,
+            pace: self.pace(),
+            weight: assign::weight(self.said.prompt_tokens),
+            left_ms: left.as_secs_f64() * 1000.0,
+        }
+    }
+}
+
+/// Returns the hash by which a request that ends upstreams is known again.
+pub(crate) fn fingerprint(client: &str, target: &str, body: &[u8]) -> u64 {
+    let mut hasher = FxHasher::default();
+    client.hash(&mut hasher);
+    target.hash(&mut hasher);
+    body.hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/links.rs
@@ -0,0 +1,166 @@
+//! Datagrams between daemons: what each gave to upstreams, and how new its picture is.
+//!
+//! Each notice holds all that its sender has to say, so a datagram that is lost or late does no
+//! harm, and nothing is sent again. A stream of a connection would deliver old notices late.
+
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use primrosehoist::protocol::notice::{DATAGRAM_BYTES_MAX, Notice};
+use primrosehoist::state::map::Map;
+use tokio::net::UdpSocket;
+use tokio::time::{Instant, sleep, timeout};
+
+use super::context::Context;
+
+/// The longest time between two notices.
+const NOTICE_EVERY: Duration = Duration::from_millis(250);
+
+/// The shortest time between two notices.
+const NOTICE_GAP: Duration = Duration::from_millis(25);
+
+/// Silence after which a daemon gets notices only now and then.
+const SILENT: Duration = Duration::from_secs(3);
+
+/// How often a silent daemon gets a notice: one of so many.
+const SILENT_SHARE: u64 = 20;
+
+/// The other daemons.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    own: IpAddr,
+    port: u16,
+    /// When each was last heard.
+    heard: Mutex<Map<IpAddr, Instant>>,
+}
+
+impl Peers {
+    /// Creates the list of peers of the daemon at `own`; all use the same `port`.
+    pub(crate) fn new(own: IpAddr, port: u16) -> Self {
+        Self {
+            own,
+            port,
+            heard: Mutex::default(),
+        }
+    }
+
+    /// Adds the daemon on `host` at `address`.
+    pub(crate) fn add(&self, host: &str, address: IpAddr) {
+        if address == self.own {
+            return;
+        }
+        let mut heard = self.heard.lock();
+        heard.entry(address).or_insert_with(|| {
+            log::info!(host, address:%; "daemon found");
+            Instant::now()
+        });
+    }
+
+    /// Returns the number of daemons, this one included.
+    pub(crate) fn daemons(&self) -> usize {
+        self.heard.lock().len() + 1
+    }
+
+    fn hear(&self, address: IpAddr) {
+        self.heard.lock().insert(address, Instant::now());
+    }
+
+    /// Returns where notice number `number` goes.
+    fn targets(&self, number: u64) -> Vec<SocketAddr> {
+        let rare = number.is_multiple_of(SILENT_SHARE);
+        let heard = self.heard.lock();
+        let live = heard.iter().filter(|(_, at)| rare || at.elapsed() < SILENT);
+        live.map(|(address, _)| SocketAddr::new(*address, self.port))
+            .collect()
+    }
+}
+
+/// Opens the socket for notices.
+///
+/// # Errors
+///
+/// Returns an error if the port cannot be used.
+pub(crate) async fn open(address: IpAddr, port: u16) -> io::Result<UdpSocket> {
+    UdpSocket::bind(SocketAddr::new(address, port)).await
+}
+
+/// Sends notices for as long as the process runs: soon after a change, and now and then.
+pub(crate) async fn send(context: Arc<Context>, peers: Arc<Peers>, socket: Arc<UdpSocket>) {
+    for number in 1.. {
+        let _changed = timeout(NOTICE_EVERY, context.changed.notified()).await;
+        let now = Instant::now();
+        context.allowance.lock().set_daemons(peers.daemons());
+        let report = {
+            let mut occupancy = context.occupancy.lock();
+            occupancy.expire(now);
+            occupancy.report()
+        };
+        for id in context.roster.lock().expire(now) {
+            log::info!(upstream = id.as_ref(); "upstream still missing; taken as gone");
+        }
+        let notice = Notice {
+            host: Arc::clone(&context.settings.host),
+            sequence: (context.started_ms, number),
+            horizon: *context.horizon.lock(),
+            report,
+            deaths: context.crashes.lock().recent(now),
+        };
+        match notice.encode() {
+            Ok(bytes) => {
+                for target in peers.targets(number) {
+                    if let Err(error) = socket.send_to(&bytes, target).await {
+                        log::debug!(target:%, error:%; "notice not sent");
+                    }
+                }
+            }
+            Err(error) => log::error!(error:%; "notice not sent"),
+        }
+        sleep(NOTICE_GAP).await;
+    }
+}
+
+/// Takes in notices for as long as the process runs.
+pub(crate) async fn receive(context: Arc<Context>, peers: Arc<Peers>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
+    loop {
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error:%; "notice not received");
+                sleep(NOTICE_GAP).await;
+                continue;
+            }
+        };
+        match Notice::try_from(&buffer[..length]) {
+            Ok(notice) => {
+                peers.hear(sender.ip());
+                hear(&context, notice);
+            }
+            Err(error) => log::warn!(sender:%, error:%; "datagram left out"),
+        }
+    }
+}
+
+fn hear(context: &Context, notice: Notice) {
+    let now = Instant::now();
+    {
+        let mut crashes = context.crashes.lock();
+        for (fingerprint, id) in &notice.deaths {
+            crashes.record(*fingerprint, *id, now);
+        }
+    }
+    context
+        .occupancy
+        .lock()
+        .hear(&notice.host, notice.sequence, notice.report, now);
+    context.heard.send_if_modified(|heard| {
+        let before = *heard;
+        heard.configuration = heard.configuration.max(notice.horizon.configuration);
+        heard.upstreams = heard.upstreams.max(notice.horizon.upstreams);
+        heard.evacuations = heard.evacuations.max(notice.horizon.evacuations);
+        *heard != before
+    });
+}
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -0,0 +1,256 @@
+//! The daemon on the users' platform.
+//!
+//! Each daemon forwards requests directly to upstreams. What it knows comes from the platform's
+//! store, from notices of other daemons, and from the answers of upstreams.
+
+mod attempt;
+mod choose;
+mod context;
+mod flight;
+mod ingress;
+mod job;
+mod links;
+mod stream;
+mod suspension;
+mod sync;
+mod waiting;
+
+use std::io;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use http::{Response, StatusCode};
+use http_body_util::Empty;
+use log::LevelFilter;
+use opentelemetry_sdk::error::OTelSdkError;
+use primrosehoist::transport::http::server::{self, Limits};
+use primrosehoist_platform::host;
+use primrosehoist_platform::settings::{self, Settings};
+use quick_error::quick_error;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use self::context::Context;
+use self::links::Peers;
+use self::sync::Feed;
+use crate::clock::unix_ms;
+use crate::logging;
+use crate::metrics::Metrics;
+
+/// Headers in one request.
+const HEADERS_MAX: usize = 100;
+
+/// The size of the head of a request, in bytes, until the configuration says otherwise.
+const HEAD_BYTES: usize = 16 * 1024;
+
+/// Connections of clients at once: what the descriptors of a small host allow, beside those to
+/// upstreams.
+const CONNECTIONS_MAX: usize = 2500;
+
+/// Connections to the readiness port at once.
+const READINESS_CONNECTIONS_MAX: usize = 32;
+
+/// The longest time for the head of a request, the idle time of a connection included.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// The longest time in which a client takes no byte of an answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// How long a daemon that shuts down takes new connections: the load balancer asks once a
+/// second, and twice before it sends nobody any more.
+const LAME_DUCK: Duration = Duration::from_millis(2600);
+
+/// How much earlier than the platform ends the process it ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(700);
+
+/// The pause between two looks at what is in progress during the shutdown.
+const SHUTDOWN_LOOK: Duration = Duration::from_millis(50);
+
+/// The pause after a registration that failed.
+const REGISTER_PAUSE: Duration = Duration::from_millis(700);
+
+quick_error! {
+    /// Says at which step the start failed.
+    #[derive(Debug)]
+    enum Error {
+        /// The instruments cannot be set up.
+        Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
+        /// A socket cannot be opened.
+        Listen(address: SocketAddr, source: io::Error) {
+            display("listen on {}: {}", address, source)
+        }
+        /// A signal cannot be received.
+        Signal(source: io::Error) { display("signals: {}", source) }
+    }
+}
+
+/// Runs the daemon with the settings that the platform wrote; returns the exit code.
+pub(crate) fn run() -> ExitCode {
+    if let Err(error) = logging::start(LevelFilter::Info) {
+        eprintln!("primrosehoistd: logging: {error}");
+        return ExitCode::FAILURE;
+    }
+    let settings = match Settings::load(&settings::path()) {
+        Ok(settings) => settings,
+        Err(error) => {
+            log::error!(error:%; "settings cannot be used");
+            return ExitCode::from(crate::command::EXIT_USAGE);
+        }
+    };
+    // One core or less carries the process, so further threads would only take turns.
+    let runtime = match tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+    {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            log::error!(error:%; "runtime cannot be started");
+            return ExitCode::FAILURE;
+        }
+    };
+    let served = runtime.block_on(serve(settings));
+    runtime.shutdown_background();
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(error:%; "cannot start");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: Settings) -> Result<(), Error> {
+    let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
+    let settings = &context.settings;
+    let clients = listen(settings.ingress).await?;
+    let readiness = listen(settings.readiness).await?;
+    let port = settings.link_ports.0;
+    let socket = links::open(settings.address, port)
+        .await
+        .map_err(|source| Error::Listen(SocketAddr::new(settings.address, port), source))?;
+    let socket = Arc::new(socket);
+    let peers = Arc::new(Peers::new(settings.address, port));
+    for feed in [
+        Feed::Configuration,
+        Feed::Upstreams,
+        Feed::Evacuations,
+        Feed::Daemons,
+    ] {
+        tokio::spawn(sync::follow(Arc::clone(&context), Arc::clone(&peers), feed));
+    }
+    tokio::spawn(register(Arc::clone(&context)));
+    tokio::spawn(links::send(
+        Arc::clone(&context),
+        Arc::clone(&peers),
+        Arc::clone(&socket),
+    ));
+    tokio::spawn(links::receive(Arc::clone(&context), peers, socket));
+    let (stop, stopped) = watch::channel(false);
+    tokio::spawn(serve_readiness(
+        Arc::clone(&context),
+        readiness,
+        stopped.clone(),
+    ));
+    let serving = tokio::spawn(serve_clients(Arc::clone(&context), clients, stopped));
+    log::info!(
+        host = settings.host.as_ref(),
+        zone = settings.zone.as_ref(),
+        started_ms = context.started_ms;
+        "daemon started"
+    );
+    await_termination().await?;
+    shut_down(&context, &stop, serving).await;
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Listen(address, source))
+}
+
+fn serve_clients(
+    context: Arc<Context>,
+    listener: TcpListener,
+    stopped: watch::Receiver<bool>,
+) -> impl Future<Output = ()> {
+    let limits = Limits {
+        connections: CONNECTIONS_MAX,
+        headers: HEADERS_MAX,
+        head_bytes: HEAD_BYTES,
+        head: IDLE_TIMEOUT,
+        write: WRITE_TIMEOUT,
+    };
+    server::serve(listener, limits, stopped, move |request| {
+        ingress::handle(Arc::clone(&context), request)
+    })
+}
+
+fn serve_readiness(
+    context: Arc<Context>,
+    listener: TcpListener,
+    stopped: watch::Receiver<bool>,
+) -> impl Future<Output = ()> {
+    let limits = Limits {
+        connections: READINESS_CONNECTIONS_MAX,
+        headers: HEADERS_MAX,
+        head_bytes: HEAD_BYTES,
+        head: IDLE_TIMEOUT,
+        write: WRITE_TIMEOUT,
+    };
+    server::serve(listener, limits, stopped, move |_request| {
+        let ready = context.is_ready();
+        async move {
+            let mut response = Response::new(Empty::<bytes::Bytes>::new());
+            if !ready {
+                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            }
+            response
+        }
+    })
+}
+
+/// Registers this daemon in the store, so that others find it.
+async fn register(context: Arc<Context>) {
+    let settings = &context.settings;
+    let spec = host::encode(settings.address);
+    while let Err(error) = context.store.put(host::KIND, &settings.host, &spec).await {
+        log::warn!(error:%; "registration failed");
+        sleep(REGISTER_PAUSE).await;
+    }
+}
+
+async fn await_termination() -> Result<(), Error> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
+    let mut hang_up = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = hang_up.recv() => log::info!("settings are read again"),
+        }
+    }
+}
+
+/// Ends the process in good order: takes itself out of rotation, finishes what is in progress.
+async fn shut_down(
+    context: &Context,
+    stop: &watch::Sender<bool>,
+    serving: tokio::task::JoinHandle<()>,
+) {
+    context.draining.store(true, Ordering::Release);
+    let begun = Instant::now();
+    let end = begun + context.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let in_progress = || context.in_progress.load(Ordering::Acquire);
+    log::info!(in_progress = in_progress(); "shutdown began");
+    while Instant::now() < end && (begun.elapsed() < LAME_DUCK || in_progress() > 0) {
+        sleep(SHUTDOWN_LOOK).await;
+    }
+    stop.send_replace(true);
+    let finished = tokio::time::timeout_at(end, serving).await.is_ok();
+    log::info!(in_progress = in_progress(), finished; "shutdown ended");
+}
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod command;
 mod dispatch;
+mod gateway;
 mod holder;
 mod links;
 mod logging;
@@ -30,6 +31,7 @@
             ExitCode::SUCCESS
         }
         Ok(Command::Check) => ExitCode::SUCCESS,
+        Ok(Command::Gateway) => gateway::run(),
         Ok(Command::Run(settings)) => service::run(*settings),
         Err(error) => {
             eprintln!("primrosehoistd: {error}");
--- a/crates/primrosehoist-daemon/src/node.rs
+++ b/crates/primrosehoist-daemon/src/node.rs
@@ -94,8 +94,8 @@
             incarnation: unix_ms(),
             platform: platform::Client::new(
                 &settings.platform.address.to_string(),
-                settings.host.clone(),
-                settings.zone.clone(),
+                &settings.host,
+                &settings.zone,
             ),
             peers: peer::Client::new(identity),
             keys: Keys::default(),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -4,8 +4,11 @@
 //! next. Transport performs it.
 
 pub mod admission;
+pub mod allowance;
+pub mod assign;
 pub mod backoff;
 pub mod claim;
+pub mod course;
 pub mod heartbeat;
 pub mod holding;
 pub mod lease;
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -1,6 +1,8 @@
 //! Messages: what goes over a connection and how it is encoded.
 
 pub mod codec;
+pub mod event;
+pub mod notice;
 pub mod openai;
 pub mod operator;
 pub mod platform;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,15 +3,23 @@
 //! Nothing here performs I/O or reads a clock: a decision receives the state and the time it is
 //! made at. That keeps every policy testable on a paused clock and replayable from a seed.
 
+pub mod bounds;
 pub mod budget;
 pub mod change;
+pub mod crash;
+pub mod engine;
 pub mod files;
 pub mod fleet;
 pub mod limit;
 pub mod map;
 pub mod name;
+pub mod occupancy;
 pub mod outcome;
 pub mod placement;
 pub mod plan;
 pub mod queue;
+pub mod roster;
+pub mod route;
+pub mod trust;
 pub mod view;
+pub mod window;
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -17,15 +17,17 @@
 use quick_error::quick_error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::task::AbortHandle;
+use tokio::time::{Instant, timeout};
 
 use crate::transport::http::Payload;
+use crate::transport::socket;
 
 /// Connections without a request that are kept per upstream.
 const IDLE_MAX: usize = 16;
 
-/// The longest time to connect to an upstream.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// How long a connection without a request is kept unless its upstream names another time.
+const IDLE_TIME: Duration = Duration::from_secs(30);
 
 quick_error! {
     /// Says at which step a call to an upstream failed.
@@ -162,10 +164,47 @@
     }
 }
 
+/// The task that drives a connection. Dropping it closes the connection at once.
+struct Driver(AbortHandle);
+
+impl Drop for Driver {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 /// A connection that may be used for one request after the other.
 struct Connection {
     sender: http1::SendRequest<Payload>,
     slot: Slot,
+    _driver: Driver,
+    idle_since: Instant,
+    idle_time: Duration,
+}
+
+impl Connection {
+    fn is_fresh(&self, idle_max: Duration, now: Instant) -> bool {
+        let limit = self.idle_time.min(idle_max);
+        self.sender.is_ready() && now.saturating_duration_since(self.idle_since) < limit
+    }
+}
+
+/// How a request may be sent.
+#[derive(Debug, Clone)]
+pub struct Terms {
+    /// The longest time to connect.
+    pub connect: Duration,
+    /// The longest time for which a connection that is used again may have been idle.
+    pub idle_max: Duration,
+}
+
+impl Default for Terms {
+    fn default() -> Self {
+        Self {
+            connect: Duration::from_secs(2),
+            idle_max: IDLE_TIME,
+        }
+    }
 }
 
 /// Connections to one upstream.
@@ -189,6 +228,13 @@
     connection: Connection,
 }
 
+impl Exchange {
+    /// Sets for how long the connection may be idle after it was given back.
+    pub fn keep_for(&mut self, time: Duration) {
+        self.connection.idle_time = time;
+    }
+}
+
 impl fmt::Debug for Exchange {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.debug_struct("Exchange")
@@ -211,7 +257,7 @@
         self.address
     }
 
-    /// Sends `request` through `gate` and waits for the head of the answer.
+    /// Sends `request` through `gate` on the default terms and waits for the head of the answer.
     ///
     /// # Errors
     ///
@@ -222,26 +268,51 @@
         request: Request<Payload>,
         gate: &Arc<Gate>,
     ) -> Result<Exchange, Error> {
-        let mut connection = match self.take_idle() {
-            Some(connection) => connection,
-            None => self.connect().await?,
-        };
-        *connection
-            .slot
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(gate));
-        match connection.sender.send_request(request).await {
-            Ok(response) => Ok(Exchange {
-                response,
-                connection,
-            }),
-            Err(source) => Err(Error::Send(self.address, source)),
+        self.send_on(&Terms::default(), request, gate).await
+    }
+
+    /// Sends `request` through `gate` on `terms` and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection fails or the gate refuses; `gate` tells whether a byte
+    /// was handed over.
+    pub async fn send_on(
+        &self,
+        terms: &Terms,
+        request: Request<Payload>,
+        gate: &Arc<Gate>,
+    ) -> Result<Exchange, Error> {
+        let mut request = request;
+        loop {
+            let (mut connection, fresh) = match self.take_idle(terms.idle_max) {
+                Some(connection) => (connection, false),
+                None => (self.connect(terms.connect).await?, true),
+            };
+            *connection
+                .slot
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(gate));
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => {
+                    return Ok(Exchange {
+                        response,
+                        connection,
+                    });
+                }
+                // An idle connection was closed before anything was written to it.
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) if !fresh && !gate.handed() => request = unsent,
+                    _ => return Err(Error::Send(self.address, error.into_error())),
+                },
+            }
         }
     }
 
     /// Gives the connection of a whole answer back.
     pub fn give_back(&self, exchange: Exchange) {
-        let connection = exchange.connection;
+        let mut connection = exchange.connection;
+        connection.idle_since = Instant::now();
         *connection
             .slot
             .lock()
@@ -252,23 +323,21 @@
         }
     }
 
-    fn take_idle(&self) -> Option<Connection> {
+    fn take_idle(&self, idle_max: Duration) -> Option<Connection> {
+        let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        while let Some(connection) = idle.pop() {
-            if connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        idle.retain(|connection| connection.is_fresh(IDLE_TIME, now));
+        // The one used last is the least likely to be closed by its upstream.
+        idle.pop_if(|connection| connection.is_fresh(idle_max, now))
     }
 
-    async fn connect(&self) -> Result<Connection, Error> {
+    async fn connect(&self, limit: Duration) -> Result<Connection, Error> {
         let failed = |source| Error::Connect(self.address, source);
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address))
+        let stream = timeout(limit, TcpStream::connect(self.address))
             .await
             .map_err(|_source| failed(io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
-        stream.set_nodelay(true).map_err(failed)?;
+        socket::guard(&stream).map_err(failed)?;
         let slot = Slot::default();
         let guarded = Guarded {
             stream,
@@ -277,11 +346,17 @@
         let (sender, connection) = http1::handshake(TokioIo::new(guarded))
             .await
             .map_err(|source| Error::Send(self.address, source))?;
-        tokio::spawn(async move {
+        let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
                 log::debug!("connection to an upstream ended: {error}");
             }
         });
-        Ok(Connection { sender, slot })
+        Ok(Connection {
+            sender,
+            slot,
+            _driver: Driver(driver.abort_handle()),
+            idle_since: Instant::now(),
+            idle_time: IDLE_TIME,
+        })
     }
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -3,3 +3,4 @@
 pub mod http;
 pub mod peer;
 pub mod platform;
+pub mod socket;
--- a/src/transport/platform/client.rs
+++ b/src/transport/platform/client.rs
@@ -1,47 +1,39 @@
 //! Reads and conditional writes of objects.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
-use http::response::Parts;
-use http::{Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http::{HeaderMap, HeaderValue, Method};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 use crate::protocol::platform::{List, Metadata, Object, PREFIX};
 use crate::state::name;
-use crate::transport::platform::connection::{Connection, Failure, Pool};
-use crate::transport::platform::{
-    ANSWER_BYTES_MAX, CALL_TIMEOUT, Call, Counts, Error, Watch, watch,
-};
+use crate::transport::platform::endpoint::{Endpoint, check};
+use crate::transport::platform::{CALL_TIMEOUT, Call, Counts, Error, Watch, watch};
 
 const HEADER_CLIENT: &str = "x-client";
 const HEADER_ZONE: &str = "x-client-zone";
 
-/// The pause that is asked for when the platform names none.
-const RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// Calls the platform. Clones share connections and counts.
 #[derive(Debug, Clone)]
 pub struct Client {
-    address: Arc<str>,
-    host: name::Host,
-    zone: name::Zone,
-    pool: Pool,
+    endpoint: Endpoint,
     counts: Arc<Counts>,
 }
 
 impl Client {
     /// Creates a client that names itself by `host` and `zone`.
-    pub fn new(address: &str, host: name::Host, zone: name::Zone) -> Self {
+    pub fn new(address: &str, host: &name::Host, zone: &name::Zone) -> Self {
+        let mut headers = HeaderMap::new();
+        // Names hold only characters that a header may hold.
+        for (name, value) in [(HEADER_CLIENT, host.as_str()), (HEADER_ZONE, zone.as_str())] {
+            if let Ok(value) = HeaderValue::from_str(value) {
+                headers.insert(name, value);
+            }
+        }
         Self {
-            address: Arc::from(address),
-            host,
-            zone,
-            pool: Pool::new(address),
+            endpoint: Endpoint::new(address, headers),
             counts: Arc::default(),
         }
     }
@@ -157,7 +149,10 @@
         self.counts.add(Call::Watch);
         let step = format!("watch {kind}");
         let path = format!("{PREFIX}/{kind}?watch=true&resourceVersion={resource_version}");
-        let (response, connection) = self.send(&step, Method::GET, &path, Bytes::new()).await?;
+        let sent = self
+            .endpoint
+            .send(&step, Method::GET, &path, Bytes::new(), CALL_TIMEOUT);
+        let (response, connection) = sent.await?;
         let (head, body) = response.into_parts();
         check(&step, &head)?;
         Ok(watch::Watch::new(step, body, connection))
@@ -173,57 +168,12 @@
     where
         M: DeserializeOwned,
     {
-        let answered = async {
-            let (response, connection) = self.send(&step, method, path, body).await?;
-            let (head, body) = response.into_parts();
-            let answer = read(&step, body).await?;
-            self.pool.put_idle(connection);
-            check(&step, &head)?;
-            serde_json::from_slice(&answer).map_err(|cause| Error::Malformed {
-                step: step.clone(),
-                cause: cause.to_string(),
-            })
-        };
-        tokio::time::timeout(CALL_TIMEOUT, answered)
-            .await
-            .unwrap_or_else(|elapsed| {
-                Err(Error::Lost {
-                    step: step.clone(),
-                    cause: elapsed.to_string(),
-                })
-            })
-    }
-
-    async fn send(
-        &self,
-        step: &str,
-        method: Method,
-        path: &str,
-        body: Bytes,
-    ) -> Result<(Response<Incoming>, Connection), Error> {
-        let request = Request::builder()
-            .method(method)
-            .uri(path)
-            .header(header::HOST, self.address.as_ref())
-            .header(header::CONTENT_TYPE, "application/json")
-            .header(HEADER_CLIENT, self.host.as_str())
-            .header(HEADER_ZONE, self.zone.as_str())
-            .body(Full::new(body))
-            .map_err(|cause| Error::Unreachable {
-                step: step.to_owned(),
-                cause: cause.to_string(),
-            })?;
-        let sent = tokio::time::timeout(CALL_TIMEOUT, self.pool.send(request)).await;
-        let step = step.to_owned();
-        match sent {
-            Ok(Ok(answered)) => Ok(answered),
-            Ok(Err(Failure::Unsent(cause))) => Err(Error::Unreachable { step, cause }),
-            Ok(Err(Failure::Sent(cause))) => Err(Error::Lost { step, cause }),
-            Err(elapsed) => Err(Error::Lost {
-                step,
-                cause: elapsed.to_string(),
-            }),
-        }
+        let called = self.endpoint.call(&step, method, path, body, CALL_TIMEOUT);
+        let answer = called.await?;
+        serde_json::from_slice(&answer).map_err(|cause| Error::Malformed {
+            step,
+            cause: cause.to_string(),
+        })
     }
 }
 
@@ -239,36 +189,3 @@
     let body = serde_json::to_vec(&Object { metadata, spec }).map_err(unsent)?;
     Ok(Bytes::from(body))
 }
-
-fn check(step: &str, head: &Parts) -> Result<(), Error> {
-    let step = step.to_owned();
-    match head.status {
-        status if status.is_success() => Ok(()),
-        StatusCode::CONFLICT => Err(Error::Conflict { step }),
-        StatusCode::NOT_FOUND => Err(Error::NotFound { step }),
-        StatusCode::GONE => Err(Error::Gone { step }),
-        StatusCode::TOO_MANY_REQUESTS => Err(Error::RateLimited {
-            step,
-            retry_after: retry_after(head),
-        }),
-        status => Err(Error::Status {
-            step,
-            status: status.as_u16(),
-        }),
-    }
-}
-
-fn retry_after(head: &Parts) -> Duration {
-    let value = head.headers.get(header::RETRY_AFTER);
-    let seconds = value.and_then(|value| value.to_str().ok()?.parse().ok());
-    seconds.map_or(RETRY_AFTER, Duration::from_secs)
-}
-
-async fn read(step: &str, body: Incoming) -> Result<Bytes, Error> {
-    let body = Limited::new(body, ANSWER_BYTES_MAX);
-    let whole = body.collect().await.map_err(|cause| Error::Lost {
-        step: step.to_owned(),
-        cause: cause.to_string(),
-    })?;
-    Ok(whole.to_bytes())
-}
--- a/src/transport/platform/connection.rs
+++ b/src/transport/platform/connection.rs
@@ -10,6 +10,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
+use crate::transport::socket;
+
 /// Idle connections that are kept.
 const IDLE_MAX: usize = 4;
 
@@ -77,6 +79,12 @@
         }
     }
 
+    /// Closes the idle connections.
+    pub(crate) fn clear(&self) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.clear();
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         idle.pop()
@@ -86,9 +94,7 @@
         let stream = TcpStream::connect(self.address.as_ref())
             .await
             .map_err(|cause| cause.to_string())?;
-        stream
-            .set_nodelay(true)
-            .map_err(|cause| cause.to_string())?;
+        socket::guard(&stream).map_err(|cause| cause.to_string())?;
         let (requests, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|cause| cause.to_string())?;
--- a/src/transport/platform/mod.rs
+++ b/src/transport/platform/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod connection;
 mod counts;
+mod endpoint;
 mod watch;
 
 use std::time::Duration;
@@ -14,6 +15,7 @@
 
 pub use client::Client;
 pub use counts::{Call, Counts};
+pub use endpoint::Endpoint;
 pub use watch::Watch;
 
 /// The time that a call may take, including its connection.
--- a/tests/peer_platform.rs
+++ b/tests/peer_platform.rs
@@ -23,7 +23,7 @@
 fn client(address: &str) -> Client {
     let host = name::Host::try_from("a1").unwrap();
     let zone = name::Zone::try_from("zone-a").unwrap();
-    Client::new(address, host, zone)
+    Client::new(address, &host, &zone)
 }
 
 #[tokio::test]
