Read long prompts one after the other; wait for places in the order of need

Parts that an engine reads for others go ahead of its own prompts, so a later digest starved an earlier one; after 6 s of silence the earlier one was read again elsewhere.

Ruled out: a lack of capacity (the engines were busy for about 70 in 100 of the phase) and wrong rates (alone, the expected and seen times differ by under 50 ms).

Change: a long prompt is given only to engines with nothing long left to read; otherwise it waits in the daemon, those in time before those that are overdue. Reading is not given up before three objectives and four times its length.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -34,8 +34,14 @@
 /// The time that must be left for an attempt to be made.
 const REMAINING_MIN: Duration = Duration::from_millis(5);
 
+/// How many times the objective the first event of a stream may take.
+const READING_TARGETS: f64 = 3.0;
+
+/// How many times the time to read the prompt alone its first event may take beyond that.
+const READING_TIMES: u32 = 4;
+
 /// The shortest time in which an upstream may be silent before a request is tried elsewhere.
-const SILENCE_MIN: Duration = Duration::from_millis(1100);
+const SILENCE_MIN: Duration = Duration::from_millis(1500);
 
 /// The longest time for reading the body of a rejection.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
@@ -361,12 +367,21 @@
             return remaining;
         }
         let patience = match self.job.route.kind {
-            Kind::Stream => self.job.route.target.mul_f64(2.0),
+            Kind::Stream => self.reading_limit(),
             Kind::Idempotent | Kind::Once => self.job.route.target.mul_f64(3.0),
         };
         remaining.min(patience.max(SILENCE_MIN))
     }
 
+    /// Returns how long the first event of a stream may take. Reading a long prompt elsewhere
+    /// once more costs more than waiting, so that is left to the end of the connection.
+    pub(crate) fn reading_limit(&self) -> Duration {
+        let engine = self.job.service.engine.as_ref();
+        let alone = engine.map_or(0.0, |engine| engine.read_ms(self.job.said.prompt_tokens));
+        let alone = Duration::from_secs_f64(alone / 1000.0);
+        self.job.route.target.mul_f64(READING_TARGETS) + alone * READING_TIMES
+    }
+
     /// Returns the gate that checks, before each write, that the upstream may still get work.
     fn gate(&self, upstream: &Arc<Upstream>) -> Arc<Gate> {
         let context = Arc::clone(&self.context);
--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -18,8 +18,9 @@
 /// the passage of time also free places.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 
-/// The shortest time for which a request waits for a place, whatever its objective.
-const PATIENCE_MIN: Duration = Duration::from_millis(300);
+/// Added to the rank of a request that missed its objective: those that can still be in time go
+/// first.
+const OVERDUE_RANK: u64 = 1000;
 
 /// The part of the remaining time after which waiting ends, so that the client can still come
 /// back.
@@ -45,11 +46,15 @@
     job: &Job,
     excluded: &Set<Arc<str>>,
 ) -> Result<Flight, Refusal> {
-    let share = job.remaining().mul_f64(PATIENCE_SHARE);
-    let patience = job.route.target.max(PATIENCE_MIN).min(share);
-    let until = Instant::now() + patience;
-    let ticket = context.waiting.enter(job.priority, job.due());
+    let until = Instant::now() + job.remaining().mul_f64(PATIENCE_SHARE);
+    let mut overdue = Instant::now() >= job.due();
+    let rank = |overdue| job.priority + if overdue { OVERDUE_RANK } else { 0 };
+    let mut ticket = context.waiting.enter(rank(overdue), job.due());
     loop {
+        if !overdue && Instant::now() >= job.due() {
+            overdue = true;
+            ticket = context.waiting.enter(rank(overdue), job.due());
+        }
         let refusal = match look(context, job, excluded) {
             Ok(flight) => return Ok(flight),
             Err(refusal) => refusal,
@@ -70,7 +75,23 @@
         None => assign::plain(&seats),
     };
     match choice {
-        Choice::Send { first, helpers } => Ok(take(context, job, &seats, first, &helpers)),
+        Choice::Send {
+            first,
+            helpers,
+            ready_ms,
+        } => {
+            let chosen = &seats[first];
+            log::info!(
+                request = job.said.id.as_str(),
+                upstream = chosen.upstream.id.as_ref(),
+                helpers = helpers.len(),
+                running = chosen.work.running,
+                reading_ms = f64::from(chosen.work.reading_ms),
+                ready_ms;
+                "placed"
+            );
+            Ok(take(context, job, &seats, first, &helpers))
+        }
         Choice::Wait => Err(Refusal::Full),
         Choice::Nowhere => Err(Refusal::Nowhere),
     }
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -18,10 +18,10 @@
 use super::ingress::Progress;
 
 /// The shortest silence after which a stream is resumed elsewhere.
-const SILENCE_MIN: Duration = Duration::from_millis(1000);
+const SILENCE_MIN: Duration = Duration::from_millis(1600);
 
 /// How many times the pause that is still on time a stream may be silent.
-const SILENCE_PAUSES: f64 = 4.0;
+const SILENCE_PAUSES: f64 = 6.0;
 
 /// A stream on its way to the client.
 pub(crate) struct Relay {
@@ -266,7 +266,7 @@
             return remaining;
         }
         let patience = if self.events == 0 {
-            job.route.target.mul_f64(2.0)
+            self.attempts.reading_limit()
         } else {
             job.route.pause.unwrap_or_default().mul_f64(SILENCE_PAUSES)
         };
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -44,6 +44,18 @@
 /// The shortest time of reading that is worth a division, in milliseconds.
 const DIVIDE_MS: f64 = 60.0;
 
+/// The time of reading from which on a prompt counts as long, in milliseconds. Long prompts are
+/// read one after the other: reading two at once finishes neither earlier, and parts that are
+/// read for others go ahead of an engine's own prompts, so the first one could starve.
+const LONG_MS: f64 = 100.0;
+
+/// The time of reading that an engine may have left to do when a long prompt is given to it.
+const LEFT_MS_MAX: f64 = 60.0;
+
+/// The cost of a second of waiting for a prompt to be read, as a part of its weight. It makes
+/// prompts be read by as many engines as can do so without harm.
+const WAIT_COST_PER_S: f64 = 0.1;
+
 /// Upstreams among which a prompt may be divided, at most. The protocol allows one more.
 const PARTS_MAX: usize = 16;
 
@@ -90,6 +102,8 @@
         first: usize,
         /// The indices of the seats that read parts.
         helpers: Vec<usize>,
+        /// When the prompt is expected to be read, in milliseconds from now.
+        ready_ms: f64,
     },
     /// Wait for a place.
     Wait,
@@ -116,6 +130,7 @@
     best.map_or(Choice::Wait, |(first, _)| Choice::Send {
         first,
         helpers: Vec::new(),
+        ready_ms: 0.0,
     })
 }
 
@@ -151,15 +166,20 @@
     parts: usize,
 ) -> Option<(f64, Choice)> {
     let part_ms = read_ms / parts as f64;
+    let may_read = |seat: &Seat| {
+        read_ms < LONG_MS || f64::from(seat.work.reading_ms) <= LEFT_MS_MAX
+    };
     let mut costs: Vec<(f64, usize)> = seats
         .iter()
         .enumerate()
+        .filter(|(_, seat)| may_read(seat))
         .map(|(index, seat)| (reading_cost(seat, engine, part_ms), index))
         .collect();
     costs.sort_by(|one, other| one.0.total_cmp(&other.0));
     let (first_cost, first) = seats
         .iter()
         .enumerate()
+        .filter(|(_, seat)| may_read(seat))
         .filter(|(_, seat)| has_slot(seat) && has_memory(seat, need, engine))
         .map(|(index, seat)| {
             let reading = reading_cost(seat, engine, part_ms);
@@ -168,6 +188,9 @@
         .min_by(|one, other| one.0.total_cmp(&other.0))?;
     let others = costs.iter().filter(|(_, index)| *index != first);
     let helpers: Vec<(f64, usize)> = others.take(parts - 1).copied().collect();
+    if helpers.len() < parts - 1 {
+        return None;
+    }
     let helping: f64 = helpers.iter().map(|(cost, _)| cost + HELPER_COST).sum();
     let helpers: Vec<usize> = helpers.into_iter().map(|(_, index)| index).collect();
     let chosen = helpers.iter().chain([&first]);
@@ -175,7 +198,12 @@
         .map(|index| ready_ms(&seats[*index], engine, part_ms))
         .fold(0.0, f64::max);
     let cost = first_cost + helping + lateness_cost(need, ready_ms);
-    Some((cost, Choice::Send { first, helpers }))
+    let choice = Choice::Send {
+        first,
+        helpers,
+        ready_ms,
+    };
+    Some((cost, choice))
 }
 
 fn has_memory(seat: &Seat, need: &Need, engine: &Engine) -> bool {
@@ -206,7 +234,7 @@
     let span = (need.left_ms - danger).max(1.0);
     let part = ((ready_ms - danger) / span).clamp(0.0, 1.0);
     // Beyond the objective, earlier is still better.
-    need.weight * LATE_LOSS * (part + ready_ms / 30_000.0)
+    need.weight * (LATE_LOSS * part + WAIT_COST_PER_S * ready_ms / 1000.0)
 }
 
 /// Returns the cost of `part_ms` of reading to those that write on the seat.
