Protect engines that write short answers; reserve memory for prompts beyond one engine

Change: the engines with most strict and even writers, as many as they need, are protected; a request waits if others lose more than it gains, and reading that would displace other prompts gives way while few engines are free.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -13,12 +13,13 @@
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Pool, Terms};
 use primrosehoist_platform::header;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::choose::{self, Refusal};
 use super::context::Context;
 use super::flight::Flight;
 use super::job::Job;
+use super::reservation::Reservation;
 
 /// The longest time to connect to an upstream. A host that lives answers within a few
 /// milliseconds; one second later the opening packet would be sent again.
@@ -43,6 +44,9 @@
 /// The shortest time in which an upstream may be silent before a request is tried elsewhere.
 const SILENCE_MIN: Duration = Duration::from_millis(1500);
 
+/// The pause after memory could not be reserved.
+const RESERVE_PAUSE: Duration = Duration::from_millis(60);
+
 /// The longest time for reading the body of a rejection.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
 
@@ -127,11 +131,21 @@
                 return Err(self.unanswered("crashes_upstreams"));
             }
             let placed = choose::place(&self.context, &self.job, &self.excluded).await;
-            let flight = match placed {
+            let mut flight = match placed {
                 Ok(flight) => flight,
                 Err(Refusal::Full) => return Err(self.unanswered("full")),
                 Err(Refusal::Nowhere) => return Err(self.unanswered("no_upstream")),
             };
+            if !flight.tickets.is_empty() {
+                match Reservation::acquire(&self.context, &self.job, &flight).await {
+                    Some(reservation) => flight.reservation = Some(reservation),
+                    None => {
+                        drop(flight);
+                        sleep(RESERVE_PAUSE).await;
+                        continue;
+                    }
+                }
+            }
             let upstream = Arc::clone(&flight.upstream);
             self.count += 1;
             match self.send(flight, last_event).await {
@@ -402,7 +416,12 @@
         let helpers: Vec<_> = flight
             .helpers
             .iter()
-            .map(|helper| (helper.address, None))
+            .enumerate()
+            .map(|(index, helper)| {
+                let reservation = flight.reservation.as_ref();
+                let ticket = reservation.and_then(|reservation| reservation.ticket(index));
+                (helper.address, ticket.map(str::to_owned))
+            })
             .collect();
         let said = header::Forward {
             upstream: &flight.upstream.id,
--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -24,7 +24,7 @@
 
 /// The part of the remaining time after which waiting ends, so that the client can still come
 /// back.
-const PATIENCE_SHARE: f64 = 0.4;
+const PATIENCE_SHARE: f64 = 0.5;
 
 /// Why no place was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -46,7 +46,8 @@
     job: &Job,
     excluded: &Set<Arc<str>>,
 ) -> Result<Flight, Refusal> {
-    let until = Instant::now() + job.remaining().mul_f64(PATIENCE_SHARE);
+    let patience = job.remaining().mul_f64(PATIENCE_SHARE);
+    let until = Instant::now() + patience;
     let mut overdue = Instant::now() >= job.due();
     let rank = |overdue| job.priority + if overdue { OVERDUE_RANK } else { 0 };
     let mut ticket = context.waiting.enter(rank(overdue), job.due());
@@ -55,7 +56,9 @@
             overdue = true;
             ticket = context.waiting.enter(rank(overdue), job.due());
         }
-        let refusal = match look(context, job, excluded) {
+        let left = until.saturating_duration_since(Instant::now());
+        let part = left.as_secs_f64() / patience.as_secs_f64().max(f64::MIN_POSITIVE);
+        let refusal = match look(context, job, excluded, part) {
             Ok(flight) => return Ok(flight),
             Err(refusal) => refusal,
         };
@@ -68,16 +71,22 @@
 }
 
 /// Looks for a place once.
-fn look(context: &Arc<Context>, job: &Job, excluded: &Set<Arc<str>>) -> Result<Flight, Refusal> {
+fn look(
+    context: &Arc<Context>,
+    job: &Job,
+    excluded: &Set<Arc<str>>,
+    patience: f64,
+) -> Result<Flight, Refusal> {
     let seats = seats(context, job, excluded);
     let choice = match &job.service.engine {
-        Some(engine) => assign::generate(&seats, &job.need(), engine),
+        Some(engine) => assign::generate(&seats, &job.need(patience), engine),
         None => assign::plain(&seats),
     };
     match choice {
         Choice::Send {
             first,
             helpers,
+            tickets,
             ready_ms,
         } => {
             let chosen = &seats[first];
@@ -85,12 +94,13 @@
                 request = job.said.id.as_str(),
                 upstream = chosen.upstream.id.as_ref(),
                 helpers = helpers.len(),
-                running = chosen.work.running,
+                tickets = tickets.len(),
+                running = chosen.work.running(),
                 reading_ms = f64::from(chosen.work.reading_ms),
                 ready_ms;
                 "placed"
             );
-            Ok(take(context, job, &seats, first, &helpers))
+            Ok(take(context, job, &seats, first, &helpers, tickets))
         }
         Choice::Wait => Err(Refusal::Full),
         Choice::Nowhere => Err(Refusal::Nowhere),
@@ -116,7 +126,7 @@
             work,
             local: upstream.zone == context.settings.zone,
             cold: roster.is_cold(&upstream.id, now),
-            distrust: trust.cost(&upstream.id, work.running, now)?,
+            distrust: trust.cost(&upstream.id, work.running(), now)?,
             upstream: Arc::clone(upstream),
         })
     });
@@ -133,6 +143,7 @@
     seats: &[Seat],
     first: usize,
     helpers: &[usize],
+    tickets: Vec<u64>,
 ) -> Flight {
     let now = Instant::now();
     let upstream = |index: usize| -> Arc<Upstream> { Arc::clone(&seats[index].upstream) };
@@ -147,11 +158,13 @@
     let tokens = job.said.prompt_tokens;
     let engine = job.service.engine.as_ref();
     let part_ms = engine.map_or(0.0, |engine| engine.read_ms(tokens) / parts);
+    let reserved: u64 = tickets.iter().sum();
+    let kept = (tokens + job.said.answer_tokens).saturating_sub(reserved);
     let own = Load {
         pace: Some(job.pace()),
         weight: assign::weight(tokens) as f32,
         reading_ms: part_ms as f32,
-        memory_tokens: u32::try_from(tokens + job.said.answer_tokens).unwrap_or(u32::MAX),
+        memory_tokens: u32::try_from(kept).unwrap_or(u32::MAX),
     };
     let part = Load {
         pace: None,
@@ -159,5 +172,5 @@
         reading_ms: part_ms as f32,
         memory_tokens: 0,
     };
-    Flight::new(context, first, own, helpers, part)
+    Flight::new(context, first, own, helpers, part, tickets)
 }
--- a/crates/primrosehoist-daemon/src/gateway/flight.rs
+++ b/crates/primrosehoist-daemon/src/gateway/flight.rs
@@ -6,6 +6,7 @@
 use primrosehoist::state::roster::Upstream;
 
 use super::context::Context;
+use super::reservation::Reservation;
 
 /// The places that an attempt takes. Dropping it frees them.
 pub(crate) struct Flight {
@@ -14,23 +15,34 @@
     pub(crate) upstream: Arc<Upstream>,
     /// The upstreams that read parts of the prompt.
     pub(crate) helpers: Vec<Arc<Upstream>>,
+    /// Tokens of memory to reserve at each of the first helpers.
+    pub(crate) tickets: Vec<u64>,
+    /// What was reserved.
+    pub(crate) reservation: Option<Reservation>,
     loads: Vec<(Arc<str>, Load)>,
     reading: bool,
 }
 
 impl Flight {
-    /// Takes the places of an attempt: `own` on `upstream`, `part` on each of `helpers`.
+    /// Takes the places of an attempt: `own` on `upstream`, `part` on each of `helpers`, with
+    /// `tickets` tokens of memory at the first of them.
     pub(crate) fn new(
         context: &Arc<Context>,
         upstream: Arc<Upstream>,
         own: Load,
         helpers: Vec<Arc<Upstream>>,
         part: Load,
+        tickets: Vec<u64>,
     ) -> Self {
-        let helping = helpers.iter().map(|helper| (Arc::clone(&helper.id), part));
-        let loads: Vec<_> = std::iter::once((Arc::clone(&upstream.id), own))
-            .chain(helping)
-            .collect();
+        let mut loads = vec![(Arc::clone(&upstream.id), own)];
+        for (index, helper) in helpers.iter().enumerate() {
+            let tokens = tickets.get(index).copied().unwrap_or(0);
+            let load = Load {
+                memory_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+                ..part
+            };
+            loads.push((Arc::clone(&helper.id), load));
+        }
         let mut occupancy = context.occupancy.lock();
         for (id, load) in &loads {
             occupancy.begin(id, load);
@@ -41,6 +53,8 @@
             context: Arc::clone(context),
             upstream,
             helpers,
+            tickets,
+            reservation: None,
             loads,
             reading: true,
         }
@@ -53,14 +67,15 @@
         }
         self.reading = false;
         let mut occupancy = self.context.occupancy.lock();
-        for (index, (id, load)) in self.loads.iter().enumerate() {
+        self.loads.retain(|(id, load)| {
             occupancy.read(id, load);
-            if index > 0 {
+            let stays = load.pace.is_some() || load.memory_tokens > 0;
+            if !stays {
                 occupancy.end(id, load, false);
             }
-        }
+            stays
+        });
         drop(occupancy);
-        self.loads.truncate(1);
         self.context.changed.notify_one();
         self.context.waiting.wake();
     }
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -50,7 +50,9 @@
     version: u64,
     prompt_tokens: u64,
     received: Instant,
-    first_event_ms: Option<u64>,
+    first_event_ms: u64,
+    last_event: Option<Instant>,
+    longest_pause: Duration,
     outcome: &'static str,
     reason: &'static str,
 }
@@ -67,7 +69,9 @@
             version,
             prompt_tokens: job.said.prompt_tokens,
             received: job.received,
-            first_event_ms: None,
+            first_event_ms: 0,
+            last_event: None,
+            longest_pause: Duration::ZERO,
             outcome: "client_left",
             reason: "",
         }
@@ -78,9 +82,13 @@
         self.outcome = outcome;
     }
 
-    /// Records that the first event goes to the client.
-    pub(crate) fn first_event(&mut self) {
-        self.first_event_ms = Some(self.received.elapsed().as_millis() as u64);
+    /// Records that an event goes to the client.
+    pub(crate) fn event(&mut self) {
+        let now = Instant::now();
+        match self.last_event.replace(now) {
+            Some(last) => self.longest_pause = self.longest_pause.max(now - last),
+            None => self.first_event_ms = (now - self.received).as_millis() as u64,
+        }
     }
 }
 
@@ -96,6 +104,7 @@
             version = self.version,
             prompt_tokens = self.prompt_tokens,
             first_event_ms = self.first_event_ms,
+            longest_pause_ms = self.longest_pause.as_millis() as u64,
             elapsed_ms = self.received.elapsed().as_millis() as u64,
             outcome = self.outcome,
             reason = self.reason;
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -60,8 +60,9 @@
         Pace::from(self.route.pause)
     }
 
-    /// Returns what the request needs of an engine.
-    pub(crate) fn need(&self) -> Need {
+    /// Returns what the request needs of an engine. `patience` is the part of the time for which
+    /// it may wait that is left.
+    pub(crate) fn need(&self, patience: f64) -> Need {
         let left = self.due().saturating_duration_since(Instant::now());
         Need {
             prompt_tokens: self.said.prompt_tokens,
@@ -69,6 +70,7 @@
             pace: self.pace(),
             weight: assign::weight(self.said.prompt_tokens),
             left_ms: left.as_secs_f64() * 1000.0,
+            patience,
         }
     }
 }
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod ingress;
 mod job;
 mod links;
+mod reservation;
 mod stream;
 mod suspension;
 mod sync;
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -235,7 +235,6 @@
             let job = &self.attempts.job;
             let metrics = &self.attempts.context.metrics;
             metrics.first_token(&job.service.name, job.received.elapsed());
-            self.progress.first_event();
         }
         if let Some(id) = event::id(&event) {
             if self.last.is_some_and(|last| id <= last) {
@@ -244,6 +243,7 @@
             self.last = Some(id);
         }
         self.events += 1;
+        self.progress.event();
         Some(event)
     }
 
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -3,8 +3,11 @@
 //! Engines read prompts and write answers in the same passes, so a long prompt holds up every
 //! answer that is written on the same engine. The choice weighs what the request gains against
 //! what the requests that run there lose: each is counted with its weight if it is expected to
-//! miss its objective. Short requests are packed onto few engines, which leaves others free to
-//! read long prompts; a long prompt is read by several engines where that pays.
+//! miss its objective. If the others lose more than the request gains, it waits.
+//!
+//! Requests that bear only short pauses are packed onto as few engines as hold them. These are
+//! protected; the others are free to read long prompts, each by several engines where that pays.
+//! The set follows the mix of requests within the time that a short answer takes.
 //!
 //! The load that this answers: short prompts with strict pauses beside a few long ones, where
 //! either kind may make up most of the work for seconds.
@@ -26,9 +29,17 @@
 /// The part of the time to the objective after which a request counts as in danger.
 const DANGER: f64 = 0.85;
 
-/// The cost of taking an engine without strict writers into use for one.
+/// The cost of taking an engine into use for the other sort of request.
 const OPENING_COST: f64 = 0.4;
 
+/// The part of the slots of protected engines that is planned with. The rest is for arrivals
+/// that other daemons have not reported yet.
+const PROTECTED_USE: f64 = 0.75;
+
+/// The factor on the loss of those that write on a protected engine, since the requests that
+/// come next would lose too.
+const PROTECTED_FACTOR: f64 = 2.0;
+
 /// The cost of each request that runs beside a new one.
 const NEIGHBOUR_COST: f64 = 0.002;
 
@@ -56,6 +67,13 @@
 /// prompts be read by as many engines as can do so without harm.
 const WAIT_COST_PER_S: f64 = 0.1;
 
+/// What a second of reading on all engines that are free for it would earn for others, when few
+/// are free. It is about what prompts of usual length earn.
+const READING_WORTH_PER_S: f64 = 5.0;
+
+/// The part of the engines for long prompts that may be busy before reading costs others.
+const SPARE_SHARE: f64 = 0.4;
+
 /// Upstreams among which a prompt may be divided, at most. The protocol allows one more.
 const PARTS_MAX: usize = 16;
 
@@ -91,6 +109,8 @@
     pub weight: f64,
     /// The time left until its first event is late, in milliseconds.
     pub left_ms: f64,
+    /// The part of the time for which the request may wait that is left, from 1 to 0.
+    pub patience: f64,
 }
 
 /// What is to be done with a request.
@@ -102,6 +122,8 @@
         first: usize,
         /// The indices of the seats that read parts.
         helpers: Vec<usize>,
+        /// Tokens of memory to reserve at each of the first helpers.
+        tickets: Vec<u64>,
         /// When the prompt is expected to be read, in milliseconds from now.
         ready_ms: f64,
     },
@@ -123,19 +145,20 @@
     }
     let free = seats.iter().enumerate().filter(|(_, seat)| has_slot(seat));
     let cost = |seat: &Seat| {
-        let occupied = f64::from(seat.work.running) / seat.upstream.slots as f64;
+        let occupied = f64::from(seat.work.running()) / seat.upstream.slots as f64;
         occupied + seat.distrust + if seat.local { 0.0 } else { REMOTE_COST }
     };
     let best = free.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)));
     best.map_or(Choice::Wait, |(first, _)| Choice::Send {
         first,
         helpers: Vec::new(),
+        tickets: Vec::new(),
         ready_ms: 0.0,
     })
 }
 
 fn has_slot(seat: &Seat) -> bool {
-    u64::from(seat.work.running) < seat.upstream.slots
+    u64::from(seat.work.running()) < seat.upstream.slots
 }
 
 /// Chooses the upstreams of a service with `engine`.
@@ -144,80 +167,238 @@
         return Choice::Nowhere;
     }
     let read_ms = engine.read_ms(need.prompt_tokens);
+    let memory = Memory::new(need, engine);
     let parts_max = if read_ms < DIVIDE_MS { 1 } else { PARTS_MAX };
-    let mut best: Option<(f64, Choice)> = None;
-    for parts in 1..=parts_max.min(seats.len()) {
-        let Some((cost, choice)) = divided(seats, need, engine, read_ms, parts) else {
-            continue;
-        };
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            best = Some((cost, choice));
+    let plan = Plan {
+        seats,
+        need,
+        engine,
+        protected: protected(seats, engine),
+        read_ms,
+        memory,
+    };
+    let parts = plan.memory.holders + 1..=parts_max.min(seats.len());
+    let ways = parts.filter_map(|parts| plan.divided(parts));
+    let best = ways.min_by(|one, other| one.cost().total_cmp(&other.cost()));
+    match best {
+        Some(way) if way.harm + plan.displacement() <= plan.gain(&way) => way.choice,
+        _ => Choice::Wait,
+    }
+}
+
+/// The memory that a prompt takes on each of the engines that hold it.
+#[derive(Debug, Clone, Copy)]
+struct Memory {
+    /// Engines that hold a share beside the one that answers.
+    holders: usize,
+    /// Tokens on each.
+    share: u64,
+}
+
+impl Memory {
+    fn new(need: &Need, engine: &Engine) -> Self {
+        let tokens = need.prompt_tokens + need.answer_tokens;
+        let usable = (engine.memory_tokens as f64 * MEMORY_SHARE).max(1.0);
+        let engines = (tokens as f64 / usable).ceil().max(1.0);
+        Self {
+            holders: engines as usize - 1,
+            share: (tokens as f64 / engines).ceil() as u64,
         }
     }
-    best.map_or(Choice::Wait, |(_, choice)| choice)
+
+    fn fits(&self, seat: &Seat, engine: &Engine) -> bool {
+        let taken = u64::from(seat.work.memory_tokens) + self.share;
+        taken as f64 <= engine.memory_tokens as f64 * MEMORY_SHARE
+    }
+}
+
+/// Returns which seats are kept for requests that bear only short pauses: the ones that have
+/// most of them, as many as their slots are needed.
+fn protected(seats: &[Seat], engine: &Engine) -> Vec<bool> {
+    let paced = |seat: &Seat| seat.work.count(Pace::Strict) + seat.work.count(Pace::Even);
+    let all: u32 = seats.iter().map(paced).sum();
+    let slots = (engine.slots as f64 * PROTECTED_USE).max(1.0);
+    let number = (f64::from(all) / slots).ceil() as usize;
+    let mut order: Vec<usize> = (0..seats.len()).collect();
+    // A stable sort: seats with as many come in the order in which all daemons see them.
+    order.sort_by_key(|index| std::cmp::Reverse(paced(&seats[*index])));
+    let mut protected = vec![false; seats.len()];
+    for index in order.into_iter().take(number) {
+        protected[index] = true;
+    }
+    protected
+}
+
+/// One way to run a request.
+struct Way {
+    /// What others lose.
+    harm: f64,
+    /// What the request loses, and what the way costs beside that.
+    own: f64,
+    choice: Choice,
+    ready_ms: f64,
+}
+
+impl Way {
+    fn cost(&self) -> f64 {
+        self.harm + self.own
+    }
 }
 
-/// Returns the cheapest way to read the prompt in `parts` parts, if there is one.
-fn divided(
-    seats: &[Seat],
-    need: &Need,
-    engine: &Engine,
+struct Plan<'a> {
+    seats: &'a [Seat],
+    need: &'a Need,
+    engine: &'a Engine,
+    protected: Vec<bool>,
     read_ms: f64,
-    parts: usize,
-) -> Option<(f64, Choice)> {
-    let part_ms = read_ms / parts as f64;
-    let may_read = |seat: &Seat| {
-        read_ms < LONG_MS || f64::from(seat.work.reading_ms) <= LEFT_MS_MAX
-    };
-    let mut costs: Vec<(f64, usize)> = seats
-        .iter()
-        .enumerate()
-        .filter(|(_, seat)| may_read(seat))
-        .map(|(index, seat)| (reading_cost(seat, engine, part_ms), index))
-        .collect();
-    costs.sort_by(|one, other| one.0.total_cmp(&other.0));
-    let (first_cost, first) = seats
-        .iter()
-        .enumerate()
-        .filter(|(_, seat)| may_read(seat))
-        .filter(|(_, seat)| has_slot(seat) && has_memory(seat, need, engine))
-        .map(|(index, seat)| {
-            let reading = reading_cost(seat, engine, part_ms);
-            (reading + writing_cost(seat, need, engine, part_ms), index)
+    memory: Memory,
+}
+
+impl Plan<'_> {
+    /// Returns what the request gains by being sent now instead of later.
+    fn gain(&self, way: &Way) -> f64 {
+        let in_time = way.ready_ms <= self.need.left_ms;
+        let part = if in_time { LATE_LOSS } else { 1.0 - LATE_LOSS };
+        self.need.weight * part
+    }
+
+    /// Returns what other prompts lose for want of the engines that read this one. The longer the
+    /// request has waited, the less it gives way.
+    fn displacement(&self) -> f64 {
+        if self.read_ms < LONG_MS {
+            return 0.0;
+        }
+        let open = || (0..self.seats.len()).filter(|index| !self.protected[*index]);
+        let busy = open().filter(|index| !self.may_read(&self.seats[*index]));
+        let share = busy.count() as f64 / open().count().max(1) as f64;
+        let scarcity = ((share - SPARE_SHARE) / (1.0 - SPARE_SHARE)).max(0.0);
+        self.read_ms / 1000.0 * READING_WORTH_PER_S * scarcity * self.need.patience
+    }
+
+    /// Returns the cheapest way to read the prompt in `parts` parts, if there is one.
+    fn divided(&self, parts: usize) -> Option<Way> {
+        let part_ms = self.read_ms / parts as f64;
+        let seats = self.seats.iter().enumerate();
+        let mut readers: Vec<(f64, usize)> = seats
+            .filter(|(_, seat)| self.may_read(seat))
+            .map(|(index, _)| (self.harm(index, part_ms) + self.detour(index), index))
+            .collect();
+        readers.sort_by(|one, other| one.0.total_cmp(&other.0));
+        let (_, first) = readers
+            .iter()
+            .filter(|(_, index)| has_slot(&self.seats[*index]))
+            .filter(|(_, index)| self.memory.fits(&self.seats[*index], self.engine))
+            .map(|(cost, index)| (cost + self.writing_cost(*index, part_ms), *index))
+            .min_by(|one, other| one.0.total_cmp(&other.0))?;
+        let helpers = self.helpers(&readers, first, parts - 1)?;
+        let chosen = || helpers.iter().chain([&first]).copied();
+        let ready_ms = chosen()
+            .map(|index| ready_ms(&self.seats[index], self.engine, part_ms))
+            .fold(0.0, f64::max);
+        let harm = chosen().map(|index| self.harm(index, part_ms)).sum();
+        let detours: f64 = chosen().map(|index| self.detour(index)).sum();
+        let own = detours
+            + self.writing_cost(first, part_ms)
+            + helpers.len() as f64 * HELPER_COST
+            + lateness_cost(self.need, ready_ms);
+        let choice = Choice::Send {
+            first,
+            helpers,
+            tickets: vec![self.memory.share; self.memory.holders],
+            ready_ms,
+        };
+        Some(Way {
+            harm,
+            own,
+            choice,
+            ready_ms,
         })
-        .min_by(|one, other| one.0.total_cmp(&other.0))?;
-    let others = costs.iter().filter(|(_, index)| *index != first);
-    let helpers: Vec<(f64, usize)> = others.take(parts - 1).copied().collect();
-    if helpers.len() < parts - 1 {
-        return None;
     }
-    let helping: f64 = helpers.iter().map(|(cost, _)| cost + HELPER_COST).sum();
-    let helpers: Vec<usize> = helpers.into_iter().map(|(_, index)| index).collect();
-    let chosen = helpers.iter().chain([&first]);
-    let ready_ms = chosen
-        .map(|index| ready_ms(&seats[*index], engine, part_ms))
-        .fold(0.0, f64::max);
-    let cost = first_cost + helping + lateness_cost(need, ready_ms);
-    let choice = Choice::Send {
-        first,
-        helpers,
-        ready_ms,
-    };
-    Some((cost, choice))
-}
 
-fn has_memory(seat: &Seat, need: &Need, engine: &Engine) -> bool {
-    let needed = need.prompt_tokens + need.answer_tokens;
-    let taken = u64::from(seat.work.memory_tokens);
-    ((taken + needed) as f64) < engine.memory_tokens as f64 * MEMORY_SHARE
+    /// Returns `count` seats that read parts beside `first`; those that hold memory come first.
+    fn helpers(
+        &self,
+        readers: &[(f64, usize)],
+        first: usize,
+        count: usize,
+    ) -> Option<Vec<usize>> {
+        let others: Vec<usize> = readers
+            .iter()
+            .map(|(_, index)| *index)
+            .filter(|index| *index != first)
+            .collect();
+        let fits = |index: &usize| self.memory.fits(&self.seats[*index], self.engine);
+        let mut helpers: Vec<usize> = others.iter().copied().filter(fits).collect();
+        helpers.truncate(self.memory.holders);
+        if helpers.len() < self.memory.holders {
+            return None;
+        }
+        for index in others {
+            if helpers.len() < count && !helpers.contains(&index) {
+                helpers.push(index);
+            }
+        }
+        (helpers.len() == count).then_some(helpers)
+    }
+
+    fn may_read(&self, seat: &Seat) -> bool {
+        self.read_ms < LONG_MS || f64::from(seat.work.reading_ms) <= LEFT_MS_MAX
+    }
+
+    /// Returns what those that write on a seat lose by `part_ms` of reading.
+    fn harm(&self, index: usize, part_ms: f64) -> f64 {
+        let seat = &self.seats[index];
+        let before = f64::from(seat.work.reading_ms) + pass_ms(seat, self.engine);
+        let mut harm = 0.0;
+        for pace in [Pace::Strict, Pace::Even, Pace::Loose] {
+            let limit = PAUSE_MS[pace as usize];
+            let more = danger(before + part_ms, limit) - danger(before, limit);
+            harm += seat.work.weight(pace) * LATE_LOSS * more;
+        }
+        if self.protected[index] {
+            harm * PROTECTED_FACTOR
+        } else {
+            harm
+        }
+    }
+
+    /// Returns the cost of a seat that does not depend on the request.
+    fn detour(&self, index: usize) -> f64 {
+        let seat = &self.seats[index];
+        let mut cost = seat.distrust + f64::from(seat.work.reading_ms) / 10_000.0;
+        if !seat.local {
+            cost += REMOTE_COST;
+        }
+        if seat.cold {
+            cost += COLD_COST;
+        }
+        cost
+    }
+
+    /// Returns the cost of writing on a seat, beside reading there.
+    fn writing_cost(&self, index: usize, part_ms: f64) -> f64 {
+        let seat = &self.seats[index];
+        // What is still to be read holds up the request's own events after the first one.
+        let reading = f64::from(seat.work.reading_ms);
+        let own = danger(
+            reading - part_ms.min(reading) * 0.5 + pass_ms(seat, self.engine),
+            PAUSE_MS[self.need.pace as usize],
+        );
+        let mut cost = self.need.weight * LATE_LOSS * own * 0.5;
+        let paced = self.need.pace != Pace::Loose;
+        if paced != self.protected[index] {
+            cost += OPENING_COST;
+        }
+        cost + f64::from(seat.work.running()) * NEIGHBOUR_COST
+    }
 }
 
 fn pass_ms(seat: &Seat, engine: &Engine) -> f64 {
-    if seat.work.running == 0 {
+    if seat.work.running() == 0 {
         return 0.0;
     }
     engine.pass_ms(
-        f64::from(seat.work.running),
+        f64::from(seat.work.running()),
         f64::from(seat.work.memory_tokens),
     )
 }
@@ -230,53 +411,15 @@
 
 /// Returns the cost of missing the objective by being ready at `ready_ms`.
 fn lateness_cost(need: &Need, ready_ms: f64) -> f64 {
-    let danger = need.left_ms * DANGER;
-    let span = (need.left_ms - danger).max(1.0);
-    let part = ((ready_ms - danger) / span).clamp(0.0, 1.0);
+    let begin = need.left_ms * DANGER;
+    let span = (need.left_ms - begin).max(1.0);
+    let part = ((ready_ms - begin) / span).clamp(0.0, 1.0);
     // Beyond the objective, earlier is still better.
     need.weight * (LATE_LOSS * part + WAIT_COST_PER_S * ready_ms / 1000.0)
 }
 
-/// Returns the cost of `part_ms` of reading to those that write on the seat.
-fn reading_cost(seat: &Seat, engine: &Engine, part_ms: f64) -> f64 {
-    let before = f64::from(seat.work.reading_ms) + pass_ms(seat, engine);
-    let after = before + part_ms;
-    let mut cost = seat.distrust + f64::from(seat.work.reading_ms) / 10_000.0;
-    for pace in [Pace::Strict, Pace::Even, Pace::Loose] {
-        let limit = PAUSE_MS[pace as usize];
-        let harm = danger(after, limit) - danger(before, limit);
-        cost += seat.work.weight(pace) * LATE_LOSS * harm;
-    }
-    if !seat.local {
-        cost += REMOTE_COST;
-    }
-    if seat.cold {
-        cost += COLD_COST;
-    }
-    cost
-}
-
 /// Returns how likely a pass of `pass_ms` makes a writer late that bears `limit_ms`.
 fn danger(pass_ms: f64, limit_ms: f64) -> f64 {
-    let begin = limit_ms * 0.7;
+    let begin = limit_ms * 0.75;
     ((pass_ms - begin) / (limit_ms - begin)).clamp(0.0, 1.0)
 }
-
-/// Returns the cost of writing on the seat, beside reading there.
-fn writing_cost(seat: &Seat, need: &Need, engine: &Engine, part_ms: f64) -> f64 {
-    // What is still to be read holds up the request's own events after the first one.
-    let reading = f64::from(seat.work.reading_ms);
-    let own = danger(
-        reading - part_ms.min(reading) * 0.5 + pass_ms(seat, engine),
-        PAUSE_MS[need.pace as usize],
-    );
-    let mut cost = need.weight * LATE_LOSS * own * 0.5;
-    let opened = seat.work.weight(Pace::Strict) > 0.0;
-    if need.pace == Pace::Strict && !opened {
-        cost += OPENING_COST;
-    }
-    if need.pace != Pace::Strict && opened {
-        cost += OPENING_COST;
-    }
-    cost + f64::from(seat.work.running) * NEIGHBOUR_COST
-}
--- a/src/state/occupancy.rs
+++ b/src/state/occupancy.rs
@@ -43,8 +43,8 @@
 /// The work on one upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Work {
-    /// Requests that were sent and have not ended.
-    pub running: u32,
+    /// Requests that were sent and have not ended, by [`Pace`].
+    pub counts: [u32; 3],
     /// The weights of the requests by [`Pace`]: what is lost if they are late.
     pub weights: [f32; 3],
     /// The time to read the prompts whose first event has not come.
@@ -55,7 +55,9 @@
 
 impl Work {
     fn add(&mut self, other: &Self) {
-        self.running += other.running;
+        for (count, more) in self.counts.iter_mut().zip(other.counts) {
+            *count += more;
+        }
         for (weight, more) in self.weights.iter_mut().zip(other.weights) {
             *weight += more;
         }
@@ -64,19 +66,33 @@
     }
 
     fn subtract(&mut self, other: &Self) {
-        self.running = self.running.saturating_sub(other.running);
+        for (count, less) in self.counts.iter_mut().zip(other.counts) {
+            *count = count.saturating_sub(less);
+        }
         for (weight, less) in self.weights.iter_mut().zip(other.weights) {
             *weight = (*weight - less).max(0.0);
         }
         self.reading_ms = (self.reading_ms - other.reading_ms).max(0.0);
         self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
-        if self.running == 0 {
-            self.weights = [0.0; 3];
+        for (weight, count) in self.weights.iter_mut().zip(self.counts) {
+            if count == 0 {
+                *weight = 0.0;
+            }
         }
     }
 
     fn is_none(&self) -> bool {
-        self.running == 0 && self.reading_ms < 0.01
+        self.running() == 0 && self.reading_ms < 0.01
+    }
+
+    /// Returns the number of requests.
+    pub fn running(&self) -> u32 {
+        self.counts.iter().sum()
+    }
+
+    /// Returns the number of requests of one pace.
+    pub fn count(&self, pace: Pace) -> u32 {
+        self.counts[pace as usize]
     }
 
     /// Returns the weight of the requests of one pace.
@@ -106,7 +122,7 @@
             ..Work::default()
         };
         if let Some(pace) = self.pace {
-            work.running = 1;
+            work.counts[pace as usize] = 1;
             work.weights[pace as usize] = self.weight;
         }
         work
