--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -390,9 +390,7 @@
     /// Returns how long the first event of a stream may take. Reading a long prompt elsewhere
     /// once more costs more than waiting, so that is left to the end of the connection.
     pub(crate) fn reading_limit(&self) -> Duration {
-        let engine = self.job.service.engine.as_ref();
-        let alone = engine.map_or(0.0, |engine| engine.read_ms(self.job.said.prompt_tokens));
-        let alone = Duration::from_secs_f64(alone / 1000.0);
+        let alone = Duration::from_secs_f64(self.job.read_ms() / 1000.0);
         self.job.route.target.mul_f64(READING_TARGETS) + alone * READING_TIMES
     }
 
--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -8,7 +8,7 @@
 use primrosehoist::state::occupancy::Load;
 use primrosehoist::state::roster::Upstream;
 use strum::Display;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::context::Context;
 use super::flight::Flight;
@@ -18,6 +18,10 @@
 /// the passage of time also free places.
 const LOOK_EVERY: Duration = Duration::from_millis(25);
 
+/// The longest time for which a long prompt that waited hesitates to take a place. Notices reach
+/// other daemons within a tenth of it.
+const HESITATION: Duration = Duration::from_millis(20);
+
 /// Added to the rank of a request that missed its objective: those that can still be in time go
 /// first.
 const OVERDUE_RANK: u64 = 1000;
@@ -51,6 +55,7 @@
     let mut overdue = Instant::now() >= job.due();
     let rank = |overdue| job.priority + if overdue { OVERDUE_RANK } else { 0 };
     let mut ticket = context.waiting.enter(rank(overdue), job.due());
+    let mut hesitates = false;
     loop {
         if !overdue && Instant::now() >= job.due() {
             overdue = true;
@@ -59,9 +64,17 @@
         let left = until.saturating_duration_since(Instant::now());
         let part = left.as_secs_f64() / patience.as_secs_f64().max(f64::MIN_POSITIVE);
         let refusal = match look(context, job, excluded, part) {
-            Ok(flight) => return Ok(flight),
+            Ok(found) if !hesitates => return Ok(found.take(context, job)),
+            Ok(_found) => {
+                sleep(HESITATION.mul_f64(rand::random::<f64>())).await;
+                hesitates = false;
+                continue;
+            }
             Err(refusal) => refusal,
         };
+        // A place that becomes free is seen by all daemons at once. Unless they hesitate for
+        // unlike times, several would take it for prompts that should be read one by one.
+        hesitates = job.is_long();
         if Instant::now() >= until {
             return Err(refusal);
         }
@@ -70,13 +83,22 @@
     }
 }
 
+/// A place that was found.
+struct Found {
+    seats: Vec<Seat>,
+    first: usize,
+    helpers: Vec<usize>,
+    tickets: Vec<u64>,
+    ready_ms: f64,
+}
+
 /// Looks for a place once.
 fn look(
     context: &Arc<Context>,
     job: &Job,
     excluded: &Set<Arc<str>>,
     patience: f64,
-) -> Result<Flight, Refusal> {
+) -> Result<Found, Refusal> {
     let seats = seats(context, job, excluded);
     let choice = match &job.service.engine {
         Some(engine) => assign::generate(&seats, &job.need(patience), engine),
@@ -88,20 +110,13 @@
             helpers,
             tickets,
             ready_ms,
-        } => {
-            let chosen = &seats[first];
-            log::info!(
-                request = job.said.id.as_str(),
-                upstream = chosen.upstream.id.as_ref(),
-                helpers = helpers.len(),
-                tickets = tickets.len(),
-                running = chosen.work.running(),
-                reading_ms = f64::from(chosen.work.reading_ms),
-                ready_ms;
-                "placed"
-            );
-            Ok(take(context, job, &seats, first, &helpers, tickets))
-        }
+        } => Ok(Found {
+            seats,
+            first,
+            helpers,
+            tickets,
+            ready_ms,
+        }),
         Choice::Wait => Err(Refusal::Full),
         Choice::Nowhere => Err(Refusal::Nowhere),
     }
@@ -136,41 +151,51 @@
     seats
 }
 
-/// Takes the chosen places.
-fn take(
-    context: &Arc<Context>,
-    job: &Job,
-    seats: &[Seat],
-    first: usize,
-    helpers: &[usize],
-    tickets: Vec<u64>,
-) -> Flight {
-    let now = Instant::now();
-    let upstream = |index: usize| -> Arc<Upstream> { Arc::clone(&seats[index].upstream) };
-    let helpers: Vec<_> = helpers.iter().map(|index| upstream(*index)).collect();
-    let first = upstream(first);
-    let mut allowance = context.allowance.lock();
-    for chosen in helpers.iter().chain([&first]) {
-        allowance.sent(&chosen.id, now);
+impl Found {
+    /// Takes the place.
+    fn take(self, context: &Arc<Context>, job: &Job) -> Flight {
+        let now = Instant::now();
+        let upstream = |index: usize| -> Arc<Upstream> { Arc::clone(&self.seats[index].upstream) };
+        let chosen = &self.seats[self.first];
+        log::info!(
+            request = job.said.id.as_str(),
+            upstream = chosen.upstream.id.as_ref(),
+            helpers = self.helpers.len(),
+            tickets = self.tickets.len(),
+            running = chosen.work.running(),
+            reading_ms = f64::from(chosen.work.reading_ms).round(),
+            ready_ms = self.ready_ms.round();
+            "placed"
+        );
+        let helpers: Vec<_> = self.helpers.iter().map(|index| upstream(*index)).collect();
+        let first = upstream(self.first);
+        let mut allowance = context.allowance.lock();
+        for chosen in helpers.iter().chain([&first]) {
+            allowance.sent(&chosen.id, now);
+        }
+        drop(allowance);
+        let (own, part) = loads(job, helpers.len(), &self.tickets);
+        Flight::new(context, first, own, helpers, part, self.tickets)
     }
-    drop(allowance);
-    let parts = helpers.len() as f64 + 1.0;
-    let tokens = job.said.prompt_tokens;
-    let engine = job.service.engine.as_ref();
-    let part_ms = engine.map_or(0.0, |engine| engine.read_ms(tokens) / parts);
+}
+
+/// Returns the load on the upstream that answers, and on each of `helpers` others.
+fn loads(job: &Job, helpers: usize, tickets: &[u64]) -> (Load, Load) {
+    let part_ms = (job.read_ms() / (helpers as f64 + 1.0)) as f32;
     let reserved: u64 = tickets.iter().sum();
-    let kept = (tokens + job.said.answer_tokens).saturating_sub(reserved);
+    let tokens = job.said.prompt_tokens + job.said.answer_tokens;
+    let kept = tokens.saturating_sub(reserved);
     let own = Load {
         pace: Some(job.pace()),
-        weight: assign::weight(tokens) as f32,
-        reading_ms: part_ms as f32,
+        weight: assign::weight(job.said.prompt_tokens) as f32,
+        reading_ms: part_ms,
         memory_tokens: u32::try_from(kept).unwrap_or(u32::MAX),
     };
     let part = Load {
         pace: None,
         weight: 0.0,
-        reading_ms: part_ms as f32,
+        reading_ms: part_ms,
         memory_tokens: 0,
     };
-    Flight::new(context, first, own, helpers, part, tickets)
+    (own, part)
 }
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -56,6 +56,8 @@
     pub(crate) in_progress: AtomicUsize,
     /// Told when the own work on upstreams changed.
     pub(crate) changed: Notify,
+    /// Told when others must know of a change at once.
+    pub(crate) urgent: Notify,
     /// The newest horizon that another daemon named, for the watches of the store.
     pub(crate) heard: watch::Sender<Horizon>,
     /// Memory for request bodies.
@@ -85,6 +87,7 @@
             draining: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             changed: Notify::new(),
+            urgent: Notify::new(),
             heard: watch::Sender::new(Horizon::default()),
             bodies: Budget::new(settings.memory_mb * BODY_BYTES_PER_MB),
             store: store::Client::new(&settings.store.to_string()),
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -60,6 +60,17 @@
         Pace::from(self.route.pause)
     }
 
+    /// Returns the time to read the prompt alone, in milliseconds.
+    pub(crate) fn read_ms(&self) -> f64 {
+        let engine = self.service.engine.as_ref();
+        engine.map_or(0.0, |engine| engine.read_ms(self.said.prompt_tokens))
+    }
+
+    /// Returns whether the prompt is read apart from other long ones.
+    pub(crate) fn is_long(&self) -> bool {
+        self.read_ms() >= assign::LONG_MS
+    }
+
     /// Returns what the request needs of an engine. `patience` is the part of the time for which
     /// it may wait that is left.
     pub(crate) fn need(&self, patience: f64) -> Need {
--- a/crates/primrosehoist-daemon/src/gateway/links.rs
+++ b/crates/primrosehoist-daemon/src/gateway/links.rs
@@ -118,7 +118,8 @@
             }
             Err(error) => log::error!(error:%; "notice not sent"),
         }
-        sleep(NOTICE_GAP).await;
+        // Changes that come in quick succession share a notice, unless one is urgent.
+        let _urgent = timeout(NOTICE_GAP, context.urgent.notified()).await;
     }
 }
 
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -58,7 +58,7 @@
 /// The time of reading from which on a prompt counts as long, in milliseconds. Long prompts are
 /// read one after the other: reading two at once finishes neither earlier, and parts that are
 /// read for others go ahead of an engine's own prompts, so the first one could starve.
-const LONG_MS: f64 = 100.0;
+pub const LONG_MS: f64 = 100.0;
 
 /// The time of reading that an engine may have left to do when a long prompt is given to it.
 const LEFT_MS_MAX: f64 = 60.0;
@@ -316,12 +316,7 @@
     }
 
     /// Returns `count` seats that read parts beside `first`; those that hold memory come first.
-    fn helpers(
-        &self,
-        readers: &[(f64, usize)],
-        first: usize,
-        count: usize,
-    ) -> Option<Vec<usize>> {
+    fn helpers(&self, readers: &[(f64, usize)], first: usize, count: usize) -> Option<Vec<usize>> {
         let others: Vec<usize> = readers
             .iter()
             .map(|(_, index)| *index)
