Refuse new requests late in a shutdown; share the picture of the platform; log without blocking

Clients keep coming to a leaving daemon when most of its zone leaves.

Change: 2.6 s after the signal new requests are refused as not run, and the process ends when the others have ended. Beside that: a daemon that the store turns away asks another one for its picture; metrics on a port of their own; the idle time and the time for a head have limits of their own, taken from the configuration; connections that wait when a listener closes are served; logs go through a bounded queue; unknown keys and routes are not denied by a daemon that hears nobody.

--- a/crates/primrosehoist-daemon/src/admin.rs
+++ b/crates/primrosehoist-daemon/src/admin.rs
@@ -43,7 +43,7 @@
         let answer = answer(&port, &request);
         async move { answer }
     };
-    server::serve(listener, limits, stopped, handler).await;
+    server::serve(listener, move || limits.clone(), stopped, handler).await;
 }
 
 fn answer(port: &Port, request: &Request<Incoming>) -> Answer {
--- a/crates/primrosehoist-daemon/src/command.rs
+++ b/crates/primrosehoist-daemon/src/command.rs
@@ -3,21 +3,31 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
+use log::LevelFilter;
 use pico_args::Arguments;
+use primrosehoist_platform::settings::Settings as PlatformSettings;
 use quick_error::quick_error;
 
+use crate::gateway;
 use crate::settings::{self, Settings};
 
 /// The exit code for a wrong command line or wrong settings.
 pub(crate) const EXIT_USAGE: u8 = 2;
 
+/// The usual port of a Prometheus exporter.
+const METRICS_PORT: u16 = 9464;
+
 const HELP: &str = "\
 Serves prompts of callers on the upstreams of the fleet.
 
 usage: primrosehoistd --settings FILE [--check]
-       primrosehoistd platform
+       primrosehoistd platform [--metrics-port PORT] [--log-level LEVEL]
+       primrosehoistd check FILE
 
   platform         runs on the users' platform, with the settings file that it writes
+  check FILE       checks a settings file of the platform and names all mistakes
+  --metrics-port PORT  the port of the metrics, 9464 by default
+  --log-level LEVEL    error, warn, info or debug; info by default
 
   --settings FILE  the settings, in TOML
   --check          checks the settings and exits
@@ -38,6 +48,10 @@
         Option(source: pico_args::Error) { from() display("{}; see --help", source) }
         /// An argument is not known.
         Unknown(argument: String) { display("unknown argument {:?}; see --help", argument) }
+        /// The platform's settings are wrong.
+        Platform(source: primrosehoist_platform::settings::Error) {
+            from() display("{}", source)
+        }
         /// The settings are wrong.
         Settings(source: settings::Error) { from() display("{}", source) }
     }
@@ -51,7 +65,7 @@
     /// Check the settings only.
     Check,
     /// Run the daemon on the users' platform.
-    Gateway,
+    Gateway(gateway::Options),
     /// Run the daemon.
     Run(Box<Settings>),
 }
@@ -70,17 +84,51 @@
         let version = format!("primrosehoistd {}\n", env!("CARGO_PKG_VERSION"));
         return Ok(Command::Print(version));
     }
-    if arguments.clone().subcommand()?.as_deref() == Some("platform") {
-        return Ok(Command::Gateway);
+    match arguments.clone().subcommand()?.as_deref() {
+        Some("platform") => return platform(arguments),
+        Some("check") => return check_platform(arguments),
+        _ => {}
     }
     let check = arguments.contains("--check");
     let path: PathBuf = arguments.value_from_str("--settings")?;
-    if let Some(unknown) = arguments.finish().first() {
-        return Err(Error::Unknown(unknown.to_string_lossy().into_owned()));
-    }
+    finish(arguments)?;
     let settings = Box::new(Settings::load(&path)?);
     if check {
         return Ok(Command::Check);
     }
     Ok(Command::Run(settings))
 }
+
+fn platform(mut arguments: Arguments) -> Result<Command, Error> {
+    let _name = arguments.subcommand()?;
+    let options = gateway::Options {
+        metrics_port: arguments
+            .opt_value_from_str("--metrics-port")?
+            .unwrap_or(METRICS_PORT),
+        log_level: arguments
+            .opt_value_from_str("--log-level")?
+            .unwrap_or(LevelFilter::Info),
+    };
+    finish(arguments)?;
+    Ok(Command::Gateway(options))
+}
+
+fn check_platform(mut arguments: Arguments) -> Result<Command, Error> {
+    let _name = arguments.subcommand()?;
+    let path: PathBuf = arguments.free_from_str()?;
+    finish(arguments)?;
+    let settings = PlatformSettings::load(&path)?;
+    Ok(Command::Print(format!(
+        "{}: host {} in zone {} can be run\n",
+        path.display(),
+        settings.host,
+        settings.zone
+    )))
+}
+
+fn finish(arguments: Arguments) -> Result<(), Error> {
+    match arguments.finish().first() {
+        Some(unknown) => Err(Error::Unknown(unknown.to_string_lossy().into_owned())),
+        None => Ok(()),
+    }
+}
--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -90,7 +90,7 @@
     /// The time is over; the request may have run if `true`.
     Expired(bool),
     /// An upstream reported a failure.
-    Reported(Whole),
+    Reported(Box<Whole>),
 }
 
 impl Attempts {
@@ -117,6 +117,7 @@
     ///
     /// Returns what the client is to be told.
     pub(crate) async fn open(&mut self, last_event: Option<u64>) -> Result<Open, Unanswered> {
+        let resumes = last_event != self.job.said.last_event;
         loop {
             if self.job.remaining() < REMAINING_MIN {
                 return Err(Unanswered::Expired(self.course.may_have_run()));
@@ -130,21 +131,20 @@
             {
                 return Err(self.unanswered("crashes_upstreams"));
             }
-            let placed = choose::place(&self.context, &self.job, &self.excluded).await;
+            let placed = choose::place(&self.context, &self.job, &self.excluded, resumes).await;
             let mut flight = match placed {
                 Ok(flight) => flight,
                 Err(Refusal::Full) => return Err(self.unanswered("full")),
                 Err(Refusal::Nowhere) => return Err(self.unanswered("no_upstream")),
             };
             if !flight.tickets.is_empty() {
-                match Reservation::acquire(&self.context, &self.job, &flight).await {
-                    Some(reservation) => flight.reservation = Some(reservation),
-                    None => {
-                        drop(flight);
-                        sleep(RESERVE_PAUSE).await;
-                        continue;
-                    }
+                let reserved = Reservation::acquire(&self.context, &self.job, &flight).await;
+                if reserved.is_none() {
+                    drop(flight);
+                    sleep(RESERVE_PAUSE).await;
+                    continue;
                 }
+                flight.reservation = reserved;
             }
             let upstream = Arc::clone(&flight.upstream);
             self.count += 1;
@@ -157,7 +157,7 @@
 
     fn unanswered(&mut self, reason: &'static str) -> Unanswered {
         if let Some(whole) = self.reported.take() {
-            return Unanswered::Reported(whole);
+            return Unanswered::Reported(Box::new(whole));
         }
         if self.course.may_have_run() {
             return Unanswered::Uncertain(reason);
--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -40,7 +40,8 @@
     Nowhere,
 }
 
-/// Finds a place for `job` on an upstream that is not in `excluded` and takes it.
+/// Finds a place for `job` on an upstream that is not in `excluded` and takes it. A request that
+/// `resumes` its answer goes first.
 ///
 /// # Errors
 ///
@@ -49,15 +50,21 @@
     context: &Arc<Context>,
     job: &Job,
     excluded: &Set<Arc<str>>,
+    resumes: bool,
 ) -> Result<Flight, Refusal> {
     let patience = job.remaining().mul_f64(PATIENCE_SHARE);
     let until = Instant::now() + patience;
-    let mut overdue = Instant::now() >= job.due();
-    let rank = |overdue| job.priority + if overdue { OVERDUE_RANK } else { 0 };
+    // A client that has a part of its answer soon gives up on the rest.
+    let mut overdue = !resumes && Instant::now() >= job.due();
+    let rank = |overdue| match (resumes, overdue) {
+        (true, _) => 0,
+        (false, false) => job.priority,
+        (false, true) => job.priority + OVERDUE_RANK,
+    };
     let mut ticket = context.waiting.enter(rank(overdue), job.due());
     let mut hesitates = false;
     loop {
-        if !overdue && Instant::now() >= job.due() {
+        if !resumes && !overdue && Instant::now() >= job.due() {
             overdue = true;
             ticket = context.waiting.enter(rank(overdue), job.due());
         }
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
@@ -19,6 +20,7 @@
 use primrosehoist_platform::settings::Settings;
 use primrosehoist_platform::store;
 use tokio::sync::{Notify, watch};
+use tokio::time::Instant;
 
 use super::waiting::Waiting;
 use crate::metrics::Metrics;
@@ -52,6 +54,8 @@
     pub(crate) listed: AtomicBool,
     /// Whether the daemon shuts down.
     pub(crate) draining: AtomicBool,
+    /// Whether the daemon takes no new requests any more.
+    pub(crate) closing: AtomicBool,
     /// Requests in progress.
     pub(crate) in_progress: AtomicUsize,
     /// Told when the own work on upstreams changed.
@@ -60,6 +64,10 @@
     pub(crate) urgent: Notify,
     /// The newest horizon that another daemon named, for the watches of the store.
     pub(crate) heard: watch::Sender<Horizon>,
+    /// The configuration in force as the store holds it, for daemons that cannot read it there.
+    pub(crate) configuration: Mutex<Arc<str>>,
+    /// When the store last answered or another daemon was last heard.
+    pub(crate) contact: Mutex<Instant>,
     /// Memory for request bodies.
     pub(crate) bodies: Budget,
     /// The platform's store.
@@ -85,10 +93,13 @@
             horizon: Mutex::default(),
             listed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
             changed: Notify::new(),
             urgent: Notify::new(),
             heard: watch::Sender::new(Horizon::default()),
+            configuration: Mutex::new(Arc::from("")),
+            contact: Mutex::new(Instant::now()),
             bodies: Budget::new(settings.memory_mb * BODY_BYTES_PER_MB),
             store: store::Client::new(&settings.store.to_string()),
             metrics,
@@ -102,6 +113,22 @@
         self.draining.load(Ordering::Acquire)
     }
 
+    /// Returns whether the daemon takes no new requests any more.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
+    /// Records that the store answered or another daemon was heard.
+    pub(crate) fn in_contact(&self) {
+        *self.contact.lock() = Instant::now();
+    }
+
+    /// Returns whether neither the store nor another daemon was heard for so long that the
+    /// configuration may have changed unnoticed.
+    pub(crate) fn is_isolated(&self, silence_max: Duration) -> bool {
+        self.contact.lock().elapsed() > silence_max
+    }
+
     /// Returns whether clients may be sent to this daemon.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.listed.load(Ordering::Acquire) && self.table.load().is_some()
@@ -115,13 +142,15 @@
     }
 
     /// Puts `table` into force if it is newer than the one in force; returns whether it was.
-    pub(crate) fn accept_table(&self, table: Table) -> bool {
+    /// `text` is the same in the format of the store.
+    pub(crate) fn accept_table(&self, table: Table, text: Arc<str>) -> bool {
         let current = self.table.load();
         let version = table.version();
         if current.as_ref().is_some_and(|now| now.version() >= version) {
             return false;
         }
         self.table.store(Some(Arc::new(table)));
+        *self.configuration.lock() = text;
         self.horizon.lock().configuration = version;
         self.metrics.version(version);
         self.waiting.wake();
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -21,6 +21,11 @@
 use super::stream::Relay;
 use super::suspension;
 
+/// How much longer than a configuration takes to spread this daemon may hear nobody before it
+/// no longer denies what it does not know. A calm watch of the store is heard twice a minute, but
+/// other daemons several times a second.
+const CONTACT_SLACK: Duration = Duration::from_secs(1);
+
 /// The longest time without a byte of a body.
 const BODY_IDLE: Duration = Duration::from_secs(5);
 
@@ -30,6 +35,9 @@
 /// When a client comes back to a daemon that knows no configuration yet.
 const UNCONFIGURED_RETRY_S: f64 = 0.5;
 
+/// When a client comes back that a leaving daemon refused: at once, since it reaches another one.
+const CLOSING_RETRY_S: f64 = 0.02;
+
 /// The shortest time after which a refused client comes back, in seconds. Short requests end
 /// within two to three seconds, so places become free at this rate.
 const RETRY_MIN_S: f64 = 0.3;
@@ -128,6 +136,10 @@
     let Some(table) = context.table.load_full() else {
         return refuse("no configuration is known yet", UNCONFIGURED_RETRY_S);
     };
+    if context.is_closing() {
+        // What begins now might not end before the process does.
+        return refuse("the daemon shuts down", CLOSING_RETRY_S);
+    }
     let (job, version) = match admit(context, &table, request, received).await {
         Ok(job) => (job, table.version()),
         Err(response) => return *response,
@@ -162,7 +174,11 @@
     let (head, body) = request.into_parts();
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
+    let isolated = context.is_isolated(context.settings.bounds.config + CONTACT_SLACK);
     let Some(route) = table.route(host, head.uri.path()) else {
+        if isolated {
+            return Err(Box::new(refuse("cut off", UNCONFIGURED_RETRY_S)));
+        }
         log::info!(host, path = head.uri.path(), version = table.version(); "no route");
         return Err(Box::new(plain(StatusCode::NOT_FOUND, "no route")));
     };
@@ -173,6 +189,9 @@
     let workspace = match table.access(route, said.key.as_deref()) {
         Access::Open => None,
         Access::Workspace(workspace) => Some(workspace),
+        Access::Unknown if isolated => {
+            return Err(Box::new(refuse("cut off", UNCONFIGURED_RETRY_S)));
+        }
         Access::Unknown => {
             log::info!(
                 request = said.id.as_str(),
@@ -308,7 +327,7 @@
         }
         Unanswered::Reported(whole) => {
             progress.set_outcome("upstream_failed");
-            passed_on(reported(whole))
+            passed_on(reported(*whole))
         }
     }
 }
--- a/crates/primrosehoist-daemon/src/gateway/links.rs
+++ b/crates/primrosehoist-daemon/src/gateway/links.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use primrosehoist::protocol::notice::{DATAGRAM_BYTES_MAX, Notice};
+use primrosehoist::protocol::notice::{DATAGRAM_BYTES_MAX, Horizon, Notice};
 use primrosehoist::state::map::Map;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout};
@@ -28,13 +28,20 @@
 /// How often a silent daemon gets a notice: one of so many.
 const SILENT_SHARE: u64 = 20;
 
+/// What is known of another daemon.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    /// When it was last heard.
+    at: Instant,
+    horizon: Horizon,
+}
+
 /// The other daemons.
 #[derive(Debug)]
 pub(crate) struct Peers {
     own: IpAddr,
     port: u16,
-    /// When each was last heard.
-    heard: Mutex<Map<IpAddr, Instant>>,
+    heard: Mutex<Map<IpAddr, Heard>>,
 }
 
 impl Peers {
@@ -55,7 +62,10 @@
         let mut heard = self.heard.lock();
         heard.entry(address).or_insert_with(|| {
             log::info!(host, address:%; "daemon found");
-            Instant::now()
+            Heard {
+                at: Instant::now(),
+                horizon: Horizon::default(),
+            }
         });
     }
 
@@ -64,15 +74,29 @@
         self.heard.lock().len() + 1
     }
 
-    fn hear(&self, address: IpAddr) {
-        self.heard.lock().insert(address, Instant::now());
+    fn hear(&self, address: IpAddr, horizon: Horizon) {
+        let at = Instant::now();
+        self.heard.lock().insert(address, Heard { at, horizon });
+    }
+
+    /// Returns the address of a live daemon that knows something that `own` does not.
+    pub(crate) fn ahead_of(&self, own: &Horizon) -> Option<SocketAddr> {
+        let heard = self.heard.lock();
+        let mut ahead = heard
+            .iter()
+            .filter(|(_, heard)| heard.at.elapsed() < SILENT && heard.horizon.is_ahead_of(own));
+        ahead
+            .next()
+            .map(|(address, _)| SocketAddr::new(*address, self.port))
     }
 
     /// Returns where notice number `number` goes.
     fn targets(&self, number: u64) -> Vec<SocketAddr> {
         let rare = number.is_multiple_of(SILENT_SHARE);
         let heard = self.heard.lock();
-        let live = heard.iter().filter(|(_, at)| rare || at.elapsed() < SILENT);
+        let live = heard
+            .iter()
+            .filter(|(_, heard)| rare || heard.at.elapsed() < SILENT);
         live.map(|(address, _)| SocketAddr::new(*address, self.port))
             .collect()
     }
@@ -137,7 +161,8 @@
         };
         match Notice::try_from(&buffer[..length]) {
             Ok(notice) => {
-                peers.hear(sender.ip());
+                peers.hear(sender.ip(), notice.horizon);
+                context.in_contact();
                 hear(&context, notice);
             }
             Err(error) => log::warn!(sender:%, error:%; "datagram left out"),
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod ingress;
 mod job;
 mod links;
+mod relay;
 mod reservation;
 mod stream;
 mod suspension;
@@ -23,10 +24,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::Empty;
+use http_body_util::{BodyExt, Full};
 use log::LevelFilter;
 use opentelemetry_sdk::error::OTelSdkError;
+use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::server::{self, Limits};
 use primrosehoist_platform::host;
 use primrosehoist_platform::settings::{self, Settings};
@@ -40,7 +43,7 @@
 use self::links::Peers;
 use self::sync::Feed;
 use crate::clock::unix_ms;
-use crate::logging;
+use crate::log_queue;
 use crate::metrics::Metrics;
 
 /// Headers in one request.
@@ -53,10 +56,16 @@
 /// upstreams.
 const CONNECTIONS_MAX: usize = 2500;
 
-/// Connections to the readiness port at once.
-const READINESS_CONNECTIONS_MAX: usize = 32;
+/// Connections to one of the ports for the platform, other daemons and operators at once.
+const INNER_CONNECTIONS_MAX: usize = 64;
 
-/// The longest time for the head of a request, the idle time of a connection included.
+/// The smallest size of the head of a request that the HTTP library accepts, in bytes.
+const HEAD_BYTES_MIN: usize = 8192;
+
+/// The longest time for the head of a request until the configuration says otherwise.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The longest time between two requests until the configuration says otherwise.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// The longest time in which a client takes no byte of an answer.
@@ -67,7 +76,7 @@
 const LAME_DUCK: Duration = Duration::from_millis(2600);
 
 /// How much earlier than the platform ends the process it ends by itself.
-const GRACE_MARGIN: Duration = Duration::from_millis(700);
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
 /// The pause between two looks at what is in progress during the shutdown.
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(50);
@@ -90,9 +99,18 @@
     }
 }
 
+/// What the command line says beside the platform's settings.
+#[derive(Debug, Clone)]
+pub(crate) struct Options {
+    /// The port on which the metrics are served.
+    pub(crate) metrics_port: u16,
+    /// The least urgent lines that are logged.
+    pub(crate) log_level: LevelFilter,
+}
+
 /// Runs the daemon with the settings that the platform wrote; returns the exit code.
-pub(crate) fn run() -> ExitCode {
-    if let Err(error) = logging::start(LevelFilter::Info) {
+pub(crate) fn run(options: &Options) -> ExitCode {
+    if let Err(error) = log_queue::start(options.log_level) {
         eprintln!("primrosehoistd: logging: {error}");
         return ExitCode::FAILURE;
     }
@@ -114,7 +132,7 @@
             return ExitCode::FAILURE;
         }
     };
-    let served = runtime.block_on(serve(settings));
+    let served = runtime.block_on(serve(settings, options));
     runtime.shutdown_background();
     match served {
         Ok(()) => ExitCode::SUCCESS,
@@ -125,12 +143,14 @@
     }
 }
 
-async fn serve(settings: Settings) -> Result<(), Error> {
+async fn serve(settings: Settings, options: &Options) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
     let clients = listen(settings.ingress).await?;
     let readiness = listen(settings.readiness).await?;
     let port = settings.link_ports.0;
+    let pictures = listen(SocketAddr::new(settings.address, port)).await?;
+    let metrics = listen(SocketAddr::new(settings.address, options.metrics_port)).await?;
     let socket = links::open(settings.address, port)
         .await
         .map_err(|source| Error::Listen(SocketAddr::new(settings.address, port), source))?;
@@ -150,13 +170,24 @@
         Arc::clone(&peers),
         Arc::clone(&socket),
     ));
-    tokio::spawn(links::receive(Arc::clone(&context), peers, socket));
-    let (stop, stopped) = watch::channel(false);
-    tokio::spawn(serve_readiness(
+    tokio::spawn(links::receive(
         Arc::clone(&context),
-        readiness,
-        stopped.clone(),
+        Arc::clone(&peers),
+        socket,
     ));
+    tokio::spawn(relay::catch_up(Arc::clone(&context), peers));
+    let (stop, stopped) = watch::channel(false);
+    let inner = |listener, answer: fn(&Context) -> Response<Payload>| {
+        tokio::spawn(serve_inner(
+            Arc::clone(&context),
+            listener,
+            stopped.clone(),
+            answer,
+        ));
+    };
+    inner(readiness, answer_readiness);
+    inner(pictures, relay::answer);
+    inner(metrics, answer_metrics);
     let serving = tokio::spawn(serve_clients(Arc::clone(&context), clients, stopped));
     log::info!(
         host = settings.host.as_ref(),
@@ -180,42 +211,71 @@
     listener: TcpListener,
     stopped: watch::Receiver<bool>,
 ) -> impl Future<Output = ()> {
-    let limits = Limits {
-        connections: CONNECTIONS_MAX,
-        headers: HEADERS_MAX,
-        head_bytes: HEAD_BYTES,
-        head: IDLE_TIMEOUT,
-        write: WRITE_TIMEOUT,
-    };
+    let limited = Arc::clone(&context);
+    let limits = move || client_limits(&limited);
     server::serve(listener, limits, stopped, move |request| {
         ingress::handle(Arc::clone(&context), request)
     })
 }
 
-fn serve_readiness(
+/// Returns the limits on clients that the configuration in force sets.
+fn client_limits(context: &Context) -> Limits {
+    let table = context.table.load();
+    let configured = table.as_ref().map(|table| table.limits());
+    Limits {
+        connections: CONNECTIONS_MAX,
+        headers: HEADERS_MAX,
+        head_bytes: configured.map_or(HEAD_BYTES, |limits| {
+            (limits.header_bytes as usize).max(HEAD_BYTES_MIN)
+        }),
+        head: configured.map_or(HEAD_TIMEOUT, |limits| limits.header),
+        idle: configured.map_or(IDLE_TIMEOUT, |limits| limits.idle),
+        write: WRITE_TIMEOUT,
+    }
+}
+
+/// Serves a port for the platform, other daemons or operators with the answer to any request.
+fn serve_inner(
     context: Arc<Context>,
     listener: TcpListener,
     stopped: watch::Receiver<bool>,
+    answer: fn(&Context) -> Response<Payload>,
 ) -> impl Future<Output = ()> {
-    let limits = Limits {
-        connections: READINESS_CONNECTIONS_MAX,
+    let limits = || Limits {
+        connections: INNER_CONNECTIONS_MAX,
         headers: HEADERS_MAX,
         head_bytes: HEAD_BYTES,
-        head: IDLE_TIMEOUT,
+        head: HEAD_TIMEOUT,
+        idle: IDLE_TIMEOUT,
         write: WRITE_TIMEOUT,
     };
     server::serve(listener, limits, stopped, move |_request| {
-        let ready = context.is_ready();
-        async move {
-            let mut response = Response::new(Empty::<bytes::Bytes>::new());
-            if !ready {
-                *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            }
-            response
-        }
+        std::future::ready(answer(&context))
     })
 }
 
+fn answer_readiness(context: &Context) -> Response<Payload> {
+    if context.is_ready() {
+        text(StatusCode::OK, "ready\n".to_owned())
+    } else {
+        text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned())
+    }
+}
+
+fn answer_metrics(context: &Context) -> Response<Payload> {
+    match context.metrics.render() {
+        Ok(metrics) => text(StatusCode::OK, metrics),
+        Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
+    }
+}
+
+fn text(status: StatusCode, body: String) -> Response<Payload> {
+    let body = Full::new(Bytes::from(body)).map_err(|never| match never {});
+    let mut response = Response::new(body.boxed_unsync());
+    *response.status_mut() = status;
+    response
+}
+
 /// Registers this daemon in the store, so that others find it.
 async fn register(context: Arc<Context>) {
     let settings = &context.settings;
@@ -248,7 +308,10 @@
     let end = begun + context.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
     let in_progress = || context.in_progress.load(Ordering::Acquire);
     log::info!(in_progress = in_progress(); "shutdown began");
-    while Instant::now() < end && (begun.elapsed() < LAME_DUCK || in_progress() > 0) {
+    sleep(LAME_DUCK).await;
+    context.closing.store(true, Ordering::Release);
+    log::info!(in_progress = in_progress(); "no new requests are taken");
+    while Instant::now() < end && in_progress() > 0 {
         sleep(SHUTDOWN_LOOK).await;
     }
     stop.send_replace(true);
--- a/crates/primrosehoist-daemon/src/gateway/sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/sync.rs
@@ -1,15 +1,15 @@
 //! Follows the platform's store: the configuration, the upstreams, the zones out of service and
 //! the other daemons.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use primrosehoist::state::map::{Map, Set};
+use primrosehoist::state::map::Set;
 use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::object::{Event, Object};
 use primrosehoist_platform::{config, host, upstream};
+use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
 use super::context::Context;
@@ -25,7 +25,7 @@
 const PAUSE_MAX: Duration = Duration::from_millis(1200);
 
 /// Absences of the store of this length may let entries lapse.
-const ABSENCE: Duration = Duration::from_millis(1000);
+const ABSENCE: Duration = Duration::from_secs(1);
 
 /// How long this daemon may be behind another one before it asks the store anew: the change is
 /// usually on its way.
@@ -57,7 +57,6 @@
         context,
         peers,
         feed,
-        zones: Map::default(),
         failures: 0,
         lost_at: None,
     };
@@ -82,8 +81,6 @@
     context: Arc<Context>,
     peers: Arc<Peers>,
     feed: Feed,
-    /// The zones out of service, with the revision of the object.
-    zones: Map<Arc<str>, u64>,
     failures: u32,
     lost_at: Option<Instant>,
 }
@@ -121,6 +118,7 @@
 
     fn regained(&mut self) {
         self.failures = 0;
+        self.context.in_contact();
         let Some(lost_at) = self.lost_at.take() else {
             return;
         };
@@ -155,17 +153,15 @@
                 let context = &self.context;
                 context.roster.lock().replace(upstreams, Instant::now());
                 context.listed.store(true, Ordering::Release);
-                // Removals leave no object behind, so the list counts with its own revision.
-                self.advance(revision.max(newest.unwrap_or(0)));
+                // The list's own revision also counts changes of other kinds. Other daemons would
+                // take it for a change that they missed.
+                self.advance(newest.unwrap_or(0));
                 context.waiting.wake();
             }
             Feed::Evacuations => {
-                let zones = objects.into_iter();
-                self.zones = zones
-                    .map(|object| (Arc::from(object.name), object.revision))
-                    .collect();
-                self.apply_zones();
-                self.advance(revision);
+                let zones = objects.into_iter().filter(|object| !object.deleting);
+                self.apply_zones(zones.map(|object| Arc::from(object.name)).collect());
+                self.advance(newest.unwrap_or(0));
             }
             Feed::Daemons => {
                 for object in &objects {
@@ -179,6 +175,10 @@
     fn on_event(&mut self, event: Event) {
         let Event { object, deleted } = event;
         let revision = object.revision;
+        if revision <= self.known() {
+            // Another daemon told of the change before the store did.
+            return;
+        }
         match self.feed {
             Feed::Configuration => {
                 if !deleted {
@@ -191,12 +191,13 @@
             }
             Feed::Evacuations => {
                 let zone: Arc<str> = Arc::from(object.name.as_str());
+                let mut zones = self.context.roster.lock().evacuated().clone();
                 if deleted || object.deleting {
-                    self.zones.remove(&zone);
+                    zones.remove(&zone);
                 } else {
-                    self.zones.insert(zone, revision);
+                    zones.insert(zone);
                 }
-                self.apply_zones();
+                self.apply_zones(zones);
                 self.advance(revision);
             }
             Feed::Daemons => {
@@ -230,13 +231,22 @@
         context.waiting.wake();
     }
 
-    fn apply_zones(&self) {
-        let zones: Set<Arc<str>> = self.zones.keys().cloned().collect();
+    fn apply_zones(&self, zones: Set<Arc<str>>) {
         log::info!(zones:? = zones; "zones out of service");
         self.context.roster.lock().set_evacuated(zones);
         self.context.waiting.wake();
     }
 
+    /// Returns the newest revision that is known of the feed.
+    fn known(&self) -> u64 {
+        let horizon = self.context.horizon.lock();
+        match self.feed {
+            Feed::Upstreams => horizon.upstreams,
+            Feed::Evacuations => horizon.evacuations,
+            Feed::Configuration | Feed::Daemons => 0,
+        }
+    }
+
     fn advance(&self, revision: u64) {
         let mut horizon = self.context.horizon.lock();
         match self.feed {
@@ -248,7 +258,7 @@
 
     fn on_daemon(&self, object: &Object) {
         match host::decode(object) {
-            Ok(address) => self.peers.add(&object.name, IpAddr::from(address)),
+            Ok(address) => self.peers.add(&object.name, address),
             Err(error) => {
                 log::warn!(host = object.name.as_str(), error:%; "daemon's entry cannot be read");
             }
@@ -284,18 +294,22 @@
 }
 
 /// Puts the configuration that `object` holds into force if it is newer.
-pub(crate) fn accept_configuration(context: &Context, object: &Object) {
-    if object.name != config::NAME {
-        return;
+fn accept_configuration(context: &Context, object: &Object) {
+    if object.name == config::NAME {
+        accept_specification(context, &object.spec);
     }
-    match config::decode(&object.spec) {
+}
+
+/// Puts a configuration in the format of the store into force if it is newer.
+pub(crate) fn accept_specification(context: &Context, spec: &Value) {
+    match config::decode(spec) {
         Ok(table) => {
             let version = table.version();
-            if context.accept_table(table) {
-                log::info!(version, revision = object.revision; "configuration in force");
+            if context.accept_table(table, Arc::from(spec.to_string())) {
+                log::info!(version; "configuration in force");
             }
         }
-        Err(error) => log::error!(revision = object.revision, error:%; "configuration unreadable"),
+        Err(error) => log::error!(error:%; "configuration unreadable"),
     }
 }
 
--- a/crates/primrosehoist-daemon/src/gateway/waiting.rs
+++ b/crates/primrosehoist-daemon/src/gateway/waiting.rs
@@ -45,11 +45,6 @@
             notify.notify_one();
         }
     }
-
-    /// Returns the number of waiting requests.
-    pub(crate) fn len(&self) -> usize {
-        self.entries.lock().len()
-    }
 }
 
 impl Ticket<'_> {
--- a/crates/primrosehoist-daemon/src/logging.rs
+++ b/crates/primrosehoist-daemon/src/logging.rs
@@ -1,4 +1,4 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
 //!
 //! A line holds `time`, `level`, `target` and `message`, and the key-values of the record. No
 //! caller of the log hands over prompt text or keys.
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -10,6 +10,7 @@
 mod gateway;
 mod holder;
 mod links;
+mod log_queue;
 mod logging;
 mod metrics;
 mod node;
@@ -31,7 +32,7 @@
             ExitCode::SUCCESS
         }
         Ok(Command::Check) => ExitCode::SUCCESS,
-        Ok(Command::Gateway) => gateway::run(),
+        Ok(Command::Gateway(options)) => gateway::run(&options),
         Ok(Command::Run(settings)) => service::run(*settings),
         Err(error) => {
             eprintln!("primrosehoistd: {error}");
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -116,12 +116,16 @@
         headers: HEADERS_MAX,
         head_bytes: (limits.header_bytes as usize).max(HEAD_BYTES_MIN),
         head: limits.header_timeout,
+        idle: limits.header_timeout,
         write: limits.caller_write_timeout,
     };
     let node = Arc::clone(node);
-    server::serve(listener, connections, stopped, move |request| {
-        caller::handle(Arc::clone(&node), Arc::clone(&bodies), request)
-    })
+    server::serve(
+        listener,
+        move || connections.clone(),
+        stopped,
+        move |request| caller::handle(Arc::clone(&node), Arc::clone(&bodies), request),
+    )
 }
 
 fn admin_limits() -> Limits {
@@ -130,6 +134,7 @@
         headers: HEADERS_MAX,
         head_bytes: ADMIN_HEAD_BYTES,
         head: ADMIN_TIMEOUT,
+        idle: ADMIN_TIMEOUT,
         write: ADMIN_TIMEOUT,
     }
 }
--- a/crates/primrosehoist-tests/benches/claims.rs
+++ b/crates/primrosehoist-tests/benches/claims.rs
@@ -59,7 +59,7 @@
 fn client(address: &str, daemon: u64) -> Client {
     let host = name::Host::try_from(format!("host-{daemon}").as_str()).expect("a name");
     let zone = name::Zone::try_from("zone-a").expect("a name");
-    Client::new(address, host, zone)
+    Client::new(address, &host, &zone)
 }
 
 fn entry(run: &str, number: u64) -> Entry {
--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -51,6 +51,14 @@
         }
     }
 
+    /// Puts other bounds into force.
+    pub fn set_bounds(&mut self, bounds: Bounds) {
+        if bounds.retry_window != self.bounds.retry_window {
+            self.services.clear();
+        }
+        self.bounds = bounds;
+    }
+
     /// Sets the number of daemons, those that may be gone included.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod notice;
 pub mod openai;
 pub mod operator;
+pub mod picture;
 pub mod platform;
 pub mod sse;
 pub mod status;
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -8,16 +8,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use crate::state::map::{Map, Set};
 
 /// How long after the platform's return an entry that lapsed meanwhile may be missing although
 /// its upstream lives. The operators state about two seconds.
-pub const RETURN_GRACE: Duration = Duration::from_millis(2000);
+pub const RETURN_GRACE: Duration = Duration::from_secs(2);
 
 /// Where an upstream is in its life.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
     /// Takes work.
     Ready,
@@ -26,7 +27,7 @@
 }
 
 /// An upstream as it registered itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
     /// The id. A restarted upstream mostly has a new one.
     pub id: Arc<str>,
--- a/src/transport/http/mod.rs
+++ b/src/transport/http/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 towards callers and upstreams.
 
 pub mod body;
+pub mod quiet;
 pub mod server;
 pub mod stall;
 pub mod upstream;
--- /dev/null
+++ b/src/transport/http/quiet.rs
@@ -0,0 +1,145 @@
+//! A connection that fails when its client is quiet for too long.
+//!
+//! The time between two requests and the time for the head of a request have limits of their
+//! own. While a request is being answered the client may be quiet.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Sleep, sleep};
+
+/// Whether a request is being answered on a connection. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Turn {
+    busy: Arc<AtomicBool>,
+}
+
+/// Marks a request as being answered until it is dropped.
+#[derive(Debug)]
+pub struct Answering {
+    turn: Turn,
+}
+
+impl Turn {
+    /// Begins an answer.
+    pub fn begin(&self) -> Answering {
+        self.busy.store(true, Ordering::Release);
+        Answering { turn: self.clone() }
+    }
+
+    fn is_busy(&self) -> bool {
+        self.busy.load(Ordering::Acquire)
+    }
+}
+
+impl Drop for Answering {
+    fn drop(&mut self) {
+        self.turn.busy.store(false, Ordering::Release);
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// No byte of a request has come.
+    Idle,
+    /// A part of the head has come.
+    Head,
+}
+
+/// A connection whose reads fail after the client was quiet for too long.
+#[derive(Debug)]
+pub struct Quiet<S> {
+    inner: S,
+    turn: Turn,
+    idle: Duration,
+    head: Duration,
+    phase: Phase,
+    timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<S> Quiet<S> {
+    /// Wraps `inner`: a client may be quiet for `idle` between requests, and take `head` for the
+    /// head of one.
+    pub fn new(inner: S, turn: Turn, idle: Duration, head: Duration) -> Self {
+        Self {
+            inner,
+            turn,
+            idle,
+            head,
+            phase: Phase::Idle,
+            timer: None,
+        }
+    }
+
+    fn reset(&mut self) {
+        self.phase = Phase::Idle;
+        self.timer = None;
+    }
+}
+
+impl<S> AsyncRead for Quiet<S>
+where
+    S: AsyncRead + Unpin,
+{
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if self.turn.is_busy() {
+            self.reset();
+            return read;
+        }
+        if read.is_ready() {
+            if buf.filled().len() > before && self.phase == Phase::Idle {
+                self.phase = Phase::Head;
+                self.timer = Some(Box::pin(sleep(self.head)));
+            }
+            return read;
+        }
+        let idle = self.idle;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(idle)));
+        ready!(timer.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl<S> AsyncWrite for Quiet<S>
+where
+    S: AsyncWrite + Unpin,
+{
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -5,16 +5,19 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::{Request, Response};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::time::sleep;
 
 use crate::transport::http::BoxError;
+use crate::transport::http::quiet::{Quiet, Turn};
 use crate::transport::http::stall::Stall;
 
 /// How long accepting pauses after it failed, for example for lack of descriptors.
@@ -29,46 +32,59 @@
     pub headers: usize,
     /// The size of the head of a request, in bytes.
     pub head_bytes: usize,
-    /// The longest time for the head of a request, the wait for it included.
+    /// The longest time for the head of a request.
     pub head: Duration,
+    /// The longest time between two requests on a connection.
+    pub idle: Duration,
     /// The longest time in which a connection takes no byte of an answer.
     pub write: Duration,
 }
 
 /// Serves connections with `handler` until `stop` turns true, then lets those open finish their
 /// request. Returns when all connections are closed.
-pub async fn serve<H, F, B>(
+///
+/// `limits` is asked anew for each connection. Connections that were waiting to be accepted when
+/// `stop` turned true are served too.
+pub async fn serve<L, H, F, B>(
     listener: TcpListener,
-    limits: Limits,
+    limits: L,
     stop: watch::Receiver<bool>,
     handler: H,
 ) where
+    L: Fn() -> Limits + Send,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BoxError>,
 {
-    let capacity = limits.connections.min(Semaphore::MAX_PERMITS);
+    let capacity = limits().connections.min(Semaphore::MAX_PERMITS);
     let places = Arc::new(Semaphore::new(capacity));
     let mut stopped = stop.clone();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = stopped.wait_for(|stop| *stop) => break,
-        };
-        let Ok((stream, _peer)) = accepted else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    let serve_one = |stream| {
         // A connection above the cap is closed at once.
         let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
-            continue;
+            return;
         };
-        let connection = connect(stream, limits.clone(), stop.clone(), handler.clone());
+        let connection = connect(stream, limits(), stop.clone(), handler.clone());
         tokio::spawn(async move {
             connection.await;
             drop(place);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopped.wait_for(|stop| *stop) => break,
+        };
+        match accepted {
+            Ok((stream, _peer)) => serve_one(stream),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    // Dropping the listener resets connections that nobody accepted, although their clients may
+    // have sent a request.
+    while let Some(Ok((stream, _peer))) = listener.accept().now_or_never() {
+        serve_one(stream);
     }
     drop(listener);
     // The semaphore is never closed, so waiting for all places cannot fail.
@@ -86,25 +102,37 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<BoxError>,
 {
-    if stream.set_nodelay(true).is_err() {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("connection of a client cannot be used: {error}");
         return;
     }
+    let turn = Turn::default();
+    let stalling = Stall::new(stream, limits.write);
+    let stream = Quiet::new(stalling, turn.clone(), limits.idle, limits.head);
     let service = service_fn(move |request| {
+        let answering = turn.begin();
         let answer = handler(request);
-        async move { Ok::<_, Infallible>(answer.await) }
+        async move {
+            let answer = answer.await;
+            // Held until the body is sent or dropped.
+            Ok::<_, Infallible>(answer.map(|body| {
+                body.map_frame(move |frame| {
+                    let _answering = &answering;
+                    frame
+                })
+            }))
+        }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head)
         .max_headers(limits.headers)
         .max_buf_size(limits.head_bytes)
-        .serve_connection(TokioIo::new(Stall::new(stream, limits.write)), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
         _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
     }
     if let Err(error) = connection.await {
-        log::debug!("connection of a caller ended: {error}");
+        log::debug!("connection of a client ended: {error}");
     }
 }
