--- /dev/null
+++ b/tests/allowance_shares.rs
@@ -0,0 +1,121 @@
+//! Tests of limits that hold for all daemons together.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::coordination::allowance::Allowance;
+use primrosehoist::state::bounds::Bounds;
+use primrosehoist::state::window::Window;
+use tokio::time::Instant;
+
+fn bounds() -> Bounds {
+    Bounds {
+        settled: Duration::from_secs(3),
+        drain: Duration::from_secs(2),
+        grace: Duration::from_secs(8),
+        config: Duration::from_secs(2),
+        evacuation: Duration::from_secs(5),
+        retry_ratio: 0.2,
+        retry_window: Duration::from_secs(10),
+        retry_slack: 106.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        stall: Duration::from_millis(1500),
+        reservation_max: Duration::from_secs(20),
+    }
+}
+
+/// Returns the largest number of times within any window of `span`.
+fn densest(times: &[Instant], span: Duration) -> usize {
+    let within = |start: &Instant| {
+        let inside = times
+            .iter()
+            .filter(|time| *time >= start && **time < *start + span);
+        inside.count()
+    };
+    times.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn all_shares_together_keep_the_cold_limit_in_every_second() {
+    arbtest::arbtest(|u| {
+        let daemons = u.int_in_range(1..=12_usize)?;
+        let rate = f64::from(u.int_in_range(4..=40_u32)?);
+        let start = Instant::now();
+        let upstream: Arc<str> = Arc::from("u");
+        let mut sent = Vec::new();
+        for _ in 0..daemons {
+            let mut allowance = Allowance::new(bounds());
+            allowance.set_daemons(daemons);
+            let mut at = start;
+            for _ in 0..120 {
+                at += Duration::from_millis(u.int_in_range(0..=40)?);
+                if allowance.may_send(&upstream, rate, at) {
+                    allowance.sent(&upstream, at);
+                    sent.push(at);
+                }
+            }
+        }
+        let limit = rate * 1.5 + 5.0;
+        let most = densest(&sent, Duration::from_secs(1));
+        assert!(
+            most as f64 <= limit,
+            "{most} of {limit} with {daemons} daemons"
+        );
+        Ok(())
+    })
+    .budget_ms(1500);
+}
+
+#[test]
+fn a_daemon_that_does_not_know_the_others_assumes_many() {
+    let alone = Allowance::new(bounds());
+    assert_eq!(alone.sends_max(36.0), 2);
+    let mut nine = Allowance::new(bounds());
+    nine.set_daemons(9);
+    assert_eq!(nine.sends_max(36.0), 5);
+}
+
+#[test]
+fn services_whose_upstreams_are_never_cold_have_no_limit() {
+    let mut allowance = Allowance::new(bounds());
+    let upstream: Arc<str> = Arc::from("u");
+    let now = Instant::now();
+    for _ in 0..1000 {
+        assert!(allowance.may_send(&upstream, 0.0, now));
+        allowance.sent(&upstream, now);
+    }
+}
+
+#[test]
+fn retries_of_all_daemons_keep_the_budget() {
+    let daemons = 9;
+    let service: Arc<str> = Arc::from("s");
+    let start = Instant::now();
+    let mut retries = 0;
+    let mut requests = 0;
+    for _ in 0..daemons {
+        let mut allowance = Allowance::new(bounds());
+        allowance.set_daemons(daemons);
+        for step in 0..400 {
+            let now = start + Duration::from_millis(step * 20);
+            allowance.request(&service, now);
+            requests += 1;
+            retries += u32::from(allowance.retry(&service, now));
+        }
+    }
+    let limit = f64::from(requests) * 0.2 + 106.0;
+    assert!(f64::from(retries) <= limit, "{retries} of {limit}");
+    assert!(f64::from(retries) >= limit * 0.8, "{retries} of {limit}");
+}
+
+#[test]
+fn a_window_forgets_what_is_older_than_its_span() {
+    let start = Instant::now();
+    let mut window = Window::new(Duration::from_secs(1));
+    window.add(start);
+    window.add(start + Duration::from_millis(500));
+    assert_eq!(window.count(start + Duration::from_millis(999)), 2);
+    assert_eq!(window.count(start + Duration::from_millis(1100)), 1);
+    assert_eq!(window.count(start + Duration::from_millis(1600)), 0);
+}
--- /dev/null
+++ b/tests/route_table.rs
@@ -0,0 +1,145 @@
+//! Tests of the routing table.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::state::route::{Access, Kind, Limits, Route, Share, Table, Workspace};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: Arc::from(name),
+        host: Arc::from(host),
+        prefix: Arc::from(prefix),
+        kind: Kind::Idempotent,
+        shares: vec![Share {
+            service: Arc::from("desk"),
+            weight: 1.0,
+        }],
+        timeout: Duration::from_secs(3),
+        target: Duration::from_millis(300),
+        pause: None,
+        priority: 1,
+        attempts_max: 2,
+        open: false,
+        resumable: false,
+    }
+}
+
+fn table(routes: Vec<Route>, workspaces: Vec<Workspace>) -> Table {
+    let limits = Limits {
+        header_bytes: 16_384,
+        body_bytes: 1 << 20,
+        header: Duration::from_secs(3),
+        idle: Duration::from_secs(15),
+    };
+    Table::new(7, routes, Vec::new(), workspaces, limits)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let table = table(
+        vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/y/z/"),
+        ],
+        Vec::new(),
+    );
+    let cases = [
+        ("a.example", "/x/1", Some("short")),
+        ("a.example", "/x/y/1", Some("long")),
+        ("a.example", "/x/y/z/1", Some("long")),
+        ("A.Example", "/x/1", Some("short")),
+        ("a.example:8080", "/x/1", Some("short")),
+        ("b.example", "/x/y/z/1", Some("other")),
+        ("a.example", "/x", None),
+        ("a.example", "/xy/", None),
+        ("a.example", "/", None),
+        ("c.example", "/x/1", None),
+        ("", "/x/1", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = table.route(host, path).map(|route| route.name.as_ref());
+        assert_eq!(found, expected, "{host} {path}");
+    }
+}
+
+#[test]
+fn a_key_opens_its_own_workspace_only() {
+    let workspace = Workspace {
+        name: Arc::from("rope"),
+        keys: vec![Arc::from("k1"), Arc::from("k2")],
+        priority: Some(2),
+    };
+    let table = table(vec![route("r", "a.example", "/")], vec![workspace.clone()]);
+    let closed = route("r", "a.example", "/");
+    let open = Route {
+        open: true,
+        ..closed.clone()
+    };
+    let owner = Access::Workspace(Arc::new(workspace));
+    let cases = [
+        (&closed, Some("k1"), owner.clone()),
+        (&closed, Some("k2"), owner),
+        (&closed, Some("k3"), Access::Unknown),
+        (&closed, Some(""), Access::Unknown),
+        (&closed, None, Access::Unknown),
+        (&open, Some("k3"), Access::Open),
+        (&open, None, Access::Open),
+    ];
+    for (route, key, expected) in cases {
+        assert_eq!(table.access(route, key), expected, "{key:?}");
+    }
+}
+
+#[test]
+fn without_workspaces_no_key_is_needed() {
+    let table = table(vec![route("r", "a.example", "/")], Vec::new());
+    let route = route("r", "a.example", "/");
+    assert_eq!(table.access(&route, None), Access::Open);
+}
+
+#[test]
+fn shares_divide_requests_by_weight() {
+    let mut split = route("r", "a.example", "/");
+    split.shares = vec![
+        Share {
+            service: Arc::from("blue"),
+            weight: 90.0,
+        },
+        Share {
+            service: Arc::from("green"),
+            weight: 10.0,
+        },
+    ];
+    let green = (0..1_000_000_u64)
+        .step_by(997)
+        .filter(|dice| {
+            split
+                .service(*dice)
+                .is_some_and(|name| name.as_ref() == "green")
+        })
+        .count();
+    assert!((90..=112).contains(&green), "{green} of 1004");
+    split.shares.clear();
+    assert_eq!(split.service(5), None);
+}
+
+#[test]
+fn only_what_may_run_again_is_repeatable() {
+    let cases = [
+        (Kind::Idempotent, false, true),
+        (Kind::Once, false, false),
+        (Kind::Once, true, false),
+        (Kind::Stream, false, false),
+        (Kind::Stream, true, true),
+    ];
+    for (kind, resumable, expected) in cases {
+        let route = Route {
+            kind,
+            resumable,
+            ..route("r", "a.example", "/")
+        };
+        assert_eq!(route.is_repeatable(), expected, "{kind} {resumable}");
+    }
+}
