Test the gateway as real processes; count a lost answer as a death only if the upstream is down

Its first run showed two faults: a prompt that needs memory at a second upstream but is read quickly was never placed, and three lost answers to equal requests made a harmless request count as one that ends upstreams, for two minutes.

A lost answer makes a request a suspect; a death is recorded if its upstream is found down within 4 s. A prompt is divided at least as its memory demands.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -232,18 +232,20 @@
         );
         self.record(upstream, Ending::Unreachable);
         if !gate.handed() {
+            let mut crashes = self.context.crashes.lock();
+            crashes.upstream_down(&upstream.id, Instant::now());
             return Failure::Unsent;
         }
-        self.record_death(upstream);
+        self.suspect(upstream);
         Failure::Lost
     }
 
     /// Records that the connection broke while the upstream had the request.
-    pub(crate) fn record_death(&self, upstream: &Upstream) {
+    pub(crate) fn suspect(&self, upstream: &Upstream) {
         let now = Instant::now();
         let id = super::job::fingerprint(&upstream.id, &self.job.said.id, &[]);
         let mut crashes = self.context.crashes.lock();
-        crashes.record(self.job.fingerprint, id, now);
+        crashes.suspect(self.job.fingerprint, &upstream.id, id, now);
     }
 
     async fn on_head(
@@ -341,7 +343,7 @@
                     "answer was cut off"
                 );
                 self.record(&upstream, Ending::Unreachable);
-                self.record_death(&upstream);
+                self.suspect(&upstream);
                 Err(Failure::Lost)
             }
             Err(_elapsed) => {
@@ -353,6 +355,11 @@
 
     /// Takes in how an attempt ended for the upstream.
     pub(crate) fn record(&self, upstream: &Arc<Upstream>, ending: Ending) {
+        if ending == Ending::Good {
+            let mut crashes = self.context.crashes.lock();
+            crashes.upstream_answered(&upstream.id);
+            crashes.clear(self.job.fingerprint);
+        }
         let mut trust = self.context.trust.lock();
         trust.record(&upstream.id, ending, Instant::now());
     }
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -208,7 +208,7 @@
                         error:%;
                         "stream broke"
                     );
-                    self.attempts.record_death(&upstream);
+                    self.attempts.suspect(&upstream);
                     return Step::Broken(Failure::Lost);
                 }
                 Ok(None) => return self.end(),
--- a/crates/primrosehoist-daemon/src/gateway/sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/sync.rs
@@ -217,6 +217,7 @@
             context.roster.lock().remove(&object.name, now);
             context.allowance.lock().forget(&object.name);
             context.trust.lock().forget(&object.name);
+            context.crashes.lock().upstream_down(&object.name, now);
             return;
         };
         log::info!(
--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -9,6 +9,7 @@
 mod load;
 mod logging;
 mod platform;
+mod published;
 mod reply;
 mod report;
 mod send;
@@ -27,6 +28,8 @@
   platform   serves the platform's object API
   engine     serves a model of an inference engine
   service    serves a plain service
+  store      serves the object store of the users' platform
+  runner     serves a runner of the users' platform
   load       sends a mix of requests in an open loop and reports what came back
   report     prints tables of the reports of loads and draws plots
   send       sends the prompts and calls of a plan and judges the answers
@@ -57,6 +60,18 @@
         ),
         "engine" => command::run(arguments, engine::HELP, engine::options, engine::serve),
         "service" => command::run(arguments, service::HELP, service::options, service::serve),
+        "store" => command::run(
+            arguments,
+            published::store::HELP,
+            published::store::options,
+            published::store::serve,
+        ),
+        "runner" => command::run(
+            arguments,
+            published::runner::HELP,
+            published::runner::options,
+            published::runner::serve,
+        ),
         "load" => command::run(arguments, load::HELP, load::options, load::run),
         "report" => command::run(arguments, report::HELP, report::options, report::run),
         "send" => command::run(arguments, send::HELP, send::options, send::run),
--- /dev/null
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -0,0 +1,330 @@
+//! The object store: lists in pages, watches, conditional writes, dropped history, faults.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use pico_args::Arguments;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::{Notify, mpsc};
+use tokio::time;
+
+use crate::command::{self, Error};
+use crate::listener;
+use crate::reply::{self, Answer, Closed};
+
+/// The help text of the subcommand.
+pub(crate) const HELP: &str = "\
+Serves the object store of the users' platform.
+
+Usage: primrosehoist-standin store --listen ADDRESS --also ADDRESS [OPTIONS]
+
+Options:
+  --listen ADDRESS  address and port to listen on
+  --also ADDRESS    a second address of the same store, which faults can be limited to
+  --page N          objects in a page of a list [default: 3]
+  --log LEVEL       off, error, warn, info, debug or trace [default: warn]
+  --help            prints this text
+  --version         prints the version
+
+POST /standin/faults sets {\"mode\":\"none|busy|silent\",\"also_only\":bool,\"lose_writes\":bool}.
+POST /standin/forget drops the history. GET /standin/counts tells the calls.
+";
+
+const PREFIX: &str = "/primrosehoist/objects/";
+
+/// The largest accepted body, in bytes.
+const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Changes that are remembered for watches.
+const HISTORY: usize = 1000;
+
+/// The longest wait of a watch, in milliseconds.
+const WAIT_MAX_MS: u64 = 30_000;
+
+/// The options of the subcommand.
+#[derive(Debug)]
+pub(crate) struct Options {
+    listen: SocketAddr,
+    also: SocketAddr,
+    page: usize,
+}
+
+/// Reads the options of the subcommand.
+///
+/// # Errors
+///
+/// Fails if an option is missing or wrong.
+pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
+    Ok(Options {
+        listen: command::listen(arguments)?,
+        also: command::required(arguments, "--also")?,
+        page: command::value(arguments, "--page", 3)?,
+    })
+}
+
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Mode {
+    #[default]
+    None,
+    Busy,
+    Silent,
+}
+
+#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Faults {
+    mode: Mode,
+    also_only: bool,
+    lose_writes: bool,
+}
+
+#[derive(Debug, Clone)]
+struct Change {
+    revision: u64,
+    kind: String,
+    event: Value,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    revision: u64,
+    objects: BTreeMap<(String, String), Value>,
+    history: VecDeque<Change>,
+    /// Watches from before this revision are told that the history is gone.
+    oldest: u64,
+    faults: Faults,
+    calls: u64,
+}
+
+#[derive(Debug)]
+struct Store {
+    page: usize,
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// Serves until a signal ends it.
+///
+/// # Errors
+///
+/// Fails if an address cannot be listened on.
+pub(crate) async fn serve(options: Options) -> io::Result<()> {
+    let store = Arc::new(Store {
+        page: options.page,
+        state: Mutex::new(State {
+            revision: 1,
+            ..State::default()
+        }),
+        changed: Notify::new(),
+    });
+    let listen = |address, is_second: bool| {
+        let store = Arc::clone(&store);
+        let (outages, receiver) = mpsc::unbounded_channel();
+        let handler = move |request| {
+            let _outages = &outages;
+            handle(Arc::clone(&store), request, is_second)
+        };
+        listener::serve(address, handler, receiver)
+    };
+    tokio::try_join!(listen(options.listen, false), listen(options.also, true))?;
+    Ok(())
+}
+
+async fn handle(store: Arc<Store>, request: Request<Incoming>, is_second: bool) -> Answer {
+    let (parts, body) = request.into_parts();
+    let content = match reply::read(body, BODY_LIMIT_BYTES).await {
+        Ok(content) => content,
+        Err(status) => return Ok(reply::json(status, &json!({}))),
+    };
+    let path = parts.uri.path().to_owned();
+    let query = parts.uri.query().unwrap_or("").to_owned();
+    if let Some(order) = path.strip_prefix("/standin/") {
+        return Ok(store.control(order, &content));
+    }
+    let faults = {
+        let mut state = store.lock();
+        state.calls += 1;
+        state.faults
+    };
+    let applies = !faults.also_only || is_second;
+    match faults.mode {
+        Mode::Busy if applies => {
+            return Ok(reply::json(StatusCode::TOO_MANY_REQUESTS, &json!({})));
+        }
+        Mode::Silent if applies => return std::future::pending().await,
+        _ => {}
+    }
+    let Some(object) = path.strip_prefix(PREFIX) else {
+        return Ok(reply::json(StatusCode::NOT_FOUND, &json!({})));
+    };
+    let (kind, name) = object.split_once('/').unwrap_or((object, ""));
+    if parts.method == Method::GET {
+        return Ok(match parameter(&query, "Watch") {
+            Some(revision) => store.watch(kind, &revision, &query).await,
+            None if name.is_empty() => store.list(kind, &query),
+            None => store.get(kind, name),
+        });
+    }
+    let answer = store.write(&parts.method, kind, name, &content, &query);
+    if faults.lose_writes {
+        return Err(Closed::Now);
+    }
+    Ok(answer)
+}
+
+type Reply = http::Response<reply::Payload>;
+
+impl Store {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self, order: &str, content: &[u8]) -> Reply {
+        let mut state = self.lock();
+        match order {
+            "faults" => match serde_json::from_slice(content) {
+                Ok(faults) => state.faults = faults,
+                Err(_) => return reply::json(StatusCode::BAD_REQUEST, &json!({})),
+            },
+            "forget" => {
+                state.history.clear();
+                state.oldest = state.revision + 1;
+                state.revision += 1;
+            }
+            "counts" => return reply::json(StatusCode::OK, &json!({"calls": state.calls})),
+            _ => return reply::json(StatusCode::NOT_FOUND, &json!({})),
+        }
+        drop(state);
+        self.changed.notify_waiters();
+        reply::json(StatusCode::OK, &json!({}))
+    }
+
+    fn list(&self, kind: &str, query: &str) -> Reply {
+        let after = parameter(query, "After").unwrap_or_default();
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((of, _), _)| of == kind);
+        let left: Vec<&Value> = of_kind
+            .filter(|((_, name), _)| *name > after)
+            .map(|(_, object)| object)
+            .collect();
+        let page: Vec<&Value> = left.iter().take(self.page).copied().collect();
+        let more = left.len() > page.len();
+        let list = json!({"Items": page, "HasMore": more, "StoreRevision": state.revision});
+        reply::json(StatusCode::OK, &list)
+    }
+
+    fn get(&self, kind: &str, name: &str) -> Reply {
+        let state = self.lock();
+        match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+            Some(object) => reply::json(StatusCode::OK, object),
+            None => reply::json(StatusCode::NOT_FOUND, &json!({})),
+        }
+    }
+
+    async fn watch(&self, kind: &str, revision: &str, query: &str) -> Reply {
+        let Ok(since) = revision.parse::<u64>() else {
+            return reply::json(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let wait = parameter(query, "WaitMs").and_then(|wait| wait.parse().ok());
+        let wait = Duration::from_millis(wait.unwrap_or(0).min(WAIT_MAX_MS));
+        let end = time::Instant::now() + wait;
+        loop {
+            let next = self.changed.notified();
+            {
+                let state = self.lock();
+                if since < state.oldest {
+                    return reply::json(StatusCode::GONE, &json!({}));
+                }
+                let news = state
+                    .history
+                    .iter()
+                    .filter(|change| change.revision > since && change.kind == kind);
+                let events: Vec<&Value> = news.map(|change| &change.event).collect();
+                if !events.is_empty() || time::Instant::now() >= end {
+                    let changes = json!({"events": events, "StoreRevision": state.revision});
+                    return reply::json(StatusCode::OK, &changes);
+                }
+            }
+            // At the end of the wait, the loop answers with what there is.
+            let _timed_out = time::timeout_at(end, next).await.is_err();
+        }
+    }
+
+    fn write(&self, method: &Method, kind: &str, name: &str, content: &[u8], query: &str) -> Reply {
+        let given: Value = serde_json::from_slice(content).unwrap_or(Value::Null);
+        let named = given["Metadata"]["Name"].as_str().unwrap_or("").to_owned();
+        let name = if name.is_empty() {
+            named
+        } else {
+            name.to_owned()
+        };
+        let key = (kind.to_owned(), name.clone());
+        let mut state = self.lock();
+        let existing = state.objects.get(&key).cloned();
+        let expected = given["Metadata"]["Rev"].as_u64();
+        let expected = expected.or(parameter(query, "Rev").and_then(|rev| rev.parse().ok()));
+        let found = existing
+            .as_ref()
+            .and_then(|object| object["Metadata"]["Rev"].as_u64());
+        let conflict = match method {
+            &Method::POST => existing.is_some(),
+            _ => expected.is_some() && expected != found,
+        };
+        if conflict {
+            return reply::json(StatusCode::CONFLICT, &existing.unwrap_or(Value::Null));
+        }
+        if method != Method::POST && existing.is_none() {
+            return reply::json(StatusCode::NOT_FOUND, &json!({}));
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        let deleted = method == Method::DELETE;
+        let made = existing
+            .as_ref()
+            .and_then(|object| object["Metadata"]["CreateRev"].as_u64());
+        let spec = if deleted {
+            existing.map_or(Value::Null, |object| object["Spec"].clone())
+        } else {
+            given["Spec"].clone()
+        };
+        let object = json!({
+            "Metadata": {"Name": name, "Rev": revision, "CreateRev": made.unwrap_or(revision),
+                         "Finalizers": [], "Deleting": false},
+            "Spec": spec,
+            "Status": null,
+        });
+        if deleted {
+            state.objects.remove(&key);
+        } else {
+            state.objects.insert(key, object.clone());
+        }
+        state.history.push_back(Change {
+            revision,
+            kind: kind.to_owned(),
+            event: json!({"Object": object, "Deleted": deleted}),
+        });
+        if state.history.len() > HISTORY
+            && let Some(dropped) = state.history.pop_front()
+        {
+            state.oldest = dropped.revision + 1;
+        }
+        drop(state);
+        self.changed.notify_waiters();
+        reply::json(StatusCode::OK, &object)
+    }
+}
+
+/// Returns the value of a parameter of a query.
+fn parameter(query: &str, name: &str) -> Option<String> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.to_owned())
+}
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -6,6 +6,7 @@
 pub mod history;
 pub mod load;
 pub mod process;
+pub mod users;
 pub mod versions;
 
 use std::fmt::Write as _;
--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -24,6 +24,16 @@
 impl Process {
     /// Starts `name` with `arguments`; what it logs goes to `log`.
     pub fn start(name: &'static str, arguments: &[String], log: &Path) -> Self {
+        Self::start_with(name, arguments, log, &[])
+    }
+
+    /// Starts `name` as [`Process::start`] does, with further variables in its environment.
+    pub fn start_with(
+        name: &'static str,
+        arguments: &[String],
+        log: &Path,
+        variables: &[(&str, &Path)],
+    ) -> Self {
         let file = File::options()
             .create(true)
             .append(true)
@@ -31,6 +41,7 @@
             .expect("the log file opens");
         let child = Command::new(program(name))
             .args(arguments)
+            .envs(variables.iter().copied())
             .stdin(Stdio::null())
             .stdout(file.try_clone().expect("the log file is shared"))
             .stderr(file)
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/common/users.rs
@@ -0,0 +1,462 @@
+//! A small deployment on the users' platform: its store, runners and daemons as real processes.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::process::Process;
+
+static SITES: AtomicU8 = AtomicU8::new(1);
+static ATTEMPTS: AtomicU32 = AtomicU32::new(1);
+
+/// The host that requests name.
+pub const HOST: &str = "rope.example";
+/// The key of the workspace `rope`.
+pub const KEY: &str = "key-of-rope";
+
+/// A request of a client.
+#[derive(Clone)]
+pub struct Ask {
+    pub method: &'static str,
+    pub path: String,
+    pub key: &'static str,
+    pub id: String,
+    pub headers: Vec<(&'static str, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Ask {
+    pub fn new(method: &'static str, path: &str) -> Self {
+        let number = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
+        Self {
+            method,
+            path: path.to_owned(),
+            key: KEY,
+            id: format!("attempt-{number}"),
+            headers: vec![("X-Deadline-Ms", "8000".to_owned())],
+            body: b"body".to_vec(),
+        }
+    }
+
+    /// A request for a stream of `events` events after a prompt of `tokens` tokens.
+    pub fn stream(tokens: u64, events: u64) -> Self {
+        let mut ask = Self::new("POST", "/ask/1?x=2");
+        ask.headers
+            .push(("X-Token-Usage", format!("{tokens},{}", events * 10)));
+        ask
+    }
+
+    fn bytes(&self) -> Vec<u8> {
+        let mut head = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\n", self.method, self.path);
+        head.push_str(&format!("X-Attempt-Id: {}\r\n", self.id));
+        head.push_str(&format!("Authorization: Bearer {}\r\n", self.key));
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str(&format!("Content-Length: {}\r\n\r\n", self.body.len()));
+        [head.into_bytes(), self.body.clone()].concat()
+    }
+}
+
+/// An answer as it came over the connection.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Zero if the connection ended before a status came.
+    pub status: u16,
+    pub head: String,
+    pub body: Vec<u8>,
+    /// Whether the body ended by its own framing.
+    pub whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let lines = self.head.lines().filter_map(|line| line.split_once(": "));
+        let mut found = lines.filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        found.next().map(|(_, value)| value)
+    }
+
+    /// Returns the ids of the events in the body.
+    pub fn events(&self) -> Vec<u64> {
+        let text = String::from_utf8_lossy(&self.body);
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        ids.map(|id| id.parse().expect("an id is a number"))
+            .collect()
+    }
+}
+
+/// Sends `ask` on a connection of its own and reads the answer.
+pub fn send(address: &str, ask: &Ask) -> Answer {
+    let mut connection = connect(address);
+    connection
+        .write_all(&ask.bytes())
+        .expect("the request is written");
+    receive(&mut connection)
+}
+
+pub fn connect(address: &str) -> TcpStream {
+    let connection = TcpStream::connect(address).expect("the daemon accepts");
+    let limit = Some(Duration::from_secs(20));
+    connection.set_read_timeout(limit).expect("a time limit");
+    connection
+}
+
+/// Sends `ask` and returns the connection without reading.
+pub fn begin(address: &str, ask: &Ask) -> TcpStream {
+    let mut connection = connect(address);
+    connection
+        .write_all(&ask.bytes())
+        .expect("the request is written");
+    connection
+}
+
+/// Reads one answer.
+pub fn receive(connection: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let mut piece = [0; 4096];
+    loop {
+        if let Some(answer) = parse(&bytes) {
+            return answer;
+        }
+        match connection.read(&mut piece) {
+            Ok(length) if length > 0 => bytes.extend_from_slice(&piece[..length]),
+            _ => return broken(&bytes),
+        }
+    }
+}
+
+fn split(bytes: &[u8]) -> Option<(String, u16, &[u8])> {
+    let end = bytes.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let head = String::from_utf8_lossy(&bytes[..end]).into_owned();
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some((head, status, &bytes[end + 4..]))
+}
+
+fn broken(bytes: &[u8]) -> Answer {
+    let (head, status, rest) = split(bytes).unwrap_or((String::new(), 0, &[]));
+    let (body, _) = chunks(rest);
+    Answer {
+        status,
+        head,
+        body,
+        whole: false,
+    }
+}
+
+fn parse(bytes: &[u8]) -> Option<Answer> {
+    let (head, status, rest) = split(bytes)?;
+    let mut answer = Answer {
+        status,
+        head,
+        body: rest.to_vec(),
+        whole: true,
+    };
+    if let Some(length) = answer.header("content-length") {
+        let length: usize = length.parse().expect("a length");
+        return (rest.len() >= length).then_some(answer);
+    }
+    let (body, ended) = chunks(rest);
+    answer.body = body;
+    ended.then_some(answer)
+}
+
+/// Joins the chunks of a body; tells whether the last one was seen.
+fn chunks(mut rest: &[u8]) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    while let Some(end) = rest.windows(2).position(|two| two == b"\r\n") {
+        let length = usize::from_str_radix(&String::from_utf8_lossy(&rest[..end]), 16);
+        let Ok(length) = length else { break };
+        if length == 0 {
+            return (body, true);
+        }
+        let Some(data) = rest.get(end + 2..end + 2 + length) else {
+            break;
+        };
+        body.extend_from_slice(data);
+        rest = rest.get(end + 4 + length..).unwrap_or_default();
+    }
+    (body, false)
+}
+
+/// One daemon.
+pub struct Daemon {
+    pub ingress: String,
+    pub readiness: String,
+    pub metrics: String,
+    pub log: PathBuf,
+    settings: PathBuf,
+    pub process: Option<Process>,
+}
+
+/// One runner.
+pub struct Runner {
+    pub id: String,
+    pub zone: &'static str,
+    pub address: String,
+    pub process: Option<Process>,
+}
+
+/// The running processes.
+pub struct Site {
+    pub store: String,
+    pub daemons: Vec<Daemon>,
+    pub runners: Vec<Runner>,
+    pub directory: PathBuf,
+    _store: Process,
+}
+
+impl Site {
+    /// Starts a store, three runners in two zones and `daemons` daemons; the last daemon uses the
+    /// second address of the store. Nothing is configured yet.
+    pub fn start(daemons: u8) -> Self {
+        let number = SITES.fetch_add(1, Ordering::Relaxed);
+        let own = std::process::id();
+        let directory = std::env::temp_dir().join(format!("primrosehoist-users-{own}-{number}"));
+        fs::create_dir_all(&directory).expect("a directory");
+        let net = format!("127.{}.{number}", 10 + own % 200);
+        let store = format!("{net}.1:7100");
+        let also = format!("{net}.1:7101");
+        let arguments = words(&["store", "--listen", &store, "--also", &also]);
+        let log = directory.join("store.log");
+        let process = Process::start("primrosehoist-standin", &arguments, &log);
+        wait_open(&store);
+        let mut site = Self {
+            store,
+            daemons: Vec::new(),
+            runners: Vec::new(),
+            directory,
+            _store: process,
+        };
+        for (index, zone) in ["zone-a", "zone-a", "zone-b"].into_iter().enumerate() {
+            site.runners.push(Runner {
+                id: format!("i-{index}"),
+                zone,
+                address: format!("{net}.{}:7200", 20 + index),
+                process: None,
+            });
+            site.start_runner(index);
+        }
+        for index in 0..daemons {
+            let last = index + 1 == daemons && daemons > 1;
+            let store = if last { &also } else { &site.store };
+            let daemon = site.lay_out(&format!("{net}.{}", 40 + index), index, store);
+            site.daemons.push(daemon);
+            site.start_daemon(index as usize);
+        }
+        site
+    }
+
+    /// Starts a configured site whose daemons are ready.
+    pub fn ready(daemons: u8) -> Self {
+        let site = Self::start(daemons);
+        site.configure(&configuration(1));
+        for index in 0..site.runners.len() {
+            site.register(index, "ready");
+        }
+        for index in 0..site.daemons.len() {
+            site.wait_ready(index);
+        }
+        // Notices introduce the daemons to each other.
+        std::thread::sleep(Duration::from_millis(600));
+        site
+    }
+
+    fn lay_out(&self, ip: &str, index: u8, store: &str) -> Daemon {
+        let settings = self.directory.join(format!("daemon-{index}.toml"));
+        let text = format!(
+            "NodeName = \"frontend-{index}\"\nRole = \"gateway\"\nIp = \"{ip}\"\nZone = \"zone-a\"\n\
+             InternalPorts = [7340, 7355]\nHeartbeatMs = 1200\n\
+             [Listen]\nFrontend = \"{ip}:8227\"\nReadiness = \"{ip}:8220\"\n\
+             [Limits]\nMemoryMb = 260\n\
+             [Bounds]\nStableWindowMs = 3000\nDrainMs = 2000\nGraceS = 8\nConfigApplyMs = 2000\n\
+             RetryBudgetRatio = 0.2\nBudgetWindowS = 10\nRetrySlack = 106\nColdOver = 1.5\n\
+             ColdSlack = 5\nEvacMs = 5000\nstall_ms = 1500\nHoldMaxMs = 20000\n\
+             [PlatformConfig]\nAddress = \"{store}\"\n"
+        );
+        fs::write(&settings, text).expect("the settings are written");
+        Daemon {
+            ingress: format!("{ip}:8227"),
+            readiness: format!("{ip}:8220"),
+            metrics: format!("{ip}:9464"),
+            log: self.directory.join(format!("daemon-{index}.log")),
+            settings,
+            process: None,
+        }
+    }
+
+    pub fn start_runner(&mut self, index: usize) {
+        let runner = &mut self.runners[index];
+        let arguments = words(&["runner", "--listen", &runner.address, "--id", &runner.id]);
+        let log = self.directory.join(format!("runner-{index}.log"));
+        runner.process = Some(Process::start("primrosehoist-standin", &arguments, &log));
+        wait_open(&runner.address);
+    }
+
+    pub fn start_daemon(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        let variables = [("PRIMROSEHOIST_NODE_FILE", daemon.settings.as_path())];
+        let process = Process::start_with(
+            "primrosehoistd",
+            &words(&["platform"]),
+            &daemon.log,
+            &variables,
+        );
+        daemon.process = Some(process);
+        wait_open(&daemon.ingress);
+    }
+
+    pub fn wait_ready(&self, index: usize) {
+        let address = self.daemons[index].readiness.clone();
+        wait("the daemon is ready", || readiness(&address) == 200);
+    }
+
+    /// Writes a version of the configuration.
+    pub fn configure(&self, spec: &Value) {
+        self.put("config", "main", spec);
+    }
+
+    /// Writes the entry of a runner.
+    pub fn register(&self, index: usize, state: &str) {
+        let runner = &self.runners[index];
+        let spec = json!({"Service": "model", "Address": runner.address, "Zone": runner.zone,
+                          "Version": "v1", "Slots": 16, "State": state, "ColdLeftMs": 0,
+                          "Sequence": 1});
+        self.put("servers", &runner.id, &spec);
+    }
+
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        let body = json!({"Metadata": {"Name": name}, "Spec": spec}).to_string();
+        let path = format!("/primrosehoist/objects/{kind}");
+        let created = call(&self.store, "POST", &path, &body);
+        if created.status == 409 {
+            let path = format!("{path}/{name}");
+            assert_eq!(call(&self.store, "PUT", &path, &body).status, 200);
+        }
+    }
+
+    pub fn delete(&self, kind: &str, name: &str) {
+        let path = format!("/primrosehoist/objects/{kind}/{name}");
+        assert_eq!(call(&self.store, "DELETE", &path, "").status, 200);
+    }
+
+    pub fn store_faults(&self, faults: &Value) {
+        let answer = call(&self.store, "POST", "/standin/faults", &faults.to_string());
+        assert_eq!(answer.status, 200);
+    }
+
+    /// Lets the next `times` requests of each runner meet `fault`.
+    pub fn fault(&self, index: usize, fault: &str, times: usize) {
+        let body = json!({"fault": fault, "times": times}).to_string();
+        let answer = call(
+            &self.runners[index].address,
+            "POST",
+            "/standin/fault",
+            &body,
+        );
+        assert_eq!(answer.status, 200);
+    }
+
+    pub fn counts(&self, index: usize) -> Value {
+        let answer = call(&self.runners[index].address, "GET", "/standin/counts", "");
+        serde_json::from_slice(&answer.body).expect("counts")
+    }
+
+    /// Returns what ran under `id`, with the index of the runner.
+    pub fn runs(&self, id: &str) -> Vec<(usize, Value)> {
+        let mut found = Vec::new();
+        for index in 0..self.runners.len() {
+            let counts = self.counts(index);
+            let runs = counts["runs"].as_array().expect("runs").iter();
+            let own = runs.filter(|run| run["id"] == id);
+            found.extend(own.map(|run| (index, run.clone())));
+        }
+        found
+    }
+
+    /// Returns the lines that a daemon logged about `id`.
+    pub fn logged(&self, daemon: usize, id: &str) -> Vec<Value> {
+        let text = fs::read_to_string(&self.daemons[daemon].log).unwrap_or_default();
+        let lines = text
+            .lines()
+            .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+        lines.filter(|line| line["request"] == id).collect()
+    }
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            drop(fs::remove_dir_all(&self.directory));
+        } else {
+            eprintln!("logs are kept in {}", self.directory.display());
+        }
+    }
+}
+
+/// A configuration with a stream, an idempotent and a call that may not run twice.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str| {
+        json!({"Name": name, "Host": HOST, "PathPrefix": prefix, "Kind": kind, "TimeoutMs": 6000,
+               "SloMs": 400, "Priority": 1, "Service": "model", "MaxAttempts": 2,
+               "Public": false, "Resumable": kind == "streaming", "GapAimMs": 200})
+    };
+    json!({
+        "Version": version,
+        "Routes": [route("ask", "/ask/", "streaming"), route("look", "/look/", "idempotent"),
+                   route("order", "/order/", "non_idempotent")],
+        "Services": [{"Name": "model", "MaxConns": 400, "ColdPerS": 0.0, "Engine": {
+            "Slots": 16, "KvCapacity": 450_000, "Stride": 46, "step_ms": 0.925,
+            "per_seq_ms": 0.005, "context_per_k": 0.0025, "read_per_s": 25_600_000.0,
+            "pairs_per_m": 0.0001, "chunk": 2048}}],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100_000,
+                   "HeaderTimeoutMs": 1000, "IdleTimeoutMs": 3000},
+        "Tenants": [{"Name": "rope", "ApiKeys": [KEY, "second-key"], "Priority": 1}],
+    })
+}
+
+/// Makes a call that is not a client's request.
+pub fn call(address: &str, method: &str, path: &str, body: &str) -> Answer {
+    let mut connection = connect(address);
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    connection
+        .write_all(request.as_bytes())
+        .expect("the call is written");
+    receive(&mut connection)
+}
+
+pub fn readiness(address: &str) -> u16 {
+    match TcpStream::connect(address) {
+        Ok(_) => call(address, "GET", "/primrosehoist/ready", "").status,
+        Err(_) => 0,
+    }
+}
+
+fn words(words: &[&str]) -> Vec<String> {
+    words.iter().map(|word| (*word).to_owned()).collect()
+}
+
+fn wait_open(address: &str) {
+    wait("the process listens", || {
+        TcpStream::connect(address).is_ok()
+    });
+}
+
+/// Waits until `holds` does.
+pub fn wait<F>(what: &str, holds: F)
+where
+    F: Fn() -> bool,
+{
+    let end = Instant::now() + Duration::from_secs(20);
+    while !holds() {
+        assert!(Instant::now() < end, "it does not come to pass that {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -177,7 +177,8 @@
         read_ms,
         memory,
     };
-    let parts = plan.memory.holders + 1..=parts_max.min(seats.len());
+    let parts_min = plan.memory.holders + 1;
+    let parts = parts_min..=parts_max.max(parts_min).min(seats.len());
     let ways = parts.filter_map(|parts| plan.divided(parts));
     let best = ways.min_by(|one, other| one.cost().total_cmp(&other.cost()));
     match best {
--- a/src/state/crash.rs
+++ b/src/state/crash.rs
@@ -1,7 +1,10 @@
 //! Requests that ended the upstreams that ran them, by fingerprint.
 //!
 //! A client sends such a request again, to any daemon, so daemons tell each other what they saw.
+//! A lost answer alone proves nothing: the request becomes a suspect, and a death is recorded only
+//! if its upstream turns out to be down soon after.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -21,6 +24,21 @@
 /// How long a death is told to other daemons.
 const TOLD: Duration = Duration::from_secs(4);
 
+/// How long after a lost answer its upstream must be found down for the request to count as the
+/// cause.
+const SUSPICION: Duration = Duration::from_secs(4);
+
+/// The largest number of suspects.
+const SUSPECTS_MAX: usize = 512;
+
+/// A request whose answer was lost.
+#[derive(Debug, Clone)]
+struct Suspect {
+    fingerprint: u64,
+    upstream: Arc<str>,
+    death: Death,
+}
+
 /// One death of an upstream while it ran a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Death {
@@ -32,6 +50,7 @@
 /// The requests that upstreams died of.
 #[derive(Debug, Default)]
 pub struct Crashes {
+    suspects: Vec<Suspect>,
     deaths: Map<u64, Vec<Death>>,
 }
 
@@ -48,6 +67,38 @@
         }
     }
 
+    /// Records that `upstream` gave no whole answer to the request; `id` is unique to the loss.
+    pub fn suspect(&mut self, fingerprint: u64, upstream: &Arc<str>, id: u64, now: Instant) {
+        self.suspects
+            .retain(|suspect| now < suspect.death.at + SUSPICION);
+        if self.suspects.len() < SUSPECTS_MAX {
+            self.suspects.push(Suspect {
+                fingerprint,
+                upstream: Arc::clone(upstream),
+                death: Death { at: now, id },
+            });
+        }
+    }
+
+    /// Records that `upstream` is down: its suspects count as the cause.
+    pub fn upstream_down(&mut self, upstream: &str, now: Instant) {
+        let (down, others) = std::mem::take(&mut self.suspects)
+            .into_iter()
+            .partition(|suspect: &Suspect| suspect.upstream.as_ref() == upstream);
+        self.suspects = others;
+        for suspect in down {
+            if now < suspect.death.at + SUSPICION {
+                self.record(suspect.fingerprint, suspect.death.id, now);
+            }
+        }
+    }
+
+    /// Records that `upstream` answered, which clears its suspects.
+    pub fn upstream_answered(&mut self, upstream: &str) {
+        self.suspects
+            .retain(|suspect| suspect.upstream.as_ref() != upstream);
+    }
+
     /// Records that the request was answered, which clears it.
     pub fn clear(&mut self, fingerprint: u64) {
         self.deaths.remove(&fingerprint);
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -209,3 +209,32 @@
     assert!(!second.is_refused(42, now));
     assert!(!first.is_refused(42, now + Duration::from_secs(121)));
 }
+
+#[test]
+fn a_lost_answer_counts_only_if_its_upstream_is_down_soon_after() {
+    let now = Instant::now();
+    let later = now + Duration::from_millis(800);
+    let upstream: Arc<str> = Arc::from("u");
+    let deaths = |act: fn(&mut Crashes, Instant), when: Instant| {
+        let mut crashes = Crashes::default();
+        for loss in 0..DEATHS_MAX as u64 {
+            crashes.suspect(42, &upstream, loss, now);
+        }
+        act(&mut crashes, when);
+        crashes.upstream_down(&upstream, when);
+        crashes.is_refused(42, when)
+    };
+    assert!(deaths(|_, _| {}, later));
+    assert!(
+        !deaths(|_, _| {}, now + Duration::from_secs(5)),
+        "too late to be the cause"
+    );
+    assert!(!deaths(|crashes, _| crashes.upstream_answered("u"), later));
+    assert!(!deaths(
+        |crashes, now| {
+            crashes.upstream_down("other", now);
+            crashes.upstream_answered("u");
+        },
+        later
+    ));
+}
