Let few daemons of a large fleet follow the store; tell others what changed

Each of 91 daemons watched three kinds, and each change of an upstream ended all watches.

Change: in fleets above 16 two daemons of each zone follow the store, chosen by rendezvous among those that are heard; the others learn of changes by notices and ask one of their zone for what they lack. A daemon that hears few follows the store itself; one that the store turns away gives its place to the next.

Ruled out: stale reads (a tenth of the price, but seconds old); one follower in all (a cut zone would follow nothing).

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwapOption;
 use parking_lot::Mutex;
 use primrosehoist::coordination::allowance::Allowance;
+use primrosehoist::coordination::watchers::{Member, Standing};
 use primrosehoist::protocol::notice::Horizon;
 use primrosehoist::state::crash::Crashes;
 use primrosehoist::state::map::Map;
@@ -64,6 +65,10 @@
     pub(crate) urgent: Notify,
     /// The newest horizon that another daemon named, for the watches of the store.
     pub(crate) heard: watch::Sender<Horizon>,
+    /// Whether this daemon is to follow the store.
+    follows: watch::Sender<bool>,
+    /// Whether the store answers this daemon.
+    store_answers: AtomicBool,
     /// The configuration in force as the store holds it, for daemons that cannot read it there.
     pub(crate) configuration: Mutex<Arc<str>>,
     /// When the store last answered or another daemon was last heard.
@@ -101,6 +106,8 @@
             changed: Notify::new(),
             urgent: Notify::new(),
             heard: watch::Sender::new(Horizon::default()),
+            follows: watch::Sender::new(true),
+            store_answers: AtomicBool::new(true),
             configuration: Mutex::new(Arc::from("")),
             contact: Mutex::new(Instant::now()),
             bodies: Budget::new(settings.memory_mb * BODY_BYTES_PER_MB),
@@ -132,6 +139,52 @@
         self.contact.lock().elapsed() > silence_max
     }
 
+    /// Returns whether this daemon is to follow the store.
+    pub(crate) fn follows(&self) -> bool {
+        *self.follows.borrow()
+    }
+
+    /// Sets whether this daemon is to follow the store.
+    pub(crate) fn set_follows(&self, follows: bool) {
+        let changed = self.follows.send_if_modified(|before| {
+            let changed = *before != follows;
+            *before = follows;
+            changed
+        });
+        if changed {
+            log::info!(follows; "duty to follow the store changed");
+        }
+    }
+
+    /// Waits until this daemon is to follow the store, or is not.
+    pub(crate) async fn follows_is(&self, wanted: bool) {
+        let mut follows = self.follows.subscribe();
+        // The sender lives as long as `self`.
+        let _closed = follows
+            .wait_for(|follows| *follows == wanted)
+            .await
+            .is_err();
+    }
+
+    /// Sets whether the store answers this daemon.
+    pub(crate) fn set_store_answers(&self, answers: bool) {
+        self.store_answers.store(answers, Ordering::Release);
+    }
+
+    /// Returns this daemon as others see it.
+    pub(crate) fn member(&self) -> Member {
+        let standing = match (self.follows(), self.store_answers.load(Ordering::Acquire)) {
+            (false, _) => Standing::Idle,
+            (true, true) => Standing::Following,
+            (true, false) => Standing::Lost,
+        };
+        Member {
+            host: Arc::clone(&self.settings.host),
+            zone: Arc::clone(&self.settings.zone),
+            standing,
+        }
+    }
+
     /// Returns whether clients may be sent to this daemon.
     pub(crate) fn is_ready(&self) -> bool {
         !self.is_draining() && self.listed.load(Ordering::Acquire) && self.table.load().is_some()
@@ -156,6 +209,8 @@
         *self.configuration.lock() = text;
         self.horizon.lock().configuration = version;
         self.metrics.version(version);
+        self.urgent.notify_one();
+        self.changed.notify_one();
         self.waiting.wake();
         true
     }
--- a/crates/primrosehoist-daemon/src/gateway/links.rs
+++ b/crates/primrosehoist-daemon/src/gateway/links.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
+use primrosehoist::coordination::watchers::{self, Member, Standing};
 use primrosehoist::protocol::notice::{DATAGRAM_BYTES_MAX, Horizon, Notice};
 use primrosehoist::state::map::Map;
 use tokio::net::UdpSocket;
@@ -37,7 +38,7 @@
 /// What is known of another daemon.
 #[derive(Debug, Clone)]
 struct Heard {
-    host: Arc<str>,
+    member: Member,
     /// When it was last heard.
     at: Instant,
     horizon: Horizon,
@@ -70,7 +71,11 @@
         heard.entry(address).or_insert_with(|| {
             log::info!(host, address:%; "daemon found");
             Heard {
-                host: Arc::from(host),
+                member: Member {
+                    host: Arc::from(host),
+                    zone: Arc::from(""),
+                    standing: Standing::Idle,
+                },
                 at: Instant::now(),
                 horizon: Horizon::default(),
             }
@@ -80,7 +85,7 @@
     /// Returns the names of all daemons, those that may be gone included, with `own`.
     fn names(&self, own: &Arc<str>) -> Vec<Arc<str>> {
         let heard = self.heard.lock();
-        let others = heard.values().map(|heard| Arc::clone(&heard.host));
+        let others = heard.values().map(|heard| Arc::clone(&heard.member.host));
         others.chain([Arc::clone(own)]).collect()
     }
 
@@ -90,24 +95,44 @@
         (daemons / SMALL_FLEET).clamp(1, SPACING_MAX)
     }
 
-    fn hear(&self, address: IpAddr, host: &Arc<str>, horizon: Horizon) {
+    fn hear(&self, address: IpAddr, notice: &Notice) {
         let heard = Heard {
-            host: Arc::clone(host),
+            member: Member {
+                host: Arc::clone(&notice.host),
+                zone: Arc::clone(&notice.zone),
+                standing: notice.standing,
+            },
             at: Instant::now(),
-            horizon,
+            horizon: notice.horizon,
         };
         self.heard.lock().insert(address, heard);
     }
 
-    /// Returns the address of a live daemon that knows something that `own` does not.
-    pub(crate) fn ahead_of(&self, own: &Horizon) -> Option<SocketAddr> {
+    /// Returns the address of a live daemon that knows something that `own` does not, one of
+    /// `zone` if there is one.
+    pub(crate) fn ahead_of(&self, own: &Horizon, zone: &str) -> Option<SocketAddr> {
         let heard = self.heard.lock();
-        let mut ahead = heard
+        let ahead: Vec<_> = heard
             .iter()
-            .filter(|(_, heard)| heard.at.elapsed() < SILENT && heard.horizon.is_ahead_of(own));
-        ahead
-            .next()
-            .map(|(address, _)| SocketAddr::new(*address, self.port))
+            .filter(|(_, heard)| heard.at.elapsed() < SILENT && heard.horizon.is_ahead_of(own))
+            .collect();
+        let near: Vec<_> = ahead
+            .iter()
+            .filter(|(_, heard)| heard.member.zone.as_ref() == zone)
+            .copied()
+            .collect();
+        let choice = if near.is_empty() { ahead } else { near };
+        let index = rand::random_range(0..choice.len().max(1));
+        choice
+            .get(index)
+            .map(|(address, _)| SocketAddr::new(**address, self.port))
+    }
+
+    /// Returns the daemons that were heard recently.
+    fn members(&self) -> Vec<Member> {
+        let heard = self.heard.lock();
+        let live = heard.values().filter(|heard| heard.at.elapsed() < SILENT);
+        live.map(|heard| heard.member.clone()).collect()
     }
 
     /// Returns where notice number `number` goes.
@@ -150,8 +175,13 @@
         for id in context.roster.lock().expire(now) {
             log::info!(upstream = id.as_ref(); "upstream still missing; taken as gone");
         }
+        let own = context.member();
+        let follows = watchers::follows(&own, &peers.members());
+        context.set_follows(follows);
         let notice = Notice {
-            host: Arc::clone(&context.settings.host),
+            host: Arc::clone(&own.host),
+            zone: Arc::clone(&own.zone),
+            standing: own.standing,
             sequence: (context.started_ms, number),
             horizon: *context.horizon.lock(),
             report,
@@ -186,7 +216,7 @@
         };
         match Notice::try_from(&buffer[..length]) {
             Ok(notice) => {
-                peers.hear(sender.ip(), &notice.host, notice.horizon);
+                peers.hear(sender.ip(), &notice);
                 context.in_contact();
                 hear(&context, notice);
             }
@@ -209,9 +239,7 @@
         .hear(&notice.host, notice.sequence, notice.report, now);
     context.heard.send_if_modified(|heard| {
         let before = *heard;
-        heard.configuration = heard.configuration.max(notice.horizon.configuration);
-        heard.upstreams = heard.upstreams.max(notice.horizon.upstreams);
-        heard.evacuations = heard.evacuations.max(notice.horizon.evacuations);
+        *heard = heard.newest(&notice.horizon);
         *heard != before
     });
 }
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -156,15 +156,10 @@
         .map_err(|source| Error::Listen(SocketAddr::new(settings.address, port), source))?;
     let socket = Arc::new(socket);
     let peers = Arc::new(Peers::new(settings.address, port));
-    for feed in [
-        Feed::Configuration,
-        Feed::Upstreams,
-        Feed::Evacuations,
-        Feed::Daemons,
-    ] {
+    for feed in [Feed::Configuration, Feed::Upstreams, Feed::Evacuations] {
         tokio::spawn(sync::follow(Arc::clone(&context), Arc::clone(&peers), feed));
     }
-    tokio::spawn(register(Arc::clone(&context)));
+    tokio::spawn(register(Arc::clone(&context), Arc::clone(&peers)));
     tokio::spawn(links::send(
         Arc::clone(&context),
         Arc::clone(&peers),
@@ -177,7 +172,7 @@
     ));
     tokio::spawn(relay::catch_up(Arc::clone(&context), peers));
     let (stop, stopped) = watch::channel(false);
-    let inner = |listener, answer: fn(&Context) -> Response<Payload>| {
+    let inner = |listener, answer: fn(&Context, &str) -> Response<Payload>| {
         tokio::spawn(serve_inner(
             Arc::clone(&context),
             listener,
@@ -239,7 +234,7 @@
     context: Arc<Context>,
     listener: TcpListener,
     stopped: watch::Receiver<bool>,
-    answer: fn(&Context) -> Response<Payload>,
+    answer: fn(&Context, &str) -> Response<Payload>,
 ) -> impl Future<Output = ()> {
     let limits = || Limits {
         connections: INNER_CONNECTIONS_MAX,
@@ -249,12 +244,13 @@
         idle: IDLE_TIMEOUT,
         write: WRITE_TIMEOUT,
     };
-    server::serve(listener, limits, stopped, move |_request| {
-        std::future::ready(answer(&context))
+    server::serve(listener, limits, stopped, move |request| {
+        let query = request.uri().query().unwrap_or("");
+        std::future::ready(answer(&context, query))
     })
 }
 
-fn answer_readiness(context: &Context) -> Response<Payload> {
+fn answer_readiness(context: &Context, _query: &str) -> Response<Payload> {
     if context.is_ready() {
         text(StatusCode::OK, "ready\n".to_owned())
     } else {
@@ -262,7 +258,7 @@
     }
 }
 
-fn answer_metrics(context: &Context) -> Response<Payload> {
+fn answer_metrics(context: &Context, _query: &str) -> Response<Payload> {
     match context.metrics.render() {
         Ok(metrics) => text(StatusCode::OK, metrics),
         Err(error) => text(StatusCode::INTERNAL_SERVER_ERROR, format!("{error}\n")),
@@ -276,14 +272,16 @@
     response
 }
 
-/// Registers this daemon in the store, so that others find it.
-async fn register(context: Arc<Context>) {
+/// Registers this daemon in the store, then finds those that registered before. Of two daemons
+/// that start at the same time at least one finds the other.
+async fn register(context: Arc<Context>, peers: Arc<Peers>) {
     let settings = &context.settings;
     let spec = host::encode(settings.address);
     while let Err(error) = context.store.put(host::KIND, &settings.host, &spec).await {
         log::warn!(error:%; "registration failed");
         sleep(REGISTER_PAUSE).await;
     }
+    sync::follow(Arc::clone(&context), peers, Feed::Daemons).await;
 }
 
 async fn await_termination() -> Result<(), Error> {
--- a/crates/primrosehoist-daemon/src/gateway/relay.rs
+++ b/crates/primrosehoist-daemon/src/gateway/relay.rs
@@ -1,14 +1,17 @@
 //! The picture of the platform from daemon to daemon.
 //!
-//! The store may turn one daemon away while it serves the others. Notices tell that daemon that
-//! it is behind; it then asks one that is ahead for its whole picture.
+//! The store may turn one daemon away while it serves the others, and in a large fleet most do not
+//! follow it at all. Notices tell a daemon that it is behind; it then asks one that is ahead for
+//! what it does not know.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use primrosehoist::protocol::notice::Horizon;
 use primrosehoist::protocol::picture::Picture;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::platform::Endpoint;
@@ -26,26 +29,36 @@
 /// comes within this time, and half of the shortest bound is left after it.
 const BEHIND_MAX: Duration = Duration::from_millis(700);
 
+/// The time within which daemons that do not follow the store ask, spread so that they do not ask
+/// all at once.
+const SPREAD_MAX: Duration = Duration::from_millis(60);
+
 /// The longest time for the answer of a daemon.
 const ANSWER_MAX: Duration = Duration::from_millis(800);
 
 /// The pause between two questions.
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 
-/// Returns the answer to a daemon that asks for the picture.
-pub(crate) fn answer(context: &Context) -> Response<Payload> {
-    let (upstreams, evacuated) = {
-        let roster = context.roster.lock();
-        let upstreams = roster.upstreams().map(|upstream| upstream.as_ref().clone());
-        let evacuated = roster.evacuated().iter().cloned();
-        (upstreams.collect(), evacuated.collect())
-    };
+/// Returns the answer to a daemon that asks for the picture; `query` tells what it knows.
+pub(crate) fn answer(context: &Context, query: &str) -> Response<Payload> {
+    let known = parse(query);
+    let horizon = *context.horizon.lock();
+    let roster = context.roster.lock();
     let picture = Picture {
-        horizon: *context.horizon.lock(),
-        configuration: Arc::clone(&context.configuration.lock()),
-        upstreams,
-        evacuated,
+        horizon,
+        configuration: if horizon.configuration > known.configuration {
+            Arc::clone(&context.configuration.lock())
+        } else {
+            Arc::from("")
+        },
+        upstreams: (horizon.upstreams > known.upstreams).then(|| {
+            let upstreams = roster.upstreams().map(|upstream| upstream.as_ref().clone());
+            upstreams.collect()
+        }),
+        evacuated: (horizon.evacuations > known.evacuations)
+            .then(|| roster.evacuated().iter().cloned().collect()),
     };
+    drop(roster);
     let (status, bytes) = match picture.encode() {
         Ok(bytes) => (StatusCode::OK, bytes),
         Err(error) => {
@@ -59,39 +72,71 @@
     response
 }
 
+/// Returns the path by which a daemon that knows `own` asks.
+fn path(own: &Horizon) -> String {
+    let Horizon {
+        configuration,
+        upstreams,
+        evacuations,
+    } = own;
+    format!("{PATH}?{configuration},{upstreams},{evacuations}")
+}
+
+/// Reads what the asking daemon knows. One that does not say so knows nothing.
+fn parse(query: &str) -> Horizon {
+    let mut parts = query.split(',').map(|part| part.parse().unwrap_or(0));
+    let mut next = || parts.next().unwrap_or(0);
+    Horizon {
+        configuration: next(),
+        upstreams: next(),
+        evacuations: next(),
+    }
+}
+
 /// Asks other daemons whenever this one has been behind for too long.
 pub(crate) async fn catch_up(context: Arc<Context>, peers: Arc<Peers>) {
     let mut heard = context.heard.subscribe();
     loop {
         let own = *context.horizon.lock();
-        if peers.ahead_of(&own).is_none() {
+        if peers.ahead_of(&own, &context.settings.zone).is_none() {
             if heard.changed().await.is_err() {
                 return;
             }
             continue;
         }
-        sleep(BEHIND_MAX).await;
+        let delay = if context.follows() {
+            BEHIND_MAX
+        } else {
+            SPREAD_MAX.mul_f64(rand::random::<f64>())
+        };
+        sleep(delay).await;
         let own = *context.horizon.lock();
-        let Some(address) = peers.ahead_of(&own) else {
+        let Some(address) = peers.ahead_of(&own, &context.settings.zone) else {
             continue;
         };
         let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
+        let path = path(&own);
         let step = format!("ask {address} for its picture");
-        let asked = endpoint.call(&step, Method::GET, PATH, Bytes::new(), ANSWER_MAX);
-        match asked.await {
+        let asked = endpoint.call(&step, Method::GET, &path, Bytes::new(), ANSWER_MAX);
+        let asked = asked.await;
+        let failed = asked.is_err();
+        match asked {
             Ok(bytes) => match Picture::try_from(bytes.as_ref()) {
                 Ok(picture) => accept(&context, picture),
                 Err(error) => log::warn!(daemon:% = address, error:%; "picture cannot be read"),
             },
             Err(error) => log::info!(daemon:% = address, error:%; "no picture"),
         }
-        sleep(ASK_PAUSE).await;
+        if failed {
+            sleep(ASK_PAUSE).await;
+        }
     }
 }
 
 /// Takes in the parts of a picture that are newer than the own one.
 fn accept(context: &Context, picture: Picture) {
     let own = *context.horizon.lock();
+    context.urgent.notify_one();
     log::info!(
         configuration = picture.horizon.configuration,
         upstreams = picture.horizon.upstreams,
@@ -105,13 +150,17 @@
             Err(error) => log::error!(error:%; "configuration unreadable"),
         }
     }
-    if picture.horizon.upstreams > own.upstreams {
-        let now = Instant::now();
-        context.roster.lock().replace(picture.upstreams, now);
+    if let Some(upstreams) = picture.upstreams
+        && picture.horizon.upstreams > own.upstreams
+    {
+        context.roster.lock().replace(upstreams, Instant::now());
         context.horizon.lock().upstreams = picture.horizon.upstreams;
+        context.listed.store(true, Ordering::Release);
     }
-    if picture.horizon.evacuations > own.evacuations {
-        let zones = picture.evacuated.into_iter().collect();
+    if let Some(evacuated) = picture.evacuated
+        && picture.horizon.evacuations > own.evacuations
+    {
+        let zones = evacuated.into_iter().collect();
         context.roster.lock().set_evacuated(zones, Instant::now());
         context.horizon.lock().evacuations = picture.horizon.evacuations;
     }
--- a/crates/primrosehoist-daemon/src/gateway/sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/sync.rs
@@ -73,7 +73,15 @@
                 continue;
             }
         };
-        follower.watch(revision).await;
+        if feed == Feed::Daemons {
+            // Each daemon names itself to those that it knows, and they learn of it.
+            return;
+        }
+        let context = Arc::clone(&follower.context);
+        tokio::select! {
+            () = follower.watch(revision) => {}
+            () = context.follows_is(false) => context.follows_is(true).await,
+        }
     }
 }
 
@@ -119,6 +127,9 @@
     fn regained(&mut self) {
         self.failures = 0;
         self.context.in_contact();
+        if self.feed == Feed::Upstreams {
+            self.context.set_store_answers(true);
+        }
         let Some(lost_at) = self.lost_at.take() else {
             return;
         };
@@ -131,6 +142,9 @@
 
     async fn failed(&mut self, error: &Error) {
         if self.lost_at.is_none() {
+            if self.feed == Feed::Upstreams {
+                self.context.set_store_answers(false);
+            }
             self.lost_at = Some(Instant::now());
             log::warn!(kind = self.feed.kind(), error:%; "store lost");
         }
@@ -258,6 +272,9 @@
             Feed::Evacuations => horizon.evacuations = horizon.evacuations.max(revision),
             Feed::Configuration | Feed::Daemons => {}
         }
+        drop(horizon);
+        self.context.urgent.notify_one();
+        self.context.changed.notify_one();
     }
 
     fn on_daemon(&self, object: &Object) {
--- a/crates/primrosehoist-tests/tests/common/users.rs
+++ b/crates/primrosehoist-tests/tests/common/users.rs
@@ -52,13 +52,20 @@
     }
 
     fn bytes(&self) -> Vec<u8> {
-        let mut head = format!("{} {} HTTP/1.1\r\nHost: {HOST}\r\n", self.method, self.path);
-        head.push_str(&format!("X-Attempt-Id: {}\r\n", self.id));
-        head.push_str(&format!("Authorization: Bearer {}\r\n", self.key));
-        for (name, value) in &self.headers {
-            head.push_str(&format!("{name}: {value}\r\n"));
-        }
-        head.push_str(&format!("Content-Length: {}\r\n\r\n", self.body.len()));
+        let further = self.headers.iter();
+        let further: Vec<String> = further
+            .map(|(name, value)| format!("{name}: {value}\r\n"))
+            .collect();
+        let head = format!(
+            "{} {} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {}\r\nAuthorization: Bearer {}\r\n\
+             {}Content-Length: {}\r\n\r\n",
+            self.method,
+            self.path,
+            self.id,
+            self.key,
+            further.concat(),
+            self.body.len()
+        );
         [head.into_bytes(), self.body.clone()].concat()
     }
 }
@@ -390,10 +397,10 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        if !std::thread::panicking() {
-            drop(fs::remove_dir_all(&self.directory));
-        } else {
+        if std::thread::panicking() {
             eprintln!("logs are kept in {}", self.directory.display());
+        } else {
+            drop(fs::remove_dir_all(&self.directory));
         }
     }
 }
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -20,3 +20,4 @@
 pub mod request;
 pub mod retry;
 pub mod spread;
+pub mod watchers;
--- a/src/protocol/notice.rs
+++ b/src/protocol/notice.rs
@@ -9,13 +9,14 @@
 use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::watchers::Standing;
 use crate::state::occupancy::Report;
 
 /// The largest datagram that is sent, in bytes.
 pub const DATAGRAM_BYTES_MAX: usize = 60_000;
 
 /// Distinguishes notices of this version from other datagrams.
-const MARK: u32 = 0x7068_0001;
+const MARK: u32 = 0x7068_0002;
 
 quick_error! {
     /// Says why bytes are not a notice.
@@ -40,6 +41,16 @@
 }
 
 impl Horizon {
+    /// Returns the newest of both, each part by itself.
+    #[must_use]
+    pub fn newest(&self, other: &Self) -> Self {
+        Self {
+            configuration: self.configuration.max(other.configuration),
+            upstreams: self.upstreams.max(other.upstreams),
+            evacuations: self.evacuations.max(other.evacuations),
+        }
+    }
+
     /// Returns whether `self` knows something that `other` does not.
     pub fn is_ahead_of(&self, other: &Self) -> bool {
         self.configuration > other.configuration
@@ -53,6 +64,10 @@
 pub struct Notice {
     /// The host of the daemon.
     pub host: Arc<str>,
+    /// Its availability zone.
+    pub zone: Arc<str>,
+    /// How it stands to the store.
+    pub standing: Standing,
     /// The start of the daemon, and the number of the notice.
     pub sequence: (u64, u64),
     /// How new its picture of the platform is.
--- a/src/protocol/picture.rs
+++ b/src/protocol/picture.rs
@@ -1,4 +1,5 @@
-//! What a daemon knows of the platform, whole, for a daemon that the platform turns away.
+//! What a daemon knows of the platform, for a daemon that does not follow the platform's store or
+//! is turned away by it. It holds only the parts that the other daemon does not know.
 
 use std::sync::Arc;
 
@@ -16,12 +17,12 @@
 pub struct Picture {
     /// How new the picture is.
     pub horizon: Horizon,
-    /// The configuration in force, in the format of the platform; empty if none is known.
+    /// The configuration in force, in the format of the platform; empty if it is not newer.
     pub configuration: Arc<str>,
     /// The upstreams.
-    pub upstreams: Vec<Upstream>,
+    pub upstreams: Option<Vec<Upstream>>,
     /// The zones out of service.
-    pub evacuated: Vec<Arc<str>>,
+    pub evacuated: Option<Vec<Arc<str>>>,
 }
 
 impl Picture {
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosehoist::coordination::watchers::Standing;
 use primrosehoist::protocol::notice::{Horizon, Notice};
 use primrosehoist::protocol::picture::Picture;
 use primrosehoist::state::crash::{Crashes, DEATHS_MAX};
@@ -111,6 +112,8 @@
 fn notices_and_pictures_survive_the_wire_and_garbage_is_refused() {
     let notice = Notice {
         host: Arc::from("h"),
+        zone: Arc::from("z"),
+        standing: Standing::Following,
         sequence: (5, 6),
         horizon: Horizon {
             configuration: 7,
@@ -125,8 +128,8 @@
     let picture = Picture {
         horizon: Horizon::default(),
         configuration: Arc::from("{}"),
-        upstreams: Vec::new(),
-        evacuated: vec![Arc::from("z")],
+        upstreams: Some(Vec::new()),
+        evacuated: None,
     };
     let whole = picture.encode().expect("a picture can be encoded");
     assert_eq!(Picture::try_from(whole.as_slice()), Ok(picture));
