Answer clients that wait when a server stops; read settings again while running

The idle time and the time for a head have limits of their own, and a body keeps its length. Settings are read again on SIGHUP and when their file has changed; a file with mistakes changes nothing.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -5,11 +5,12 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use parking_lot::Mutex;
 use primrosehoist::coordination::allowance::Allowance;
 use primrosehoist::coordination::watchers::{Member, Standing};
 use primrosehoist::protocol::notice::Horizon;
+use primrosehoist::state::bounds::Bounds;
 use primrosehoist::state::crash::Crashes;
 use primrosehoist::state::map::Map;
 use primrosehoist::state::occupancy::Occupancy;
@@ -31,8 +32,10 @@
 
 /// The shared state of the gateway.
 pub(crate) struct Context {
-    /// The settings at the start of the process.
+    /// The settings at the start of the process: what cannot change while it runs.
     pub(crate) settings: Settings,
+    /// The bounds in force.
+    pub(crate) bounds: ArcSwap<Bounds>,
     /// The configuration in force. Written by the store's watch and by links.
     pub(crate) table: ArcSwapOption<Table>,
     /// The upstreams. Written by the store's watch and by links.
@@ -76,7 +79,7 @@
     /// Memory for request bodies.
     pub(crate) bodies: Budget,
     /// The platform's store.
-    pub(crate) store: store::Client,
+    pub(crate) store: ArcSwap<store::Client>,
     /// The instruments.
     pub(crate) metrics: Metrics,
     /// When the process started, in Unix milliseconds.
@@ -111,7 +114,8 @@
             configuration: Mutex::new(Arc::from("")),
             contact: Mutex::new(Instant::now()),
             bodies: Budget::new(settings.memory_mb * BODY_BYTES_PER_MB),
-            store: store::Client::new(&settings.store.to_string()),
+            store: ArcSwap::from_pointee(store::Client::new(&settings.store.to_string())),
+            bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             metrics,
             started_ms,
             settings,
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -174,7 +174,7 @@
     let (head, body) = request.into_parts();
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
-    let isolated = context.is_isolated(context.settings.bounds.config + CONTACT_SLACK);
+    let isolated = context.is_isolated(context.bounds.load().config + CONTACT_SLACK);
     let Some(route) = table.route(host, head.uri.path()) else {
         if isolated {
             return Err(Box::new(refuse("cut off", UNCONFIGURED_RETRY_S)));
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod job;
 mod links;
 mod relay;
+mod reload;
 mod reservation;
 mod stream;
 mod suspension;
@@ -41,6 +42,7 @@
 
 use self::context::Context;
 use self::links::Peers;
+use self::reload::Reload;
 use self::sync::Feed;
 use crate::clock::unix_ms;
 use crate::log_queue;
@@ -81,6 +83,9 @@
 /// The pause between two looks at what is in progress during the shutdown.
 const SHUTDOWN_LOOK: Duration = Duration::from_millis(50);
 
+/// The time between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(1);
+
 /// The pause after a registration that failed.
 const REGISTER_PAUSE: Duration = Duration::from_millis(700);
 
@@ -190,7 +195,7 @@
         started_ms = context.started_ms;
         "daemon started"
     );
-    await_termination().await?;
+    await_termination(&context).await?;
     shut_down(&context, &stop, serving).await;
     Ok(())
 }
@@ -277,20 +282,29 @@
 async fn register(context: Arc<Context>, peers: Arc<Peers>) {
     let settings = &context.settings;
     let spec = host::encode(settings.address);
-    while let Err(error) = context.store.put(host::KIND, &settings.host, &spec).await {
+    while let Err(error) = context
+        .store
+        .load()
+        .put(host::KIND, &settings.host, &spec)
+        .await
+    {
         log::warn!(error:%; "registration failed");
         sleep(REGISTER_PAUSE).await;
     }
     sync::follow(Arc::clone(&context), peers, Feed::Daemons).await;
 }
 
-async fn await_termination() -> Result<(), Error> {
+/// Waits for the signal to shut down. Meanwhile, reads the settings again when asked to, and when
+/// their file has changed.
+async fn await_termination(context: &Context) -> Result<(), Error> {
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
     let mut hang_up = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+    let mut reload = Reload::new(&context.settings);
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
-            _ = hang_up.recv() => log::info!("settings are read again"),
+            _ = hang_up.recv() => reload.run(context, "signal"),
+            () = sleep(SETTINGS_LOOK) => reload.run(context, "look"),
         }
     }
 }
@@ -303,7 +317,7 @@
 ) {
     context.draining.store(true, Ordering::Release);
     let begun = Instant::now();
-    let end = begun + context.settings.bounds.grace.saturating_sub(GRACE_MARGIN);
+    let end = begun + context.bounds.load().grace.saturating_sub(GRACE_MARGIN);
     let in_progress = || context.in_progress.load(Ordering::Acquire);
     log::info!(in_progress = in_progress(); "shutdown began");
     sleep(LAME_DUCK).await;
--- a/crates/primrosehoist-daemon/src/gateway/sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/sync.rs
@@ -61,7 +61,7 @@
         lost_at: None,
     };
     loop {
-        let listed = follower.context.store.list(feed.kind()).await;
+        let listed = follower.context.store.load().list(feed.kind()).await;
         let revision = match listed {
             Ok((objects, revision)) => {
                 follower.regained();
@@ -99,11 +99,12 @@
         let mut revision = start;
         loop {
             let context = Arc::clone(&self.context);
+            let store = context.store.load_full();
             let watched = tokio::select! {
-                watched = context.store.watch(self.feed.kind(), revision, WATCH_WAIT) => watched,
+                watched = store.watch(self.feed.kind(), revision, WATCH_WAIT) => watched,
                 () = behind(&context, self.feed) => {
                     log::info!(kind = self.feed.kind(), revision; "watch is behind other daemons");
-                    context.store.close_idle();
+                    store.close_idle();
                     return;
                 }
             };
--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -80,6 +80,11 @@
         self.signal("CONT");
     }
 
+    /// Asks the program to read its settings again.
+    pub fn hang_up(&self) {
+        self.signal("HUP");
+    }
+
     /// Asks the program to shut down.
     pub fn terminate(&self) {
         self.signal("TERM");
--- a/crates/primrosehoist-tests/tests/common/users.rs
+++ b/crates/primrosehoist-tests/tests/common/users.rs
@@ -317,6 +317,13 @@
         wait_open(&daemon.ingress);
     }
 
+    /// Changes a line of a daemon's settings.
+    pub fn change_settings(&self, index: usize, before: &str, after: &str) {
+        let path = &self.daemons[index].settings;
+        let text = fs::read_to_string(path).expect("the settings are read");
+        fs::write(path, text.replace(before, after)).expect("the settings are written");
+    }
+
     pub fn wait_ready(&self, index: usize) {
         let address = self.daemons[index].readiness.clone();
         wait("the daemon is ready", || readiness(&address) == 200);
--- a/crates/primrosehoist-tests/tests/gateway.rs
+++ b/crates/primrosehoist-tests/tests/gateway.rs
@@ -470,3 +470,22 @@
     assert!(line.is_some_and(|line| line.ends_with(" 3")), "{text}");
     assert!(text.contains("primrosehoist_first_token_seconds_bucket"));
 }
+
+#[test]
+fn settings_are_read_again_by_signal_and_by_change() {
+    let site = Site::ready(1);
+    let lines = || std::fs::read_to_string(&site.daemons[0].log).unwrap_or_default();
+    let count = || lines().matches("settings read again").count();
+    site.daemons[0].process.as_ref().expect("it runs").hang_up();
+    wait("the signal is heard", || count() == 1);
+    site.change_settings(0, "RetrySlack = 106", "RetrySlack = 90");
+    wait("the change is seen", || count() == 2);
+    site.change_settings(0, "RetrySlack = 90", "RetrySlack = -5");
+    wait("the mistake is named", || {
+        lines().contains("RetrySlack is negative")
+    });
+    assert_eq!(
+        send(&site.daemons[0].ingress, &Ask::new("GET", "/look/1")).status,
+        200
+    );
+}
--- a/src/transport/http/quiet.rs
+++ b/src/transport/http/quiet.rs
@@ -10,13 +10,18 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 use tokio::time::{Sleep, sleep};
 
 /// Whether a request is being answered on a connection. Clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Turn {
     busy: Arc<AtomicBool>,
+    /// Told when the first request begins.
+    first: Arc<Notify>,
+    begun: Arc<AtomicBool>,
 }
 
 /// Marks a request as being answered until it is dropped.
@@ -29,9 +34,18 @@
     /// Begins an answer.
     pub fn begin(&self) -> Answering {
         self.busy.store(true, Ordering::Release);
+        self.begun.store(true, Ordering::Release);
+        self.first.notify_one();
         Answering { turn: self.clone() }
     }
 
+    /// Waits until the first request begins.
+    pub async fn first(&self) {
+        if !self.begun.load(Ordering::Acquire) {
+            self.first.notified().await;
+        }
+    }
+
     fn is_busy(&self) -> bool {
         self.busy.load(Ordering::Acquire)
     }
@@ -43,6 +57,46 @@
     }
 }
 
+/// The body of an answer, which is being given until the body is sent or dropped.
+#[derive(Debug)]
+pub struct Answered<B> {
+    body: B,
+    _answering: Answering,
+}
+
+impl<B> Answered<B> {
+    /// Wraps `body`.
+    pub fn new(body: B, answering: Answering) -> Self {
+        Self {
+            body,
+            _answering: answering,
+        }
+    }
+}
+
+impl<B> Body for Answered<B>
+where
+    B: Body + Unpin,
+{
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Self::Data>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Phase {
     /// No byte of a request has come.
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use futures_util::FutureExt;
 use http::{Request, Response};
-use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -17,9 +16,13 @@
 use tokio::time::sleep;
 
 use crate::transport::http::BoxError;
-use crate::transport::http::quiet::{Quiet, Turn};
+use crate::transport::http::quiet::{Answered, Quiet, Turn};
 use crate::transport::http::stall::Stall;
 
+/// How long a server that stops waits for the first request of a connection. What was sent before
+/// the stop arrives within the delay of the network.
+const FIRST_REQUEST_MAX: Duration = Duration::from_millis(250);
+
 /// How long accepting pauses after it failed, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -54,7 +57,7 @@
     L: Fn() -> Limits + Send,
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<BoxError>,
 {
     let capacity = limits().connections.min(Semaphore::MAX_PERMITS);
@@ -99,7 +102,7 @@
 ) where
     H: Fn(Request<Incoming>) -> F + Send + Sync + 'static,
     F: Future<Output = Response<B>> + Send + 'static,
-    B: Body<Data = Bytes> + Send + 'static,
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
     B::Error: Into<BoxError>,
 {
     if let Err(error) = stream.set_nodelay(true) {
@@ -107,6 +110,7 @@
         return;
     }
     let turn = Turn::default();
+    let first = turn.clone();
     let stalling = Stall::new(stream, limits.write);
     let stream = Quiet::new(stalling, turn.clone(), limits.idle, limits.head);
     let service = service_fn(move |request| {
@@ -114,13 +118,7 @@
         let answer = handler(request);
         async move {
             let answer = answer.await;
-            // Held until the body is sent or dropped.
-            Ok::<_, Infallible>(answer.map(|body| {
-                body.map_frame(move |frame| {
-                    let _answering = &answering;
-                    frame
-                })
-            }))
+            Ok::<_, Infallible>(answer.map(|body| Answered::new(body, answering)))
         }
     });
     let connection = http1::Builder::new()
@@ -130,8 +128,16 @@
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         _ = connection.as_mut() => return,
-        _ = stop.wait_for(|stop| *stop) => connection.as_mut().graceful_shutdown(),
+        _ = stop.wait_for(|stop| *stop) => {}
+    }
+    // A connection without a request is closed at once, although its client may just have sent
+    // one.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = first.first() => {}
+        () = sleep(FIRST_REQUEST_MAX) => {}
     }
+    connection.as_mut().graceful_shutdown();
     if let Err(error) = connection.await {
         log::debug!("connection of a client ended: {error}");
     }
