--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -310,7 +310,15 @@
             faulty = answer.faulty.as_deref().unwrap_or("");
             "upstream did not run the request"
         );
-        if open.status == StatusCode::MISDIRECTED_REQUEST {
+        // A failure may be about a helper, named by its id or its address.
+        let faulty = answer.faulty.as_deref().and_then(|faulty| {
+            let mut helpers = open.flight.helpers.iter();
+            helpers
+                .find(|helper| helper.id.as_ref() == faulty || helper.address.to_string() == faulty)
+        });
+        if let Some(helper) = faulty {
+            self.record(helper, Ending::Unreachable);
+        } else if open.status == StatusCode::MISDIRECTED_REQUEST {
             // The address belongs to another process now.
             self.record(upstream, Ending::Unreachable);
         }
