--- a/tests/holding_safety.rs
+++ b/tests/holding_safety.rs
@@ -149,3 +149,9 @@
         assert!(world.is_placed(), "an upstream was without its holder");
     }
 }
+
+/// A history that a random run found: two daemons send to one upstream at step 415.
+#[test]
+fn a_replaced_daemon_does_not_send_beside_a_holder() {
+    run(14_938_652_490_347_643_694, 3);
+}
