Take a zone for cut off when several of its upstreams fail in a row

Each attempt found one more engine of the other zones that could not be reached, as its own target or as one that should read a part. When such an engine was at fault, the innocent one that had named it was excluded instead.

Change: state::paths counts failures by the hop between two zones. Two upstreams that fail with no answer between them make the hop count as cut, for 1 s and then longer. Engines do not read parts for each other across it, and upstreams behind it are tried last. The upstream at fault is the one that is excluded.

Ruled out: upstreams that are down for all (they answered daemons of their own zone).

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use primrosehoist::coordination::course::{Course, Failure, Next};
 use primrosehoist::state::map::Set;
+use primrosehoist::state::paths::Hop;
 use primrosehoist::state::roster::Upstream;
 use primrosehoist::state::route::Kind;
 use primrosehoist::state::trust::Ending;
@@ -72,6 +73,13 @@
     closes: bool,
 }
 
+/// An attempt that failed.
+struct Failed {
+    /// The upstream at fault, which may be one that read a part of the prompt.
+    upstream: Arc<Upstream>,
+    failure: Failure,
+}
+
 /// A whole answer.
 #[derive(Debug, Clone)]
 pub(crate) struct Whole {
@@ -146,11 +154,10 @@
                 }
                 flight.reservation = reserved;
             }
-            let upstream = Arc::clone(&flight.upstream);
             self.count += 1;
             match self.send(flight, last_event).await {
                 Ok(open) => return Ok(open),
-                Err(failure) => self.next(&upstream, failure)?,
+                Err(failed) => self.next(&failed.upstream, failed.failure)?,
             }
         }
     }
@@ -198,7 +205,7 @@
     }
 
     /// Makes one attempt.
-    async fn send(&mut self, flight: Flight, last_event: Option<u64>) -> Result<Open, Failure> {
+    async fn send(&mut self, flight: Flight, last_event: Option<u64>) -> Result<Open, Failed> {
         let upstream = Arc::clone(&flight.upstream);
         let remaining = self.job.remaining();
         let gate = self.gate(&upstream);
@@ -209,14 +216,18 @@
         let sent = timeout(limit, pool.send_on(&terms, request, &gate)).await;
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
-            Ok(Err(error)) => return Err(self.on_error(&upstream, &gate, &error)),
+            Ok(Err(error)) => {
+                let failure = self.on_error(&upstream, &gate, &error);
+                return Err(Failed { upstream, failure });
+            }
             Err(_elapsed) => {
                 self.record(&upstream, Ending::Unreachable);
-                return Err(if gate.handed() {
+                let failure = if gate.handed() {
                     Failure::Lost
                 } else {
                     Failure::Unsent
-                });
+                };
+                return Err(Failed { upstream, failure });
             }
         };
         self.on_head(flight, exchange, pool).await
@@ -253,7 +264,7 @@
         flight: Flight,
         mut exchange: Exchange,
         pool: Arc<Pool>,
-    ) -> Result<Open, Failure> {
+    ) -> Result<Open, Failed> {
         let upstream = Arc::clone(&flight.upstream);
         let status = exchange.response.status();
         let headers = exchange.response.headers();
@@ -273,10 +284,13 @@
             headers,
             closes: answer.closes,
         };
+        let hop = self.context.hop_to(&upstream.zone);
+        self.context.paths.lock().answered(&hop);
         if answer.not_run {
-            self.on_rejection(&open, &answer, &upstream);
+            let upstream = self.on_rejection(&open, &answer);
             open.discard().await;
-            return Err(Failure::Rejected);
+            let failure = Failure::Rejected;
+            return Err(Failed { upstream, failure });
         }
         let sound = answer.echoed && !answer.encoded;
         if !sound || (status.is_success() && !answer.receipt) {
@@ -289,20 +303,30 @@
                 "answer does not belong to the request"
             );
             self.record(&upstream, Ending::Bad);
-            return Err(Failure::Lost);
+            let failure = Failure::Lost;
+            return Err(Failed { upstream, failure });
         }
         if status.is_success() {
+            let mut paths = self.context.paths.lock();
+            for helper in &open.flight.helpers {
+                paths.answered(&hop_between(&upstream, helper));
+            }
             return Ok(open);
         }
         self.record(&upstream, Ending::Bad);
-        match self.collect(open).await {
-            Ok(whole) => self.reported = Some(whole),
-            Err(failure) => return Err(failure),
-        }
-        Err(Failure::Reported)
+        let failure = match self.collect(open).await {
+            Ok(whole) => {
+                self.reported = Some(whole);
+                Failure::Reported
+            }
+            Err(failure) => failure,
+        };
+        Err(Failed { upstream, failure })
     }
 
-    fn on_rejection(&self, open: &Open, answer: &header::Answer, upstream: &Arc<Upstream>) {
+    /// Takes in that the request did not run; returns the upstream that is at fault.
+    fn on_rejection(&self, open: &Open, answer: &header::Answer) -> Arc<Upstream> {
+        let upstream = &open.flight.upstream;
         log::info!(
             request = self.job.said.id.as_str(),
             upstream = upstream.id.as_ref(),
@@ -317,11 +341,15 @@
                 .find(|helper| helper.id.as_ref() == faulty || helper.address.to_string() == faulty)
         });
         if let Some(helper) = faulty {
-            self.record(helper, Ending::Unreachable);
+            self.blame(helper, Ending::Unreachable);
+            let hop = hop_between(upstream, helper);
+            let mut paths = self.context.paths.lock();
+            paths.failed(&hop, &helper.id, Instant::now());
         } else if open.status == StatusCode::MISDIRECTED_REQUEST {
             // The address belongs to another process now.
             self.record(upstream, Ending::Unreachable);
         }
+        Arc::clone(faulty.unwrap_or(upstream))
     }
 
     /// Reads the body of an answer to its end and gives the connection back.
@@ -368,6 +396,16 @@
             crashes.upstream_answered(&upstream.id);
             crashes.clear(self.job.fingerprint);
         }
+        if ending == Ending::Unreachable {
+            let hop = self.context.hop_to(&upstream.zone);
+            let mut paths = self.context.paths.lock();
+            paths.failed(&hop, &upstream.id, Instant::now());
+        }
+        self.blame(upstream, ending);
+    }
+
+    /// Takes in how an attempt ended for an upstream, wherever it was reached from.
+    fn blame(&self, upstream: &Arc<Upstream>, ending: Ending) {
         let mut trust = self.context.trust.lock();
         trust.record(&upstream.id, ending, Instant::now());
     }
@@ -453,6 +491,11 @@
     }
 }
 
+/// Returns the hop by which one upstream reaches another.
+fn hop_between(one: &Upstream, other: &Upstream) -> Hop {
+    (Arc::clone(&one.zone), Arc::clone(&other.zone))
+}
+
 impl Open {
     /// Reads the rest of an answer that is of no use, to keep the connection if that is quick.
     async fn discard(mut self) {
--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -6,6 +6,7 @@
 use primrosehoist::coordination::assign::{self, Choice, Seat};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::occupancy::Load;
+use primrosehoist::state::paths::Cuts;
 use primrosehoist::state::roster::Upstream;
 use strum::Display;
 use tokio::time::{Instant, sleep, timeout};
@@ -110,9 +111,10 @@
     excluded: &Set<Arc<str>>,
     patience: f64,
 ) -> Result<Found, Refusal> {
-    let seats = seats(context, job, excluded);
+    let cuts = context.paths.lock().cuts(Instant::now());
+    let seats = seats(context, job, excluded, &cuts);
     let choice = match &job.service.engine {
-        Some(engine) => assign::generate(&seats, &job.need(patience), engine),
+        Some(engine) => assign::generate(&seats, &job.need(patience), engine, &cuts),
         None => assign::plain(&seats),
     };
     match choice {
@@ -134,7 +136,7 @@
 }
 
 /// Returns the upstreams that may be chosen now.
-fn seats(context: &Context, job: &Job, excluded: &Set<Arc<str>>) -> Vec<Seat> {
+fn seats(context: &Context, job: &Job, excluded: &Set<Arc<str>>, cuts: &Cuts) -> Vec<Seat> {
     let now = Instant::now();
     let roster = context.roster.lock();
     let occupancy = context.occupancy.lock();
@@ -153,6 +155,7 @@
         Some(Seat {
             work,
             local: upstream.zone == context.settings.zone,
+            cut_off: cuts.contains(&context.settings.zone, &upstream.zone),
             cold: roster.is_cold(id, now),
             distrust: trust.cost(id, work.running(), now)?,
             upstream: Arc::clone(upstream),
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -14,6 +14,7 @@
 use primrosehoist::state::crash::Crashes;
 use primrosehoist::state::map::Map;
 use primrosehoist::state::occupancy::Occupancy;
+use primrosehoist::state::paths::{Hop, Paths};
 use primrosehoist::state::roster::Roster;
 use primrosehoist::state::route::Table;
 use primrosehoist::state::trust::Trust;
@@ -46,6 +47,8 @@
     pub(crate) allowance: Mutex<Allowance>,
     /// Recent failures of upstreams.
     pub(crate) trust: Mutex<Trust>,
+    /// Recent failures to reach other availability zones.
+    pub(crate) paths: Mutex<Paths>,
     /// Requests that upstreams died of.
     pub(crate) crashes: Mutex<Crashes>,
     /// Connections to upstreams.
@@ -98,6 +101,7 @@
                 settings.bounds.clone(),
             )),
             trust: Mutex::default(),
+            paths: Mutex::default(),
             crashes: Mutex::default(),
             pools: Mutex::default(),
             waiting: Waiting::default(),
@@ -194,6 +198,11 @@
         !self.is_draining() && self.listed.load(Ordering::Acquire) && self.table.load().is_some()
     }
 
+    /// Returns the hop from this daemon to upstreams of `zone`.
+    pub(crate) fn hop_to(&self, zone: &Arc<str>) -> Hop {
+        (Arc::clone(&self.settings.zone), Arc::clone(zone))
+    }
+
     /// Returns the connections to the upstream at `address`.
     pub(crate) fn pool(&self, address: SocketAddr) -> Arc<Pool> {
         let mut pools = self.pools.lock();
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -19,6 +19,7 @@
 
 use crate::state::engine::Engine;
 use crate::state::occupancy::{Pace, Work};
+use crate::state::paths::Cuts;
 use crate::state::roster::Upstream;
 
 /// The part of a request's weight that is lost if it is late. The operators value a late answer
@@ -53,6 +54,9 @@
 /// The cost of an upstream in another availability zone, for its bytes and its time.
 const REMOTE_COST: f64 = 0.01;
 
+/// The cost of an upstream that can probably not be reached: it is tried if there is no other.
+const CUT_OFF_COST: f64 = 10.0;
+
 /// The cost of an upstream that has just started and is slow.
 const COLD_COST: f64 = 0.5;
 
@@ -105,6 +109,8 @@
     pub cold: bool,
     /// The cost of its recent failures.
     pub distrust: f64,
+    /// Whether the daemon's availability zone seems to be cut off from the upstream's.
+    pub cut_off: bool,
 }
 
 /// What a request needs.
@@ -159,7 +165,7 @@
     let free = seats.iter().enumerate().filter(|(_, seat)| has_slot(seat));
     let cost = |seat: &Seat| {
         let occupied = f64::from(seat.work.running()) / seat.upstream.slots as f64;
-        occupied + seat.distrust + if seat.local { 0.0 } else { REMOTE_COST }
+        occupied + seat.distrust + distance_cost(seat)
     };
     let best = free.min_by(|(_, one), (_, other)| cost(one).total_cmp(&cost(other)));
     best.map_or(Choice::Wait, |(first, _)| Choice::Send {
@@ -170,12 +176,22 @@
     })
 }
 
+/// Returns the cost of the way to a seat.
+fn distance_cost(seat: &Seat) -> f64 {
+    match (seat.cut_off, seat.local) {
+        (true, _) => CUT_OFF_COST,
+        (false, true) => 0.0,
+        (false, false) => REMOTE_COST,
+    }
+}
+
 fn has_slot(seat: &Seat) -> bool {
     u64::from(seat.work.running()) < seat.upstream.slots
 }
 
-/// Chooses the upstreams of a service with `engine`.
-pub fn generate(seats: &[Seat], need: &Need, engine: &Engine) -> Choice {
+/// Chooses the upstreams of a service with `engine`. Engines do not read parts for each other
+/// across `cuts` between zones.
+pub fn generate(seats: &[Seat], need: &Need, engine: &Engine, cuts: &Cuts) -> Choice {
     if seats.is_empty() {
         return Choice::Nowhere;
     }
@@ -186,6 +202,7 @@
         seats,
         need,
         engine,
+        cuts,
         protected: protected(seats, engine),
         read_ms,
         memory,
@@ -263,6 +280,7 @@
     seats: &'a [Seat],
     need: &'a Need,
     engine: &'a Engine,
+    cuts: &'a Cuts,
     protected: Vec<bool>,
     read_ms: f64,
     memory: Memory,
@@ -334,7 +352,7 @@
         let others: Vec<usize> = readers
             .iter()
             .map(|(_, index)| *index)
-            .filter(|index| *index != first)
+            .filter(|index| *index != first && !self.is_cut(first, *index))
             .collect();
         let fits = |index: &usize| self.memory.fits(&self.seats[*index], self.engine);
         let mut helpers: Vec<usize> = others.iter().copied().filter(fits).collect();
@@ -350,6 +368,12 @@
         (helpers.len() == count).then_some(helpers)
     }
 
+    /// Returns whether the zones of two seats seem to be cut off from each other.
+    fn is_cut(&self, one: usize, other: usize) -> bool {
+        let zone = |index: usize| &self.seats[index].upstream.zone;
+        self.cuts.contains(zone(one), zone(other))
+    }
+
     fn may_read(&self, seat: &Seat) -> bool {
         self.read_ms < LONG_MS || f64::from(seat.work.reading_ms) <= LEFT_MS_MAX
     }
@@ -375,9 +399,7 @@
     fn detour(&self, index: usize) -> f64 {
         let seat = &self.seats[index];
         let mut cost = seat.distrust + f64::from(seat.work.reading_ms) / 10_000.0;
-        if !seat.local {
-            cost += REMOTE_COST;
-        }
+        cost += distance_cost(seat);
         if seat.cold {
             cost += COLD_COST;
         }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -15,6 +15,7 @@
 pub mod name;
 pub mod occupancy;
 pub mod outcome;
+pub mod paths;
 pub mod placement;
 pub mod plan;
 pub mod queue;
--- a/tests/assign_choice.rs
+++ b/tests/assign_choice.rs
@@ -5,7 +5,9 @@
 use primrosehoist::coordination::assign::{self, Choice, Need, Seat};
 use primrosehoist::state::engine::Engine;
 use primrosehoist::state::occupancy::{Pace, Work};
+use primrosehoist::state::paths::{Cuts, Paths};
 use primrosehoist::state::roster::{Phase, Upstream};
+use tokio::time::Instant;
 
 fn engine() -> Engine {
     Engine {
@@ -36,6 +38,7 @@
         local: true,
         cold: false,
         distrust: 0.0,
+        cut_off: false,
     }
 }
 
@@ -92,7 +95,7 @@
         .enumerate()
         .map(|(id, work)| seat(id, work))
         .collect();
-    let choice = assign::generate(&seats, &need(5000), &engine());
+    let choice = assign::generate(&seats, &need(5000), &engine(), &Cuts::default());
     assert_eq!(chosen(&choice), [1]);
 }
 
@@ -103,7 +106,7 @@
         seat(1, strict(0)),
         seat(2, reading(500.0)),
     ];
-    let choice = assign::generate(&seats, &need(5000), &engine());
+    let choice = assign::generate(&seats, &need(5000), &engine(), &Cuts::default());
     assert_eq!(chosen(&choice), [1]);
 }
 
@@ -111,7 +114,7 @@
 fn long_prompts_are_read_by_several_engines_away_from_short_answers() {
     let mut seats = vec![seat(0, strict(10)), seat(1, strict(10))];
     seats.extend((2..8).map(|id| seat(id, Work::default())));
-    let choice = assign::generate(&seats, &need(210_000), &engine());
+    let choice = assign::generate(&seats, &need(210_000), &engine(), &Cuts::default());
     let chosen = chosen(&choice);
     assert!(chosen.len() >= 3, "{choice:?}");
     assert!(chosen.iter().all(|index| *index >= 2), "{choice:?}");
@@ -121,7 +124,7 @@
 fn two_long_prompts_are_not_read_at_once() {
     let seats: Vec<Seat> = (0..4).map(|id| seat(id, reading(700.0))).collect();
     assert_eq!(
-        assign::generate(&seats, &need(210_000), &engine()),
+        assign::generate(&seats, &need(210_000), &engine(), &Cuts::default()),
         Choice::Wait
     );
 }
@@ -130,7 +133,7 @@
 fn a_long_prompt_waits_rather_than_making_many_late() {
     let seats: Vec<Seat> = (0..4).map(|id| seat(id, strict(12))).collect();
     assert_eq!(
-        assign::generate(&seats, &need(120_000), &engine()),
+        assign::generate(&seats, &need(120_000), &engine(), &Cuts::default()),
         Choice::Wait
     );
 }
@@ -139,7 +142,7 @@
 fn a_prompt_beyond_one_engine_gets_memory_at_others() {
     let seats: Vec<Seat> = (0..6).map(|id| seat(id, Work::default())).collect();
     for (tokens, holders) in [(400_000, 0), (500_000, 1), (1_000_000, 2)] {
-        match assign::generate(&seats, &need(tokens), &engine()) {
+        match assign::generate(&seats, &need(tokens), &engine(), &Cuts::default()) {
             Choice::Send {
                 helpers, tickets, ..
             } => {
@@ -153,7 +156,7 @@
     }
     let two = &seats[..2];
     assert_eq!(
-        assign::generate(two, &need(1_000_000), &engine()),
+        assign::generate(two, &need(1_000_000), &engine(), &Cuts::default()),
         Choice::Wait
     );
 }
@@ -165,14 +168,14 @@
         ..Work::default()
     };
     let seats = vec![seat(0, taken), seat(1, Work::default())];
-    let choice = assign::generate(&seats, &need(210_000), &engine());
+    let choice = assign::generate(&seats, &need(210_000), &engine(), &Cuts::default());
     assert_eq!(chosen(&choice).first(), Some(&1));
 }
 
 #[test]
 fn without_upstreams_nobody_waits_for_a_place() {
     assert_eq!(
-        assign::generate(&[], &need(5000), &engine()),
+        assign::generate(&[], &need(5000), &engine(), &Cuts::default()),
         Choice::Nowhere
     );
     assert_eq!(assign::plain(&[]), Choice::Nowhere);
@@ -218,7 +221,7 @@
             helpers,
             tickets,
             ready_ms,
-        } = assign::generate(&seats, &need, &engine())
+        } = assign::generate(&seats, &need, &engine(), &Cuts::default())
         {
             assert!(seats[first].work.running() < 16);
             assert!(helpers.len() <= 16 && tickets.len() <= helpers.len());
@@ -238,3 +241,31 @@
     })
     .budget_ms(1500);
 }
+
+#[test]
+fn a_prompt_is_not_divided_across_a_cut_between_zones() {
+    let now = Instant::now();
+    let mut paths = Paths::default();
+    let hop = (Arc::from("near"), Arc::from("far"));
+    paths.failed(&hop, &Arc::from("u10"), now);
+    paths.failed(&hop, &Arc::from("u11"), now);
+    let mut seats: Vec<Seat> = (0..6).map(|id| seat(id, Work::default())).collect();
+    for (index, seat) in seats.iter_mut().enumerate() {
+        let mut upstream = Upstream::clone(&seat.upstream);
+        let is_near = index < 3;
+        upstream.zone = Arc::from(if is_near { "near" } else { "far" });
+        seat.upstream = Arc::new(upstream);
+        seat.local = is_near;
+        seat.cut_off = !is_near;
+    }
+    let choice = assign::generate(&seats, &need(210_000), &engine(), &paths.cuts(now));
+    let used = chosen(&choice);
+    assert!(used.len() > 1, "{choice:?}");
+    assert!(used.iter().all(|index| *index < 3), "{choice:?}");
+    // With all slots of the near zone taken, the far one is tried.
+    for seat in &mut seats[..3] {
+        seat.work = strict(16);
+    }
+    let choice = assign::generate(&seats, &need(5000), &engine(), &paths.cuts(now));
+    assert!(chosen(&choice)[0] >= 3, "{choice:?}");
+}
--- a/tests/assign_load/main.rs
+++ b/tests/assign_load/main.rs
@@ -8,6 +8,7 @@
 use model::{Model, Request};
 use primrosehoist::coordination::assign::{self, Choice, Seat};
 use primrosehoist::state::engine::Engine;
+use primrosehoist::state::paths::Cuts;
 
 /// The time between two looks at requests that wait, in milliseconds.
 const LOOK_MS: f64 = 10.0;
@@ -119,7 +120,7 @@
 type Policy = fn(&[Seat], &Request, f64, usize) -> Choice;
 
 fn placement(seats: &[Seat], request: &Request, now: f64, _number: usize) -> Choice {
-    assign::generate(seats, &request.need(now), &engine())
+    assign::generate(seats, &request.need(now), &engine(), &Cuts::default())
 }
 
 fn send(first: usize) -> Choice {
--- a/tests/assign_load/model.rs
+++ b/tests/assign_load/model.rs
@@ -162,6 +162,7 @@
             local: true,
             cold: false,
             distrust: 0.0,
+            cut_off: false,
         }
     }
 
