Give a silent engine's request up by when its answer was due

The log shows the request placed at 11.2 s, expected after 0.8 s, on an engine that hung while its status checks passed; its limit was three times the objective and four times the reading, so 15 s, and the lease was renewed all the while.

Ruled out: a lost release (none was tried), a lapsed owner (it renewed throughout).

Change: coordination::silence derives the limit from what was expected at the placement. A request with reserved memory is given up in any case, one lease before the bound on unused memory, so that even a release that gets no answer keeps it.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -6,6 +6,7 @@
 use http::{HeaderMap, Request, StatusCode};
 use http_body_util::BodyExt;
 use primrosehoist::coordination::course::{Course, Failure, Next};
+use primrosehoist::coordination::silence::{self, Expectation};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::paths::Hop;
 use primrosehoist::state::roster::Upstream;
@@ -20,7 +21,7 @@
 use super::context::Context;
 use super::flight::Flight;
 use super::job::Job;
-use super::reservation::Reservation;
+use super::reservation::{self, Reservation};
 
 /// The longest time to connect to an upstream. A host that lives answers within a few
 /// milliseconds; one second later the opening packet would be sent again.
@@ -36,11 +37,8 @@
 /// The time that must be left for an attempt to be made.
 const REMAINING_MIN: Duration = Duration::from_millis(5);
 
-/// How many times the objective the first event of a stream may take.
-const READING_TARGETS: f64 = 3.0;
-
-/// How many times the time to read the prompt alone its first event may take beyond that.
-const READING_TIMES: u32 = 4;
+/// How many times the objective a call may take before it is tried elsewhere.
+const CALL_TARGETS: f64 = 3.0;
 
 /// The shortest time in which an upstream may be silent before a request is tried elsewhere.
 const SILENCE_MIN: Duration = Duration::from_millis(1500);
@@ -212,7 +210,7 @@
         let request = self.request(&flight, remaining, last_event);
         let pool = self.context.pool(upstream.address);
         let terms = self.terms();
-        let limit = self.silence_limit(remaining);
+        let limit = self.silence_limit(&flight);
         let sent = timeout(limit, pool.send_on(&terms, request, &gate)).await;
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
@@ -359,7 +357,7 @@
     /// Returns how the answer failed if it is not whole.
     pub(crate) async fn collect(&self, mut open: Open) -> Result<Whole, Failure> {
         let upstream = Arc::clone(&open.flight.upstream);
-        let limit = self.silence_limit(self.job.remaining());
+        let limit = self.silence_limit(&open.flight);
         let collected = timeout(limit, open.exchange.response.body_mut().collect()).await;
         match collected {
             Ok(Ok(body)) => {
@@ -427,24 +425,26 @@
         }
     }
 
-    /// Returns how long the upstream may be silent. Only a request that may run again elsewhere
-    /// is given up before its deadline.
-    fn silence_limit(&self, remaining: Duration) -> Duration {
-        if !self.may_repeat() {
-            return remaining;
-        }
-        let patience = match self.job.route.kind {
-            Kind::Stream => self.reading_limit(),
-            Kind::Idempotent | Kind::Once => self.job.route.target.mul_f64(3.0),
+    /// Returns how long the upstream of `flight` may be silent before its first event.
+    pub(crate) fn silence_limit(&self, flight: &Flight) -> Duration {
+        let remaining = self.job.remaining();
+        let may_repeat = self.may_repeat();
+        let limit = match self.job.route.kind {
+            Kind::Stream => {
+                let expected = Expectation {
+                    ready: flight.ready,
+                    is_divided: !flight.helpers.is_empty(),
+                    lease: flight.reservation.as_ref().map(|_| reservation::LEASE),
+                    may_repeat,
+                };
+                silence::first_event_limit(&expected, &self.context.bounds.load())
+            }
+            Kind::Idempotent | Kind::Once => {
+                let patience = self.job.route.target.mul_f64(CALL_TARGETS);
+                may_repeat.then_some(patience.max(SILENCE_MIN))
+            }
         };
-        remaining.min(patience.max(SILENCE_MIN))
-    }
-
-    /// Returns how long the first event of a stream may take. Reading a long prompt elsewhere
-    /// once more costs more than waiting, so that is left to the end of the connection.
-    pub(crate) fn reading_limit(&self) -> Duration {
-        let alone = Duration::from_secs_f64(self.job.read_ms() / 1000.0);
-        self.job.route.target.mul_f64(READING_TARGETS) + alone * READING_TIMES
+        limit.map_or(remaining, |limit| remaining.min(limit))
     }
 
     /// Returns the gate that checks, before each write, that the upstream may still get work.
--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -191,7 +191,9 @@
         }
         drop(allowance);
         let (own, part) = loads(job, helpers.len(), &self.tickets);
-        Flight::new(context, first, own, helpers, part, self.tickets)
+        let mut flight = Flight::new(context, first, own, helpers, part, self.tickets);
+        flight.ready = Duration::from_secs_f64(self.ready_ms / 1000.0);
+        flight
     }
 }
 
--- a/crates/primrosehoist-daemon/src/gateway/flight.rs
+++ b/crates/primrosehoist-daemon/src/gateway/flight.rs
@@ -1,6 +1,7 @@
 //! An attempt that occupies upstreams until it ends.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use primrosehoist::state::occupancy::Load;
 use primrosehoist::state::roster::Upstream;
@@ -17,6 +18,8 @@
     pub(crate) helpers: Vec<Arc<Upstream>>,
     /// Tokens of memory to reserve at each of the first helpers.
     pub(crate) tickets: Vec<u64>,
+    /// When the first event is expected, counted from the placement.
+    pub(crate) ready: Duration,
     /// What was reserved.
     pub(crate) reservation: Option<Reservation>,
     loads: Vec<(Arc<str>, Load)>,
@@ -54,6 +57,7 @@
             upstream,
             helpers,
             tickets,
+            ready: Duration::ZERO,
             reservation: None,
             loads,
             reading: true,
--- a/crates/primrosehoist-daemon/src/gateway/reservation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reservation.rs
@@ -25,7 +25,7 @@
 
 /// The lease of a reservation. Shorter than the time within which memory that nobody uses any
 /// more must be free.
-const LEASE: Duration = Duration::from_secs(3);
+pub(crate) const LEASE: Duration = Duration::from_secs(3);
 
 /// The time between two renewals. Two may fail before a lease lapses.
 const RENEW_EVERY: Duration = Duration::from_millis(900);
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use super::attempt::{Attempts, Open, Unanswered};
+use super::flight::Flight;
 use super::ingress::Progress;
 
 /// The shortest silence after which a stream is resumed elsewhere.
@@ -188,7 +189,10 @@
                     return Step::Broken(Failure::Lost);
                 }
             }
-            let limit = self.silence_limit();
+            let Some(open) = self.open.as_ref() else {
+                return Step::Broken(Failure::Lost);
+            };
+            let limit = self.silence_limit(&open.flight);
             let Some(open) = self.open.as_mut() else {
                 return Step::Broken(Failure::Lost);
             };
@@ -259,17 +263,16 @@
         Step::End
     }
 
-    fn silence_limit(&self) -> Duration {
+    fn silence_limit(&self, flight: &Flight) -> Duration {
+        if self.events == 0 {
+            return self.attempts.silence_limit(flight);
+        }
         let job = &self.attempts.job;
         let remaining = job.remaining();
         if !self.attempts.may_repeat() {
             return remaining;
         }
-        let patience = if self.events == 0 {
-            self.attempts.reading_limit()
-        } else {
-            job.route.pause.unwrap_or_default().mul_f64(SILENCE_PAUSES)
-        };
+        let patience = job.route.pause.unwrap_or_default().mul_f64(SILENCE_PAUSES);
         remaining.min(patience.max(SILENCE_MIN))
     }
 }
--- a/crates/primrosehoist-tests/tests/common/users.rs
+++ b/crates/primrosehoist-tests/tests/common/users.rs
@@ -282,7 +282,7 @@
              [Limits]\nMemoryMb = 260\n\
              [Bounds]\nStableWindowMs = 3000\nDrainMs = 2000\nGraceS = 8\nConfigApplyMs = 2000\n\
              RetryBudgetRatio = 0.2\nBudgetWindowS = 10\nRetrySlack = 106\nColdOver = 1.5\n\
-             ColdSlack = 5\nEvacMs = 5000\nstall_ms = 1500\nHoldMaxMs = 20000\n\
+             ColdSlack = 5\nEvacMs = 5000\nstall_ms = 1500\nHoldMaxMs = 20000\nIdleMaxMs = 9000\n\
              [PlatformConfig]\nAddress = \"{store}\"\n"
         );
         fs::write(&settings, text).expect("the settings are written");
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -19,5 +19,6 @@
 pub mod rendezvous;
 pub mod request;
 pub mod retry;
+pub mod silence;
 pub mod spread;
 pub mod watchers;
--- a/src/state/bounds.rs
+++ b/src/state/bounds.rs
@@ -29,4 +29,6 @@
     pub stall: Duration,
     /// The longest lease of a memory reservation.
     pub reservation_max: Duration,
+    /// The longest time for which a memory reservation may be unused.
+    pub reservation_idle: Duration,
 }
--- a/tests/allowance_shares.rs
+++ b/tests/allowance_shares.rs
@@ -22,6 +22,7 @@
         cold_slack: 5.0,
         stall: Duration::from_millis(1500),
         reservation_max: Duration::from_secs(20),
+        reservation_idle: Duration::from_secs(9),
     }
 }
 
--- /dev/null
+++ b/tests/silence_limits.rs
@@ -0,0 +1,55 @@
+//! Tests how long an upstream may be silent before its request is given up.
+
+use std::time::Duration;
+
+use primrosehoist::coordination::silence::{self, Expectation};
+use primrosehoist::state::bounds::Bounds;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        settled: ms(3000),
+        drain: ms(2000),
+        grace: ms(8000),
+        config: ms(2000),
+        evacuation: ms(5000),
+        retry_ratio: 0.2,
+        retry_window: ms(10_000),
+        retry_slack: 106.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        stall: ms(1500),
+        reservation_max: ms(20_000),
+        reservation_idle: ms(9000),
+    }
+}
+
+#[test]
+fn limits_follow_what_was_expected() {
+    // Expected, divided, lease, may repeat, limit.
+    let cases = [
+        (20, false, None, true, Some(1500)),
+        (150, false, None, true, Some(1500)),
+        (1000, false, None, true, Some(3000)),
+        (1000, true, None, true, Some(4500)),
+        // The last attempt has until its deadline.
+        (1000, true, None, false, None),
+        // Memory that is reserved is given back in time, whatever follows.
+        (775, true, Some(3000), true, Some(3825)),
+        (775, true, Some(3000), false, Some(3825)),
+        (4000, true, Some(3000), false, Some(6000)),
+    ];
+    for (ready, is_divided, lease, may_repeat, expected) in cases {
+        let expectation = Expectation {
+            ready: ms(ready),
+            is_divided,
+            lease: lease.map(ms),
+            may_repeat,
+        };
+        let limit = silence::first_event_limit(&expectation, &bounds());
+        assert_eq!(limit, expected.map(ms), "{expectation:?}");
+    }
+}
