Warn other daemons of upstreams that failed; tighten the limit on silence

Change: notices name the upstreams that their sender avoids at the moment; for others these become dear, not forbidden, since an upstream may fail for some only. An attempt that never reached its upstream is repeated without the retry budget, which counts arrivals.

--- a/crates/primrosehoist-daemon/src/gateway/links.rs
+++ b/crates/primrosehoist-daemon/src/gateway/links.rs
@@ -187,6 +187,7 @@
             sequence: (context.started_ms, number),
             horizon: *context.horizon.lock(),
             report,
+            avoided: context.trust.lock().avoided(now),
             deaths: context.crashes.lock().recent(now),
         };
         match notice.encode() {
@@ -248,6 +249,10 @@
             crashes.record(*fingerprint, *id, now);
         }
     }
+    context
+        .trust
+        .lock()
+        .warn(&notice.host, &notice.avoided, now);
     context
         .occupancy
         .lock()
--- a/src/coordination/course.rs
+++ b/src/coordination/course.rs
@@ -65,6 +65,7 @@
     }
 
     /// Takes in how an attempt failed; `budget` is asked when a further attempt would be made.
+    /// An attempt that never reached its upstream is repeated without it.
     pub fn on_failure<B>(&mut self, failure: Failure, budget: B) -> Next
     where
         B: FnOnce() -> bool,
@@ -73,7 +74,8 @@
             Failure::Unsent | Failure::Rejected => self.rejections += 1,
             Failure::Reported | Failure::Lost => self.runs += 1,
         }
-        if self.may_try_again() && budget() {
+        let is_free = failure == Failure::Unsent;
+        if self.may_try_again() && (is_free || budget()) {
             return Next::Retry;
         }
         match failure {
--- a/src/coordination/silence.rs
+++ b/src/coordination/silence.rs
@@ -10,8 +10,13 @@
 
 use crate::state::bounds::Bounds;
 
-/// How many times the expected time the first event may take.
-const EXPECTED_TIMES: f64 = 3.0;
+/// How many times the expected time the first event may take. Nine in ten long prompts take up
+/// to 1.2 times as long as expected.
+const EXPECTED_TIMES: f64 = 1.5;
+
+/// What the first event may take beyond that: about a pass of a full engine and two turns of the
+/// network.
+const SLACK: Duration = Duration::from_millis(500);
 
 /// The shortest time in which an upstream may be silent.
 const FIRST_MIN: Duration = Duration::from_millis(1500);
@@ -39,7 +44,7 @@
     } else {
         Duration::ZERO
     };
-    let patience = expected.ready.mul_f64(EXPECTED_TIMES).max(FIRST_MIN) + stall;
+    let patience = (expected.ready.mul_f64(EXPECTED_TIMES) + SLACK + stall).max(FIRST_MIN);
     match expected.lease {
         Some(lease) => Some(patience.min(bounds.reservation_idle.saturating_sub(lease))),
         None => expected.may_repeat.then_some(patience),
--- a/src/protocol/notice.rs
+++ b/src/protocol/notice.rs
@@ -16,7 +16,7 @@
 pub const DATAGRAM_BYTES_MAX: usize = 60_000;
 
 /// Distinguishes notices of this version from other datagrams.
-const MARK: u32 = 0x7068_0002;
+const MARK: u32 = 0x7068_0003;
 
 quick_error! {
     /// Says why bytes are not a notice.
@@ -74,6 +74,8 @@
     pub horizon: Horizon,
     /// The work that it gave to upstreams.
     pub report: Report,
+    /// The upstreams that it avoids because they failed.
+    pub avoided: Vec<Arc<str>>,
     /// Requests that upstreams died of, each with an id of the death.
     pub deaths: Vec<(u64, u64)>,
 }
--- a/src/state/trust.rs
+++ b/src/state/trust.rs
@@ -3,6 +3,9 @@
 //! Status checks may lie and cost the upstream a slot, so evidence comes from real requests: an
 //! upstream that fails is avoided for a time that doubles with each failure in a row, then gets
 //! one request at a time until it answers again.
+//!
+//! Daemons warn each other of the upstreams that they avoid. A warning only makes an upstream
+//! dear, since an upstream may fail for some daemons and not for others.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +29,16 @@
 /// The share of failures that is put down to chance.
 const CHANCE: f64 = 0.05;
 
+/// The cost of an upstream for each daemon that warns of it, in the units of a placement: about
+/// what a short prompt loses by being late.
+const WARNING_COST: f64 = 1.0;
+
+/// Daemons whose warnings count at once, at most.
+const WARNINGS_MAX: usize = 3;
+
+/// How long a warning counts that is not repeated.
+const WARNING_AGE_MAX: Duration = Duration::from_millis(1500);
+
 /// How an attempt ended, as far as the upstream is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ending {
@@ -48,6 +61,8 @@
 #[derive(Debug, Default)]
 pub struct Trust {
     records: Map<Arc<str>, Record>,
+    /// Which daemons warn of an upstream, and when each last did.
+    warnings: Map<Arc<str>, Map<Arc<str>, Instant>>,
 }
 
 impl Trust {
@@ -80,8 +95,9 @@
     /// Returns the cost of sending to `upstream`, or nothing if it must be avoided. `running` is
     /// the number of requests that run there.
     pub fn cost(&self, upstream: &str, running: u32, now: Instant) -> Option<f64> {
+        let warned = self.warning_cost(upstream, now);
         let Some(record) = self.records.get(upstream) else {
-            return Some(0.0);
+            return Some(warned);
         };
         if record.avoid_until.is_some_and(|until| now < until) {
             return None;
@@ -90,11 +106,42 @@
         if record.avoid_until.is_some() && running > 0 {
             return None;
         }
-        Some((record.failing - CHANCE).max(0.0) * COST_MAX)
+        Some((record.failing - CHANCE).max(0.0) * COST_MAX + warned)
+    }
+
+    fn warning_cost(&self, upstream: &str, now: Instant) -> f64 {
+        let Some(warnings) = self.warnings.get(upstream) else {
+            return 0.0;
+        };
+        let fresh = warnings.values().filter(|at| now < **at + WARNING_AGE_MAX);
+        fresh.count().min(WARNINGS_MAX) as f64 * WARNING_COST
+    }
+
+    /// Returns the upstreams that this daemon avoids, to warn others of them.
+    pub fn avoided(&self, now: Instant) -> Vec<Arc<str>> {
+        let avoided = |record: &Record| record.avoid_until.is_some_and(|until| now < until);
+        let records = self.records.iter().filter(|(_, record)| avoided(record));
+        records.map(|(id, _)| Arc::clone(id)).collect()
+    }
+
+    /// Takes in of which upstreams `daemon` warns now.
+    pub fn warn(&mut self, daemon: &Arc<str>, upstreams: &[Arc<str>], now: Instant) {
+        self.warnings.retain(|upstream, warnings| {
+            if !upstreams.contains(upstream) {
+                warnings.remove(daemon);
+            }
+            warnings.retain(|_, at| now < *at + WARNING_AGE_MAX);
+            !warnings.is_empty()
+        });
+        for upstream in upstreams {
+            let warnings = self.warnings.entry(Arc::clone(upstream)).or_default();
+            warnings.insert(Arc::clone(daemon), now);
+        }
     }
 
     /// Forgets an upstream that is gone.
     pub fn forget(&mut self, upstream: &str) {
         self.records.remove(upstream);
+        self.warnings.remove(upstream);
     }
 }
--- a/tests/course_rules.rs
+++ b/tests/course_rules.rs
@@ -20,8 +20,9 @@
         (true, 2, Failure::Reported, true, Next::Retry),
         (true, 2, Failure::Lost, true, Next::Retry),
         (true, 1, Failure::Lost, true, Next::Uncertain),
-        // Without a budget, the failure is told as it is.
-        (true, 2, Failure::Unsent, false, Next::NotRun),
+        // Without a budget, the failure is told as it is, unless no upstream was reached.
+        (true, 2, Failure::Unsent, false, Next::Retry),
+        (false, 1, Failure::Unsent, false, Next::Retry),
         (true, 2, Failure::Rejected, false, Next::NotRun),
         (true, 2, Failure::Reported, false, Next::PassOn),
         (true, 2, Failure::Lost, false, Next::Uncertain),
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -121,6 +121,7 @@
             evacuations: 9,
         },
         report: vec![(Arc::from("u"), Work::default())],
+        avoided: vec![Arc::from("u2")],
         deaths: vec![(1, 2)],
     };
     let bytes = notice.encode().expect("a notice can be encoded");
--- a/tests/silence_limits.rs
+++ b/tests/silence_limits.rs
@@ -33,13 +33,13 @@
     let cases = [
         (20, false, None, true, Some(1500)),
         (150, false, None, true, Some(1500)),
-        (1000, false, None, true, Some(3000)),
-        (1000, true, None, true, Some(4500)),
+        (1000, false, None, true, Some(2000)),
+        (1000, true, None, true, Some(3500)),
         // The last attempt has until its deadline.
         (1000, true, None, false, None),
         // Memory that is reserved is given back in time, whatever follows.
-        (775, true, Some(3000), true, Some(3825)),
-        (775, true, Some(3000), false, Some(3825)),
+        (1000, true, Some(3000), true, Some(3500)),
+        (1000, true, Some(3000), false, Some(3500)),
         (4000, true, Some(3000), false, Some(6000)),
     ];
     for (ready, is_divided, lease, may_repeat, expected) in cases {
