Send no prompt to an engine that reads it after its client has left

Clients abandon a stream after 2 s, four times the objective, or eight times the longest pause, whichever is longest.

Ruled out: waiting for a place (up to 0.3 s for nine in ten).

Change: placement leaves out ways whose first event would come after that; waiting ends, with a refusal that names when to come back, as soon as a prompt could not be read before.

--- a/crates/primrosehoist-daemon/src/gateway/choose.rs
+++ b/crates/primrosehoist-daemon/src/gateway/choose.rs
@@ -58,7 +58,9 @@
     resumes: bool,
 ) -> Result<Flight, Refusal> {
     let patience = job.remaining().mul_f64(PATIENCE_SHARE);
-    let until = Instant::now() + patience;
+    // What is placed later is not read before the client leaves.
+    let useful_until = job.event_by(resumes) - Duration::from_secs_f64(job.read_ms() / 1000.0);
+    let until = useful_until.min(Instant::now() + patience);
     // A client that has a part of its answer soon gives up on the rest.
     let mut overdue = !resumes && Instant::now() >= job.due();
     let rank = |overdue| match (resumes, overdue) {
@@ -75,7 +77,7 @@
         }
         let left = until.saturating_duration_since(Instant::now());
         let part = left.as_secs_f64() / patience.as_secs_f64().max(f64::MIN_POSITIVE);
-        let refusal = match look(context, job, excluded, part) {
+        let refusal = match look(context, job, excluded, part, resumes) {
             Ok(found) if !hesitates => return Ok(found.take(context, job)),
             Ok(_found) => {
                 sleep(HESITATION.mul_f64(rand::random::<f64>())).await;
@@ -110,11 +112,12 @@
     job: &Job,
     excluded: &Set<Arc<str>>,
     patience: f64,
+    resumes: bool,
 ) -> Result<Found, Refusal> {
     let cuts = context.paths.lock().cuts(Instant::now());
     let seats = seats(context, job, excluded, &cuts);
     let choice = match &job.service.engine {
-        Some(engine) => assign::generate(&seats, &job.need(patience), engine, &cuts),
+        Some(engine) => assign::generate(&seats, &job.need(patience, resumes), engine, &cuts),
         None => assign::plain(&seats),
     };
     match choice {
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -55,6 +55,18 @@
         self.received + self.route.target
     }
 
+    /// Returns when the client gives up if no event has come. Of an answer that has begun and
+    /// `resumes`, the last event came just now.
+    pub(crate) fn event_by(&self, resumes: bool) -> Instant {
+        let since = if resumes {
+            Instant::now()
+        } else {
+            self.received
+        };
+        let abandoned = self.route.abandoned_after();
+        abandoned.map_or(self.deadline, |after| self.deadline.min(since + after))
+    }
+
     /// Returns how long the request may be held up while it writes.
     pub(crate) fn pace(&self) -> Pace {
         Pace::from(self.route.pause)
@@ -72,15 +84,18 @@
     }
 
     /// Returns what the request needs of an engine. `patience` is the part of the time for which
-    /// it may wait that is left.
-    pub(crate) fn need(&self, patience: f64) -> Need {
-        let left = self.due().saturating_duration_since(Instant::now());
+    /// it may wait that is left; `resumes` tells whether an answer that has begun goes on.
+    pub(crate) fn need(&self, patience: f64, resumes: bool) -> Need {
+        let now = Instant::now();
+        let left = self.due().saturating_duration_since(now);
+        let abandoned = self.event_by(resumes).saturating_duration_since(now);
         Need {
             prompt_tokens: self.said.prompt_tokens,
             answer_tokens: self.said.answer_tokens,
             pace: self.pace(),
             weight: assign::weight(self.said.prompt_tokens),
             left_ms: left.as_secs_f64() * 1000.0,
+            abandoned_ms: abandoned.as_secs_f64() * 1000.0,
             patience,
             salt: self.fingerprint,
         }
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -126,6 +126,8 @@
     pub weight: f64,
     /// The time left until its first event is late, in milliseconds.
     pub left_ms: f64,
+    /// The time left until the client gives up on the first event, in milliseconds.
+    pub abandoned_ms: f64,
     /// The part of the time for which the request may wait that is left, from 1 to 0.
     pub patience: f64,
     /// A number that differs between requests, by which they spread over like seats.
@@ -210,6 +212,8 @@
     let parts_min = plan.memory.holders + 1;
     let parts = parts_min..=parts_max.max(parts_min).min(seats.len());
     let ways = parts.filter_map(|parts| plan.divided(parts));
+    // Work for a client that will have left is of no use, and takes a slot meanwhile.
+    let ways = ways.filter(|way| way.ready_ms < need.abandoned_ms);
     let best = ways.min_by(|one, other| one.cost().total_cmp(&other.cost()));
     match best {
         Some(way) if way.harm + plan.displacement() <= plan.gain(&way) => way.choice,
--- a/src/state/route.rs
+++ b/src/state/route.rs
@@ -9,6 +9,15 @@
 use crate::state::engine::Engine;
 use crate::state::map::Map;
 
+/// The shortest silence after which clients abandon a stream, as the platform states it.
+const ABANDON_MIN: Duration = Duration::from_secs(2);
+
+/// How many times the latency objective clients bear as silence.
+const ABANDON_TARGETS: u32 = 4;
+
+/// How many times the longest timely pause clients bear as silence.
+const ABANDON_PAUSES: u32 = 8;
+
 /// What may be repeated.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "snake_case")]
@@ -60,6 +69,15 @@
 }
 
 impl Route {
+    /// Returns the silence after which a client abandons a stream, also before its first event;
+    /// for other answers, nothing.
+    pub fn abandoned_after(&self) -> Option<Duration> {
+        let of_target = self.target * ABANDON_TARGETS;
+        let of_pause = self.pause.unwrap_or_default() * ABANDON_PAUSES;
+        let after = ABANDON_MIN.max(of_target).max(of_pause);
+        (self.kind == Kind::Stream).then_some(after)
+    }
+
     /// Returns whether a request may run again after it may have run.
     pub fn is_repeatable(&self) -> bool {
         match self.kind {
--- a/tests/assign_choice.rs
+++ b/tests/assign_choice.rs
@@ -73,6 +73,7 @@
         pace,
         weight: assign::weight(prompt_tokens),
         left_ms,
+        abandoned_ms: 10_000.0,
         patience: 1.0,
         salt: 0,
     }
@@ -269,3 +270,16 @@
     let choice = assign::generate(&seats, &need(5000), &engine(), &paths.cuts(now));
     assert!(chosen(&choice)[0] >= 3, "{choice:?}");
 }
+
+#[test]
+fn a_prompt_is_not_placed_where_its_client_leaves_before_the_first_event() {
+    let engine = engine();
+    let busy = [seat(0, reading(4400.0))];
+    let mut short = need(5000);
+    short.abandoned_ms = 2000.0;
+    let choice = assign::generate(&busy, &short, &engine, &Cuts::default());
+    assert_eq!(choice, Choice::Wait);
+    short.abandoned_ms = 9000.0;
+    let choice = assign::generate(&busy, &short, &engine, &Cuts::default());
+    assert_eq!(chosen(&choice), [0]);
+}
--- a/tests/assign_load/model.rs
+++ b/tests/assign_load/model.rs
@@ -33,6 +33,7 @@
             pace: self.pace(),
             weight: assign::weight(self.prompt_tokens),
             left_ms: (self.target_ms - waited).max(0.0),
+            abandoned_ms: (self.target_ms * 4.0).max(2000.0) - waited,
             patience: (1.0 - waited / (self.deadline_ms / 2.0)).max(0.0),
             salt: self.arrives_ms.to_bits(),
         }
