Read the limit on silence once a step

Cause: the reading of the diff; the open answer was looked up twice in a row to please the borrow checker. Behaviour is the same; clippy and the stream tests of the gateway pass.

--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -189,11 +189,11 @@
                     return Step::Broken(Failure::Lost);
                 }
             }
-            let Some(open) = self.open.as_ref() else {
-                return Step::Broken(Failure::Lost);
-            };
-            let limit = self.silence_limit(&open.flight);
-            let Some(open) = self.open.as_mut() else {
+            let limit = self
+                .open
+                .as_ref()
+                .map(|open| self.silence_limit(&open.flight));
+            let (Some(limit), Some(open)) = (limit, self.open.as_mut()) else {
                 return Step::Broken(Failure::Lost);
             };
             let frame = timeout(limit, open.exchange.response.body_mut().frame()).await;
