Begin watches anew when the store answers again after a silence

Ruled out: the size of the configuration, the dropped history, the notices.

Change: a daemon that follows the store pings it once a second with a stale read of a small list. When it answers again, all watches begin anew.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -75,6 +75,8 @@
     follows: watch::Sender<bool>,
     /// Whether the store answers this daemon.
     store_answers: AtomicBool,
+    /// How often the store answered again after a silence. Calls from before may never be answered.
+    pub(crate) store_returns: watch::Sender<u64>,
     /// The configuration in force as the store holds it, for daemons that cannot read it there.
     pub(crate) configuration: Mutex<Arc<str>>,
     /// When the store last answered or another daemon was last heard.
@@ -115,6 +117,7 @@
             heard: watch::Sender::new(Horizon::default()),
             follows: watch::Sender::new(true),
             store_answers: AtomicBool::new(true),
+            store_returns: watch::Sender::new(0),
             configuration: Mutex::new(Arc::from("")),
             contact: Mutex::new(Instant::now()),
             bodies: Budget::new(settings.memory_mb * BODY_BYTES_PER_MB),
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -164,6 +164,7 @@
     for feed in [Feed::Configuration, Feed::Upstreams, Feed::Evacuations] {
         tokio::spawn(sync::follow(Arc::clone(&context), Arc::clone(&peers), feed));
     }
+    tokio::spawn(sync::ping(Arc::clone(&context)));
     tokio::spawn(register(Arc::clone(&context), Arc::clone(&peers)));
     tokio::spawn(links::send(
         Arc::clone(&context),
--- a/crates/primrosehoist-daemon/src/gateway/sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/sync.rs
@@ -18,6 +18,10 @@
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// The time between two questions whether the store answers, before jitter. A change must be in
+/// force within a few seconds of the store's return.
+const PING_EVERY: Duration = Duration::from_secs(1);
+
 /// The pause after a call that failed, before jitter.
 const PAUSE_FIRST: Duration = Duration::from_millis(150);
 
@@ -85,6 +89,33 @@
     }
 }
 
+/// Asks now and then whether the store answers, for as long as the process runs.
+///
+/// A watch that the store lost during an outage is silent like one without a change. So when the
+/// store answers again, all watches begin anew.
+pub(crate) async fn ping(context: Arc<Context>) {
+    let mut lost_at: Option<Instant> = None;
+    loop {
+        context.follows_is(true).await;
+        let share = 0.5 + f64::from(rand::random::<u16>()) / f64::from(u16::MAX);
+        sleep(PING_EVERY.mul_f64(share)).await;
+        let answered = context.store.load().ping(upstream::EVACUATION_KIND).await;
+        match (answered, lost_at) {
+            (Ok(()), None) | (Err(_), Some(_)) => {}
+            (Ok(()), Some(since)) => {
+                let away_ms = since.elapsed().as_millis() as u64;
+                log::info!(away_ms; "store answers again; watches begin anew");
+                lost_at = None;
+                context.store_returns.send_modify(|returns| *returns += 1);
+            }
+            (Err(error), None) => {
+                log::warn!(error:%; "store does not answer");
+                lost_at = Some(Instant::now());
+            }
+        }
+    }
+}
+
 struct Follower {
     context: Arc<Context>,
     peers: Arc<Peers>,
@@ -97,6 +128,7 @@
     /// Watches until the history is gone.
     async fn watch(&mut self, start: u64) {
         let mut revision = start;
+        let mut returns = self.context.store_returns.subscribe();
         loop {
             let context = Arc::clone(&self.context);
             let store = context.store.load_full();
@@ -107,6 +139,7 @@
                     store.close_idle();
                     return;
                 }
+                Ok(()) = returns.changed() => continue,
             };
             match watched {
                 Ok(changes) => {
