Bound answers without end, and give up streams that only trickle

Cause, by the issue's measurement: a failure or plain answer was read whole without a bound, so a body without end drove a daemon past 3 GB within seconds. Events were timed by frame, so a stalled stream that sent a byte now and then never ended. A stream that was only slow was cut even if the retry budget allowed no replacement.

Change: plain answers are bounded (4 MiB each, together an eighth of the memory, the first 32 KiB of each always); connections buffer at most 64 KiB of a head, a chunk header or trailers; bodies that nobody needs are dropped as they come. The time for an event is counted from the last whole event, and a silent stream is kept while no retry is left.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -13,6 +13,7 @@
 use primrosehoist::state::roster::Upstream;
 use primrosehoist::state::route::Kind;
 use primrosehoist::transport::http::Payload;
+use primrosehoist::transport::http::body::{self, Buffered};
 use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Options, Pool};
 use primrosehoist_platform::header;
 use tokio::time::{Instant, sleep, timeout};
@@ -49,6 +50,12 @@
 /// The timeout for reading the body of a rejection.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// The maximum size of the body of a rejection whose connection is kept, in bytes.
+const DISCARD_BYTES_MAX: usize = 64 * 1024;
+
+/// The maximum size of a response that is not streamed, in bytes.
+const RESPONSE_BYTES_MAX: u64 = 4 << 20;
+
 /// The attempts of one request.
 pub(crate) struct Attempts {
     pub(crate) context: Arc<Context>,
@@ -83,7 +90,7 @@
 pub(crate) struct BufferedResponse {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: bytes::Bytes,
+    pub(crate) body: Buffered,
 }
 
 /// Why a request has no successful response.
@@ -372,30 +379,33 @@
     ) -> Result<BufferedResponse, Failure> {
         let upstream = Arc::clone(&response.placement.upstream);
         let limit = self.silence_timeout(&response.placement);
-        let collected = timeout(limit, response.exchange.response.body_mut().collect()).await;
-        match collected {
-            Ok(Ok(body)) => {
+        let limits = body::Limits {
+            bytes_max: RESPONSE_BYTES_MAX,
+            idle_timeout: limit,
+            total_timeout: limit,
+        };
+        let body = response.exchange.response.body_mut();
+        match Buffered::collect(body, &limits, &self.context.response_budget).await {
+            Ok(body) => {
                 let buffered = BufferedResponse {
                     status: response.status,
                     headers: response.headers.clone(),
-                    body: body.to_bytes(),
+                    body,
                 };
                 response.return_connection();
                 Ok(buffered)
             }
-            Ok(Err(error)) => {
+            Err(error) => {
                 log::info!(
                     request = self.job.request.id.as_str(),
                     upstream = upstream.id.as_ref(),
                     error:%;
-                    "response body was cut off"
+                    "failed to read the response body"
                 );
                 self.record(&upstream, Observation::Unreachable);
-                self.suspect_crash(&upstream);
-                Err(Failure::Lost)
-            }
-            Err(_elapsed) => {
-                self.record(&upstream, Observation::Unreachable);
+                if error == body::Error::Broken {
+                    self.suspect_crash(&upstream);
+                }
                 Err(Failure::Lost)
             }
         }
@@ -427,6 +437,13 @@
         self.job.route.is_retryable() && u64::from(self.count) < self.job.route.attempts_max
     }
 
+    /// Returns whether the retry budget allows another attempt now.
+    pub(crate) fn has_retry(&self) -> bool {
+        let service = &self.job.service.name;
+        let mut allowance = self.context.allowance.lock();
+        allowance.has_retry(service, Instant::now())
+    }
+
     fn options(&self) -> Options {
         let idle_max = if self.job.route.is_retryable() {
             Options::default().idle_max
@@ -513,10 +530,10 @@
 }
 
 impl Response {
-    /// Discards the body, and keeps the connection if the body arrives quickly.
+    /// Discards the body, and keeps the connection if the body is short and arrives quickly.
     async fn discard(mut self) {
-        let rest = self.exchange.response.body_mut().collect();
-        if matches!(timeout(DISCARD_TIMEOUT, rest).await, Ok(Ok(_))) {
+        let rest = body::discard(self.exchange.response.body_mut(), DISCARD_BYTES_MAX);
+        if timeout(DISCARD_TIMEOUT, rest).await == Ok(true) {
             self.return_connection();
         }
     }
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -36,6 +36,12 @@
 /// The memory for request bodies in bytes per megabyte of process memory: one half.
 const BODY_BUDGET_BYTES_PER_MB: u64 = 512 * 1024;
 
+/// The memory for responses that are not streamed in bytes per megabyte of process memory: an eighth.
+const RESPONSE_BUDGET_BYTES_PER_MB: u64 = 128 * 1024;
+
+/// The size up to which responses are buffered even if the budget is exhausted, in bytes.
+const RESPONSE_EXEMPT_BYTES: u64 = 32 * 1024;
+
 /// The shared state of the gateway.
 pub(crate) struct Context {
     /// The settings read at startup. Fields that cannot change at run time are read from here.
@@ -98,6 +104,8 @@
     pub(crate) last_contact: Mutex<Instant>,
     /// The memory budget for request bodies.
     pub(crate) body_budget: Budget,
+    /// The memory budget for responses that are not streamed.
+    pub(crate) response_budget: Budget,
     /// The client for the platform's store.
     pub(crate) store: ArcSwap<store::Client>,
     /// The metrics.
@@ -146,6 +154,10 @@
             configuration: Mutex::default(),
             last_contact: Mutex::new(Instant::now()),
             body_budget: Budget::new(settings.memory_mb * BODY_BUDGET_BYTES_PER_MB),
+            response_budget: Budget::with_exemption(
+                settings.memory_mb * RESPONSE_BUDGET_BYTES_PER_MB,
+                RESPONSE_EXEMPT_BYTES,
+            ),
             store: ArcSwap::from_pointee(store::Client::new(&settings.store.to_string())),
             bounds: ArcSwap::from_pointee(settings.bounds.clone()),
             metrics,
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use primrosehoist::state::route::{Access, Kind, Table};
@@ -278,7 +278,7 @@
                 let success = primrosehoist::state::health::Observation::Success;
                 attempts.record(&upstream, success);
                 progress.set_outcome("complete");
-                return forwarded_response(buffered);
+                return forwarded_response(&buffered);
             }
             Err(failure) => {
                 if let Err(unanswered) = attempts.on_failure(&upstream, failure) {
@@ -289,14 +289,12 @@
     }
 }
 
-fn forwarded_response(buffered: BufferedResponse) -> Response<Payload> {
-    let mut response = response(buffered.status, buffered.body);
-    let length = response.headers_mut().remove(CONTENT_LENGTH);
-    *response.headers_mut() = buffered.headers;
-    response.headers_mut().remove(CONTENT_LENGTH);
-    if let Some(length) = length {
-        response.headers_mut().insert(CONTENT_LENGTH, length);
-    }
+fn forwarded_response(buffered: &BufferedResponse) -> Response<Payload> {
+    let length = HeaderValue::from(buffered.body.bytes().len());
+    let mut response = Response::new(buffered.body.replay().boxed_unsync());
+    *response.status_mut() = buffered.status;
+    *response.headers_mut() = buffered.headers.clone();
+    response.headers_mut().insert(CONTENT_LENGTH, length);
     response
 }
 
@@ -331,29 +329,24 @@
         }
         Unanswered::Reported(buffered) => {
             progress.set_outcome("upstream_failed");
-            forwarded_response(mask_not_run_status(*buffered))
+            if implies_not_run(buffered.status) {
+                return response(StatusCode::BAD_GATEWAY, Bytes::new());
+            }
+            forwarded_response(&buffered)
         }
     }
 }
 
-/// Replaces an upstream's error response by an empty 502 if its status would imply that the request
-/// did not run, which the upstream did not state.
-fn mask_not_run_status(buffered: BufferedResponse) -> BufferedResponse {
-    let implies_not_run = matches!(
-        buffered.status,
+/// Returns whether the status of an upstream's error response would imply that the request did not
+/// run, which the upstream did not state.
+fn implies_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
         StatusCode::TOO_MANY_REQUESTS
             | StatusCode::SERVICE_UNAVAILABLE
             | StatusCode::REQUEST_TIMEOUT
             | StatusCode::MISDIRECTED_REQUEST
-    );
-    if !implies_not_run {
-        return buffered;
-    }
-    BufferedResponse {
-        status: StatusCode::BAD_GATEWAY,
-        headers: HeaderMap::new(),
-        body: Bytes::new(),
-    }
+    )
 }
 
 fn response(status: StatusCode, body: Bytes) -> Response<Payload> {
--- a/crates/primrosehoist-daemon/src/gateway/reservation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reservation.rs
@@ -12,6 +12,7 @@
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use primrosehoist::state::roster::Upstream;
+use primrosehoist::transport::http::body;
 use primrosehoist::transport::http::upstream::{Gate, Options};
 use primrosehoist_platform::reservation;
 use serde_json::Value;
@@ -31,6 +32,9 @@
 /// The timeout of a request to reserve or release memory. Upstreams respond within milliseconds.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The maximum size of a response to a request to reserve or release memory, in bytes.
+const RESPONSE_BYTES_MAX: usize = 64 * 1024;
+
 /// The maximum number of attempts to release a reservation. If all fail, its lease expires.
 const RELEASE_ATTEMPTS_MAX: u32 = 3;
 
@@ -177,8 +181,7 @@
     let exchanged = async {
         let mut exchange = pool.send_with(&Options::default(), request, &gate).await?;
         let status = exchange.response.status();
-        let body_read = exchange.response.body_mut().collect().await;
-        if body_read.is_ok() {
+        if body::discard(exchange.response.body_mut(), RESPONSE_BYTES_MAX).await {
             pool.release(exchange);
         }
         Ok::<_, primrosehoist::transport::http::upstream::Error>(status)
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -13,7 +13,7 @@
 use primrosehoist::transport::http::body::Aborted;
 use primrosehoist::transport::http::{BoxError, Payload};
 use std::sync::Arc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Attempts, Response, Unanswered};
 use super::ingress::Progress;
@@ -174,14 +174,17 @@
         self.attempts.on_failure(&upstream, failure)
     }
 
-    /// Reads until an event is complete or the stream ends or breaks.
+    /// Reads until an event is complete or the stream ends or breaks. Bytes that complete no event
+    /// do not extend the time for it.
     async fn step(&mut self) -> Step {
+        let mut due = None;
         loop {
             match self.splitter.next_event() {
                 Ok(Some(event)) => {
                     if let Some(event) = self.accept(event) {
                         return Step::Event(event);
                     }
+                    due = None;
                     continue;
                 }
                 Ok(None) => {}
@@ -197,7 +200,9 @@
             let (Some(limit), Some(response)) = (limit, self.response.as_mut()) else {
                 return Step::Broken(Failure::Lost);
             };
-            let frame = timeout(limit, response.exchange.response.body_mut().frame()).await;
+            let due_at = *due.get_or_insert_with(|| Instant::now() + limit);
+            let frame = response.exchange.response.body_mut().frame();
+            let frame = timeout_at(due_at, frame).await;
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
@@ -218,9 +223,14 @@
                 }
                 Ok(None) => return self.end(),
                 Err(_elapsed) => {
+                    // The stream may only be slow. It is not given up without a replacement.
+                    if self.events > 0 && !self.may_replace() {
+                        due = None;
+                        continue;
+                    }
                     log::info!(
                         request = self.attempts.job.request.id.as_str(),
-                        upstream = response.placement.upstream.id.as_ref(),
+                        upstream = self.upstream_id(),
                         after = self.last_event.unwrap_or_default(),
                         silent_ms = limit.as_millis() as u64;
                         "stream timed out"
@@ -231,6 +241,12 @@
         }
     }
 
+    /// Returns the id of the upstream that generates the stream.
+    fn upstream_id(&self) -> &str {
+        let response = self.response.as_ref();
+        response.map_or("", |response| response.placement.upstream.id.as_ref())
+    }
+
     /// Records a complete event and returns it, unless the client already has it.
     fn accept(&mut self, event: Bytes) -> Option<Bytes> {
         if let Some(response) = self.response.as_mut() {
@@ -265,6 +281,13 @@
         Step::End
     }
 
+    /// Returns whether a stream that is silent may be given up now: it can be resumed on another
+    /// upstream, or its time is over.
+    fn may_replace(&self) -> bool {
+        self.attempts.job.remaining().is_zero()
+            || (self.attempts.may_retry() && self.attempts.has_retry())
+    }
+
     fn silence_timeout(&self, placement: &Placement) -> Duration {
         if self.events == 0 {
             return self.attempts.silence_timeout(placement);
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -8,6 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use primrosehoist::coordination::admission::{self, Finish};
 use primrosehoist::transport::http::Payload;
+use primrosehoist::transport::http::body;
 use primrosehoist::transport::http::upstream::{Error, Exchange, Gate};
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
@@ -23,6 +24,9 @@
 /// The timeout of one cancellation request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum size of the response to a cancellation request, in bytes.
+const RESPONSE_BYTES_MAX: usize = 64 * 1024;
+
 /// The delay between cancellation requests.
 const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -124,7 +128,8 @@
         return false;
     };
     let cancelled = exchange.response.status().is_success();
-    if exchange.response.body_mut().collect().await.is_ok() {
+    let rest = body::discard(exchange.response.body_mut(), RESPONSE_BYTES_MAX);
+    if timeout(CANCEL_TIMEOUT, rest).await == Ok(true) {
         holding.pool.release(exchange);
     }
     cancelled
--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -40,7 +40,8 @@
 
 POST /standin/fault {\"fault\":F,\"times\":N} injects fault F into the next N requests: lose (runs,
 but closes the connection without a response), cut (closes the connection after two and a half
-events), silent (sends two events, then nothing), hang (never responds), reject (does not run,
+events), silent (sends two events, then nothing), trickle (sends two events, then a byte of a comment
+now and then), pause (pauses for 2.4 s after two events), hang (never responds), reject (does not run,
 status 503), fail (status 500), crossed (returns the id of another request), encoded (claims gzip
 encoding), refuse_order (refuses a reservation).
 GET /standin/counts returns the requests that ran and the counts of streams and reservations.
@@ -52,6 +53,12 @@
 /// The number of tokens in an event of a stream.
 const EVENT_TOKENS: u64 = 10;
 
+/// The interval between the bytes of a trickling stream.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(150);
+
+/// The pause in a stream that is slow.
+const PAUSE: Duration = Duration::from_millis(2400);
+
 const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
 const RECEIPT: HeaderName = HeaderName::from_static("x-response-seal");
 
@@ -84,6 +91,8 @@
     Lose,
     Cut,
     Silent,
+    Trickle,
+    Pause,
     Hang,
     Reject,
     Fail,
@@ -343,7 +352,7 @@
             let next = last + 1;
             let id = id.clone();
             async move {
-                if next > events {
+                if next > events && fault != Some(Fault::Trickle) {
                     guard.finish();
                     return None;
                 }
@@ -356,6 +365,15 @@
                     )),
                     Some(Fault::Cut) if next > 3 => Some((Err(Closed::Now), (guard, next))),
                     Some(Fault::Silent) if next > 2 => std::future::pending().await,
+                    Some(Fault::Trickle) if next > 2 => {
+                        time::sleep(TRICKLE_INTERVAL).await;
+                        let byte = if next == 3 { ":" } else { "x" };
+                        Some((Ok(Bytes::from_static(byte.as_bytes())), (guard, next)))
+                    }
+                    Some(Fault::Pause) if next == 3 => {
+                        time::sleep(PAUSE).await;
+                        Some((Ok(Bytes::from(event)), (guard, next)))
+                    }
                     _ => Some((Ok(Bytes::from(event)), (guard, next))),
                 }
             }
--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -68,6 +68,11 @@
         );
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the program immediately.
     pub fn kill(&mut self) {
         self.child.kill().expect("the program is killed");
--- a/crates/primrosehoist-tests/tests/gateway.rs
+++ b/crates/primrosehoist-tests/tests/gateway.rs
@@ -57,7 +57,7 @@
 #[test]
 fn broken_stream_is_resumed_in_the_same_response() {
     let deployment = Deployment::ready(1);
-    for fault in ["cut", "silent"] {
+    for fault in ["cut", "silent", "trickle"] {
         let request = Request::stream(5000, 8);
         let before = deployment.runs(&request.id);
         assert!(before.is_empty());
@@ -85,6 +85,36 @@
     }
 }
 
+/// A stalled stream that sends a byte now and then is given up like a silent one, well before the
+/// client's deadline.
+#[test]
+fn stalled_stream_that_trickles_is_resumed_in_time() {
+    let deployment = Deployment::ready(1);
+    let probe = Request::stream(5000, 2);
+    send(&deployment.daemons[0].ingress, &probe);
+    let (index, _) = deployment.runs(&probe.id)[0];
+    deployment.set_fault(index, "trickle", 1);
+    let started = Instant::now();
+    let response = send(&deployment.daemons[0].ingress, &Request::stream(5000, 8));
+    assert!(response.complete, "{response:?}");
+    assert_eq!(response.events(), event_ids(8));
+    let elapsed = started.elapsed();
+    assert!(elapsed < Duration::from_secs(3), "{elapsed:?}");
+}
+
+/// A stream that pauses longer than usual is not cut if the retry budget allows no replacement.
+#[test]
+fn slow_stream_is_not_cut_when_no_retry_is_left() {
+    let deployment = Deployment::ready(1);
+    deployment.change_settings(0, "RetrySlack = 106", "RetrySlack = 0");
+    deployment.change_settings(0, "RetryBudgetRatio = 0.2", "RetryBudgetRatio = 0.0");
+    std::thread::sleep(Duration::from_millis(1500));
+    set_fault_on_all(&deployment, "pause", 1);
+    let response = send(&deployment.daemons[0].ingress, &Request::stream(5000, 8));
+    assert!(response.complete, "{response:?}");
+    assert_eq!(response.events(), event_ids(8));
+}
+
 #[test]
 fn single_break_is_invisible_to_the_client() {
     let deployment = Deployment::ready(1);
--- a/src/coordination/allowance.rs
+++ b/src/coordination/allowance.rs
@@ -180,15 +180,20 @@
 
     /// Draws a retry from the budget of `service`. Returns whether the budget allowed it.
     pub fn try_retry(&mut self, service: &Arc<str>, now: Instant) -> bool {
+        let allowed = self.has_retry(service, now);
+        if allowed {
+            self.retries(service).retries.add(now);
+        }
+        allowed
+    }
+
+    /// Returns whether the budget of `service` allows a retry now.
+    pub fn has_retry(&mut self, service: &Arc<str>, now: Instant) -> bool {
         let share = self.bounds.retry_slack * DIVIDED_FRACTION / self.daemon_count() as f64;
         let ratio = self.bounds.retry_ratio * DIVIDED_FRACTION;
         let counts = self.retries(service);
         let allowed = counts.requests.count(now) as f64 * ratio + share;
-        if (counts.retries.count(now) + 1) as f64 > allowed {
-            return false;
-        }
-        counts.retries.add(now);
-        true
+        (counts.retries.count(now) + 1) as f64 <= allowed
     }
 
     fn retries(&mut self, service: &Arc<str>) -> &mut Retries {
--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -50,18 +50,30 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     units: Arc<Semaphore>,
+    /// The bytes of each body that are not counted.
+    exempt_bytes: u64,
 }
 
 impl Budget {
     /// Creates a budget of `bytes` bytes.
     pub fn new(bytes: u64) -> Self {
+        Self::with_exemption(bytes, 0)
+    }
+
+    /// Creates a budget of `bytes` bytes, in which the first `exempt_bytes` of each body are not
+    /// counted: small bodies are buffered even if large ones have exhausted the budget.
+    pub fn with_exemption(bytes: u64, exempt_bytes: u64) -> Self {
         let units = (bytes / BUDGET_UNIT_BYTES) as usize;
         Self {
             units: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
+            exempt_bytes,
         }
     }
 
-    fn reserve(&self, bytes: u64) -> Result<OwnedSemaphorePermit, Error> {
+    /// Reserves the memory by which a body of `length` bytes exceeds one of `reserved` bytes.
+    fn reserve(&self, length: u64, reserved: u64) -> Result<OwnedSemaphorePermit, Error> {
+        let counted = |bytes: u64| bytes.saturating_sub(self.exempt_bytes);
+        let bytes = counted(length) - counted(reserved);
         let units = bytes.div_ceil(BUDGET_UNIT_BYTES) as u32;
         Arc::clone(&self.units)
             .try_acquire_many_owned(units)
@@ -92,7 +104,7 @@
         if hint.lower() > limits.bytes_max {
             return Err(too_large);
         }
-        let mut permit = budget.reserve(hint.lower())?;
+        let mut permit = budget.reserve(hint.lower(), 0)?;
         let mut reserved = hint.lower();
         let mut bytes = BytesMut::with_capacity(hint.lower() as usize);
         let deadline = Instant::now() + limits.total_timeout;
@@ -102,7 +114,7 @@
                 return Err(too_large);
             }
             if length > reserved {
-                permit.merge(budget.reserve(length - reserved)?);
+                permit.merge(budget.reserve(length, reserved)?);
                 reserved = length;
             }
             bytes.extend_from_slice(&data);
@@ -152,6 +164,27 @@
     }
 }
 
+/// Reads the rest of `body` without keeping it, up to `bytes_max` bytes. Returns whether the body
+/// ended within these.
+pub async fn discard<B>(body: &mut B, bytes_max: usize) -> bool
+where
+    B: Body<Data = Bytes> + Unpin,
+{
+    let mut remaining = bytes_max;
+    loop {
+        let frame = match body.frame().await {
+            None => return true,
+            Some(Err(_)) => return false,
+            Some(Ok(frame)) => frame,
+        };
+        let length = frame.data_ref().map_or(0, Bytes::len);
+        match remaining.checked_sub(length) {
+            Some(left) => remaining = left,
+            None => return false,
+        }
+    }
+}
+
 /// A body that yields the bytes of a [`Buffered`] body.
 #[derive(Debug)]
 pub struct Replay {
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -26,6 +26,10 @@
 /// The maximum number of idle connections per upstream.
 const IDLE_MAX: usize = 16;
 
+/// The maximum number of received bytes that a connection buffers. It limits the head of a response,
+/// and of its chunks and trailers, which may be without an end.
+const READ_BUFFER_BYTES_MAX: usize = 64 * 1024;
+
 /// How long an idle connection is kept unless its upstream specifies a shorter timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -349,7 +353,9 @@
             stream,
             current_gate: Arc::clone(&current_gate),
         };
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES_MAX)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|source| Error::Send(self.address, source))?;
         let driver = tokio::spawn(async move {
