Refresh the state of the platform after a pause of the process

Cause: a daemon that was stopped for some seconds goes on with what it knew. Its watch is answered from the socket in time unless the store stopped answering it meanwhile; then it accepted a withdrawn key for the 0.7 s that it grants the store before it asks another daemon. By the code the same holds for daemons that do not follow the store, for as long as they have to fetch the list.

Ruled out: relying on the order in which a waking process sees its sockets; the remaining time of requests, which was corrected already.

Change: each request and each first write checks when the process last ran, by the steady clock and by the time that the host was suspended. A daemon without any state asks a daemon that none of its zone is ahead of, so that a restart brings back nothing older.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -136,6 +136,7 @@
     ) -> Result<Response, Unanswered> {
         let resumes = last_event != self.job.request.last_event;
         loop {
+            self.context.pauses.wait_current().await;
             if self.job.remaining() < REMAINING_MIN {
                 return Err(Unanswered::Expired(self.failover.may_have_run()));
             }
@@ -478,7 +479,8 @@
         limit.map_or(remaining, |limit| remaining.min(limit))
     }
 
-    /// Returns a gate that checks before each write that the upstream still accepts work.
+    /// Returns a gate that checks before each write that the upstream still accepts work, as far as
+    /// the daemon knows and if it knows the current state.
     fn gate(&self, upstream: &Arc<Upstream>) -> Arc<Gate> {
         let context = Arc::clone(&self.context);
         let job = Arc::clone(&self.job);
@@ -486,6 +488,7 @@
         let allowed = move |sent_before: bool| {
             sent_before
                 || (job.remaining() >= REMAINING_MIN
+                    && !context.pauses.is_outdated()
                     && context.roster.lock().is_routable(&upstream, Instant::now()))
         };
         Arc::new(Gate::new(Arc::default(), allowed))
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -30,6 +30,7 @@
 use tokio::time::Instant;
 
 use super::gossip;
+use super::pause::Monitor;
 use super::queue::Queue;
 use crate::metrics::Metrics;
 
@@ -77,6 +78,8 @@
     pub(crate) versions: Mutex<Versions>,
     /// Whether a complete list of upstreams has been received.
     pub(crate) upstreams_listed: AtomicBool,
+    /// Detects pauses of the process.
+    pub(crate) pauses: Monitor,
     /// Whether the daemon is shutting down.
     pub(crate) draining: AtomicBool,
     /// Whether the daemon refuses new requests.
@@ -141,6 +144,7 @@
             queue: Queue::default(),
             versions: Mutex::default(),
             upstreams_listed: AtomicBool::new(false),
+            pauses: Monitor::default(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             in_progress: AtomicUsize::new(0),
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -134,6 +134,7 @@
 
 async fn respond(context: &Arc<Context>, request: Request<Incoming>) -> Response<Payload> {
     let received = Instant::now();
+    context.pauses.wait_current().await;
     let Some(table) = context.table.load_full() else {
         return refuse("no configuration is known yet", UNCONFIGURED_RETRY_S);
     };
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod ingress;
 mod job;
+mod pause;
 mod peer_sync;
 mod placement;
 mod queue;
@@ -166,6 +167,7 @@
     tokio::spawn(gossip::receive(Arc::clone(&context), socket));
     tokio::spawn(gossip::refresh(Arc::clone(&context)));
     tokio::spawn(peer_sync::catch_up(Arc::clone(&context)));
+    tokio::spawn(pause::watch(Arc::clone(&context)));
     let (stop, stopped) = watch::channel(false);
     let serve_port = |listener, respond: fn(&Context, &str) -> Response<Payload>| {
         tokio::spawn(serve_internal(
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -33,6 +33,9 @@
 /// do not all do so at once.
 const REQUEST_JITTER_MAX: Duration = Duration::from_millis(60);
 
+/// How long a daemon that knows no other waits for changes from the store after a pause.
+const STORE_WAIT: Duration = Duration::from_millis(300);
+
 /// The timeout for the response of a daemon, whose link may be slow.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -120,23 +123,59 @@
         let Some(address) = daemon_ahead(&context, &own) else {
             continue;
         };
-        let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
-        let path = request_path(&own);
-        let step = format!("fetch platform state from {address}");
-        let result = endpoint.call(&step, Method::GET, &path, Bytes::new(), REQUEST_TIMEOUT);
-        match result.await {
-            Ok(bytes) => match Snapshot::try_from(bytes.as_ref()) {
-                Ok(snapshot) => apply(&context, snapshot),
-                Err(error) => log::warn!(daemon:% = address, error:%; "invalid state from peer"),
-            },
-            Err(error) => log::info!(daemon:% = address, error:%; "failed to fetch state"),
-        }
+        fetch(&context, address, &own).await;
         if *context.versions.lock() == own {
             sleep(REQUEST_RETRY_DELAY).await;
         }
     }
 }
 
+/// Requests the state that is newer than `own` from the daemon at `address`; returns whether that
+/// responded.
+async fn fetch(context: &Context, address: SocketAddr, own: &Versions) -> bool {
+    let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
+    let path = request_path(own);
+    let step = format!("fetch platform state from {address}");
+    let result = endpoint.call(&step, Method::GET, &path, Bytes::new(), REQUEST_TIMEOUT);
+    match result.await {
+        Ok(bytes) => match Snapshot::try_from(bytes.as_ref()) {
+            Ok(snapshot) => {
+                apply(context, snapshot);
+                return true;
+            }
+            Err(error) => log::warn!(daemon:% = address, error:%; "invalid state from peer"),
+        },
+        Err(error) => log::info!(daemon:% = address, error:%; "failed to fetch state"),
+    }
+    false
+}
+
+/// Requests what has changed from random daemons of the zone, and then from any, until one responds.
+pub(crate) async fn refresh(context: &Context) {
+    loop {
+        let own = *context.versions.lock();
+        let address = {
+            let exchange = context.exchange.lock();
+            let random = rand::random::<f64>();
+            let now = Instant::now();
+            let near = exchange
+                .peers
+                .random_in(&context.settings.zone, random, now);
+            near.or_else(|| exchange.peers.targets(0, now).first().copied())
+        };
+        let Some(address) = address else {
+            // A daemon without others follows the store, whose watches are restarted.
+            sleep(STORE_WAIT).await;
+            return;
+        };
+        let address = SocketAddr::new(address, context.settings.link_ports.0);
+        if fetch(context, address, &own).await {
+            return;
+        }
+        sleep(REQUEST_JITTER_MAX).await;
+    }
+}
+
 /// Activates a configuration that another daemon sent.
 fn install_configuration(context: &Context, configuration: Compressed) {
     let decoded = configuration
--- a/crates/primrosehoist-tests/tests/endless_answers.rs
+++ b/crates/primrosehoist-tests/tests/endless_answers.rs
@@ -44,7 +44,7 @@
                  Transfer-Encoding: chunked\r\n\r\n"
             )
         };
-        let chunk = [b"8000\r\n", [b'x'; 0x8000].as_slice(), b"\r\n"].concat();
+        let chunk = [b"8000\r\n", vec![b'x'; 0x8000].as_slice(), b"\r\n"].concat();
         let partial = "HTTP/1.1 200 OK\r\n";
         match self {
             Self::Success => (head("200 OK", ""), chunk),
--- a/crates/primrosehoist-tests/tests/gateway_restarts.rs
+++ b/crates/primrosehoist-tests/tests/gateway_restarts.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::platform::{
-    Deployment, Request, configuration, receive, send, start_request, wait_until,
+    Deployment, KEY, Request, configuration, receive, send, start_request, wait_until,
 };
 use primrosehoist::coordination::{rendezvous, watchers};
 use serde_json::json;
@@ -181,3 +181,55 @@
     std::thread::sleep(Duration::from_millis(200));
     assert_first_runner_is_unused(&deployment);
 }
+
+/// A daemon that was stopped for some seconds must not accept a key that was withdrawn meanwhile, nor
+/// send to a runner that has left, even for requests that wait when it wakes.
+#[test]
+fn paused_daemon_acts_on_nothing_that_ended_meanwhile() {
+    const KEYS: [&str; 4] = [KEY, "key-2", "key-3", "key-4"];
+    let deployment = Deployment::ready(2);
+    for round in 0..KEYS.len() - 1 {
+        let (withdrawn, valid) = (KEYS[round], KEYS[round + 1]);
+        // One of the first two runners leaves and the other one returns.
+        let (left, back) = (round % 2, 1 - round % 2);
+        let process = deployment.daemons[1].process.as_ref();
+        let process = process.expect("the daemon runs");
+        process.pause();
+        // The store answers the pending watches with these changes, and this daemon no more.
+        deployment.set_store_faults(&json!({"mode": "silent", "also_only": true}));
+        let version = 2 + 2 * round as u64;
+        let mut next = configuration(version);
+        next["Tenants"][0]["ApiKeys"] = json!([withdrawn]);
+        deployment.configure(&next);
+        deployment.register(2, "ready");
+        std::thread::sleep(Duration::from_millis(100));
+        next["Version"] = json!(version + 1);
+        next["Tenants"][0]["ApiKeys"] = json!([valid]);
+        deployment.configure(&next);
+        deployment.register(left, "draining");
+        deployment.register(back, "ready");
+        std::thread::sleep(Duration::from_millis(1500 + 700 * round as u64));
+        let requests: Vec<Request> = (0..24)
+            .map(|number| Request {
+                key: if number % 2 == 0 { withdrawn } else { valid },
+                body: format!("{round} {number}").into_bytes(),
+                ..Request::new("GET", "/look/1")
+            })
+            .collect();
+        let mut connections: Vec<_> = requests
+            .iter()
+            .map(|request| start_request(&deployment.daemons[1].ingress, request))
+            .collect();
+        process.resume();
+        for (number, connection) in connections.iter_mut().enumerate() {
+            let response = receive(connection);
+            let expected = if number % 2 == 0 { 401 } else { 200 };
+            assert_eq!(response.status, expected, "round {round}: {response:?}");
+            for (runner, _) in deployment.runs(&requests[number].id) {
+                assert_ne!(runner, left, "round {round}: the runner is draining");
+            }
+        }
+        deployment.set_store_faults(&json!({"mode": "none"}));
+        std::thread::sleep(Duration::from_millis(2500));
+    }
+}
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -237,12 +237,21 @@
     }
 
     /// Returns the address of a live daemon that has newer state than `own`, preferably in the own
-    /// zone. `random` is from 0 to 1.
+    /// zone. `random` is from 0 to 1. A daemon that has no state yet gets one that no other daemon of
+    /// its zone is ahead of, since it would use an outdated one.
     pub fn ahead_of(&self, own: &Versions, random: f64, now: Instant) -> Option<IpAddr> {
         let peers = self.by_address.iter();
-        let (near, far): (Vec<_>, Vec<_>) = peers
+        let (mut near, far): (Vec<_>, Vec<_>) = peers
             .filter(|(_, peer)| peer.is_live(now) && peer.versions.is_ahead_of(own))
             .partition(|(_, peer)| peer.member.zone == self.zone);
+        if *own == Versions::default() {
+            let versions = near.iter().map(|(_, peer)| peer.versions);
+            let newest = versions.fold(*own, |newest, versions| newest.merge(&versions));
+            let is_newest = |peer: &Peer| !newest.is_ahead_of(&peer.versions);
+            if near.iter().any(|(_, peer)| is_newest(peer)) {
+                near.retain(|(_, peer)| is_newest(peer));
+            }
+        }
         let candidates = if near.is_empty() { far } else { near };
         pick(&candidates, random).map(|(address, _)| **address)
     }
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -478,3 +478,24 @@
     let large = count(360, 12);
     assert!(large < small * 1.2, "{small} and {large} messages a daemon");
 }
+
+#[test]
+fn a_daemon_without_state_asks_one_that_is_not_behind() {
+    let mut fleet = Fleet::new(6, 1, 4, 8);
+    for (index, version) in [(1, 3), (2, 4), (3, 4), (4, 2)] {
+        fleet.daemons[index].versions.upstreams = version;
+    }
+    fleet.run(Duration::from_secs(1));
+    let peers = &fleet.daemons[0].exchange.peers;
+    for step in 0..20 {
+        let random = f64::from(step) / 20.0;
+        let chosen = peers.ahead_of(&Versions::default(), random, fleet.now);
+        assert!(chosen == Some(address(2)) || chosen == Some(address(3)));
+        // One that has some state may ask any that has a newer one, so that all do not ask the same.
+        let own = Versions {
+            upstreams: 2,
+            ..Versions::default()
+        };
+        assert_ne!(peers.ahead_of(&own, random, fleet.now), Some(address(4)));
+    }
+}
