Let warnings and crashes wait for the next complete state

Counted by kind of message on a scratch copy: complete states grew from 15 to 56 MB within 8 s, when six engines crashed and answers were lost, since each change of warnings or crashes made each daemon send one at once.

Change: only versions and the watch's state are told at once; warnings and crashes go with the next complete state, within a second, and to other zones with summaries.

Test first: warnings_cause_no_additional_states.

--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -249,7 +249,7 @@
                 let live = self.peers.live_zones(now);
                 let changes = self.by_other_zone(&changes, &live, &view.zone_of);
                 let loads = self.by_other_zone(&report, &live, &view.zone_of);
-                outgoing = self.tell_other_zones(&changes, &loads, is_due.then_some(&info), now);
+                outgoing = self.tell_other_zones(&changes, &loads, &info, is_due, now);
                 self.peers.targets_in(&self.own.zone, self.number, now)
             }
         };
@@ -270,16 +270,20 @@
             STATE_INTERVAL_SPACED
         };
         let last = self.last_state.as_ref();
-        last.is_none_or(|(at, told)| now >= *at + interval || told != info)
+        // Warnings and crashes change often while upstreams fail, and each daemon repeats them.
+        last.is_none_or(|(at, told)| {
+            now >= *at + interval || told.status != info.status || told.versions != info.versions
+        })
     }
 
     /// Returns the messages to other zones about the load on their upstreams. `info` is what a
-    /// complete state tells, if one is due.
+    /// complete state tells, and `is_due` whether one is due. Warnings and crashes reach other zones by summaries.
     fn tell_other_zones(
         &mut self,
         changes: &BTreeMap<Arc<str>, Report>,
         loads: &BTreeMap<Arc<str>, Report>,
-        info: Option<&Info>,
+        info: &Info,
+        is_due: bool,
         now: Instant,
     ) -> Vec<Outgoing> {
         let zones: Set<Arc<str>> = changes.keys().chain(loads.keys()).cloned().collect();
@@ -288,19 +292,22 @@
         for zone in &zones {
             let load = || loads.get(zone).cloned().unwrap_or_default();
             let is_new = !self.engaged.contains(zone);
-            let datagram = match (info, changes.get(zone)) {
-                (Some(info), _) => Datagram::State(self.state(info.clone(), load())),
-                (None, _) if is_new => {
-                    let info = self.last_state.as_ref().map(|(_, info)| info.clone());
-                    Datagram::State(self.state(info.unwrap_or_default(), load()))
+            let datagram = match changes.get(zone) {
+                _ if is_due || is_new => {
+                    let info = Info {
+                        status: info.status,
+                        versions: info.versions,
+                        ..Info::default()
+                    };
+                    Datagram::State(self.state(info, load()))
                 }
-                (None, Some(changes)) => Datagram::Delta(self.delta(changes.clone())),
-                (None, None) => continue,
+                Some(changes) => Datagram::Delta(self.delta(changes.clone())),
+                None => continue,
             };
             let targets = self.peers.targets_in(zone, self.number, now);
             outgoing.push(Outgoing { targets, datagram });
         }
-        if info.is_some() {
+        if is_due {
             self.engaged = loads.keys().cloned().collect();
         } else {
             self.engaged.extend(zones);
--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -71,7 +71,7 @@
     /// The upstreams of its requests.
     open: Vec<usize>,
     running: bool,
-    versions: Versions,
+    info: Info,
     told_at: Instant,
     has_changed: bool,
     asked_at: Instant,
@@ -128,7 +128,7 @@
             occupancy: Occupancy::default(),
             open: Vec::new(),
             running: true,
-            versions: Versions::default(),
+            info: Info::default(),
             told_at: self.now,
             has_changed: true,
             asked_at: self.now,
@@ -172,11 +172,8 @@
             .map(|index| (Key::from(upstream(index).as_str()), index))
             .collect();
         let daemon = &mut self.daemons[index];
-        let versions = daemon.versions;
-        let info: InfoFn<'_> = &|| Info {
-            versions,
-            ..Info::default()
-        };
+        let told = daemon.info.clone();
+        let info: InfoFn<'_> = &|| told.clone();
         let recent: RecentFn<'_> = &Map::default;
         let zone_of: ZoneFn<'_> = &|key| by_key.get(&key).map(|index| zone(*index, zones));
         let mut view = View {
@@ -389,7 +386,7 @@
     for mut fleet in fleets(4) {
         fleet.run(Duration::from_secs(2));
         fleet.loss = 0.05;
-        fleet.daemons[5].versions.upstreams = 9;
+        fleet.daemons[5].info.versions.upstreams = 9;
         fleet.daemons[5].has_changed = true;
         let changed = fleet.now;
         loop {
@@ -397,18 +394,21 @@
             // A daemon that learns of a version fetches the state, and then tells of it too.
             for index in 0..fleet.daemons.len() {
                 let daemon = &mut fleet.daemons[index];
-                let own = daemon.versions;
+                let own = daemon.info.versions;
                 if daemon
                     .exchange
                     .peers
                     .ahead_of(&own, 0.5, fleet.now)
                     .is_some()
                 {
-                    daemon.versions.upstreams = 9;
+                    daemon.info.versions.upstreams = 9;
                     daemon.has_changed = true;
                 }
             }
-            let behind = fleet.daemons.iter().filter(|d| d.versions.upstreams != 9);
+            let behind = fleet
+                .daemons
+                .iter()
+                .filter(|d| d.info.versions.upstreams != 9);
             if behind.count() == 0 {
                 break;
             }
@@ -483,7 +483,7 @@
 fn a_daemon_without_state_asks_one_that_is_not_behind() {
     let mut fleet = Fleet::new(6, 1, 4, 8);
     for (index, version) in [(1, 3), (2, 4), (3, 4), (4, 2)] {
-        fleet.daemons[index].versions.upstreams = version;
+        fleet.daemons[index].info.versions.upstreams = version;
     }
     fleet.run(Duration::from_secs(1));
     let peers = &fleet.daemons[0].exchange.peers;
@@ -499,3 +499,28 @@
         assert_ne!(peers.ahead_of(&own, random, fleet.now), Some(address(4)));
     }
 }
+
+/// Upstreams that fail make every daemon change its warnings again and again. They wait for the next
+/// complete state; versions do not.
+#[test]
+fn warnings_cause_no_additional_states() {
+    for mut fleet in fleets(9) {
+        fleet.run(Duration::from_secs(1));
+        let now = fleet.now;
+        let mut tell = |fleet: &mut Fleet| {
+            let all = fleet.act(0, |exchange, view| exchange.tell_load(view, now));
+            let states = all.iter().map(|outgoing| &outgoing.datagram);
+            states
+                .filter(|datagram| matches!(datagram, Datagram::State(_)))
+                .count()
+        };
+        tell(&mut fleet);
+        for crash in 0..50 {
+            fleet.daemons[0].info.avoided = vec![Arc::from(upstream(crash as usize))];
+            fleet.daemons[0].info.crashes.push((crash, crash));
+            assert_eq!(tell(&mut fleet), 0);
+        }
+        fleet.daemons[0].info.versions.upstreams += 1;
+        assert_eq!(tell(&mut fleet), 1);
+    }
+}
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -129,6 +129,35 @@
     );
 }
 
+/// A helper of a long prompt keeps memory for it after it has prefilled its part, and no request of
+/// its own.
+#[test]
+fn memory_that_is_only_reserved_counts_for_all_daemons_until_the_end() {
+    let now = Instant::now();
+    let (daemon, zone): (Arc<str>, Arc<str>) = (Arc::from("b"), Arc::from("z"));
+    let helping = load(None, 400.0, 128_000);
+    let serving = load(Some(LatencyClass::Strict), 20.0, 5120);
+    let recent = Map::default();
+    let mut helper = Occupancy::default();
+    let mut other = Occupancy::default();
+    helper.begin("u", &helping);
+    helper.begin("u", &serving);
+    other.update_report(&daemon, &zone, (1, 1), helper.report(&recent), now);
+    helper.finish_prefill("u", &helping);
+    helper.end("u", &serving, true);
+    let changes = helper.take_changes(&recent);
+    assert!(other.update_entries(&daemon, (1, 2), changes, now));
+    for occupancy in [&helper, &other] {
+        let work = occupancy.work("u");
+        assert_eq!((work.running(), work.memory_tokens), (0, 128_000));
+    }
+    helper.end("u", &helping, false);
+    let changes = helper.take_changes(&recent);
+    assert!(other.update_entries(&daemon, (1, 3), changes, now));
+    assert_eq!(helper.work("u"), Work::default());
+    assert_eq!(other.work("u"), Work::default());
+}
+
 #[test]
 fn the_report_of_a_silent_daemon_expires() {
     let now = Instant::now();
