--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -507,7 +507,7 @@
     for mut fleet in fleets(9) {
         fleet.run(Duration::from_secs(1));
         let now = fleet.now;
-        let mut tell = |fleet: &mut Fleet| {
+        let tell = |fleet: &mut Fleet| {
             let all = fleet.act(0, |exchange, view| exchange.tell_load(view, now));
             let states = all.iter().map(|outgoing| &outgoing.datagram);
             states
