Count the gossip of a daemon at the planned size, which does not fit yet

Weighed on paper: shorter headers, entries without empty classes and rarer messages bring it to about 15 KB/s each way; the rest needs a daemon to tell fewer others.

--- a/tests/gossip_exchange.rs
+++ b/tests/gossip_exchange.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use primrosehoist::coordination::gossip::{
-    Datagram, Exchange, Info, Outgoing, Own, QUERY_INTERVAL, Received, View,
+    Datagram, Exchange, Info, Outgoing, Own, QUERY_INTERVAL, Query, Received, State, View,
 };
 use primrosehoist::coordination::peers::{Error, FLEET_SCOPE_MAX, Scope};
 use primrosehoist::protocol::gossip::{decode, encode};
@@ -524,3 +524,124 @@
         assert_eq!(tell(&mut fleet), 1);
     }
 }
+
+/// The planned fleet: 400 daemons in 12 zones, 1,100 upstreams and 2,400 requests a second. Counts what
+/// one daemon sends; since all are alike, it receives as much.
+#[test]
+fn control_of_a_daemon_at_the_planned_size_fits_its_budget() {
+    const DAEMONS: usize = 400;
+    const ZONES: usize = 12;
+    const UPSTREAMS: usize = 1100;
+    const REQUESTS_PER_S: f64 = 6.0;
+    /// The time from placement to the first event, and from there to the end of a request.
+    const PREFILL: Duration = Duration::from_millis(300);
+    const DECODE: Duration = Duration::from_millis(1200);
+    /// How long changes that free capacity are coalesced in a zone of 33 daemons.
+    const COALESCE: Duration = Duration::from_millis(50);
+    const RUN: Duration = Duration::from_secs(20);
+    /// The operators' budget for all control of a daemon.
+    const BYTES_PER_S_MAX: f64 = 21_000.0;
+
+    let mut fleet = Fleet::new(1, ZONES, UPSTREAMS, 10);
+    fleet.list(0, DAEMONS);
+    // The other daemons of the zone have some requests on each upstream there.
+    let now = fleet.now;
+    for peer in (ZONES..DAEMONS).step_by(ZONES) {
+        let mut occupancy = Occupancy::default();
+        for request in 0..9 {
+            let index = (peer + request * ZONES * 7) % UPSTREAMS / ZONES * ZONES;
+            occupancy.begin(&upstream(index), &load());
+        }
+        let state = Datagram::State(State {
+            host: Arc::from(format!("host-{peer}")),
+            zone: zone(peer, ZONES),
+            sequence: (1, 1),
+            info: Info::default(),
+            load: occupancy.report(&Map::default()),
+        });
+        let received = fleet.act(0, |exchange, view| {
+            exchange.receive(address(peer), state, view, now)
+        });
+        received.expect("the daemon is known");
+    }
+    let start = fleet.now;
+    let (mut bytes, mut datagrams) = (0, 0);
+    let mut count = |all: &[Outgoing]| {
+        for outgoing in all {
+            let length = encode(&outgoing.datagram).expect("can be encoded").len();
+            bytes += length * outgoing.targets.len();
+            datagrams += outgoing.targets.len();
+        }
+    };
+    let mut ends: Vec<(Instant, usize, bool)> = Vec::new();
+    let mut freed_at = None;
+    let mut next = start;
+    while fleet.now < start + RUN {
+        fleet.now += Duration::from_millis(5);
+        let now = fleet.now;
+        let mut is_urgent = false;
+        if now >= next {
+            let gap = -(1.0 - fleet.rng.next()).ln() / REQUESTS_PER_S;
+            next += Duration::from_secs_f64(gap);
+            let index = fleet.rng.below(UPSTREAMS / ZONES) * ZONES;
+            fleet.begin(0, index);
+            ends.push((now + PREFILL, index, true));
+            is_urgent = true;
+        }
+        let (due, later) = ends.into_iter().partition(|(at, ..)| *at <= now);
+        ends = later;
+        for (_, index, prefilling) in Vec::<(Instant, usize, bool)>::from(due) {
+            let occupancy = &mut fleet.daemons[0].occupancy;
+            if prefilling {
+                occupancy.finish_prefill(&upstream(index), &load());
+                ends.push((now + DECODE, index, false));
+            } else {
+                occupancy.end(&upstream(index), &load(), false);
+            }
+            freed_at.get_or_insert(now);
+        }
+        let is_freed = freed_at.is_some_and(|at| now >= at + COALESCE);
+        if is_urgent || is_freed {
+            freed_at = None;
+            count(&fleet.act(0, |exchange, view| exchange.tell_load(view, now)));
+        }
+        let elapsed = now.saturating_duration_since(start);
+        if elapsed
+            .as_millis()
+            .is_multiple_of(QUERY_INTERVAL.as_millis())
+        {
+            let random = fleet.rng.next();
+            let query = fleet.act(0, |exchange, view| exchange.query(view.info, random, now));
+            count(&query.into_iter().collect::<Vec<_>>());
+            // On average, it answers as many queries as it sends.
+            let asker = 1 + fleet.rng.below(ZONES - 1);
+            let query = Datagram::Query(Query {
+                host: Arc::from(format!("host-{asker}")),
+                zone: zone(asker, ZONES),
+                started_ms: 1,
+                info: Info::default(),
+                members: fleet.daemons[0].exchange.peers.digest("zone-0", now),
+            });
+            let received = fleet.act(0, |exchange, view| {
+                exchange.receive(address(asker), query, view, now)
+            });
+            let reply = received.expect("the daemon is known").reply;
+            count(&[Outgoing {
+                targets: vec![address(asker)],
+                datagram: reply.expect("a query is answered"),
+            }]);
+        }
+        // The others of the zone stay live.
+        for peer in (ZONES..DAEMONS).step_by(ZONES) {
+            let heard = fleet.daemons[0].exchange.peers.heard(address(peer), now);
+            heard.expect("the daemon is known");
+        }
+    }
+    let seconds = RUN.as_secs_f64();
+    let sent = bytes as f64 / seconds;
+    println!(
+        "{sent:.0} B/s and {:.0} datagrams/s sent, as much received",
+        f64::from(datagrams as u32) / seconds
+    );
+    assert!(2.0 * sent <= BYTES_PER_S_MAX, "{sent} B/s each way");
+}
