Give platform state to few daemons at once

By the code: 99 daemons of a zone ask the two that follow the store for the list of 3,000 upstreams, 270 KB, at once. Shared among 50, a link of 20 Mbit/s needs 5 s for them; each gives up after 2 s and asks again.

Ruled out: the list from the store (60 pages of 4 ms), the six seconds for which a restarted daemon takes upstreams for cold (the limits are the same at 100 daemons, where service is back after 8.5 s).

Test first: few_daemons_get_platform_state_from_one_at_once (64 were served before).

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -57,10 +57,14 @@
 /// for connections to upstreams.
 const CONNECTIONS_MAX: usize = 2500;
 
-/// The maximum number of concurrent connections to each port for the platform, other daemons or
-/// operators.
+/// The maximum number of concurrent connections to each port for the platform or operators.
 const INTERNAL_CONNECTIONS_MAX: usize = 64;
 
+/// The maximum number of other daemons that get platform state at once. Those that are rejected ask
+/// another daemon a little later, and by then more have it. If one daemon sent its state to all of a
+/// zone at once, its link would be shared among so many that all of them would time out.
+const PEER_STATE_CONNECTIONS_MAX: usize = 12;
+
 /// The smallest limit on the request head that the HTTP library accepts, in bytes.
 const HEAD_BYTES_MIN: usize = 8192;
 
@@ -169,17 +173,18 @@
     tokio::spawn(peer_sync::catch_up(Arc::clone(&context)));
     tokio::spawn(pause::watch(Arc::clone(&context)));
     let (stop, stopped) = watch::channel(false);
-    let serve_port = |listener, respond: fn(&Context, &str) -> Response<Payload>| {
+    let serve_port = |listener, connections, respond: fn(&Context, &str) -> Response<Payload>| {
         tokio::spawn(serve_internal(
             Arc::clone(&context),
             listener,
+            connections,
             stopped.clone(),
             respond,
         ));
     };
-    serve_port(readiness, readiness_response);
-    serve_port(peer_state, peer_sync::respond);
-    serve_port(metrics, metrics_response);
+    serve_port(readiness, INTERNAL_CONNECTIONS_MAX, readiness_response);
+    serve_port(peer_state, PEER_STATE_CONNECTIONS_MAX, peer_sync::respond);
+    serve_port(metrics, INTERNAL_CONNECTIONS_MAX, metrics_response);
     let serving = tokio::spawn(serve_clients(Arc::clone(&context), clients, stopped));
     log::info!(
         host = settings.host.as_ref(),
@@ -230,11 +235,12 @@
 fn serve_internal(
     context: Arc<Context>,
     listener: TcpListener,
+    connections: usize,
     stopped: watch::Receiver<bool>,
     respond: fn(&Context, &str) -> Response<Payload>,
 ) -> impl Future<Output = ()> {
-    let limits = || Limits {
-        connections: INTERNAL_CONNECTIONS_MAX,
+    let limits = move || Limits {
+        connections,
         headers: HEADERS_MAX,
         head_bytes: HEAD_BYTES_DEFAULT,
         head_timeout: HEAD_TIMEOUT_DEFAULT,
--- a/crates/primrosehoist-tests/tests/gateway.rs
+++ b/crates/primrosehoist-tests/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::time::{Duration, Instant};
 
 use common::platform::{
@@ -681,3 +681,34 @@
     }
     assert_eq!(following(), 2);
 }
+
+/// When a zone starts at once, all of its daemons ask the few that follow the store. A daemon that
+/// answered all of them at once would be too slow for each.
+#[test]
+fn few_daemons_get_platform_state_from_one_at_once() {
+    const ASKING: usize = 30;
+    const SERVED_MAX: usize = 12;
+    let deployment = Deployment::ready(1);
+    let address = deployment.daemons[0].ingress.replace(":8227", ":7340");
+    let mut connections: Vec<_> = (0..ASKING).map(|_| platform::connect(&address)).collect();
+    let is_open = |connection: &mut std::net::TcpStream| {
+        let timeout = Some(Duration::from_millis(100));
+        connection
+            .set_read_timeout(timeout)
+            .expect("the timeout can be set");
+        let kind = connection.read(&mut [0; 1]).map_err(|error| error.kind());
+        kind == Err(std::io::ErrorKind::WouldBlock)
+    };
+    let open = connections.iter_mut().filter_map(|connection| {
+        let open = is_open(connection);
+        open.then_some(())
+    });
+    assert_eq!(open.count(), SERVED_MAX);
+    drop(connections);
+    let path = "/picture?0,0,0";
+    wait_until("state is given again", || {
+        let mut connection = platform::connect(&address);
+        let request = format!("GET {path} HTTP/1.1\r\nHost: x\r\n\r\n");
+        connection.write_all(request.as_bytes()).is_ok() && receive(&mut connection).status == 200
+    });
+}
