Ask another daemon for a change if the first one does not answer

What callers saw: a key or route that a change had added was refused longer than ConfigApplyMs after its acknowledgement, by a daemon that was sound itself.

Cause: a daemon learns from gossip that there is a newer version and fetches it from one daemon, whose answer it awaited for 2 s. One that has stopped, is cut off or overloaded counts as live for 3 s, and the next choice again preferred the own zone, where such daemons stand. Class: one slow participant uses up the time limit of everybody who depends on it.

Ruled out: rejected connections (they fail at once and another daemon is asked), the time to decode (milliseconds), versions told wrongly (root gossip_exchange).

Change: transport::hedge starts a call to another candidate after 200 ms without an answer, or at once after a failure, and takes the first that succeeds; daemons of all zones are candidates after the first. An answer that brings nothing newer counts as a failure. The refresh after a pause uses it too, which asked one daemon for 2 s where it had 0.8 s in all.

--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -4,7 +4,7 @@
 //! not follow it at all. A daemon learns from gossip that its state is outdated and requests what
 //! it lacks from a daemon that has newer state.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -13,7 +13,9 @@
 use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
+use primrosehoist::state::map::Set;
 use primrosehoist::state::versions::Versions;
+use primrosehoist::transport::hedge::first_success;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::platform::Endpoint;
 use serde_json::Value;
@@ -36,6 +38,10 @@
 /// How long a daemon that knows no other waits for changes from the store after a pause.
 const STORE_WAIT: Duration = Duration::from_millis(300);
 
+/// How long a daemon may take to respond before another one is asked as well. Most respond within
+/// milliseconds.
+const HEDGE_DELAY: Duration = Duration::from_millis(200);
+
 /// The timeout for the response of a daemon, whose link may be slow.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -94,20 +100,32 @@
     }
 }
 
-/// Returns the address of a daemon that has newer state than `own`.
-fn daemon_ahead(context: &Context, own: &Versions) -> Option<SocketAddr> {
+/// Returns a daemon that is not in `tried` and has newer state than `own`.
+fn daemon_ahead(context: &Context, own: &Versions, tried: &Set<IpAddr>) -> Option<IpAddr> {
     let exchange = context.exchange.lock();
     let random = rand::random::<f64>();
-    let address = exchange.peers.ahead_of(own, random, Instant::now())?;
-    Some(SocketAddr::new(address, context.settings.link_ports.0))
+    exchange.peers.ahead_of(own, tried, random, Instant::now())
+}
+
+/// Returns a daemon that is not in `tried`, preferably in the own zone.
+fn any_daemon(context: &Context, tried: &Set<IpAddr>) -> Option<IpAddr> {
+    let exchange = context.exchange.lock();
+    let (random, now) = (rand::random::<f64>(), Instant::now());
+    let zone = &context.settings.zone;
+    let near = exchange.peers.random_in(zone, tried, random, now);
+    let all = || exchange.peers.targets(0, now).into_iter();
+    near.or_else(|| all().find(|address| !tried.contains(address)))
 }
 
 /// Requests state from other daemons whenever this one has lagged for too long.
 pub(crate) async fn catch_up(context: Arc<Context>) {
     let mut peer_versions = context.peer_versions.subscribe();
-    loop {
+    let is_behind = || {
         let own = *context.versions.lock();
-        if daemon_ahead(&context, &own).is_none() {
+        daemon_ahead(&context, &own, &Set::default()).is_some()
+    };
+    loop {
+        if !is_behind() {
             if peer_versions.changed().await.is_err() {
                 return;
             }
@@ -119,63 +137,72 @@
             REQUEST_JITTER_MAX.mul_f64(rand::random::<f64>())
         };
         sleep(delay).await;
-        let own = *context.versions.lock();
-        let Some(address) = daemon_ahead(&context, &own) else {
-            continue;
+        let select = |tried: &Set<IpAddr>| {
+            let own = *context.versions.lock();
+            daemon_ahead(&context, &own, tried)
         };
-        fetch(&context, address, &own).await;
-        if *context.versions.lock() == own {
+        let is_useful =
+            |snapshot: &Snapshot| snapshot.versions.is_ahead_of(&context.versions.lock());
+        if !fetch_from_first(&context, select, is_useful).await && is_behind() {
             sleep(REQUEST_RETRY_DELAY).await;
         }
     }
 }
 
-/// Requests the state that is newer than `own` from the daemon at `address`; returns whether that
-/// responded.
-async fn fetch(context: &Context, address: SocketAddr, own: &Versions) -> bool {
-    let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
-    let path = request_path(own);
-    let step = format!("fetch platform state from {address}");
-    let result = endpoint.call(&step, Method::GET, &path, Bytes::new(), REQUEST_TIMEOUT);
-    match result.await {
-        Ok(bytes) => match Snapshot::try_from(bytes.as_ref()) {
-            Ok(snapshot) => {
-                apply(context, snapshot);
-                return true;
-            }
-            Err(error) => log::warn!(daemon:% = address, error:%; "invalid state from peer"),
-        },
-        Err(error) => log::info!(daemon:% = address, error:%; "failed to fetch state"),
-    }
-    false
-}
-
-/// Requests what has changed from random daemons of the zone, and then from any, until one responds.
+/// Requests what has changed from daemons of the zone, and then from any, until one responds.
 pub(crate) async fn refresh(context: &Context) {
-    loop {
-        let own = *context.versions.lock();
-        let address = {
-            let exchange = context.exchange.lock();
-            let random = rand::random::<f64>();
-            let now = Instant::now();
-            let near = exchange
-                .peers
-                .random_in(&context.settings.zone, random, now);
-            near.or_else(|| exchange.peers.targets(0, now).first().copied())
-        };
-        let Some(address) = address else {
+    while !fetch_from_first(context, |tried| any_daemon(context, tried), |_| true).await {
+        if any_daemon(context, &Set::default()).is_none() {
             // A daemon without others follows the store, whose watches are restarted.
             sleep(STORE_WAIT).await;
             return;
-        };
-        let address = SocketAddr::new(address, context.settings.link_ports.0);
-        if fetch(context, address, &own).await {
-            return;
         }
         sleep(REQUEST_JITTER_MAX).await;
     }
 }
 
+/// Requests state from the daemons that `select` returns and applies the first response that
+/// `is_useful`. Returns whether there was one.
+async fn fetch_from_first<S, U>(context: &Context, select: S, is_useful: U) -> bool
+where
+    S: Fn(&Set<IpAddr>) -> Option<IpAddr>,
+    U: Fn(&Snapshot) -> bool,
+{
+    let mut tried = Set::default();
+    let next = || {
+        let address = select(&tried)?;
+        tried.insert(address);
+        let call = fetch(
+            context,
+            SocketAddr::new(address, context.settings.link_ports.0),
+        );
+        Some(async { call.await.filter(&is_useful) })
+    };
+    let snapshot = first_success(next, HEDGE_DELAY).await;
+    let is_found = snapshot.is_some();
+    if let Some(snapshot) = snapshot {
+        apply(context, snapshot);
+    }
+    is_found
+}
+
+/// Requests the state that is newer than this daemon's from the daemon at `address`.
+async fn fetch(context: &Context, address: SocketAddr) -> Option<Snapshot> {
+    let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
+    let path = request_path(&context.versions.lock());
+    let step = format!("fetch platform state from {address}");
+    let result = endpoint.call(&step, Method::GET, &path, Bytes::new(), REQUEST_TIMEOUT);
+    match result.await {
+        Ok(bytes) => Snapshot::try_from(bytes.as_ref())
+            .inspect_err(|error| log::warn!(daemon:% = address, error:%; "invalid state from peer"))
+            .ok(),
+        Err(error) => {
+            log::info!(daemon:% = address, error:%; "failed to fetch state");
+            None
+        }
+    }
+}
+
 /// Activates a configuration that another daemon sent.
 fn install_configuration(context: &Context, configuration: Compressed) {
     let decoded = configuration
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -370,7 +370,7 @@
         let zones = self.peers.other_zones();
         let zone = zones.get(self.queries % zones.len().max(1))?;
         self.queries += 1;
-        let target = self.peers.random_in(zone, random, now)?;
+        let target = self.peers.random_in(zone, &Set::default(), random, now)?;
         let query = Query {
             host: Arc::clone(&self.own.host),
             zone: Arc::clone(&self.own.zone),
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -227,24 +227,47 @@
         zones.cloned().collect()
     }
 
-    /// Returns a daemon of `zone`, a live one if there is any. `random` is from 0 to 1.
-    pub fn random_in(&self, zone: &str, random: f64, now: Instant) -> Option<IpAddr> {
-        let live = self.in_zone(zone).filter(|(_, peer)| peer.is_live(now));
+    /// Returns a daemon of `zone` that is not in `tried`, a live one if there is any. `random` is from
+    /// 0 to 1.
+    pub fn random_in(
+        &self,
+        zone: &str,
+        tried: &Set<IpAddr>,
+        random: f64,
+        now: Instant,
+    ) -> Option<IpAddr> {
+        let untried = || {
+            self.in_zone(zone)
+                .filter(|(address, _)| !tried.contains(address))
+        };
+        let live = untried().filter(|(_, peer)| peer.is_live(now));
         let live: Vec<_> = live.map(|(address, _)| *address).collect();
-        let all = || self.in_zone(zone).map(|(address, _)| *address).collect();
+        let all = || untried().map(|(address, _)| *address).collect();
         let candidates: Vec<IpAddr> = if live.is_empty() { all() } else { live };
         pick(&candidates, random).copied()
     }
 
-    /// Returns the address of a live daemon that has newer state than `own`, preferably in the own
-    /// zone. `random` is from 0 to 1. A daemon that has no state yet gets one that no other daemon of
+    /// Returns the address of a live daemon that has newer state than `own` and is not in `tried`.
+    /// `random` is from 0 to 1.
+    ///
+    /// The first one is in the own zone if possible. The others are in any zone, since the daemons of
+    /// a zone often fail together. A daemon that has no state yet gets one that no other daemon of
     /// its zone is ahead of, since it would use an outdated one.
-    pub fn ahead_of(&self, own: &Versions, random: f64, now: Instant) -> Option<IpAddr> {
+    pub fn ahead_of(
+        &self,
+        own: &Versions,
+        tried: &Set<IpAddr>,
+        random: f64,
+        now: Instant,
+    ) -> Option<IpAddr> {
         let peers = self.by_address.iter();
-        let (mut near, far): (Vec<_>, Vec<_>) = peers
+        let (mut near, mut far): (Vec<_>, Vec<_>) = peers
             .filter(|(_, peer)| peer.is_live(now) && peer.versions.is_ahead_of(own))
+            .filter(|(address, _)| !tried.contains(address))
             .partition(|(_, peer)| peer.member.zone == self.zone);
-        if *own == Versions::default() {
+        if *own != Versions::default() && !tried.is_empty() {
+            far.append(&mut near);
+        } else {
             let versions = near.iter().map(|(_, peer)| peer.versions);
             let newest = versions.fold(*own, |newest, versions| newest.merge(&versions));
             let is_newest = |peer: &Peer| !newest.is_ahead_of(&peer.versions);
--- a/tests/gossip_exchange/main.rs
+++ b/tests/gossip_exchange/main.rs
@@ -9,7 +9,7 @@
 use primrosehoist::coordination::gossip::{Datagram, Info, Outgoing, QUERY_INTERVAL, Query, State};
 use primrosehoist::coordination::peers::{Error, FLEET_SCOPE_MAX, Scope};
 use primrosehoist::protocol::gossip::encode;
-use primrosehoist::state::map::Map;
+use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::occupancy::Occupancy;
 use primrosehoist::state::versions::Versions;
 use tokio::time::Instant;
@@ -96,7 +96,7 @@
                 if daemon
                     .exchange
                     .peers
-                    .ahead_of(&own, 0.5, fleet.now)
+                    .ahead_of(&own, &Set::default(), 0.5, fleet.now)
                     .is_some()
                 {
                     daemon.info.versions.upstreams = 9;
@@ -187,14 +187,17 @@
     let peers = &fleet.daemons[0].exchange.peers;
     for step in 0..20 {
         let random = f64::from(step) / 20.0;
-        let chosen = peers.ahead_of(&Versions::default(), random, fleet.now);
+        let chosen = peers.ahead_of(&Versions::default(), &Set::default(), random, fleet.now);
         assert!(chosen == Some(address(2)) || chosen == Some(address(3)));
         // One that has some state may ask any that has a newer one, so that all do not ask the same.
         let own = Versions {
             upstreams: 2,
             ..Versions::default()
         };
-        assert_ne!(peers.ahead_of(&own, random, fleet.now), Some(address(4)));
+        assert_ne!(
+            peers.ahead_of(&own, &Set::default(), random, fleet.now),
+            Some(address(4))
+        );
     }
 }
 
@@ -355,3 +358,31 @@
         "{bytes_per_s:.0} B/s each way"
     );
 }
+
+#[test]
+fn daemons_of_other_zones_are_asked_after_the_first_one() {
+    // Daemons 2 and 4 are in the zone of daemon 0.
+    let mut fleet = Fleet::new(6, 2, 4, 9);
+    for daemon in &mut fleet.daemons[1..] {
+        daemon.info.versions.upstreams = 2;
+    }
+    fleet.run(Duration::from_secs(1));
+    let peers = &fleet.daemons[0].exchange.peers;
+    let own = Versions {
+        upstreams: 1,
+        ..Versions::default()
+    };
+    let ahead = |tried: &Set<_>, random| peers.ahead_of(&own, tried, random, fleet.now);
+    let near = [address(2), address(4)];
+    let steps = (0..20).map(|step| f64::from(step) / 20.0);
+    for random in steps.clone() {
+        let first = ahead(&Set::default(), random).expect("others are ahead");
+        assert!(near.contains(&first), "{first}");
+    }
+    let tried: Set<_> = [address(2)].into_iter().collect();
+    let second: Set<_> = steps.filter_map(|random| ahead(&tried, random)).collect();
+    let expected = [1, 3, 4, 5].map(address).into_iter().collect();
+    assert_eq!(second, expected);
+    let all: Set<_> = (1..6).map(address).collect();
+    assert_eq!(ahead(&all, 0.5), None);
+}
