Assign another daemon when the store falls silent to one that follows it

What callers saw: in a fleet of more than 16 daemons, a change did not take effect anywhere for up to 26.5 s if the store had silently stopped to answer the two daemons of each zone that follow it.

Cause: only an error of the watch of upstreams made a daemon tell the others that the store does not answer it. A watch without an answer has no error for 26.5 s. The ping noticed after a second or two, but its failure changed nothing until the store was back. Class: a health check whose result is not used. After it failed, the pool also kept connections that may have failed with it.

Change: a failed ping reports the daemon as disconnected at once, closes idle connections, and is repeated on a new one, so that one lost connection is no outage. Pings are at most 1 s apart (1.5 s before). A daemon that the store does not answer fetches news without the 0.7 s for which others wait for the store.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -233,9 +233,11 @@
             .is_err();
     }
 
-    /// Sets whether the store responds to this daemon.
+    /// Sets whether the store responds to this daemon, and tells the others of a change.
     pub(crate) fn set_store_reachable(&self, reachable: bool) {
-        self.store_reachable.store(reachable, Ordering::Release);
+        if self.store_reachable.swap(reachable, Ordering::AcqRel) != reachable {
+            self.urgent.notify_one();
+        }
     }
 
     /// Returns this daemon's own entry in the fleet.
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use primrosehoist::coordination::watchers::Status;
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::versions::Versions;
@@ -31,7 +32,7 @@
 /// usually arrives within this time, and half of the shortest staleness bound remains after it.
 const LAG_MAX: Duration = Duration::from_millis(700);
 
-/// The longest random delay before daemons that do not follow the store request state, so that they
+/// The longest random delay before daemons that get nothing from the store request state, so that they
 /// do not all do so at once.
 const REQUEST_JITTER_MAX: Duration = Duration::from_millis(60);
 
@@ -131,7 +132,7 @@
             }
             continue;
         }
-        let delay = if context.follows_store() {
+        let delay = if context.member().status == Status::Following {
             LAG_MAX
         } else {
             REQUEST_JITTER_MAX.mul_f64(rand::random::<f64>())
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -19,9 +19,10 @@
 /// How long the store holds a watch without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
-/// The interval between pings of the store, before jitter. A change must take effect within a few
-/// seconds of the store's recovery.
-const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// The longest interval between pings of the store; jitter shortens it by up to a half. A change must
+/// take effect within a few seconds although the store has stopped to answer all daemons that follow
+/// it.
+const PING_INTERVAL_MAX: Duration = Duration::from_secs(1);
 
 /// The backoff after the first failed call, before jitter.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
@@ -174,25 +175,33 @@
 /// Pings the store periodically for as long as the process runs.
 ///
 /// A watch that the store lost during an outage cannot be told from one without a change. So when
-/// the store responds again, all watches are restarted.
+/// the store responds again, all watches are restarted, on new connections. While it does not respond,
+/// another daemon is assigned to follow it.
 pub(crate) async fn ping(context: Arc<Context>) {
     let mut lost_at: Option<Instant> = None;
+    let mut interval = PING_INTERVAL_MAX;
     loop {
         context.wait_follows_store(true).await;
-        let jitter = 0.5 + f64::from(rand::random::<u16>()) / f64::from(u16::MAX);
-        sleep(PING_INTERVAL.mul_f64(jitter)).await;
-        let answered = context.store.load().ping(upstream::EVACUATION_KIND).await;
-        match (answered, lost_at) {
+        let jitter = 0.5 + f64::from(rand::random::<u16>()) / f64::from(u16::MAX) / 2.0;
+        sleep(interval.mul_f64(jitter)).await;
+        interval = PING_INTERVAL_MAX;
+        let store = context.store.load_full();
+        match (store.ping(upstream::EVACUATION_KIND).await, lost_at) {
             (Ok(()), None) | (Err(_), Some(_)) => {}
             (Ok(()), Some(since)) => {
                 let away_ms = since.elapsed().as_millis() as u64;
                 log::info!(away_ms; "store recovered; restarting watches");
                 lost_at = None;
+                context.set_store_reachable(true);
                 context.store_recoveries.send_modify(|count| *count += 1);
             }
             (Err(error), None) => {
                 log::warn!(error:%; "store ping failed");
                 lost_at = Some(Instant::now());
+                context.set_store_reachable(false);
+                store.close_idle();
+                // Only the connection may have failed.
+                interval = Duration::ZERO;
             }
         }
     }
