Replace silent followers of the store within 1.4 s

What callers saw: if all daemons that follow the store stopped at once, a change took effect on the others 3 s later at the earliest, which is all of ConfigApplyMs in fleets of more than 16 daemons.

Cause: who follows the store was decided by the same 3 s of silence after which a daemon counts as gone for everything else. Class: one time limit for two purposes, of which one has a tighter bound.

Change: for this purpose a daemon of the own zone counts for 1.4 s (watchers::SILENCE_MAX), two of the longest intervals between messages. A false alarm costs three lists by one more daemon. Daemons of other zones, which a large fleet hears of by summaries only, count for 3 s as before.

--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -255,6 +255,8 @@
 
 /// Returns whether the daemon should follow the store, given the daemons that it knows.
 pub(crate) fn should_follow(context: &Context, now: Instant) -> bool {
-    let members = context.exchange.lock().peers.members(now);
+    let exchange = context.exchange.lock();
+    let members = exchange.peers.members(watchers::SILENCE_MAX, now);
+    drop(exchange);
     watchers::should_follow(&context.member(), &members)
 }
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -66,7 +66,11 @@
 
 impl Peer {
     fn is_live(&self, now: Instant) -> bool {
-        let is_recent = |heard: Instant| now.saturating_duration_since(heard) < SILENCE_MAX;
+        self.is_heard_within(SILENCE_MAX, now)
+    }
+
+    fn is_heard_within(&self, silence_max: Duration, now: Instant) -> bool {
+        let is_recent = |heard: Instant| now.saturating_duration_since(heard) < silence_max;
         self.last_heard.is_some_and(is_recent)
     }
 }
@@ -189,11 +193,19 @@
         Ok(&peer.member)
     }
 
-    /// Returns the live daemons.
-    pub fn members(&self, now: Instant) -> Vec<Member> {
+    /// Returns the live daemons, and of the own zone only those that were heard from within
+    /// `silence_max`.
+    pub fn members(&self, silence_max: Duration, now: Instant) -> Vec<Member> {
         let peers = self.by_address.values();
-        let live = peers.filter(|peer| peer.is_live(now));
-        live.map(|peer| peer.member.clone()).collect()
+        let heard = peers.filter(|peer| {
+            let silence_max = if peer.member.zone == self.zone {
+                silence_max
+            } else {
+                SILENCE_MAX
+            };
+            peer.is_heard_within(silence_max, now)
+        });
+        heard.map(|peer| peer.member.clone()).collect()
     }
 
     /// Returns the addresses of all daemons that get message `number`.
--- a/src/coordination/watchers.rs
+++ b/src/coordination/watchers.rs
@@ -6,6 +6,7 @@
 //! that receives no messages from others follows the store itself.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
@@ -18,6 +19,10 @@
 /// by the store, the other continues.
 pub const FOLLOWERS_PER_ZONE: usize = 2;
 
+/// The silence after which a daemon no longer counts as a follower. It is longer than two of the
+/// longest intervals between messages, and leaves time for a change to become known.
+pub const SILENCE_MAX: Duration = Duration::from_millis(1400);
+
 /// The state of a daemon's watch of the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Status {
