--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -97,7 +97,7 @@
     /// Whether this daemon is assigned to follow the store.
     follows_store: watch::Sender<bool>,
     /// Whether the store responds to this daemon.
-    store_reachable: AtomicBool,
+    store_reachable: watch::Sender<bool>,
     /// The number of recoveries of the store from an outage. Calls made before a recovery may never
     /// get a response.
     pub(crate) store_recoveries: watch::Sender<u64>,
@@ -153,7 +153,7 @@
             peer_versions: watch::Sender::new(Versions::default()),
             joined: watch::Sender::new(false),
             follows_store: watch::Sender::new(true),
-            store_reachable: AtomicBool::new(true),
+            store_reachable: watch::Sender::new(true),
             store_recoveries: watch::Sender::new(0),
             configuration: Mutex::default(),
             last_contact: Mutex::new(Instant::now()),
@@ -235,17 +235,21 @@
 
     /// Sets whether the store responds to this daemon, and tells the others of a change.
     pub(crate) fn set_store_reachable(&self, reachable: bool) {
-        if self.store_reachable.swap(reachable, Ordering::AcqRel) != reachable {
+        if self.store_reachable.send_replace(reachable) != reachable {
             self.urgent.notify_one();
         }
     }
 
+    /// Waits until the store does not respond to this daemon.
+    pub(crate) async fn wait_store_unreachable(&self) {
+        let mut reachable = self.store_reachable.subscribe();
+        // The sender lives as long as `self`.
+        let _closed = reachable.wait_for(|reachable| !reachable).await.is_err();
+    }
+
     /// Returns this daemon's own entry in the fleet.
     pub(crate) fn member(&self) -> Member {
-        let status = match (
-            self.follows_store(),
-            self.store_reachable.load(Ordering::Acquire),
-        ) {
+        let status = match (self.follows_store(), *self.store_reachable.borrow()) {
             (false, _) => Status::Idle,
             (true, true) => Status::Following,
             (true, false) => Status::Disconnected,
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -12,7 +12,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
-use primrosehoist::coordination::watchers::Status;
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::versions::Versions;
@@ -32,8 +31,7 @@
 /// usually arrives within this time, and half of the shortest staleness bound remains after it.
 const LAG_MAX: Duration = Duration::from_millis(700);
 
-/// The longest random delay before daemons that get nothing from the store request state, so that they
-/// do not all do so at once.
+/// The longest random delay before a request for state, so that the daemons do not all ask at once.
 const REQUEST_JITTER_MAX: Duration = Duration::from_millis(60);
 
 /// How long a daemon that knows no other waits for changes from the store after a pause.
@@ -132,12 +130,13 @@
             }
             continue;
         }
-        let delay = if context.member().status == Status::Following {
-            LAG_MAX
-        } else {
-            REQUEST_JITTER_MAX.mul_f64(rand::random::<f64>())
-        };
-        sleep(delay).await;
+        if context.follows_store() {
+            tokio::select! {
+                () = sleep(LAG_MAX) => {}
+                () = context.wait_store_unreachable() => {}
+            }
+        }
+        sleep(REQUEST_JITTER_MAX.mul_f64(rand::random::<f64>())).await;
         let select = |tried: &Set<IpAddr>| {
             let own = *context.versions.lock();
             daemon_ahead(&context, &own, tried)
