Take parts of prompts as causes of crashes, too

What callers saw: while requests with one bad part in their prompts came, half of all sound requests were cut off, since one upstream after another ended.

Cause: crashes were counted per request (key, path, body). Requests of one cause that are all different were never quarantined. Class: a limit kept per item where no two items of one cause are alike. Beside it, a crash was noticed only when another request connected to the upstream or its entry was removed, seconds later, as health keeps requests away after a break.

Ruled out: late reports between daemons (a second at most), too many retries (the budget held).

Change: the causes of a crash are the request and all parts of its prompt but the last. A part that crashed three upstreams with no answer in between is quarantined for two minutes on all daemons; the second event of a stream, or a whole answer, absolves the parts, and gossip tells the others (new format). After a break the daemon connects once, and a refusal shows the crash. The gate before the first byte asks, too. A stream that ends inside an event accuses as one that breaks.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -14,7 +14,7 @@
 use primrosehoist::state::route::Kind;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::body::{self, Buffered};
-use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Options, Pool};
+use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Options, Pool, is_refused};
 use primrosehoist_platform::header;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -140,13 +140,7 @@
             if self.job.remaining() < REMAINING_MIN {
                 return Err(Unanswered::Expired(self.failover.may_have_run()));
             }
-            let fingerprint = self.job.fingerprint;
-            if self
-                .context
-                .crashes
-                .lock()
-                .is_quarantined(fingerprint, Instant::now())
-            {
+            if is_quarantined(&self.context, &self.job) {
                 return Err(self.unanswered("crashes_upstreams"));
             }
             let placed = selection::place(&self.context, &self.job, &self.excluded, resumes).await;
@@ -266,17 +260,40 @@
             crashes.upstream_down(&upstream.id, Instant::now());
             return Failure::Unsent;
         }
-        self.suspect_crash(upstream);
+        self.suspect_crash(upstream, false);
         Failure::Lost
     }
 
     /// Records that the connection broke after the request was sent, so that the request may have
-    /// crashed the upstream.
-    pub(crate) fn suspect_crash(&self, upstream: &Upstream) {
-        let now = Instant::now();
-        let id = super::job::fingerprint(&upstream.id, &self.job.request.id, &[]);
+    /// crashed the upstream. A part of its prompt that the upstream has `survived` has not.
+    pub(crate) fn suspect_crash(&self, upstream: &Arc<Upstream>, survived: bool) {
+        let causes = if survived {
+            vec![self.job.fingerprint]
+        } else {
+            self.job.crash_causes.clone()
+        };
+        let hash = |text: &str| super::job::fingerprint(text, "", &[]) >> 32;
+        let id = (hash(&upstream.id) << 32) | hash(&self.job.request.id);
+        let mut crashes = self.context.crashes.lock();
+        let is_first = crashes.add_suspect(causes, &upstream.id, id, Instant::now());
+        drop(crashes);
+        if is_first {
+            let (context, upstream) = (Arc::clone(&self.context), Arc::clone(upstream));
+            tokio::spawn(async move {
+                if is_refused(upstream.address, CONNECT_TIMEOUT).await {
+                    log::info!(upstream = upstream.id.as_ref(); "upstream refuses connections");
+                    let mut crashes = context.crashes.lock();
+                    crashes.upstream_down(&upstream.id, Instant::now());
+                }
+            });
+        }
+    }
+
+    /// Records that an upstream has survived the start of an answer, so that no part of the prompt
+    /// crashes upstreams.
+    pub(crate) fn absolve_parts(&self) {
         let mut crashes = self.context.crashes.lock();
-        crashes.add_suspect(self.job.fingerprint, &upstream.id, id, now);
+        crashes.absolve(self.job.shared_parts(), rand::random(), Instant::now());
     }
 
     async fn on_head(
@@ -408,7 +425,7 @@
                 );
                 self.record(&upstream, Observation::Unreachable);
                 if error == body::Error::Broken {
-                    self.suspect_crash(&upstream);
+                    self.suspect_crash(&upstream, false);
                 }
                 Err(Failure::Lost)
             }
@@ -420,7 +437,7 @@
         if observation == Observation::Success {
             let mut crashes = self.context.crashes.lock();
             crashes.upstream_answered(&upstream.id);
-            crashes.clear(self.job.fingerprint);
+            crashes.absolve(&self.job.crash_causes, rand::random(), Instant::now());
         }
         if observation == Observation::Unreachable {
             let hop = self.context.hop_to(&upstream.zone);
@@ -492,6 +509,7 @@
             sent_before
                 || (job.remaining() >= REMAINING_MIN
                     && !context.pauses.is_outdated()
+                    && !is_quarantined(&context, &job)
                     && context.roster.lock().is_routable(&upstream, Instant::now()))
         };
         Arc::new(Gate::new(Arc::default(), allowed))
@@ -530,6 +548,12 @@
     }
 }
 
+/// Returns whether the request, or a part of its prompt, must not run again.
+fn is_quarantined(context: &Context, job: &Job) -> bool {
+    let crashes = context.crashes.lock();
+    crashes.is_quarantined(&job.crash_causes, Instant::now())
+}
+
 /// Returns the hop between the zones of two upstreams.
 fn hop_between(from: &Upstream, to: &Upstream) -> Hop {
     (Arc::clone(&from.zone), Arc::clone(&to.zone))
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -52,10 +52,14 @@
 
 /// Returns what this daemon tells of itself.
 fn info(context: &Context, now: Instant) -> Info {
+    let crashes = context.crashes.lock();
+    let (recent, absolutions) = (crashes.recent(now), crashes.recent_absolutions(now));
+    drop(crashes);
     Info {
         status: context.member().status,
         avoided: context.health.lock().avoided(now),
-        crashes: context.crashes.lock().recent(now),
+        crashes: recent,
+        absolutions,
         versions: *context.versions.lock(),
     }
 }
@@ -216,9 +220,7 @@
     context.record_contact();
     if let Some(info) = &received.info {
         let mut crashes = context.crashes.lock();
-        for (fingerprint, id) in &info.crashes {
-            crashes.record(*fingerprint, *id, now);
-        }
+        crashes.apply(&info.crashes, &info.absolutions, now);
         drop(crashes);
         let mut health = context.health.lock();
         health.record_warnings(&received.host, &info.avoided, now);
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -225,8 +225,10 @@
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let client = request.key.as_deref().unwrap_or("");
     let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
+    let fingerprint = job::fingerprint(client, target, body.bytes());
     Ok(Job {
-        fingerprint: job::fingerprint(client, target, body.bytes()),
+        fingerprint,
+        crash_causes: job::crash_causes(fingerprint, &request.shared_parts),
         target: target.to_owned(),
         method: head.method,
         headers: head.headers,
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -42,6 +42,9 @@
     pub(crate) suspended: Duration,
     /// The hash of client key, path and body.
     pub(crate) fingerprint: u64,
+    /// What may crash the upstreams that run the request: the fingerprint, then hashes of the parts of
+    /// the prompt that other requests share.
+    pub(crate) crash_causes: Vec<u64>,
 }
 
 impl Job {
@@ -54,6 +57,11 @@
             .saturating_sub(suspended)
     }
 
+    /// Returns the parts of the prompt that may crash upstreams.
+    pub(crate) fn shared_parts(&self) -> &[u64] {
+        self.crash_causes.get(1..).unwrap_or_default()
+    }
+
     /// Returns when the latency objective is missed.
     pub(crate) fn due(&self) -> Instant {
         self.received + self.route.latency_target
@@ -116,6 +124,13 @@
     }
 }
 
+/// Returns what may crash the upstreams that run a request.
+pub(crate) fn crash_causes(fingerprint: u64, shared_parts: &[String]) -> Vec<u64> {
+    let parts = shared_parts.iter();
+    let parts = parts.map(|part| self::fingerprint("", part, &[]));
+    [fingerprint].into_iter().chain(parts).collect()
+}
+
 /// Returns the hash that identifies repetitions of a request that crashes upstreams.
 pub(crate) fn fingerprint(client: &str, target: &str, body: &[u8]) -> u64 {
     let mut hasher = FxHasher::default();
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -25,6 +25,10 @@
 /// The longest silence of a stream, as a multiple of the route's target for pauses between events.
 const SILENCE_TIMEOUT_FACTOR: f64 = 6.0;
 
+/// The events after which an upstream has survived the start of an answer. One that crashes may still
+/// have sent the first.
+const SURVIVED_EVENTS: u64 = 2;
+
 /// A stream that is relayed to the client.
 pub(crate) struct Relay {
     attempts: Attempts,
@@ -37,6 +41,8 @@
     /// The first event, which is read before the head is sent.
     first_event: Option<Bytes>,
     events: u64,
+    /// The number of events of the current attempt.
+    events_of_attempt: u64,
     progress: Progress,
 }
 
@@ -71,6 +77,7 @@
                 ended: false,
                 first_event: None,
                 events: 0,
+                events_of_attempt: 0,
                 progress,
             };
             match relay.step().await {
@@ -165,6 +172,7 @@
     /// Ends the attempt after a failure; returns `Ok` if another one may follow.
     fn fail(&mut self, failure: Failure) -> Result<(), Unanswered> {
         self.splitter = Splitter::default();
+        self.events_of_attempt = 0;
         let Some(response) = self.response.take() else {
             return Err(Unanswered::Uncertain("upstream"));
         };
@@ -218,7 +226,7 @@
                         error:%;
                         "stream broke"
                     );
-                    self.attempts.suspect_crash(&upstream);
+                    self.attempts.suspect_crash(&upstream, self.has_survived());
                     return Step::Broken(Failure::Lost);
                 }
                 Ok(None) => return self.end(),
@@ -265,12 +273,25 @@
         }
         self.events += 1;
         self.progress.record_event();
+        self.events_of_attempt += 1;
+        if self.events_of_attempt == SURVIVED_EVENTS {
+            self.attempts.absolve_parts();
+        }
         Some(event)
     }
 
+    /// Returns whether the upstream has survived the start of the answer.
+    fn has_survived(&self) -> bool {
+        self.events_of_attempt >= SURVIVED_EVENTS
+    }
+
     /// Handles the end of the body. Bytes after the last complete event mean that it was cut off.
     fn end(&mut self) -> Step {
         if !self.splitter.remainder().is_empty() {
+            if let Some(response) = self.response.as_ref() {
+                let upstream = &response.placement.upstream;
+                self.attempts.suspect_crash(upstream, self.has_survived());
+            }
             return Step::Broken(Failure::Lost);
         }
         if let Some(response) = self.response.take() {
--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -44,6 +44,8 @@
 now and then), pause (pauses for 2.4 s after two events), hang (never responds), reject (does not run,
 status 503), fail (status 500), crossed (returns the id of another request), encoded (claims gzip
 encoding), refuse_order (refuses a reservation).
+POST /standin/deadly with the id of a part of prompts makes the process exit when it begins to answer
+a stream whose X-Prompt-Prefix has that part.
 GET /standin/counts returns the requests that ran and the counts of streams and reservations.
 ";
 
@@ -130,6 +132,7 @@
 #[derive(Debug, Default)]
 struct State {
     faults: VecDeque<Fault>,
+    deadly_part: Option<String>,
     runs: Vec<Run>,
     reservations: BTreeMap<String, Reservation>,
     released: u64,
@@ -172,6 +175,10 @@
     };
     match parts.uri.path() {
         "/standin/fault" => return Ok(runner.inject_faults(&content)),
+        "/standin/deadly" => {
+            runner.lock().deadly_part = Some(String::from_utf8_lossy(&content).into_owned());
+            return Ok(reply::json(StatusCode::OK, &json!({})));
+        }
         "/standin/counts" => return Ok(runner.counts()),
         "/primrosehoist/order" => return Ok(runner.handle_reservation(&parts.headers, &content)),
         _ => {}
@@ -250,6 +257,18 @@
         reply::header(headers, "x-expect-instance").is_none_or(|id| *id == self.id)
     }
 
+    /// Returns whether the request has the part that ends this process.
+    fn is_deadly(&self, headers: &HeaderMap) -> bool {
+        let parts = reply::header(headers, "x-prompt-prefix");
+        let deadly = self.lock().deadly_part.clone();
+        let (Some(parts), Some(deadly)) = (parts, deadly) else {
+            return false;
+        };
+        parts
+            .split(',')
+            .any(|part| part.split(':').next() == Some(&deadly))
+    }
+
     fn inject_faults(&self, content: &[u8]) -> Response<Payload> {
         let Ok(plan) = serde_json::from_slice::<Plan>(content) else {
             return reply::json(StatusCode::BAD_REQUEST, &json!({}));
@@ -347,6 +366,15 @@
         let last = reply::header(headers, "last-event-id");
         let last = last.and_then(|last| last.parse().ok()).unwrap_or(0_u64);
         let guard = StreamGuard::new(Arc::clone(self));
+        if self.is_deadly(headers) {
+            let delay = self.event_interval;
+            tokio::spawn(async move {
+                time::sleep(delay).await;
+                std::process::exit(1);
+            });
+            let silence = stream::pending();
+            return reply::response(StatusCode::OK, "text/event-stream", reply::pieces(silence));
+        }
         let id = id.to_owned();
         let sent = stream::unfold((guard, last), move |(mut guard, last)| {
             let next = last + 1;
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -19,6 +19,7 @@
 
 use crate::coordination::peers::{Error, Peers, Scope};
 use crate::coordination::watchers::{Member, Status};
+use crate::state::crash;
 use crate::state::map::{Map, Set};
 use crate::state::occupancy::{Key, Occupancy, Report, Work};
 use crate::state::roster::Upstream;
@@ -46,8 +47,10 @@
     pub versions: Versions,
     /// The upstreams that it avoids after failures.
     pub avoided: Vec<Arc<str>>,
-    /// Fingerprints of requests that crashed upstreams, each with an id of the crash.
-    pub crashes: Vec<(u64, u64)>,
+    /// What may have crashed upstreams recently.
+    pub crashes: crash::Report,
+    /// What recently turned out not to crash upstreams.
+    pub absolutions: crash::Report,
 }
 
 /// The complete state of a daemon.
--- a/src/state/crash.rs
+++ b/src/state/crash.rs
@@ -1,9 +1,12 @@
-//! Detects requests that crash the upstreams that run them, by fingerprint.
+//! Detects what crashes the upstreams that run it: a request, or a part of a prompt that many requests
+//! share.
 //!
-//! Clients resend such a request to any daemon, so daemons share the crashes that they record. A
-//! lost answer alone proves nothing: it only makes the request a suspect, and a crash is recorded
-//! if the upstream is found to be down soon after.
+//! Clients send such requests to any daemon, so daemons share the crashes that they record. A lost answer
+//! alone proves nothing: it only makes a request and the parts of its prompt suspects, and a crash is
+//! recorded if the upstream is found to be down soon after. All requests in flight on an upstream that
+//! crashes are suspects. An answer absolves them: what causes crashes is never answered.
 
+use std::cmp::Reverse;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,74 +14,132 @@
 
 use crate::state::map::Map;
 
-/// Crashes after which a request is quarantined. Fewer can be coincidence: every request in flight
-/// on an upstream that crashes is a suspect.
+/// Crashes after which a cause is quarantined. Fewer can be coincidence.
 pub const CRASHES_MAX: usize = 3;
 
 /// How long a crash counts.
 const CRASH_TTL: Duration = Duration::from_secs(120);
 
-/// The largest number of requests for which crashes are recorded.
-const REQUESTS_MAX: usize = 1024;
+/// The largest number of causes for which crashes are recorded.
+const CAUSES_MAX: usize = 1024;
 
-/// How long a crash is reported to other daemons.
+/// The largest number of records for one cause.
+const RECORDS_MAX: usize = 32;
+
+/// How long a crash or an absolution is reported to other daemons.
 const REPORT_WINDOW: Duration = Duration::from_secs(4);
 
+/// The largest number of causes that are reported at a time.
+const REPORTED_MAX: usize = 32;
+
 /// How long after a lost answer the upstream must be found down for the request to be taken as the
 /// cause.
 const SUSPICION_WINDOW: Duration = Duration::from_secs(4);
 
+/// The time within which crashes of one upstream are taken as one, which several daemons report. It
+/// does not start again so soon.
+const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
+
 /// The largest number of suspects.
 const SUSPECTS_MAX: usize = 512;
 
-/// A request whose answer was lost and that may have crashed its upstream.
+/// A request whose answer was lost, with what may have crashed its upstream.
 #[derive(Debug, Clone)]
 struct Suspect {
-    fingerprint: u64,
+    causes: Vec<u64>,
     upstream: Arc<str>,
-    crash: Crash,
+    event: Event,
 }
 
-/// A crash of an upstream while it ran a request.
+/// A crash or an absolution.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Crash {
+struct Event {
     at: Instant,
-    /// Identifies the crash, since several daemons may report it.
+    /// Identifies the report. The upper half identifies the upstream.
     id: u64,
 }
 
-/// The requests that crashed upstreams, and the suspects.
+impl Event {
+    fn upstream(self) -> u64 {
+        self.id >> 32
+    }
+}
+
+/// What is known of a possible cause.
+#[derive(Debug, Default)]
+struct History {
+    crashes: Vec<Event>,
+    absolutions: Vec<Event>,
+}
+
+impl History {
+    /// Returns the number of crashes since the last absolution.
+    fn count(&self, now: Instant) -> usize {
+        let absolved = self.absolutions.iter().map(|event| event.at).max();
+        let counts = |crash: &&Event| {
+            now < crash.at + CRASH_TTL && absolved.is_none_or(|absolved| crash.at > absolved)
+        };
+        let mut counted: Vec<&Event> = Vec::new();
+        for crash in self.crashes.iter().filter(counts) {
+            let is_same = |other: &&Event| {
+                other.upstream() == crash.upstream() && crash.at < other.at + SAME_CRASH_WINDOW
+            };
+            if !counted.iter().any(is_same) {
+                counted.push(crash);
+            }
+        }
+        counted.len()
+    }
+}
+
+/// A report on causes to other daemons: each with the id of a crash or an absolution.
+pub type Report = Vec<(u64, u64)>;
+
+/// The causes of crashes, and the suspects.
 #[derive(Debug, Default)]
 pub struct Crashes {
     suspects: Vec<Suspect>,
-    crashes: Map<u64, Vec<Crash>>,
+    histories: Map<u64, History>,
 }
 
 impl Crashes {
-    /// Records that an upstream crashed while it ran the request. `id` is unique to the crash.
-    pub fn record(&mut self, fingerprint: u64, id: u64, now: Instant) {
-        self.expire(now);
-        if self.crashes.len() >= REQUESTS_MAX && !self.crashes.contains_key(&fingerprint) {
-            return;
-        }
-        let crashes = self.crashes.entry(fingerprint).or_default();
-        if crashes.iter().all(|crash| crash.id != id) {
-            crashes.push(Crash { at: now, id });
+    /// Records that an upstream crashed while it ran a request with `cause`. `id` identifies the report;
+    /// its upper half identifies the upstream.
+    pub fn record(&mut self, cause: u64, id: u64, now: Instant) {
+        if !self.histories.contains_key(&cause) {
+            self.expire(now);
+            if self.histories.len() >= CAUSES_MAX {
+                return;
+            }
         }
+        let history = self.histories.entry(cause).or_default();
+        add(&mut history.crashes, id, now);
     }
 
-    /// Records that `upstream` returned no complete answer to the request. `id` is unique to the
-    /// lost answer.
-    pub fn add_suspect(&mut self, fingerprint: u64, upstream: &Arc<str>, id: u64, now: Instant) {
+    /// Records that `upstream` returned no complete answer to a request with `causes`. `id` identifies
+    /// the lost answer; its upper half identifies the upstream. Returns whether this is the only suspect
+    /// of the upstream.
+    pub fn add_suspect(
+        &mut self,
+        causes: Vec<u64>,
+        upstream: &Arc<str>,
+        id: u64,
+        now: Instant,
+    ) -> bool {
         self.suspects
-            .retain(|suspect| now < suspect.crash.at + SUSPICION_WINDOW);
+            .retain(|suspect| now < suspect.event.at + SUSPICION_WINDOW);
+        let is_first = self
+            .suspects
+            .iter()
+            .all(|suspect| suspect.upstream != *upstream);
         if self.suspects.len() < SUSPECTS_MAX {
             self.suspects.push(Suspect {
-                fingerprint,
+                causes,
                 upstream: Arc::clone(upstream),
-                crash: Crash { at: now, id },
+                event: Event { at: now, id },
             });
         }
+        is_first
     }
 
     /// Records that `upstream` is down, and a crash for each of its recent suspects.
@@ -88,8 +149,10 @@
             .partition(|suspect: &Suspect| suspect.upstream.as_ref() == upstream);
         self.suspects = others;
         for suspect in down {
-            if now < suspect.crash.at + SUSPICION_WINDOW {
-                self.record(suspect.fingerprint, suspect.crash.id, now);
+            if now < suspect.event.at + SUSPICION_WINDOW {
+                for cause in suspect.causes {
+                    self.record(cause, suspect.event.id, now);
+                }
             }
         }
     }
@@ -100,37 +163,81 @@
             .retain(|suspect| suspect.upstream.as_ref() != upstream);
     }
 
-    /// Records that the request was answered, which removes its crashes.
-    pub fn clear(&mut self, fingerprint: u64) {
-        self.crashes.remove(&fingerprint);
+    /// Records that a request with `causes` was answered, so that none of them caused a crash before.
+    /// `id` identifies the answer.
+    pub fn absolve(&mut self, causes: &[u64], id: u64, now: Instant) {
+        for cause in causes {
+            if let Some(history) = self.histories.get_mut(cause)
+                && history.count(now) > 0
+            {
+                add(&mut history.absolutions, id, now);
+            }
+        }
+    }
+
+    /// Records what another daemon reports.
+    pub fn apply(&mut self, crashes: &Report, absolutions: &Report, now: Instant) {
+        for (cause, id) in crashes {
+            self.record(*cause, *id, now);
+        }
+        for (cause, id) in absolutions {
+            self.absolve(&[*cause], *id, now);
+        }
+    }
+
+    /// Returns whether one of `causes` is quarantined, so that a request with it must not run.
+    pub fn is_quarantined(&self, causes: &[u64], now: Instant) -> bool {
+        let mut histories = causes.iter().filter_map(|cause| self.histories.get(cause));
+        histories.any(|history| history.count(now) >= CRASHES_MAX)
     }
 
-    /// Returns whether the request is quarantined and must not run again.
-    pub fn is_quarantined(&self, fingerprint: u64, now: Instant) -> bool {
-        let crashes = self.crashes.get(&fingerprint);
-        crashes.is_some_and(|crashes| {
-            let fresh = crashes.iter().filter(|crash| now < crash.at + CRASH_TTL);
-            fresh.count() >= CRASHES_MAX
-        })
+    /// Returns the recent crashes, to be reported to other daemons. If there are too many, those of
+    /// the causes with the most crashes are reported.
+    pub fn recent(&self, now: Instant) -> Report {
+        let mut histories: Vec<_> = self
+            .histories
+            .iter()
+            .map(|(cause, history)| (Reverse(history.count(now)), cause, history))
+            .filter(|(Reverse(count), _, _)| *count > 0)
+            .collect();
+        histories.sort_by_key(|(count, cause, _)| (*count, *cause));
+        let reported = histories.into_iter().take(REPORTED_MAX);
+        reported
+            .flat_map(|(_, cause, history)| recent_ids(*cause, &history.crashes, now))
+            .collect()
     }
 
-    /// Returns the fingerprint and id of each recent crash, to be reported to other daemons.
-    pub fn recent(&self, now: Instant) -> Vec<(u64, u64)> {
-        let requests = self.crashes.iter();
-        requests
-            .flat_map(|(fingerprint, crashes)| {
-                let fresh = crashes
-                    .iter()
-                    .filter(move |crash| now < crash.at + REPORT_WINDOW);
-                fresh.map(|crash| (*fingerprint, crash.id))
-            })
+    /// Returns the recent absolutions, to be reported to other daemons.
+    pub fn recent_absolutions(&self, now: Instant) -> Report {
+        let histories = self.histories.iter();
+        histories
+            .flat_map(|(cause, history)| recent_ids(*cause, &history.absolutions, now))
+            .take(REPORTED_MAX)
             .collect()
     }
 
     fn expire(&mut self, now: Instant) {
-        self.crashes.retain(|_, crashes| {
-            crashes.retain(|crash| now < crash.at + CRASH_TTL);
-            !crashes.is_empty()
+        self.histories.retain(|_, history| {
+            history.crashes.retain(|crash| now < crash.at + CRASH_TTL);
+            !history.crashes.is_empty()
         });
     }
 }
+
+/// Adds an event that is not known yet. Of too many events, the oldest is dropped.
+fn add(events: &mut Vec<Event>, id: u64, now: Instant) {
+    if events.iter().any(|event| event.id == id) {
+        return;
+    }
+    if events.len() >= RECORDS_MAX {
+        events.remove(0);
+    }
+    events.push(Event { at: now, id });
+}
+
+fn recent_ids(cause: u64, events: &[Event], now: Instant) -> impl Iterator<Item = (u64, u64)> {
+    let recent = events
+        .iter()
+        .filter(move |event| now < event.at + REPORT_WINDOW);
+    recent.map(move |event| (cause, event.id))
+}
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -48,6 +48,13 @@
     }
 }
 
+/// Returns whether a new connection to `address` is refused, because no process listens there.
+pub async fn is_refused(address: SocketAddr, connect_timeout: Duration) -> bool {
+    let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
+    let is_refusal = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
+    matches!(connected, Ok(Err(error)) if is_refusal(&error))
+}
+
 /// Checks before each write whether bytes of a request may be sent, and records whether any were.
 pub struct Gate {
     /// Held across the check and the write, so that a process that is paused between the two sends
