Take a refusal for an answer only if it names the attempt

What callers saw (reported by operators of similar systems, and shown here by a test): a call that may not run twice ran at a second upstream, or a client was told that its request had not run though it had.

Cause: that a response states "not run" was read before the id that it echoes was compared. A faulty upstream that writes an earlier refusal once more on a kept connection was so believed about a request that it was running. Class: a claim is used before it is known whom it concerns.

Ruled out: refusals without an id.

Change: a refusal whose id does not match is an answer that does not match: the outcome is uncertain, the connection is closed, and only requests that may run twice are tried elsewhere.

Evidence: faulty_answers: refusal_of_an_earlier_request_... failed before (the request ran 2 times) and passes.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -323,7 +323,7 @@
         };
         let hop = self.context.hop_to(&upstream.zone);
         self.context.partitions.lock().record_success(&hop);
-        if answer.not_executed {
+        if answer.not_executed && answer.id_matches {
             let upstream = self.on_rejection(&response, &answer);
             response.discard().await;
             let failure = Failure::Rejected;
--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -186,12 +186,17 @@
     let Some(id) = reply::header(&parts.headers, "x-attempt-id") else {
         return Ok(not_executed(StatusCode::BAD_REQUEST));
     };
+    let refuse = |status| {
+        let mut refusal = not_executed(status);
+        insert_header(&mut refusal, ATTEMPT_ID, &id);
+        Ok(refusal)
+    };
     if !runner.matches_expected_id(&parts.headers) {
-        return Ok(not_executed(StatusCode::MISDIRECTED_REQUEST));
+        return refuse(StatusCode::MISDIRECTED_REQUEST);
     }
     let fault = runner.lock().faults.pop_front();
     if fault == Some(Fault::Reject) {
-        return Ok(not_executed(StatusCode::SERVICE_UNAVAILABLE));
+        return refuse(StatusCode::SERVICE_UNAVAILABLE);
     }
     runner.record(&id, &parts, &content);
     if fault == Some(Fault::Hang) {
@@ -224,13 +229,13 @@
 
 /// Adds the id of the request and a receipt.
 fn insert_receipt(response: &mut Response<Payload>, id: &str, runner: &str) {
-    for (name, value) in [
-        (ATTEMPT_ID, id.to_owned()),
-        (RECEIPT, format!("{runner}.{id}")),
-    ] {
-        if let Ok(value) = HeaderValue::from_str(&value) {
-            response.headers_mut().insert(name, value);
-        }
+    insert_header(response, ATTEMPT_ID, id);
+    insert_header(response, RECEIPT, &format!("{runner}.{id}"));
+}
+
+fn insert_header(response: &mut Response<Payload>, name: HeaderName, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        response.headers_mut().insert(name, value);
     }
 }
 
