Answer requests that are still waiting when a shutdown ends

Cause: the daemon takes requests for 2.6 s after the signal, and the limits of a long prompt may end after the process does. Nothing else answered it. Class: a deadline that does not know of another one.

Change: 0.3 s before the end, requests whose answer has not begun get 502 if any of them may have been sent, and 503 with Retry-After if not.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -1,6 +1,7 @@
 //! The attempts of a request, until one gets a response.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{HeaderMap, Request, StatusCode};
@@ -506,11 +507,15 @@
         let job = Arc::clone(&self.job);
         let upstream = Arc::clone(upstream);
         let allowed = move |sent_before: bool| {
-            sent_before
+            let may_send = sent_before
                 || (job.remaining() >= REMAINING_MIN
                     && !context.pauses.is_outdated()
                     && !is_quarantined(&context, &job)
-                    && context.roster.lock().is_routable(&upstream, Instant::now()))
+                    && context.roster.lock().is_routable(&upstream, Instant::now()));
+            if may_send {
+                job.sent.store(true, Ordering::Release);
+            }
+            may_send
         };
         Arc::new(Gate::new(Arc::default(), allowed))
     }
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -84,6 +84,8 @@
     pub(crate) draining: AtomicBool,
     /// Whether the daemon refuses new requests.
     pub(crate) closing: AtomicBool,
+    /// Set when requests whose answer has not begun must be answered before the process exits.
+    pub(crate) expiring: watch::Sender<bool>,
     /// The number of requests in progress.
     pub(crate) in_progress: AtomicUsize,
     /// Notified when this daemon's load on upstreams changes.
@@ -147,6 +149,7 @@
             pauses: Monitor::default(),
             draining: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            expiring: watch::Sender::new(false),
             in_progress: AtomicUsize::new(0),
             changed: Notify::new(),
             urgent: Notify::new(),
@@ -276,6 +279,13 @@
         (Arc::clone(&self.settings.zone), Arc::clone(zone))
     }
 
+    /// Waits until requests whose answer has not begun must be answered before the process exits.
+    pub(crate) async fn wait_expiring(&self) {
+        let mut expiring = self.expiring.subscribe();
+        // The sender lives as long as `self`.
+        let _closed = expiring.wait_for(|expiring| *expiring).await.is_err();
+    }
+
     /// Returns the connection pool for `address`, creating it if necessary.
     pub(crate) fn pool(&self, address: SocketAddr) -> Arc<Pool> {
         let mut pools = self.pools.lock();
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -1,7 +1,7 @@
 //! Handles client requests: admits them as jobs and turns their outcomes into responses.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -149,7 +149,8 @@
     let progress = Progress::new(context, &job, version);
     let kind = job.route.kind;
     let deadline = job.deadline;
-    let attempts = Attempts::new(Arc::clone(context), Arc::new(job));
+    let job = Arc::new(job);
+    let attempts = Attempts::new(Arc::clone(context), Arc::clone(&job));
     let outcome = async {
         match kind {
             Kind::Stream => respond_streaming(attempts, progress).await,
@@ -158,9 +159,18 @@
     };
     // The attempts end at the deadline themselves; this is a backstop for waits without a timeout
     // of their own.
-    match timeout_at(deadline + TIMEOUT_MARGIN, outcome).await {
-        Ok(response) => response,
-        Err(_elapsed) => plain(StatusCode::GATEWAY_TIMEOUT, "the time is over"),
+    tokio::select! {
+        outcome = timeout_at(deadline + TIMEOUT_MARGIN, outcome) => match outcome {
+            Ok(response) => response,
+            Err(_elapsed) => plain(StatusCode::GATEWAY_TIMEOUT, "the time is over"),
+        },
+        () = context.wait_expiring() => {
+            if job.sent.load(Ordering::Acquire) {
+                plain(StatusCode::BAD_GATEWAY, "the daemon shuts down")
+            } else {
+                refuse("the daemon shuts down", CLOSING_RETRY_S)
+            }
+        }
     }
 }
 
@@ -228,6 +238,7 @@
     let fingerprint = job::fingerprint(client, target, body.bytes());
     Ok(Job {
         fingerprint,
+        sent: AtomicBool::new(false),
         crash_causes: job::crash_causes(fingerprint, &request.shared_parts),
         target: target.to_owned(),
         method: head.method,
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -2,6 +2,7 @@
 
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -42,6 +43,8 @@
     pub(crate) suspended: Duration,
     /// The hash of client key, path and body.
     pub(crate) fingerprint: u64,
+    /// Whether any of the request may have been sent to an upstream.
+    pub(crate) sent: AtomicBool,
     /// What may crash the upstreams that run the request: the fingerprint, then hashes of the parts of
     /// the prompt that other requests share.
     pub(crate) crash_causes: Vec<u64>,
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -84,6 +84,9 @@
 /// The margin between the end of the shutdown and the platform's kill signal.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long before the end of the shutdown requests whose answer has not begun are answered.
+const EXPIRY_MARGIN: Duration = Duration::from_millis(300);
+
 /// The interval between checks for requests in progress during the shutdown.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -311,6 +314,9 @@
     log::info!(in_progress = in_progress(); "new requests are refused");
     while Instant::now() < end && in_progress() > 0 {
         sleep(SHUTDOWN_POLL_INTERVAL).await;
+        if Instant::now() + EXPIRY_MARGIN >= end && !context.expiring.send_replace(true) {
+            log::info!(in_progress = in_progress(); "requests without an answer are given up");
+        }
     }
     stop.send_replace(true);
     let finished = tokio::time::timeout_at(end, serving).await.is_ok();
--- a/crates/primrosehoist-tests/tests/gateway_restarts.rs
+++ b/crates/primrosehoist-tests/tests/gateway_restarts.rs
@@ -233,3 +233,28 @@
         std::thread::sleep(Duration::from_millis(2500));
     }
 }
+
+#[test]
+fn request_whose_answer_has_not_begun_when_a_shutdown_ends_is_told_so() {
+    let mut deployment = Deployment::ready(1);
+    let address = deployment.daemons[0].ingress.clone();
+    for index in 0..deployment.runners.len() {
+        deployment.set_fault(index, "hang", 2);
+    }
+    let process = deployment.daemons[0].process.as_mut();
+    process.expect("the process is running").terminate();
+    // The route's time limit of 6 s ends after the daemon, which has 8 s.
+    std::thread::sleep(Duration::from_millis(2300));
+    let mut connections = ["/order/1", "/ask/1"].map(|path| {
+        let request = Request {
+            path: path.to_owned(),
+            ..Request::new("POST", path)
+        };
+        start_request(&address, &request)
+    });
+    for connection in &mut connections {
+        let response = receive(connection);
+        assert!(response.complete, "{response:?}");
+        assert!(matches!(response.status, 502 | 504), "{response:?}");
+    }
+}
