Heed what upstreams say of themselves in their answers

Change: both are kept with the upstream's entry in the roster, beside phase, missing entries and evacuated zones, so that choice and gate use one answer to "may it get work". They hold for one process (id, address, start time) and end with the entry. Leaving is reported by gossip; deferrals are not, as an upstream may push back one daemon only. Notices count only in answers that name the attempt, and success with a receipt. If all upstreams of a service defer requests for longer than a request may wait, it is refused at once with the time of the first.

Considered: one request at a time after a deferral. It would keep an upstream closed that others keep busy; up to 0.3 s at random spread the daemons instead.

Scripted upstreams moved from faulty_answers to common.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -67,6 +67,8 @@
     pub(crate) count: u32,
     /// The last error response of an upstream.
     reported: Option<BufferedResponse>,
+    /// When an upstream accepts work again, if none does before the request must be placed.
+    pub(crate) reopens_at: Option<Instant>,
 }
 
 /// A response whose head has been received.
@@ -122,6 +124,7 @@
             excluded: Set::default(),
             count: 0,
             reported: None,
+            reopens_at: None,
         }
     }
 
@@ -149,6 +152,10 @@
                 Ok(placement) => placement,
                 Err(Refusal::Full) => return Err(self.unanswered("full")),
                 Err(Refusal::NoUpstream) => return Err(self.unanswered("no_upstream")),
+                Err(Refusal::Deferred(until)) => {
+                    self.reopens_at = Some(until);
+                    return Err(self.unanswered("deferred"));
+                }
             };
             if !placement.tickets.is_empty() {
                 let reserved = Reservation::acquire(&self.context, &self.job, &placement).await;
@@ -325,6 +332,7 @@
         let hop = self.context.hop_to(&upstream.zone);
         self.context.partitions.lock().record_success(&hop);
         if answer.not_executed && answer.id_matches {
+            self.context.note_answer(&upstream, &answer);
             let upstream = self.on_rejection(&response, &answer);
             response.discard().await;
             let failure = Failure::Rejected;
@@ -344,6 +352,7 @@
             let failure = Failure::Lost;
             return Err(Failed { upstream, failure });
         }
+        self.context.note_answer(&upstream, &answer);
         if status.is_success() {
             let mut partitions = self.context.partitions.lock();
             for helper in &response.placement.helpers {
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -19,13 +19,13 @@
 use primrosehoist::state::map::Map;
 use primrosehoist::state::occupancy::Occupancy;
 use primrosehoist::state::partition::{Detector, Hop};
-use primrosehoist::state::roster::Roster;
+use primrosehoist::state::roster::{Roster, Upstream};
 use primrosehoist::state::route::Table;
 use primrosehoist::state::versions::Versions;
 use primrosehoist::transport::http::body::Budget;
 use primrosehoist::transport::http::upstream::Pool;
 use primrosehoist_platform::settings::Settings;
-use primrosehoist_platform::store;
+use primrosehoist_platform::{header, store};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
@@ -43,6 +43,10 @@
 /// The size up to which responses are buffered even if the budget is exhausted, in bytes.
 const RESPONSE_EXEMPT_BYTES: u64 = 32 * 1024;
 
+/// The longest time by which a deferral of requests is extended, so that the daemons do not all come
+/// back at once.
+const DEFERRAL_JITTER_MAX: Duration = Duration::from_millis(300);
+
 /// The shared state of the gateway.
 pub(crate) struct Context {
     /// The settings read at startup. Fields that cannot change at run time are read from here.
@@ -279,6 +283,29 @@
         (Arc::clone(&self.settings.zone), Arc::clone(zone))
     }
 
+    /// Records what `upstream` says of itself in an answer to a request of this daemon.
+    pub(crate) fn note_answer(&self, upstream: &Upstream, answer: &header::Response) {
+        if answer.leaving {
+            self.note_leaving(upstream);
+        }
+        if let Some(deferral) = answer.deferral {
+            log::info!(upstream = upstream.id.as_ref(), deferral_ms = deferral.as_millis() as u64; "upstream defers requests");
+            let jitter = deferral
+                .min(DEFERRAL_JITTER_MAX)
+                .mul_f64(rand::random::<f64>());
+            let until = Instant::now() + deferral + jitter;
+            self.roster.lock().defer(upstream, until);
+        }
+    }
+
+    /// Records that `upstream` says that it is about to leave.
+    pub(crate) fn note_leaving(&self, upstream: &Upstream) {
+        if self.roster.lock().mark_leaving(upstream) {
+            log::info!(upstream = upstream.id.as_ref(); "upstream says that it is leaving");
+            self.changed.notify_one();
+        }
+    }
+
     /// Waits until requests whose answer has not begun must be answered before the process exits.
     pub(crate) async fn wait_expiring(&self) {
         let mut expiring = self.expiring.subscribe();
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -51,13 +51,14 @@
 }
 
 /// Returns what this daemon tells of itself.
-fn info(context: &Context, now: Instant) -> Info {
+fn info(context: &Context, leaving: Vec<(Key, u64)>, now: Instant) -> Info {
     let crashes = context.crashes.lock();
     let (recent, absolutions) = (crashes.recent(now), crashes.recent_absolutions(now));
     drop(crashes);
     Info {
         status: context.member().status,
         avoided: context.health.lock().avoided(now),
+        leaving,
         crashes: recent,
         absolutions,
         versions: *context.versions.lock(),
@@ -78,7 +79,7 @@
     let mut exchange = context.exchange.lock();
     let roster = context.roster.lock();
     let mut occupancy = context.occupancy.lock();
-    let info: InfoFn<'_> = &|| info(context, now);
+    let info: InfoFn<'_> = &|| info(context, roster.leaving(), now);
     let recent: RecentFn<'_> = &|| recent_sends(context, now);
     let zone_of: ZoneFn<'_> = &|key| roster.zone(key).cloned();
     let mut view = View {
@@ -162,10 +163,12 @@
     loop {
         let now = Instant::now();
         let random = rand::random::<f64>();
-        let query = context
-            .exchange
-            .lock()
-            .query(|| info(&context, now), random, now);
+        let leaving = context.roster.lock().leaving();
+        let query =
+            context
+                .exchange
+                .lock()
+                .query(|| info(&context, leaving.clone(), now), random, now);
         let Some(query) = query else {
             sleep(QUERY_CHECK_INTERVAL).await;
             continue;
@@ -222,6 +225,9 @@
         let mut crashes = context.crashes.lock();
         crashes.apply(&info.crashes, &info.absolutions, now);
         drop(crashes);
+        for upstream in context.roster.lock().apply_leaving(&info.leaving) {
+            log::info!(upstream = upstream.id.as_ref(), host = received.host.as_ref(); "upstream is leaving, as another daemon reports");
+        }
         let mut health = context.health.lock();
         health.record_warnings(&received.host, &info.avoided, now);
         drop(health);
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -325,7 +325,11 @@
             let retry_after_max_s = attempts.job.remaining().as_secs_f64() / 3.0;
             let jitter = f64::from(rand::random::<u16>()) / f64::from(u16::MAX);
             let retry_after_s = (RETRY_MIN_S + jitter * RETRY_JITTER_S).min(retry_after_max_s);
-            refuse(reason, retry_after_s)
+            let reopens_after = attempts
+                .reopens_at
+                .map(|at| at.saturating_duration_since(Instant::now()));
+            let reopens_after_s = reopens_after.map_or(0.0, |after| after.as_secs_f64());
+            refuse(reason, reopens_after_s + retry_after_s)
         }
         Unanswered::Uncertain(reason) => {
             progress.set_outcome("uncertain");
--- a/crates/primrosehoist-daemon/src/gateway/reservation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reservation.rs
@@ -14,7 +14,7 @@
 use primrosehoist::state::roster::Upstream;
 use primrosehoist::transport::http::body;
 use primrosehoist::transport::http::upstream::{Gate, Options};
-use primrosehoist_platform::reservation;
+use primrosehoist_platform::{header as platform_header, reservation};
 use serde_json::Value;
 use tokio::task::AbortHandle;
 use tokio::time::{interval, timeout};
@@ -181,6 +181,9 @@
     let exchanged = async {
         let mut exchange = pool.send_with(&Options::default(), request, &gate).await?;
         let status = exchange.response.status();
+        if platform_header::is_leaving(exchange.response.headers()) {
+            context.note_leaving(&ticket.upstream);
+        }
         if body::discard(exchange.response.body_mut(), RESPONSE_BYTES_MAX).await {
             pool.release(exchange);
         }
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -52,6 +52,8 @@
     /// No upstream of the service accepts work.
     #[strum(serialize = "nowhere")]
     NoUpstream,
+    /// All upstreams of the service want no requests until this time, which is too late.
+    Deferred(Instant),
 }
 
 /// Selects upstreams that are not in `excluded` for `job` and adds its load to them, waiting in the
@@ -101,6 +103,11 @@
             }
             Err(refusal) => refusal,
         };
+        if refusal == Refusal::NoUpstream
+            && let Some(at) = reopens_at(context, job).filter(|at| *at >= give_up_at)
+        {
+            return Err(Refusal::Deferred(at));
+        }
         // All daemons see freed capacity at the same time. Without a random delay, several would
         // use it for long prompts that should be prefilled one after the other.
         needs_jitter = job.is_long();
@@ -112,6 +119,12 @@
     }
 }
 
+/// Returns when an upstream of the job's service accepts work again, if all have deferred requests.
+fn reopens_at(context: &Context, job: &Job) -> Option<Instant> {
+    let roster = context.roster.lock();
+    roster.reopens_at(&job.service.name, Instant::now())
+}
+
 /// The upstreams selected for an attempt.
 struct Selection {
     candidates: Vec<Candidate>,
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -7,6 +7,7 @@
 pub mod load;
 pub mod platform;
 pub mod process;
+pub mod scripted;
 pub mod versions;
 
 use std::fmt::Write as _;
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -47,6 +47,8 @@
     pub versions: Versions,
     /// The upstreams that it avoids after failures.
     pub avoided: Vec<Arc<str>>,
+    /// The upstreams that are about to leave, each with the start time of its process.
+    pub leaving: Vec<(Key, u64)>,
     /// What may have crashed upstreams recently.
     pub crashes: crash::Report,
     /// What recently turned out not to crash upstreams.
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -70,11 +70,22 @@
     updated: Instant,
     /// If the entry is missing, until when its upstream is used nevertheless.
     missing_until: Option<Instant>,
+    /// Whether the upstream has said in an answer that it is about to leave.
+    leaving: bool,
+    /// Until when the upstream wants no requests from this daemon.
+    deferred_until: Option<Instant>,
 }
 
 impl Entry {
     fn is_usable(&self, now: Instant) -> bool {
-        self.upstream.phase == Phase::Ready && self.missing_until.is_none_or(|until| now < until)
+        self.is_in_service(now) && self.deferred_until.is_none_or(|until| until <= now)
+    }
+
+    /// Returns whether the upstream accepts work, now or when its deferral is over.
+    fn is_in_service(&self, now: Instant) -> bool {
+        self.upstream.phase == Phase::Ready
+            && !self.leaving
+            && self.missing_until.is_none_or(|until| now < until)
     }
 }
 
@@ -155,12 +166,18 @@
             entry.missing_until = None;
             return;
         }
-        let upstream = Arc::new(upstream);
+        // What an upstream says of itself holds for the life of its process.
+        let known = self.entries.get(&id);
+        let known = known.filter(|known| known.upstream.is_same_process(&upstream));
+        let (leaving, deferred_until) =
+            known.map_or((false, None), |known| (known.leaving, known.deferred_until));
         self.by_key.insert(Key::from(id.as_ref()), Arc::clone(&id));
         let entry = Entry {
-            upstream,
+            upstream: Arc::new(upstream),
             updated: now,
             missing_until: None,
+            leaving,
+            deferred_until,
         };
         self.entries.insert(id, entry);
     }
@@ -230,6 +247,67 @@
         missing.collect()
     }
 
+    /// Records that the process that `upstream` describes is about to leave, so that it gets no more
+    /// requests. Returns whether this is news.
+    pub fn mark_leaving(&mut self, upstream: &Upstream) -> bool {
+        let entry = self.entries.get_mut(&upstream.id);
+        let entry = entry.filter(|entry| entry.upstream.is_same_process(upstream));
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.leaving, true))
+    }
+
+    /// Records that another daemon reports processes that are about to leave. Returns the upstreams of
+    /// which this is news.
+    pub fn apply_leaving(&mut self, report: &[(Key, u64)]) -> Vec<Arc<Upstream>> {
+        let reported = report.iter().filter_map(|(key, started_ms)| {
+            let entry = self.entries.get(self.by_key.get(key)?)?;
+            let is_same = entry.upstream.started_ms.unwrap_or(0) == *started_ms;
+            (is_same && !entry.leaving).then(|| Arc::clone(&entry.upstream))
+        });
+        let news: Vec<_> = reported.collect();
+        for upstream in &news {
+            self.mark_leaving(upstream);
+        }
+        news
+    }
+
+    /// Returns the processes that are about to leave, each with its start time, to be reported to
+    /// other daemons.
+    pub fn leaving(&self) -> Vec<(Key, u64)> {
+        let leaving = self.entries.values().filter(|entry| entry.leaving);
+        leaving
+            .map(|entry| &entry.upstream)
+            .map(|upstream| {
+                (
+                    Key::from(upstream.id.as_ref()),
+                    upstream.started_ms.unwrap_or(0),
+                )
+            })
+            .collect()
+    }
+
+    /// Records that the process that `upstream` describes wants no requests from this daemon until the
+    /// time `until`, or until a later one that is known.
+    pub fn defer(&mut self, upstream: &Upstream, until: Instant) {
+        let entry = self.entries.get_mut(&upstream.id);
+        if let Some(entry) = entry.filter(|entry| entry.upstream.is_same_process(upstream)) {
+            entry.deferred_until = entry.deferred_until.max(Some(until));
+        }
+    }
+
+    /// Returns when the first upstream of `service` accepts work again, if all that are in service have
+    /// deferred requests.
+    pub fn reopens_at(&self, service: &str, now: Instant) -> Option<Instant> {
+        let entries = self.entries.values().filter(|entry| {
+            entry.upstream.service.as_ref() == service
+                && entry.is_in_service(now)
+                && !self.evacuated.contains(&entry.upstream.zone)
+        });
+        let reopens_at = entries
+            .map(|entry| entry.deferred_until.unwrap_or(now))
+            .min();
+        reopens_at.filter(|at| now < *at)
+    }
+
     /// Sets the evacuated zones.
     pub fn set_evacuated_zones(&mut self, zones: Set<Arc<str>>, now: Instant) {
         for zone in self.evacuated.difference(&zones) {
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -183,6 +183,7 @@
             evacuations: 9,
         },
         avoided: vec![Arc::from("u2")],
+        leaving: vec![(Key::from("u3"), 5)],
         crashes: vec![(1, 2)],
         absolutions: vec![(3, 4)],
     };
--- /dev/null
+++ b/tests/roster_notices.rs
@@ -0,0 +1,173 @@
+//! Tests what upstreams say of themselves in answers: that they are about to leave, and until when they
+//! want no requests.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arbtest::{arbitrary, arbtest};
+use primrosehoist::state::map::{Map, Set};
+use primrosehoist::state::occupancy::Key;
+use primrosehoist::state::roster::{Phase, Roster, Upstream};
+use tokio::time::Instant;
+
+fn upstream(id: &str, started_ms: u64) -> Upstream {
+    Upstream {
+        id: Arc::from(id),
+        service: Arc::from("model"),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: Arc::from("z"),
+        slots: 16,
+        phase: Phase::Ready,
+        cold_ms: 0,
+        started_ms: Some(started_ms),
+    }
+}
+
+#[test]
+fn a_process_that_is_about_to_leave_stays_closed_until_its_entry_ends() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    let first = upstream("a", 1);
+    roster.upsert(first.clone(), now);
+    assert!(roster.mark_leaving(&first));
+    assert!(!roster.mark_leaving(&first), "this is no news");
+    assert!(!roster.is_routable(&first, now));
+    let changed = Upstream {
+        slots: 8,
+        ..first.clone()
+    };
+    roster.upsert(changed.clone(), now);
+    roster.replace(vec![changed.clone()], false, now);
+    roster.restore(vec![changed.clone()], &[], now);
+    assert!(!roster.is_routable(&changed, now));
+    let next = upstream("a", 2);
+    roster.upsert(next.clone(), now);
+    assert!(roster.is_routable(&next, now), "another process");
+    assert!(!roster.mark_leaving(&first), "the process has ended");
+    assert!(roster.is_routable(&next, now));
+    roster.mark_leaving(&next);
+    roster.discard("a");
+    assert!(roster.leaving().is_empty());
+    roster.upsert(next.clone(), now);
+    assert!(roster.is_routable(&next, now), "a mark ends with its entry");
+}
+
+#[test]
+fn reports_of_other_daemons_concern_one_process() {
+    let now = Instant::now();
+    let mut told = Roster::default();
+    told.upsert(upstream("a", 1), now);
+    told.mark_leaving(&upstream("a", 1));
+    let report = told.leaving();
+    let mut roster = Roster::default();
+    roster.upsert(upstream("a", 2), now);
+    roster.upsert(upstream("b", 1), now);
+    assert!(roster.apply_leaving(&report).is_empty());
+    assert!(roster.apply_leaving(&[(Key::from("c"), 1)]).is_empty());
+    assert!(roster.is_routable(&upstream("a", 2), now));
+    roster.upsert(upstream("a", 1), now);
+    let news = roster.apply_leaving(&report);
+    assert_eq!(news.len(), 1);
+    assert!(roster.apply_leaving(&report).is_empty());
+    assert!(!roster.is_routable(&upstream("a", 1), now));
+    assert_eq!(roster.leaving(), report, "it is reported on");
+}
+
+#[test]
+fn deferrals_end_by_themselves_and_the_longest_counts() {
+    let now = Instant::now();
+    let after = |seconds| now + Duration::from_secs(seconds);
+    let mut roster = Roster::default();
+    let (a, b) = (upstream("a", 1), upstream("b", 1));
+    roster.upsert(a.clone(), now);
+    roster.upsert(b.clone(), now);
+    roster.defer(&a, after(5));
+    roster.defer(&a, after(3));
+    assert!(!roster.is_routable(&a, after(4)));
+    assert!(roster.is_routable(&a, after(5)));
+    assert_eq!(roster.reopens_at("model", now), None, "the other is open");
+    roster.defer(&b, after(2));
+    assert_eq!(roster.reopens_at("model", now), Some(after(2)));
+    assert_eq!(roster.reopens_at("other", now), None);
+    // One that is about to leave does not reopen.
+    roster.mark_leaving(&b);
+    assert_eq!(roster.reopens_at("model", now), Some(after(5)));
+    roster.defer(&upstream("a", 2), after(60));
+    assert!(roster.is_routable(&a, after(5)), "another process deferred");
+}
+
+/// What should be known of the process of an entry.
+#[derive(Debug, Clone, Copy, Default)]
+struct Known {
+    started_ms: u64,
+    leaving: bool,
+    deferred_until: Option<Instant>,
+}
+
+fn check_history(u: &mut arbitrary::Unstructured<'_>) -> arbitrary::Result<()> {
+    const IDS: [&str; 3] = ["a", "b", "c"];
+    let mut now = Instant::now();
+    let mut roster = Roster::default();
+    let mut model: Map<&str, Known> = Map::default();
+    for _ in 0..u.int_in_range(1..=40)? {
+        let id = *u.choose(&IDS)?;
+        let process = upstream(id, u.int_in_range(1..=2)?);
+        let started_ms = process.started_ms.unwrap_or_default();
+        let known = model.get(id).copied();
+        let is_current = known.is_some_and(|known| known.started_ms == started_ms);
+        match u.int_in_range(0..=5)? {
+            0 => {
+                let slots = u.int_in_range(1..=3)?;
+                roster.upsert(Upstream { slots, ..process }, now);
+                let fresh = Known {
+                    started_ms,
+                    ..Known::default()
+                };
+                model.insert(id, known.filter(|_| is_current).unwrap_or(fresh));
+            }
+            1 => {
+                roster.discard(id);
+                model.remove(id);
+            }
+            2 => {
+                roster.mark_leaving(&process);
+                if let Some(known) = model.get_mut(id).filter(|_| is_current) {
+                    known.leaving = true;
+                }
+            }
+            3 => {
+                let until = now + Duration::from_millis(u.int_in_range(0..=3000)?);
+                roster.defer(&process, until);
+                if let Some(known) = model.get_mut(id).filter(|_| is_current) {
+                    known.deferred_until = known.deferred_until.max(Some(until));
+                }
+            }
+            4 => {
+                roster.apply_leaving(&[(Key::from(id), started_ms)]);
+                if let Some(known) = model.get_mut(id).filter(|_| is_current) {
+                    known.leaving = true;
+                }
+            }
+            _ => now += Duration::from_millis(u.int_in_range(0..=1000)?),
+        }
+        let open: Set<&str> = IDS
+            .into_iter()
+            .filter(|id| {
+                model.get(id).is_some_and(|known| {
+                    !known.leaving && known.deferred_until.is_none_or(|until| until <= now)
+                })
+            })
+            .collect();
+        let candidates = roster.candidates("model", now);
+        let found: Set<&str> = candidates
+            .filter_map(|candidate| IDS.into_iter().find(|id| *id == candidate.id.as_ref()))
+            .collect();
+        assert_eq!(found, open);
+    }
+    Ok(())
+}
+
+#[test]
+fn only_what_the_current_process_said_closes_an_upstream() {
+    arbtest(check_history).budget_ms(2000);
+}
