Let the store's word that an upstream has left end a doubt

Cause: a daemon that the store had turned away takes removals for expired entries for 2 s after its return, and told others so before their own watches brought the removal. The watch's news then counted as known and was dropped. Class: of two messages on one change the first counts, not the better one.

Change: a removal that is certain, from the store or another daemon, removes an upstream that counts as missing although the change itself is known.

Evidence: gateway_restarts: runner_that_left_gets_no_requests_although_another_daemon_... failed before (the runner was used 0.4 s after it had left).

--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -357,6 +357,8 @@
                     if is_new {
                         apply_change(&self.context, &change, revision, Instant::now());
                         self.advance(revision);
+                    } else {
+                        confirm_removal(&self.context, &change, Instant::now());
                     }
                     changes.push(change);
                 }
@@ -494,7 +496,13 @@
 /// Otherwise it requests all upstreams.
 pub(crate) fn apply_update(context: &Context, update: &Update, now: Instant) {
     let own = context.versions.lock().upstreams;
-    if own < update.since || own >= update.revision {
+    if own >= update.revision {
+        for change in &update.changes {
+            confirm_removal(context, change, now);
+        }
+        return;
+    }
+    if own < update.since {
         return;
     }
     for change in &update.changes {
@@ -504,6 +512,18 @@
     context.urgent.notify_one();
 }
 
+/// Removes an upstream that counts as missing, since its entry may have expired during an outage, if
+/// `change` says that it has left. The daemon that reported it missing knew less.
+fn confirm_removal(context: &Context, change: &Change, now: Instant) {
+    if let Change::Remove { id, left } = change
+        && left.is_zero()
+        && context.roster.lock().discard_missing(id)
+    {
+        log::info!(upstream = id.as_ref(); "missing upstream has left; removed");
+        forget_upstream(context, id, now);
+    }
+}
+
 fn apply_change(context: &Context, change: &Change, revision: u64, now: Instant) {
     match change {
         Change::Upsert(entry) => {
--- a/crates/primrosehoist-tests/tests/gateway_restarts.rs
+++ b/crates/primrosehoist-tests/tests/gateway_restarts.rs
@@ -4,13 +4,17 @@
 mod common;
 
 use std::cmp::Reverse;
+use std::net::UdpSocket;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::platform::{
-    Deployment, KEY, Request, configuration, receive, send, start_request, wait_until,
+    Deployment, KEY, Request, call, configuration, receive, send, start_request, wait_until,
 };
+use primrosehoist::coordination::gossip::{Change, Datagram, Info, State, Update};
 use primrosehoist::coordination::{rendezvous, watchers};
-use serde_json::json;
+use primrosehoist::protocol::gossip;
+use serde_json::{Value, json};
 
 /// All daemons lose their state right after a configuration was accepted. They must recover the
 /// newest configuration, the runners and each other from the store.
@@ -182,6 +186,68 @@
     assert_first_runner_is_unused(&deployment);
 }
 
+/// Tells a daemon, as another one that was cut off from the store, that an upstream is missing with the
+/// next change in the store.
+fn report_missing(deployment: &Deployment, daemon: usize, id: &str) {
+    const LINK_PORT: u16 = 7340;
+    let ingress = &deployment.daemons[daemon].ingress;
+    let ip = ingress.split(':').next().expect("an address");
+    let (network, _host) = ip.rsplit_once('.').expect("an address");
+    let own = format!("{network}.120");
+    deployment.put(
+        "daemons",
+        "other",
+        &json!({"Address": own, "Zone": "zone-a"}),
+    );
+    let socket = UdpSocket::bind((own.as_str(), LINK_PORT)).expect("failed to bind");
+    let send = |datagram| {
+        let bytes = gossip::encode(&datagram).expect("failed to encode");
+        let sent = socket.send_to(&bytes, (ip, LINK_PORT));
+        sent.expect("failed to send");
+    };
+    wait_until("the daemon is discovered", || {
+        send(Datagram::State(State {
+            host: Arc::from("other"),
+            zone: Arc::from("zone-a"),
+            sequence: (1, 1),
+            info: Info::default(),
+            load: Vec::new(),
+        }));
+        std::thread::sleep(Duration::from_millis(100));
+        let log = std::fs::read_to_string(&deployment.daemons[daemon].log);
+        log.expect("failed to read the log").contains("\"other\"")
+    });
+    let listed = call(
+        &deployment.store,
+        "GET",
+        "/primrosehoist/objects/servers",
+        "",
+    );
+    let listed: Value = serde_json::from_slice(&listed.body).expect("a list");
+    let revision = listed["StoreRevision"].as_u64().expect("a revision") + 1;
+    send(Datagram::Update(Update {
+        since: 0,
+        revision,
+        changes: vec![Change::Remove {
+            id: Arc::from(id),
+            left: Duration::from_secs(2),
+        }],
+    }));
+}
+
+/// The store's own word that a runner has left must count, although a daemon that knows less told of it
+/// first.
+#[test]
+fn runner_that_left_gets_no_requests_although_another_daemon_takes_it_for_missing() {
+    let deployment = Deployment::ready(1);
+    let id = deployment.runners[0].id.clone();
+    report_missing(&deployment, 0, &id);
+    std::thread::sleep(Duration::from_millis(50));
+    deployment.delete("servers", &id);
+    std::thread::sleep(Duration::from_millis(400));
+    assert_first_runner_is_unused(&deployment);
+}
+
 /// A daemon that was stopped for some seconds must not accept a key that was withdrawn meanwhile, nor
 /// send to a runner that has left, even for requests that wait when it wakes.
 #[test]
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -216,6 +216,16 @@
     pub fn platform_reconnected(&mut self, now: Instant) {
         self.grace_until = Some(now + RECONNECT_GRACE);
     }
+    /// Removes an entry if it is missing; returns whether it was.
+    pub fn discard_missing(&mut self, id: &str) -> bool {
+        let entry = self.entries.get(id);
+        let is_missing = entry.is_some_and(|entry| entry.missing_until.is_some());
+        if is_missing {
+            self.discard(id);
+        }
+        is_missing
+    }
+
 
     /// Returns how long the grace period after a reconnect lasts.
     pub fn grace_left(&self, now: Instant) -> Duration {
