Do not take back an upstream that has left from a daemon that misses it

Cause: a daemon that returns from an outage of the store keeps missing entries for 2 s and sends them with its state. Daemons that fetch the state took them over, although they knew that these upstreams had left.

Change: a missing entry is taken over only by a daemon that has the entry, or that has none at all yet.

Evidence: roster_rules: an_upstream_that_has_left_does_not_come_back_... failed before.

--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -127,18 +127,23 @@
     }
 
     /// Replaces all entries by those of another daemon. `missing` holds the ids of the ones that are
-    /// missing, and for how long they are used nevertheless.
+    /// missing, and for how long they are used nevertheless. One that is missing there and not known
+    /// here has left, unless nothing is known here.
     pub fn restore(
         &mut self,
         upstreams: Vec<Upstream>,
         missing: &[(Arc<str>, Duration)],
         now: Instant,
     ) {
+        let is_new = self.is_empty();
         for id in self.absent_from(&upstreams) {
             self.discard(&id);
         }
+        let is_missing = |id: &str| missing.iter().any(|(missing, _)| missing.as_ref() == id);
         for upstream in upstreams {
-            self.upsert(upstream, now);
+            if is_new || self.entries.contains_key(&upstream.id) || !is_missing(&upstream.id) {
+                self.upsert(upstream, now);
+            }
         }
         for (id, left) in missing {
             self.mark_missing(id, now + (*left).min(RECONNECT_GRACE));
@@ -211,11 +216,6 @@
         }
     }
 
-    /// Starts the grace period after the platform was unreachable: for [`RECONNECT_GRACE`], a
-    /// missing entry does not prove that its upstream is gone.
-    pub fn platform_reconnected(&mut self, now: Instant) {
-        self.grace_until = Some(now + RECONNECT_GRACE);
-    }
     /// Removes an entry if it is missing; returns whether it was.
     pub fn discard_missing(&mut self, id: &str) -> bool {
         let entry = self.entries.get(id);
@@ -226,6 +226,11 @@
         is_missing
     }
 
+    /// Starts the grace period after the platform was unreachable: for [`RECONNECT_GRACE`], a
+    /// missing entry does not prove that its upstream is gone.
+    pub fn platform_reconnected(&mut self, now: Instant) {
+        self.grace_until = Some(now + RECONNECT_GRACE);
+    }
 
     /// Returns how long the grace period after a reconnect lasts.
     pub fn grace_left(&self, now: Instant) -> Duration {
--- a/tests/roster_rules.rs
+++ b/tests/roster_rules.rs
@@ -185,3 +185,25 @@
         assert_eq!(roster.expire(end), [Arc::from("b")]);
     }
 }
+
+#[test]
+fn an_upstream_that_has_left_does_not_come_back_with_the_state_of_a_daemon_that_misses_it() {
+    let now = Instant::now();
+    let all = || vec![upstream("a", "z"), upstream("b", "z")];
+    let missing = [(Arc::from("a"), Duration::from_millis(1900))];
+    let mut roster = Roster::default();
+    roster.replace(all(), false, now);
+    roster.discard("a");
+    roster.restore(all(), &missing, now);
+    assert_eq!(ids(&roster, now), ["b"]);
+    // A daemon that does not know better uses it for as long as the other one does.
+    for mut roster in [Roster::default(), {
+        let mut known = Roster::default();
+        known.replace(all(), false, now);
+        known
+    }] {
+        roster.restore(all(), &missing, now);
+        assert_eq!(ids(&roster, now), ["a", "b"]);
+        assert_eq!(ids(&roster, now + Duration::from_secs(2)), ["b"]);
+    }
+}
