Tell starting daemons what is quarantined, and count crashes at one moment once

Two faults of the ledger of crashes, found by reading it once more:

- Reports ended 4 s after a crash, so a daemon that started later sent requests with a deadly part until it had seen three crashes itself.
Reports of quarantined causes now go on for as long as the quarantine does.
They carry their age, so that repeating them extends nothing.
- When many upstreams end at once, as with a zone, every part that waited on three of them was accused, and a rare one could stay quarantined for two minutes.
Crashes within 0.1 s of each other now count once.

--- a/crates/primrosehoist-tests/tests/tainted.rs
+++ b/crates/primrosehoist-tests/tests/tainted.rs
@@ -87,3 +87,39 @@
     );
     assert!(served >= 10, "{served} of 20 sound requests were served");
 }
+
+#[test]
+fn daemon_that_starts_while_a_deadly_part_is_known_sends_nothing_with_it() {
+    let mut deployment = Deployment::ready(2);
+    for index in 0..deployment.runners.len() {
+        let address = &deployment.runners[index].address;
+        assert_eq!(call(address, "POST", "/standin/deadly", DEADLY).status, 200);
+    }
+    let mut number = 0;
+    let mut quiet = 0;
+    while quiet < 6 {
+        number += 1;
+        assert!(number < 60, "the part never becomes known");
+        send(&deployment.daemons[0].ingress, &request(number, &[DEADLY]));
+        std::thread::sleep(Duration::from_millis(100));
+        quiet = if restart_ended(&mut deployment) == 0 {
+            quiet + 1
+        } else {
+            0
+        };
+    }
+    let process = deployment.daemons[1].process.as_mut();
+    process.expect("the process is running").kill();
+    // Reports of single crashes have ended by then.
+    std::thread::sleep(Duration::from_secs(5));
+    deployment.start_daemon(1);
+    deployment.wait_until_ready(1);
+    std::thread::sleep(Duration::from_secs(1));
+    for _ in 0..6 {
+        number += 1;
+        let response = send(&deployment.daemons[1].ingress, &request(number, &[DEADLY]));
+        assert_eq!(response.status, 503, "{response:?}");
+        std::thread::sleep(Duration::from_millis(100));
+        assert_eq!(restart_ended(&mut deployment), 0);
+    }
+}
--- a/src/state/crash.rs
+++ b/src/state/crash.rs
@@ -32,6 +32,10 @@
 /// The largest number of causes that are reported at a time.
 const REPORTED_MAX: usize = 32;
 
+/// The largest number of events that are reported of a cause. More than are needed, since some count
+/// as one.
+const REPORTED_EVENTS_MAX: usize = 8;
+
 /// How long after a lost answer the upstream must be found down for the request to be taken as the
 /// cause.
 const SUSPICION_WINDOW: Duration = Duration::from_secs(4);
@@ -40,6 +44,10 @@
 /// does not start again so soon.
 const SAME_CRASH_WINDOW: Duration = Duration::from_secs(2);
 
+/// The time within which crashes of several upstreams are taken as one, as when a zone is lost. The
+/// requests that ran there did not cause it.
+const COMMON_CRASH_WINDOW: Duration = Duration::from_millis(100);
+
 /// The largest number of suspects.
 const SUSPECTS_MAX: usize = 512;
 
@@ -82,7 +90,13 @@
         let mut counted: Vec<&Event> = Vec::new();
         for crash in self.crashes.iter().filter(counts) {
             let is_same = |other: &&Event| {
-                other.upstream() == crash.upstream() && crash.at < other.at + SAME_CRASH_WINDOW
+                let window = if other.upstream() == crash.upstream() {
+                    SAME_CRASH_WINDOW
+                } else {
+                    COMMON_CRASH_WINDOW
+                };
+                let (first, second) = (crash.at.min(other.at), crash.at.max(other.at));
+                second < first + window
             };
             if !counted.iter().any(is_same) {
                 counted.push(crash);
@@ -92,8 +106,9 @@
     }
 }
 
-/// A report on causes to other daemons: each with the id of a crash or an absolution.
-pub type Report = Vec<(u64, u64)>;
+/// A report on causes to other daemons: each with the id of a crash or an absolution, and how long ago
+/// it was, in milliseconds.
+pub type Report = Vec<(u64, u64, u32)>;
 
 /// The causes of crashes, and the suspects.
 #[derive(Debug, Default)]
@@ -177,12 +192,17 @@
 
     /// Records what another daemon reports.
     pub fn apply(&mut self, crashes: &Report, absolutions: &Report, now: Instant) {
-        for (cause, id) in crashes {
-            self.record(*cause, *id, now);
+        let at = |age_ms: u32| {
+            let age = Duration::from_millis(u64::from(age_ms));
+            now.checked_sub(age).unwrap_or(now)
+        };
+        for (cause, id, age_ms) in crashes {
+            self.record(*cause, *id, at(*age_ms));
         }
-        for (cause, id) in absolutions {
-            self.absolve(&[*cause], *id, now);
+        for (cause, id, age_ms) in absolutions {
+            self.absolve(&[*cause], *id, at(*age_ms));
         }
+        self.expire(now);
     }
 
     /// Returns whether one of `causes` is quarantined, so that a request with it must not run.
@@ -191,8 +211,9 @@
         histories.any(|history| history.count(now) >= CRASHES_MAX)
     }
 
-    /// Returns the recent crashes, to be reported to other daemons. If there are too many, those of
-    /// the causes with the most crashes are reported.
+    /// Returns the recent crashes, and all of quarantined causes, to be reported to other daemons. A
+    /// daemon that has just started learns from them what must not run. If there are too many, those
+    /// of the causes with the most crashes are reported.
     pub fn recent(&self, now: Instant) -> Report {
         let mut histories: Vec<_> = self
             .histories
@@ -203,7 +224,14 @@
         histories.sort_by_key(|(count, cause, _)| (*count, *cause));
         let reported = histories.into_iter().take(REPORTED_MAX);
         reported
-            .flat_map(|(_, cause, history)| recent_ids(*cause, &history.crashes, now))
+            .flat_map(|(Reverse(count), cause, history)| {
+                let window = if count >= CRASHES_MAX {
+                    CRASH_TTL
+                } else {
+                    REPORT_WINDOW
+                };
+                report(*cause, &history.crashes, window, now)
+            })
             .collect()
     }
 
@@ -211,7 +239,7 @@
     pub fn recent_absolutions(&self, now: Instant) -> Report {
         let histories = self.histories.iter();
         histories
-            .flat_map(|(cause, history)| recent_ids(*cause, &history.absolutions, now))
+            .flat_map(|(cause, history)| report(*cause, &history.absolutions, REPORT_WINDOW, now))
             .take(REPORTED_MAX)
             .collect()
     }
@@ -235,9 +263,19 @@
     events.push(Event { at: now, id });
 }
 
-fn recent_ids(cause: u64, events: &[Event], now: Instant) -> impl Iterator<Item = (u64, u64)> {
+/// Returns the newest events within `window`.
+fn report(
+    cause: u64,
+    events: &[Event],
+    window: Duration,
+    now: Instant,
+) -> impl Iterator<Item = (u64, u64, u32)> {
     let recent = events
         .iter()
-        .filter(move |event| now < event.at + REPORT_WINDOW);
-    recent.map(move |event| (cause, event.id))
+        .rev()
+        .filter(move |event| now < event.at + window);
+    recent.take(REPORTED_EVENTS_MAX).map(move |event| {
+        let age = now.saturating_duration_since(event.at);
+        (cause, event.id, age.as_millis() as u32)
+    })
 }
