--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -414,6 +414,13 @@
         assert_eq!(response.status, 200);
     }
 
+    /// Injects a fault into all runners, since any of them may be selected first.
+    pub fn set_fault_on_all(&self, fault: &str, times: usize) {
+        for index in 0..self.runners.len() {
+            self.set_fault(index, fault, times);
+        }
+    }
+
     pub fn counts(&self, index: usize) -> Value {
         let response = call(&self.runners[index].address, "GET", "/standin/counts", "");
         serde_json::from_slice(&response.body).expect("counts")
@@ -472,6 +479,11 @@
     })
 }
 
+/// Returns the ids of the events of a stream of `count` events.
+pub fn event_ids(count: u64) -> Vec<u64> {
+    (1..=count).collect()
+}
+
 /// Makes a control request, without the headers of a client.
 pub fn call(address: &str, method: &str, path: &str, body: &str) -> Response {
     let mut connection = connect(address);
--- a/crates/primrosehoist-tests/tests/gateway.rs
+++ b/crates/primrosehoist-tests/tests/gateway.rs
@@ -6,153 +6,16 @@
 use std::time::{Duration, Instant};
 
 use common::platform::{
-    self, Deployment, Request, call, configuration, readiness, receive, send, start_request,
-    wait_until,
+    self, Deployment, Request, call, configuration, event_ids, readiness, receive, send,
+    start_request, wait_until,
 };
-use serde_json::{Value, json};
-
-/// Injects a fault into all three runners, since any of them may be selected first.
-fn set_fault_on_all(deployment: &Deployment, fault: &str, times: usize) {
-    for index in 0..deployment.runners.len() {
-        deployment.set_fault(index, fault, times);
-    }
-}
-
-fn event_ids(count: u64) -> Vec<u64> {
-    (1..=count).collect()
-}
-
-#[test]
-fn stream_is_complete_and_the_runner_gets_the_forwarded_headers() {
-    let deployment = Deployment::ready(2);
-    let request = Request::stream(5000, 8);
-    let response = send(&deployment.daemons[0].ingress, &request);
-    assert_eq!(
-        (response.status, response.complete),
-        (200, true),
-        "{response:?}"
-    );
-    assert_eq!(response.events(), event_ids(8));
-    assert_eq!(response.header("x-attempt-id"), Some(request.id.as_str()));
-    assert!(response.header("x-response-seal").is_some());
-    let runs = deployment.runs(&request.id);
-    assert_eq!(runs.len(), 1);
-    let run = &runs[0].1;
-    assert_eq!(
-        (&run["method"], &run["path"]),
-        (&json!("POST"), &json!("/ask/1?x=2"))
-    );
-    assert_eq!(run["tenant"], "rope");
-    assert_eq!(run["authorization"], Value::Null);
-    let deadline_ms: u64 = run["deadline_ms"]
-        .as_str()
-        .and_then(|deadline_ms| deadline_ms.parse().ok())
-        .expect("invalid deadline");
-    assert!(
-        (5000..=6000).contains(&deadline_ms),
-        "not limited by the route's timeout: {deadline_ms}"
-    );
-}
-
-#[test]
-fn broken_stream_is_resumed_in_the_same_response() {
-    let deployment = Deployment::ready(1);
-    for fault in ["cut", "silent", "trickle"] {
-        let request = Request::stream(5000, 8);
-        let before = deployment.runs(&request.id);
-        assert!(before.is_empty());
-        set_fault_on_all(&deployment, fault, 1);
-        let response = send(&deployment.daemons[0].ingress, &request);
-        let runs = deployment.runs(&request.id);
-        if response.complete {
-            assert_eq!(response.events(), event_ids(8), "{fault}");
-        }
-        // Both attempts that the route allows hit the fault.
-        assert_eq!(runs.len(), 2, "{fault}");
-        assert_eq!(
-            runs.iter()
-                .filter(|(_, run)| run["last_event"] == "2")
-                .count(),
-            1,
-            "{fault}"
-        );
-        let first = response.header("x-response-seal").expect("no receipt");
-        assert!(first.ends_with(&request.id));
-        // Uses up the faults of runners that got no request.
-        for _ in 0..3 {
-            let _used = send(&deployment.daemons[0].ingress, &Request::stream(5000, 2));
-        }
-    }
-}
-
-/// A stalled stream that sends a byte now and then is given up like a silent one, well before the
-/// client's deadline.
-#[test]
-fn stalled_stream_that_trickles_is_resumed_in_time() {
-    let deployment = Deployment::ready(1);
-    let probe = Request::stream(5000, 2);
-    send(&deployment.daemons[0].ingress, &probe);
-    let (index, _) = deployment.runs(&probe.id)[0];
-    deployment.set_fault(index, "trickle", 1);
-    let started = Instant::now();
-    let response = send(&deployment.daemons[0].ingress, &Request::stream(5000, 8));
-    assert!(response.complete, "{response:?}");
-    assert_eq!(response.events(), event_ids(8));
-    let elapsed = started.elapsed();
-    assert!(elapsed < Duration::from_secs(3), "{elapsed:?}");
-}
-
-/// A stream that pauses longer than usual is not cut if the retry budget allows no replacement.
-#[test]
-fn slow_stream_is_not_cut_when_no_retry_is_left() {
-    let deployment = Deployment::ready(1);
-    deployment.change_settings(0, "RetrySlack = 106", "RetrySlack = 0");
-    deployment.change_settings(0, "RetryBudgetRatio = 0.2", "RetryBudgetRatio = 0.0");
-    std::thread::sleep(Duration::from_millis(1500));
-    set_fault_on_all(&deployment, "pause", 1);
-    let response = send(&deployment.daemons[0].ingress, &Request::stream(5000, 8));
-    assert!(response.complete, "{response:?}");
-    assert_eq!(response.events(), event_ids(8));
-}
-
-#[test]
-fn single_break_is_invisible_to_the_client() {
-    let deployment = Deployment::ready(1);
-    let request = Request::stream(5000, 8);
-    let probe = Request::stream(5000, 2);
-    send(&deployment.daemons[0].ingress, &probe);
-    // Placement packs short prompts, so the next request goes to the same runner.
-    let (index, _) = deployment.runs(&probe.id)[0];
-    deployment.set_fault(index, "cut", 1);
-    let response = send(&deployment.daemons[0].ingress, &request);
-    assert!(response.complete, "{response:?}");
-    assert_eq!(response.events(), event_ids(8));
-    let runs = deployment.runs(&request.id);
-    assert_eq!(
-        runs.len(),
-        2,
-        "the first attempt breaks after two complete events"
-    );
-    for message in [
-        "placed",
-        "stream broke",
-        "attempt failed",
-        "stream resumed",
-        "request ended",
-    ] {
-        // A thread of the daemon writes the log after the response.
-        wait_until(&format!("{message:?} is logged"), || {
-            let logged = deployment.logged(0, &request.id);
-            logged.iter().any(|line| line["message"] == message)
-        });
-    }
-}
+use serde_json::json;
 
 #[test]
 fn non_idempotent_call_runs_at_most_once() {
     let deployment = Deployment::ready(1);
     let address = &deployment.daemons[0].ingress;
-    set_fault_on_all(&deployment, "lose", 1);
+    deployment.set_fault_on_all("lose", 1);
     for _ in 0..3 {
         let request = Request::new("POST", "/order/1");
         let response = send(address, &request);
@@ -169,7 +32,7 @@
         send(address, &Request::new("GET", "/look/1"));
     }
     let mut rejected = 0;
-    set_fault_on_all(&deployment, "reject", 1);
+    deployment.set_fault_on_all("reject", 1);
     for _ in 0..3 {
         let request = Request {
             body: b"another".to_vec(),
@@ -198,7 +61,7 @@
     let deployment = Deployment::ready(1);
     let address = &deployment.daemons[0].ingress;
     for fault in ["crossed", "encoded"] {
-        set_fault_on_all(&deployment, fault, 1);
+        deployment.set_fault_on_all(fault, 1);
         for _ in 0..3 {
             let request = Request::new("POST", "/order/1");
             let response = send(address, &request);
@@ -212,7 +75,7 @@
             }
         }
     }
-    set_fault_on_all(&deployment, "fail", 3);
+    deployment.set_fault_on_all("fail", 3);
     let request = Request::new("POST", "/order/1");
     let response = send(address, &request);
     assert_eq!(
@@ -503,7 +366,7 @@
 #[test]
 fn hanging_runner_holds_neither_the_request_nor_its_memory() {
     let deployment = Deployment::ready(1);
-    set_fault_on_all(&deployment, "hang", 1);
+    deployment.set_fault_on_all("hang", 1);
     let started = Instant::now();
     let request = Request::stream(500_000, 8);
     let response = send(&deployment.daemons[0].ingress, &request);
@@ -558,7 +421,7 @@
     let mut crashes = 0;
     while crashes < 3 {
         let request = crashing_request();
-        set_fault_on_all(&deployment, "lose", 1);
+        deployment.set_fault_on_all("lose", 1);
         let response = send(&deployment.daemons[0].ingress, &request);
         assert!(matches!(response.status, 502 | 503), "{response:?}");
         // The runner that ran the request is down for a moment, and other requests fail to connect
