Ask several peers for changes in the older face, too

Change: all live peers with a newer version are asked in turn, 0.2 s apart, until one answers (transport::hedge).

--- a/crates/primrosehoist-daemon/src/cluster/configuration.rs
+++ b/crates/primrosehoist-daemon/src/cluster/configuration.rs
@@ -10,6 +10,7 @@
 use primrosehoist::protocol::wire::{Reply, Request};
 use primrosehoist::state::change::Change;
 use primrosehoist::state::fleet::{Fleet, Lifecycle, Version};
+use primrosehoist::transport::hedge::first_success;
 use primrosehoist::transport::{peer, platform};
 use tokio::time::Instant;
 
@@ -18,6 +19,9 @@
 /// The interval of checks whether a peer has a newer version.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// How long a peer may take to answer before another one is asked as well.
+const HEDGE_DELAY: Duration = Duration::from_millis(200);
+
 /// The timeout of a request to a peer.
 const PEER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -64,29 +68,33 @@
     }
 }
 
-/// Fetches changes from a peer that has a newer version.
+/// Fetches changes from peers that have a newer version.
 pub(crate) async fn follow_peers(cluster: Arc<Cluster>) {
     let mut failures = 0;
     loop {
         tokio::time::sleep(PEER_CHECK_INTERVAL).await;
         let version = lock(&cluster.replica).version();
-        let ahead = lock(&cluster.membership).peer_ahead_of(version, Instant::now());
-        let Some(member) = ahead else {
+        let ahead = lock(&cluster.membership).peers_ahead_of(version, Instant::now());
+        if ahead.is_empty() {
             continue;
+        }
+        let mut ahead = ahead.iter();
+        let next = || {
+            let call = cluster.fetch(ahead.next()?, version);
+            Some(async {
+                let fetched = call.await.inspect_err(|error| {
+                    log::debug!("cannot fetch configuration changes: {error}");
+                });
+                fetched.ok()
+            })
         };
-        match cluster.fetch(&member, version).await {
-            Ok(()) => failures = 0,
-            Err(error) => {
-                log::debug!("cannot fetch configuration changes: {error}");
-                failures += 1;
-                tokio::time::sleep(backoff::full_jitter(
-                    failures,
-                    PEER_CHECK_INTERVAL,
-                    PEER_TIMEOUT,
-                ))
-                .await;
-            }
+        if first_success(next, HEDGE_DELAY).await.is_some() {
+            failures = 0;
+            continue;
         }
+        failures += 1;
+        let pause = backoff::full_jitter(failures, PEER_CHECK_INTERVAL, PEER_TIMEOUT);
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/src/coordination/membership/mod.rs
+++ b/src/coordination/membership/mod.rs
@@ -18,6 +18,7 @@
 mod partner;
 mod peer;
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -219,15 +220,15 @@
             .collect()
     }
 
-    /// Returns a live daemon with a configuration version above `version`, if there is one.
-    ///
-    /// Prefers daemons of this zone, then the highest version.
-    pub fn peer_ahead_of(&self, version: Version, now: Instant) -> Option<Member> {
-        self.peers
-            .values()
+    /// Returns the live daemons with a configuration version above `version`: first those of this
+    /// zone, then those with the highest version.
+    pub fn peers_ahead_of(&self, version: Version, now: Instant) -> Vec<Member> {
+        let peers = self.peers.values();
+        let mut ahead: Vec<_> = peers
             .filter(|peer| peer.version > version && peer.is_alive(now))
-            .max_by_key(|peer| (peer.member.zone == self.own.zone, peer.version))
-            .map(|peer| peer.member.clone())
+            .collect();
+        ahead.sort_by_key(|peer| Reverse((peer.member.zone == self.own.zone, peer.version)));
+        ahead.into_iter().map(|peer| peer.member.clone()).collect()
     }
 
     /// Returns whether the platform's list of hosts was read and does not contain `host`.
--- a/tests/membership_rules.rs
+++ b/tests/membership_rules.rs
@@ -259,3 +259,31 @@
     );
     assert!(Duration::from_secs(SECONDS) > LIVENESS_TIMEOUT);
 }
+
+#[test]
+fn all_daemons_with_a_newer_configuration_can_be_asked_those_of_the_zone_first() {
+    // The daemons of zone a are 0 to 2, and those of zone b 3 to 5.
+    let mut cluster = Cluster::new(&["a", "b"], 3);
+    for (index, version) in [5, 5, 6, 7, 7, 4].into_iter().enumerate() {
+        cluster.daemons[index].2.version = version;
+    }
+    for _ in 0..8 {
+        cluster.run_interval();
+    }
+    let hosts = |cluster: &Cluster, version| {
+        let (_, membership, _) = &cluster.daemons[0];
+        let ahead = membership.peers_ahead_of(version, cluster.now);
+        let hosts: Vec<String> = ahead.iter().map(|peer| peer.host.to_string()).collect();
+        hosts
+    };
+    let mut ahead = hosts(&cluster, 5);
+    assert_eq!(ahead.remove(0), "a-2");
+    ahead.sort();
+    assert_eq!(ahead, ["b-0", "b-1"]);
+    cluster.disconnected = vec![2, 3, 4];
+    let beats = LIVENESS_TIMEOUT.as_millis() / HEARTBEAT_INTERVAL.as_millis();
+    for _ in 0..=beats {
+        cluster.run_interval();
+    }
+    assert!(hosts(&cluster, 5).is_empty());
+}
