--- a/crates/primrosehoist-tests/tests/tainted.rs
+++ b/crates/primrosehoist-tests/tests/tainted.rs
@@ -22,8 +22,17 @@
     request
 }
 
-fn start_runner(deployment: &mut Deployment, index: usize) {
-    deployment.start_runner(index);
+/// Starts two daemons, and runners that end when they begin to answer a prompt with the deadly part.
+fn deployment() -> Deployment {
+    let deployment = Deployment::ready(2);
+    for index in 0..deployment.runners.len() {
+        arm(&deployment, index);
+    }
+    deployment
+}
+
+/// Tells a runner which part is deadly.
+fn arm(deployment: &Deployment, index: usize) {
     let address = &deployment.runners[index].address;
     assert_eq!(call(address, "POST", "/standin/deadly", DEADLY).status, 200);
 }
@@ -35,7 +44,8 @@
         let process = deployment.runners[index].process.as_mut();
         let process = process.expect("the process was started");
         if process.wait(Duration::from_millis(1)).is_some() {
-            start_runner(deployment, index);
+            deployment.start_runner(index);
+            arm(deployment, index);
             ended += 1;
         }
     }
@@ -44,11 +54,7 @@
 
 #[test]
 fn requests_that_share_a_deadly_part_stop_crashing_runners_and_sound_ones_are_served() {
-    let mut deployment = Deployment::ready(2);
-    for index in 0..deployment.runners.len() {
-        let address = &deployment.runners[index].address;
-        assert_eq!(call(address, "POST", "/standin/deadly", DEADLY).status, 200);
-    }
+    let mut deployment = deployment();
     let (shared, mut number, mut crashes) = ("0000cafe", 0, 0);
     let started = Instant::now();
     while crashes < 5 && started.elapsed() < Duration::from_secs(20) {
@@ -90,11 +96,7 @@
 
 #[test]
 fn daemon_that_starts_while_a_deadly_part_is_known_sends_nothing_with_it() {
-    let mut deployment = Deployment::ready(2);
-    for index in 0..deployment.runners.len() {
-        let address = &deployment.runners[index].address;
-        assert_eq!(call(address, "POST", "/standin/deadly", DEADLY).status, 200);
-    }
+    let mut deployment = deployment();
     let mut number = 0;
     let mut quiet = 0;
     while quiet < 6 {
