Show what a store that comes back from a copy hides and revives

What callers and operators see: after the store has come back from an older copy, upstreams that drain and zones that are evacuated go on to get requests.

The stand-in store can keep a copy, go back to it, and tell its era.

--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use pico_args::Arguments;
 use serde::Deserialize;
@@ -36,7 +36,9 @@
 POST /standin/faults sets {\"mode\":\"none|busy|silent\",\"also_only\":bool,\"lose_writes\":bool}:
 busy responds 429, silent never responds, also_only limits the mode to the second address, and
 lose_writes performs writes but closes the connection without a response.
-POST /standin/forget drops the history. GET /standin/counts returns the number of calls.
+POST /standin/forget drops the history. POST /standin/copy keeps a copy of the store, and
+POST /standin/restore goes back to it: what was written since is gone, and Store-Era rises by one.
+GET /standin/counts returns the number of calls.
 ";
 
 /// The path prefix of the object API.
@@ -96,13 +98,21 @@
     event: Value,
 }
 
-#[derive(Debug, Default)]
-struct State {
+#[derive(Debug, Default, Clone)]
+struct Content {
     revision: u64,
     objects: BTreeMap<(String, String), Value>,
     history: VecDeque<Change>,
     /// The oldest revision that can be watched from. Watches from earlier ones get status 410.
     oldest: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    content: Content,
+    copy: Content,
+    /// The number of times that the store went back to a copy.
+    era: u64,
     faults: Faults,
     calls: u64,
 }
@@ -123,7 +133,10 @@
     let store = Arc::new(Store {
         page: options.page,
         state: Mutex::new(State {
-            revision: 1,
+            content: Content {
+                revision: 1,
+                ..Content::default()
+            },
             ..State::default()
         }),
         changed: Notify::new(),
@@ -142,6 +155,11 @@
 }
 
 async fn handle(store: Arc<Store>, request: Request<Incoming>, is_second_address: bool) -> Answer {
+    let reply = answer(&store, request, is_second_address).await?;
+    Ok(store.with_era(reply))
+}
+
+async fn answer(store: &Store, request: Request<Incoming>, is_second_address: bool) -> Answer {
     let (parts, body) = request.into_parts();
     let content = match reply::read(body, BODY_LIMIT_BYTES).await {
         Ok(content) => content,
@@ -190,6 +208,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds the era to a response.
+    fn with_era(&self, mut reply: Reply) -> Reply {
+        let era = HeaderValue::from(self.lock().era);
+        reply.headers_mut().insert("store-era", era);
+        reply
+    }
+
     fn control(&self, command: &str, content: &[u8]) -> Reply {
         let mut state = self.lock();
         match command {
@@ -198,9 +223,14 @@
                 Err(_) => return reply::json(StatusCode::BAD_REQUEST, &json!({})),
             },
             "forget" => {
-                state.history.clear();
-                state.oldest = state.revision + 1;
-                state.revision += 1;
+                state.content.history.clear();
+                state.content.oldest = state.content.revision + 1;
+                state.content.revision += 1;
+            }
+            "copy" => state.copy = state.content.clone(),
+            "restore" => {
+                state.content = state.copy.clone();
+                state.era += 1;
             }
             "counts" => return reply::json(StatusCode::OK, &json!({"calls": state.calls})),
             _ => return reply::json(StatusCode::NOT_FOUND, &json!({})),
@@ -213,26 +243,36 @@
     fn list(&self, kind: &str, query: &str) -> Reply {
         let after = parameter(query, "After").unwrap_or_default();
         let state = self.lock();
-        let of_kind = state.objects.iter().filter(|((other, _), _)| other == kind);
+        let of_kind = state
+            .content
+            .objects
+            .iter()
+            .filter(|((other, _), _)| other == kind);
         let remaining: Vec<&Value> = of_kind
             .filter(|((_, name), _)| *name > after)
             .map(|(_, object)| object)
             .collect();
         let page: Vec<&Value> = remaining.iter().take(self.page).copied().collect();
         let has_more = remaining.len() > page.len();
-        let list = json!({"Items": page, "HasMore": has_more, "StoreRevision": state.revision});
+        let list =
+            json!({"Items": page, "HasMore": has_more, "StoreRevision": state.content.revision});
         reply::json(StatusCode::OK, &list)
     }
 
     fn get(&self, kind: &str, name: &str) -> Reply {
         let state = self.lock();
-        match state.objects.get(&(kind.to_owned(), name.to_owned())) {
+        match state
+            .content
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+        {
             Some(object) => reply::json(StatusCode::OK, object),
             None => reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
     }
 
     async fn watch(&self, kind: &str, revision: &str, query: &str) -> Reply {
+        let era = self.lock().era;
         let Ok(since) = revision.parse::<u64>() else {
             return reply::json(StatusCode::BAD_REQUEST, &json!({}));
         };
@@ -243,16 +283,19 @@
             let next_change = self.changed.notified();
             {
                 let state = self.lock();
-                if since < state.oldest {
+                let is_known = (state.content.oldest..=state.content.revision).contains(&since);
+                if !is_known || state.era != era {
                     return reply::json(StatusCode::GONE, &json!({}));
                 }
                 let new_changes = state
+                    .content
                     .history
                     .iter()
                     .filter(|change| change.revision > since && change.kind == kind);
                 let events: Vec<&Value> = new_changes.map(|change| &change.event).collect();
                 if !events.is_empty() || time::Instant::now() >= deadline {
-                    let changes = json!({"events": events, "StoreRevision": state.revision});
+                    let changes =
+                        json!({"events": events, "StoreRevision": state.content.revision});
                     return reply::json(StatusCode::OK, &changes);
                 }
             }
@@ -274,7 +317,7 @@
         };
         let key = (kind.to_owned(), name.clone());
         let mut state = self.lock();
-        let existing = state.objects.get(&key).cloned();
+        let existing = state.content.objects.get(&key).cloned();
         let expected = request["Metadata"]["Rev"].as_u64();
         let expected = expected.or(parameter(query, "Rev").and_then(|rev| rev.parse().ok()));
         let current = existing
@@ -290,8 +333,8 @@
         if method != Method::POST && existing.is_none() {
             return reply::json(StatusCode::NOT_FOUND, &json!({}));
         }
-        state.revision += 1;
-        let revision = state.revision;
+        state.content.revision += 1;
+        let revision = state.content.revision;
         let deleted = method == Method::DELETE;
         let created = existing
             .as_ref()
@@ -308,19 +351,19 @@
             "Status": null,
         });
         if deleted {
-            state.objects.remove(&key);
+            state.content.objects.remove(&key);
         } else {
-            state.objects.insert(key, object.clone());
+            state.content.objects.insert(key, object.clone());
         }
-        state.history.push_back(Change {
+        state.content.history.push_back(Change {
             revision,
             kind: kind.to_owned(),
             event: json!({"Object": object, "Deleted": deleted}),
         });
-        if state.history.len() > HISTORY_MAX
-            && let Some(dropped) = state.history.pop_front()
+        if state.content.history.len() > HISTORY_MAX
+            && let Some(dropped) = state.content.history.pop_front()
         {
-            state.oldest = dropped.revision + 1;
+            state.content.oldest = dropped.revision + 1;
         }
         drop(state);
         self.changed.notify_waiters();
