Order the revisions of the store by its era

After a restore, changes counted as known until the counter had passed the old value. Class: a version that orders only within one life of its source.

Change: a revision is the store's era and the number together, everywhere. The first list of an era is taken for a copy: missing entries and known evacuations hold for 1.9 s, known drains and departures until they are written again. Daemons register again. Gossip and the requests for state have a new format.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -113,6 +113,8 @@
     pub(crate) store_recoveries: watch::Sender<u64>,
     /// The active configuration in the store's format, for daemons that do not read the store.
     pub(crate) configuration: Mutex<Compressed>,
+    /// The latest era of the store that this daemon knows of.
+    pub(crate) store_era: watch::Sender<u64>,
     /// When the store or another daemon was last heard from.
     pub(crate) last_contact: Mutex<Instant>,
     /// The memory budget for request bodies.
@@ -167,6 +169,7 @@
             follows_store: watch::Sender::new(true),
             store_reachable: watch::Sender::new(true),
             store_recoveries: watch::Sender::new(0),
+            store_era: watch::Sender::new(0),
             configuration: Mutex::default(),
             last_contact: Mutex::new(Instant::now()),
             body_budget: Budget::new(settings.memory_mb * BODY_BUDGET_BYTES_PER_MB),
@@ -197,6 +200,22 @@
         *self.last_contact.lock() = Instant::now();
     }
 
+    /// Records an era of the store.
+    pub(crate) fn record_era(&self, era: u64) {
+        self.store_era.send_if_modified(|latest| {
+            let is_later = *latest < era;
+            *latest = era.max(*latest);
+            is_later
+        });
+    }
+
+    /// Waits until the store is known to be in a later era than `era`.
+    pub(crate) async fn wait_later_era(&self, era: u64) {
+        let mut latest = self.store_era.subscribe();
+        // The sender lives as long as `self`.
+        let _closed = latest.wait_for(|latest| *latest > era).await.is_err();
+    }
+
     /// Returns whether neither the store nor another daemon has been heard from for more than
     /// `silence_max`, so that the configuration may have changed unnoticed.
     pub(crate) fn is_isolated(&self, silence_max: Duration) -> bool {
@@ -215,6 +234,11 @@
         self.urgent.notify_one();
     }
 
+    /// Returns whether the registered daemons have been listed.
+    pub(crate) fn has_joined(&self) -> bool {
+        *self.joined.borrow()
+    }
+
     /// Waits until the registered daemons have been listed.
     pub(crate) async fn wait_joined(&self) {
         let mut joined = self.joined.subscribe();
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -236,6 +236,7 @@
         let mut health = context.health.lock();
         health.record_warnings(&received.host, &info.avoided, now);
         drop(health);
+        context.record_era(info.versions.upstreams.era);
         context.peer_versions.send_if_modified(|newest| {
             let before = *newest;
             *newest = newest.merge(&info.versions);
@@ -262,7 +263,7 @@
             .list_stale(primrosehoist_platform::daemon::KIND)
             .await
         {
-            Ok(objects) => store_sync::add_daemons(&context, &objects),
+            Ok((objects, _revision)) => store_sync::add_daemons(&context, &objects),
             Err(error) => log::info!(error:%; "failed to list the daemons"),
         }
         sleep(REFRESH_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
 use primrosehoist::state::map::Set;
-use primrosehoist::state::versions::Versions;
+use primrosehoist::state::versions::{Revision, Versions};
 use primrosehoist::transport::hedge::first_success;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::platform::Endpoint;
@@ -85,6 +85,8 @@
         upstreams,
         evacuations,
     } = own;
+    let revision = |revision: &Revision| format!("{},{}", revision.era, revision.number);
+    let (upstreams, evacuations) = (revision(upstreams), revision(evacuations));
     format!("{PATH}?{configuration},{upstreams},{evacuations}")
 }
 
@@ -94,8 +96,14 @@
     let mut next = || parts.next().unwrap_or(0);
     Versions {
         configuration: next(),
-        upstreams: next(),
-        evacuations: next(),
+        upstreams: Revision {
+            era: next(),
+            number: next(),
+        },
+        evacuations: Revision {
+            era: next(),
+            number: next(),
+        },
     }
 }
 
@@ -222,8 +230,8 @@
     context.urgent.notify_one();
     log::info!(
         configuration = snapshot.versions.configuration,
-        upstreams = snapshot.versions.upstreams,
-        evacuations = snapshot.versions.evacuations,
+        upstreams:? = snapshot.versions.upstreams,
+        evacuations:? = snapshot.versions.evacuations,
         own:? = own;
         "platform state received from peer"
     );
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -8,11 +8,13 @@
 use primrosehoist::coordination::gossip::{Change, Update};
 use primrosehoist::protocol::snapshot::Compressed;
 use primrosehoist::state::map::Set;
+use primrosehoist::state::roster::RECONNECT_GRACE;
+use primrosehoist::state::versions::Revision;
 use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::object::{Event, Object};
 use primrosehoist_platform::{config, daemon, upstream};
 use serde_json::Value;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::context::Context;
 
@@ -49,6 +51,10 @@
 /// daemons before it reads the store itself.
 const PEER_STATE_WAIT: Duration = Duration::from_secs(1);
 
+/// The longest random delay before a daemon registers again in a store that was restored from a copy, so
+/// that the daemons do not all do so at once.
+const REGISTER_JITTER_MAX: Duration = Duration::from_secs(1);
+
 /// The delay after a failed registration.
 const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
 
@@ -70,21 +76,33 @@
     }
 }
 
-/// Registers this daemon in the store and lists the registered daemons. An entry of an earlier start
-/// serves as well, and then the others may be known a little late.
+/// Registers this daemon in the store and lists the registered daemons, for as long as the process runs:
+/// again whenever the store was restored from a copy. An entry of an earlier start serves as well, and then
+/// the others may be known a little late.
 ///
 /// Because each daemon registers before it lists, of two daemons that start concurrently at least
 /// one finds the other.
 pub(crate) async fn join(context: Arc<Context>) {
+    let mut era = register(&context).await;
+    loop {
+        context.set_joined();
+        context.wait_later_era(era).await;
+        sleep(REGISTER_JITTER_MAX.mul_f64(rand::random::<f64>())).await;
+        log::info!(era; "registering again, since the store was restored");
+        era = register(&context).await;
+    }
+}
+
+/// Registers this daemon and lists the others; returns the era of the store.
+async fn register(context: &Context) -> u64 {
     let settings = &context.settings;
     let spec = daemon::encode(settings.address, &settings.zone);
     let store = || context.store.load_full();
     let is_own = |object: &Object| object.name == *settings.host && object.spec == spec;
     match store().list_stale(daemon::KIND).await {
-        Ok(objects) if objects.iter().any(is_own) => {
-            add_daemons(&context, &objects);
-            context.set_joined();
-            return;
+        Ok((objects, revision)) if objects.iter().any(is_own) && !context.has_joined() => {
+            add_daemons(context, &objects);
+            return revision.era;
         }
         Ok(_) => {}
         Err(error) => log::info!(error:%; "failed to list the daemons"),
@@ -95,10 +113,9 @@
     }
     loop {
         match store().list(daemon::KIND).await {
-            Ok((objects, _revision)) => {
-                add_daemons(&context, &objects);
-                context.set_joined();
-                return;
+            Ok((objects, revision)) => {
+                add_daemons(context, &objects);
+                return revision.era;
             }
             Err(error) => {
                 log::warn!(error:%; "failed to list the daemons");
@@ -147,16 +164,18 @@
         feed,
         failures: 0,
         lost_at: None,
-        lapse_horizon: 0,
-        complete_to: 0,
+        era: None,
+        relist_at: None,
+        lapse_horizon: Revision::default(),
+        complete_to: Revision::default(),
     };
     wait_to_start(&follower.context).await;
     loop {
         let listed = follower.context.store.load().list(feed.kind()).await;
         let revision = match listed {
             Ok((objects, revision)) => {
-                let may_lapse = follower.on_success(revision);
-                follower.on_list(objects, revision, may_lapse);
+                let gap = follower.on_success(revision);
+                follower.on_list(objects, revision, gap);
                 revision
             }
             Err(error) => {
@@ -179,6 +198,7 @@
 /// another daemon is assigned to follow it.
 pub(crate) async fn ping(context: Arc<Context>) {
     let mut lost_at: Option<Instant> = None;
+    let mut known_era = None;
     let mut interval = PING_INTERVAL_MAX;
     loop {
         context.wait_follows_store(true).await;
@@ -187,8 +207,17 @@
         interval = PING_INTERVAL_MAX;
         let store = context.store.load_full();
         match (store.ping(upstream::EVACUATION_KIND).await, lost_at) {
-            (Ok(()), None) | (Err(_), Some(_)) => {}
-            (Ok(()), Some(since)) => {
+            (Ok(era), None) => {
+                let is_restored = known_era.is_some_and(|known| known < era);
+                known_era = Some(era);
+                if is_restored {
+                    log::info!(era; "store was restored; restarting watches");
+                    context.store_recoveries.send_modify(|count| *count += 1);
+                }
+            }
+            (Err(_), Some(_)) => {}
+            (Ok(era), Some(since)) => {
+                known_era = Some(era);
                 let away_ms = since.elapsed().as_millis() as u64;
                 log::info!(away_ms; "store recovered; restarting watches");
                 lost_at = None;
@@ -212,16 +241,31 @@
     feed: Feed,
     failures: u32,
     lost_at: Option<Instant>,
+    /// The era of the store when it was last listed.
+    era: Option<u64>,
+    /// When to list again what the store may have lost.
+    relist_at: Option<Instant>,
     /// The store revision up to which removals may be of entries that expired during an outage.
-    lapse_horizon: u64,
+    lapse_horizon: Revision,
     /// The store revision up to which all changes of the feed have been received.
-    complete_to: u64,
+    complete_to: Revision,
+}
+
+/// What a list may lack after a time without the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Gap {
+    /// Nothing.
+    None,
+    /// Entries that expired during an outage.
+    Expired,
+    /// Whatever was written after the copy from which the store was restored.
+    Restored,
 }
 
 impl Follower {
     /// Watches from revision `start` until the objects have to be listed again: the store has
     /// discarded the history, or other daemons have newer state.
-    async fn watch(&mut self, start: u64) {
+    async fn watch(&mut self, start: Revision) {
         let mut revision = start;
         let mut recoveries = self.context.store_recoveries.subscribe();
         loop {
@@ -230,24 +274,28 @@
             let watched = tokio::select! {
                 watched = store.watch(self.feed.kind(), revision, WATCH_TIMEOUT) => watched,
                 () = wait_until_behind(&context, self.feed) => {
-                    log::info!(kind = self.feed.kind(), revision; "watch lags behind other daemons; listing again");
+                    log::info!(kind = self.feed.kind(), revision:?; "watch lags behind other daemons; listing again");
                     store.close_idle();
                     return;
                 }
                 Ok(()) = recoveries.changed() => continue,
+                () = wait_until(self.relist_at) => {
+                    self.relist_at = None;
+                    return;
+                }
             };
             match watched {
-                Ok(changes) => {
-                    self.on_success(changes.revision);
-                    let any = !changes.events.is_empty();
-                    self.on_events(changes.events);
-                    revision = revision.max(changes.revision);
+                Ok((events, latest)) => {
+                    self.on_success(latest);
+                    let any = !events.is_empty();
+                    self.on_events(events, latest.era);
+                    revision = revision.max(latest);
                     if any {
                         sleep(WATCH_PAUSE).await;
                     }
                 }
                 Err(Error::Gone { .. }) => {
-                    log::info!(kind = self.feed.kind(), revision; "history discarded; listing again");
+                    log::info!(kind = self.feed.kind(), revision:?; "history discarded; listing again");
                     return;
                 }
                 Err(error) => self.on_error(&error).await,
@@ -255,26 +303,34 @@
         }
     }
 
-    /// Records a response of the store as of `revision`. Returns whether it is the first one after
-    /// an outage in which entries of upstreams may have expired.
-    fn on_success(&mut self, revision: u64) -> bool {
+    /// Records a response of the store as of `revision`. Returns what it may lack.
+    fn on_success(&mut self, revision: Revision) -> Gap {
         self.failures = 0;
         self.context.record_contact();
         if self.feed == Feed::Upstreams {
             self.context.set_store_reachable(true);
         }
-        let Some(lost_at) = self.lost_at.take() else {
-            return false;
+        self.context.record_era(revision.era);
+        let is_restored = self.era.is_some_and(|era| era < revision.era);
+        self.era = Some(revision.era);
+        let outage = self.lost_at.take().map(|lost_at| lost_at.elapsed());
+        if let Some(outage) = outage {
+            log::info!(kind = self.feed.kind(), away_ms = outage.as_millis() as u64; "store connection recovered");
+        }
+        let gap = if is_restored {
+            log::warn!(kind = self.feed.kind(), era = revision.era; "store was restored from a copy");
+            Gap::Restored
+        } else if outage.is_some_and(|outage| outage >= OUTAGE_MIN) {
+            Gap::Expired
+        } else {
+            Gap::None
         };
-        let outage = lost_at.elapsed();
-        log::info!(kind = self.feed.kind(), away_ms = outage.as_millis() as u64; "store connection recovered");
-        let may_lapse = self.feed == Feed::Upstreams && outage >= OUTAGE_MIN;
-        if may_lapse {
+        if gap != Gap::None && self.feed == Feed::Upstreams {
             self.lapse_horizon = revision;
             let mut roster = self.context.roster.lock();
             roster.platform_reconnected(Instant::now());
         }
-        may_lapse
+        gap
     }
 
     async fn on_error(&mut self, error: &Error) {
@@ -291,15 +347,18 @@
         sleep(backoff.mul_f64(jitter)).await;
     }
 
-    /// Applies a complete list as of `revision`. `may_lapse` is whether entries may have expired
-    /// during an outage.
-    fn on_list(&mut self, objects: Vec<Object>, revision: u64, may_lapse: bool) {
+    /// Applies a complete list as of `revision`, which may lack what `gap` says.
+    fn on_list(&mut self, objects: Vec<Object>, revision: Revision, gap: Gap) {
         let context = &self.context;
         let newest = objects.iter().map(|object| object.revision).max();
+        let newest = newest.map(|number| Revision { number, ..revision });
         // The revision of the list also covers changes to other kinds, which other daemons would take
         // for a change that they missed. Only a removal leaves no other trace.
-        let mut version = newest.unwrap_or(0);
-        let mut known_to_peers = 0;
+        let mut version = newest.unwrap_or(Revision {
+            number: 0,
+            ..revision
+        });
+        let mut known_to_peers = Revision::default();
         match self.feed {
             Feed::Configuration => {
                 for object in &objects {
@@ -307,9 +366,13 @@
                 }
             }
             Feed::Upstreams => {
-                let upstreams = objects.iter().filter_map(decode_upstream).collect();
+                let upstreams: Vec<_> = objects.iter().filter_map(decode_upstream).collect();
                 let mut roster = context.roster.lock();
-                let removed = roster.replace(upstreams, may_lapse, Instant::now());
+                let upstreams = match gap {
+                    Gap::Restored => roster.without_revived(upstreams),
+                    Gap::None | Gap::Expired => upstreams,
+                };
+                let removed = roster.replace(upstreams, gap != Gap::None, Instant::now());
                 drop(roster);
                 // Other daemons have to learn of an empty list, too.
                 if removed || newest.is_none() {
@@ -321,7 +384,13 @@
             }
             Feed::Evacuations => {
                 let zones = objects.into_iter().filter(|object| !object.deleting);
-                let zones: Set<_> = zones.map(|object| Arc::from(object.name)).collect();
+                let mut zones: Set<_> = zones.map(|object| Arc::from(object.name)).collect();
+                if gap == Gap::Restored {
+                    // The operator writes lost evacuations again.
+                    let known = context.roster.lock().evacuated_zones().clone();
+                    zones.extend(known);
+                    self.relist_at = Some(Instant::now() + RECONNECT_GRACE);
+                }
                 if !context.roster.lock().evacuated_zones().is_subset(&zones) {
                     version = revision;
                 }
@@ -334,15 +403,18 @@
         }
         self.complete_to = revision;
         self.advance(version);
-        log::info!(kind = self.feed.kind(), revision; "listed");
+        log::info!(kind = self.feed.kind(), revision = revision.number, era = revision.era; "listed");
     }
 
-    /// Applies changes, oldest first.
-    fn on_events(&mut self, events: Vec<Event>) {
+    /// Applies changes in an era of the store, oldest first.
+    fn on_events(&mut self, events: Vec<Event>, era: u64) {
         let since = self.complete_to;
         let mut changes = Vec::new();
         for Event { object, deleted } in events {
-            let revision = object.revision;
+            let revision = Revision {
+                era,
+                number: object.revision,
+            };
             self.complete_to = self.complete_to.max(revision);
             // Otherwise, the change was already received from another daemon.
             let is_new = revision > self.known_revision();
@@ -353,7 +425,7 @@
                     }
                 }
                 Feed::Upstreams => {
-                    let change = self.upstream_change(&object, deleted);
+                    let change = self.upstream_change(&object, deleted, revision);
                     if is_new {
                         apply_change(&self.context, &change, revision, Instant::now());
                         self.advance(revision);
@@ -387,7 +459,7 @@
         }
     }
 
-    fn upstream_change(&self, object: &Object, deleted: bool) -> Change {
+    fn upstream_change(&self, object: &Object, deleted: bool, revision: Revision) -> Change {
         let entry = if deleted {
             None
         } else {
@@ -396,7 +468,7 @@
         if let Some(upstream) = entry {
             return Change::Upsert(upstream);
         }
-        let may_lapse = object.revision <= self.lapse_horizon;
+        let may_lapse = revision <= self.lapse_horizon;
         let roster = self.context.roster.lock();
         Change::Remove {
             id: Arc::from(object.name.as_str()),
@@ -418,16 +490,16 @@
     }
 
     /// Returns the newest revision of the feed that this daemon has applied.
-    fn known_revision(&self) -> u64 {
+    fn known_revision(&self) -> Revision {
         let versions = self.context.versions.lock();
         match self.feed {
             Feed::Upstreams => versions.upstreams,
             Feed::Evacuations => versions.evacuations,
-            Feed::Configuration => 0,
+            Feed::Configuration => Revision::default(),
         }
     }
 
-    fn advance(&self, revision: u64) {
+    fn advance(&self, revision: Revision) {
         let mut versions = self.context.versions.lock();
         match self.feed {
             Feed::Upstreams => versions.upstreams = versions.upstreams.max(revision),
@@ -440,18 +512,25 @@
     }
 }
 
+/// Waits until `at`, or forever if there is no time.
+async fn wait_until(at: Option<Instant>) {
+    match at {
+        Some(at) => sleep_until(at).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// Waits until this daemon has lagged behind another one for [`LAG_MAX`].
 async fn wait_until_behind(context: &Context, feed: Feed) {
     let mut peer_versions = context.peer_versions.subscribe();
     loop {
-        let ahead = |peer: u64, own: u64| peer > own;
         let is_behind = || {
             let own = *context.versions.lock();
             let newest = *context.peer_versions.borrow();
             match feed {
-                Feed::Configuration => ahead(newest.configuration, own.configuration),
-                Feed::Upstreams => ahead(newest.upstreams, own.upstreams),
-                Feed::Evacuations => ahead(newest.evacuations, own.evacuations),
+                Feed::Configuration => newest.configuration > own.configuration,
+                Feed::Upstreams => newest.upstreams > own.upstreams,
+                Feed::Evacuations => newest.evacuations > own.evacuations,
             }
         };
         if is_behind() {
@@ -524,7 +603,7 @@
     }
 }
 
-fn apply_change(context: &Context, change: &Change, revision: u64, now: Instant) {
+fn apply_change(context: &Context, change: &Change, revision: Revision, now: Instant) {
     match change {
         Change::Upsert(entry) => {
             log::info!(
@@ -532,14 +611,14 @@
                 service = entry.service.as_ref(),
                 phase:? = entry.phase,
                 cold_ms = entry.cold_ms,
-                revision;
+                revision = revision.number;
                 "upstream changed"
             );
             context.roster.lock().upsert(entry.clone(), now);
             context.queue.wake_all();
         }
         Change::Remove { id, left } => {
-            log::info!(upstream = id.as_ref(), revision, left_ms = left.as_millis() as u64; "upstream removed");
+            log::info!(upstream = id.as_ref(), revision = revision.number, left_ms = left.as_millis() as u64; "upstream removed");
             if left.is_zero() {
                 context.roster.lock().discard(id);
                 forget_upstream(context, id, now);
--- a/crates/primrosehoist-tests/tests/gateway_restarts.rs
+++ b/crates/primrosehoist-tests/tests/gateway_restarts.rs
@@ -14,6 +14,7 @@
 use primrosehoist::coordination::gossip::{Change, Datagram, Info, State, Update};
 use primrosehoist::coordination::{rendezvous, watchers};
 use primrosehoist::protocol::gossip;
+use primrosehoist::state::versions::Revision;
 use serde_json::{Value, json};
 
 /// All daemons lose their state right after a configuration was accepted. They must recover the
@@ -224,9 +225,12 @@
         "",
     );
     let listed: Value = serde_json::from_slice(&listed.body).expect("a list");
-    let revision = listed["StoreRevision"].as_u64().expect("a revision") + 1;
+    let revision = Revision {
+        era: 0,
+        number: listed["StoreRevision"].as_u64().expect("a revision") + 1,
+    };
     send(Datagram::Update(Update {
-        since: 0,
+        since: Revision::default(),
         revision,
         changes: vec![Change::Remove {
             id: Arc::from(id),
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -25,7 +25,7 @@
 use crate::state::occupancy::{Key, Occupancy, Report, Work};
 use crate::state::rate;
 use crate::state::roster::Upstream;
-use crate::state::versions::Versions;
+use crate::state::versions::{Revision, Versions};
 
 /// The longest time between two complete states in a small fleet.
 const STATE_INTERVAL: Duration = Duration::from_millis(250);
@@ -134,9 +134,9 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// The revision after which the changes were made.
-    pub since: u64,
+    pub since: Revision,
     /// The revision of the last change.
-    pub revision: u64,
+    pub revision: Revision,
     /// The changes, oldest first.
     pub changes: Vec<Change>,
 }
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -4,6 +4,7 @@
 //! the platform is unreachable, entries expire although their upstreams are alive. Right after it
 //! reconnects, a missing entry therefore does not prove that its upstream is gone.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +21,9 @@
 /// the bound on requests to an upstream that left may be as short.
 pub const RECONNECT_GRACE: Duration = Duration::from_millis(1900);
 
+/// The number of upstreams that have left and are still known.
+const DEPARTED_MAX: usize = 1024;
+
 /// How long an upstream must have been registered, and its zone in service, before it is assumed to
 /// be warm. Upstreams stay cold for a few seconds.
 pub const WARMUP_TIME: Duration = Duration::from_secs(6);
@@ -129,6 +133,8 @@
     evacuated: Set<Arc<str>>,
     /// When zones returned to service.
     reinstated: Map<Arc<str>, Instant>,
+    /// The upstreams that left last, the latest at the end.
+    departed: VecDeque<Arc<Upstream>>,
     /// Until then, a missing entry does not prove that its upstream is gone.
     grace_until: Option<Instant>,
 }
@@ -157,6 +163,30 @@
         changed
     }
 
+    /// Returns the list of a platform that was restored from a copy without what the copy revives:
+    /// upstreams that have left are not listed, and those that drain still do.
+    pub fn without_revived(&self, upstreams: Vec<Upstream>) -> Vec<Upstream> {
+        let has_left = |upstream: &Upstream| {
+            let mut departed = self.departed.iter();
+            !self.entries.contains_key(&upstream.id)
+                && departed.any(|departed| departed.is_same_process(upstream))
+        };
+        let upstreams = upstreams.into_iter().filter(|upstream| !has_left(upstream));
+        let latest = upstreams.map(|upstream| {
+            let known = self.entries.get(&upstream.id).map(|entry| &entry.upstream);
+            let drains = known.is_some_and(|known| {
+                known.phase == Phase::Draining && known.is_same_process(&upstream)
+            });
+            let phase = if drains {
+                Phase::Draining
+            } else {
+                upstream.phase
+            };
+            Upstream { phase, ..upstream }
+        });
+        latest.collect()
+    }
+
     /// Replaces all entries by those of another daemon. `missing` holds the ids of the ones that are
     /// missing, and for how long they are used nevertheless. One that is missing there and not known
     /// here has left, unless nothing is known here.
@@ -242,8 +272,12 @@
 
     /// Removes an entry whose upstream has left.
     pub fn discard(&mut self, id: &str) {
-        if self.entries.remove(id).is_some() {
+        if let Some(entry) = self.entries.remove(id) {
             self.by_key.remove(&Key::from(id));
+            if self.departed.len() == DEPARTED_MAX {
+                self.departed.pop_front();
+            }
+            self.departed.push_back(entry.upstream);
         }
     }
 
--- a/src/state/versions.rs
+++ b/src/state/versions.rs
@@ -2,15 +2,27 @@
 
 use serde::{Deserialize, Serialize};
 
+/// A revision of the platform's store.
+///
+/// Revisions go back when the store is restored from a copy, and are given out again. Its era rises each
+/// time, so that later revisions are still greater.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Revision {
+    /// The number of times that the store was restored.
+    pub era: u64,
+    /// The number of the revision within the era.
+    pub number: u64,
+}
+
 /// The versions of the platform state that a daemon has applied.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
     /// The version of the configuration.
     pub configuration: u64,
     /// The latest store revision among the changes to upstreams.
-    pub upstreams: u64,
+    pub upstreams: Revision,
     /// The latest store revision among the changes to zones out of service.
-    pub evacuations: u64,
+    pub evacuations: Revision,
 }
 
 impl Versions {
--- a/src/transport/platform/endpoint.rs
+++ b/src/transport/platform/endpoint.rs
@@ -51,13 +51,31 @@
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, Error> {
+        let call = self.call_with_headers(operation, method, path, body, timeout);
+        call.await.map(|(_headers, body)| body)
+    }
+
+    /// Makes a call and returns the headers and the body of the response. `operation` identifies the
+    /// call in errors.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the call fails or does not complete within `timeout`.
+    pub async fn call_with_headers(
+        &self,
+        operation: &str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<(HeaderMap, Bytes), Error> {
         let call = async {
             let (response, connection) = self.send(operation, method, path, body, timeout).await?;
             let (head, body) = response.into_parts();
             let response = read(operation, body).await?;
             self.pool.put_idle(connection);
             check_status(operation, &head)?;
-            Ok(response)
+            Ok((head.headers, response))
         };
         tokio::time::timeout(timeout, call)
             .await
--- a/tests/gossip_exchange/main.rs
+++ b/tests/gossip_exchange/main.rs
@@ -11,11 +11,16 @@
 use primrosehoist::protocol::gossip::encode;
 use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::occupancy::Occupancy;
-use primrosehoist::state::versions::Versions;
+use primrosehoist::state::versions::{Revision, Versions};
 use tokio::time::Instant;
 
 use fleet::{Cut, Fleet, SETTLE_TIME, STEP, address, load, upstream, zone};
 
+/// Returns a revision of the store's first era.
+fn revision(number: u64) -> Revision {
+    Revision { era: 0, number }
+}
+
 /// A fleet of each scope.
 fn fleets(seed: u64) -> [Fleet; 2] {
     [
@@ -84,7 +89,7 @@
     for mut fleet in fleets(4) {
         fleet.run(Duration::from_secs(2));
         fleet.loss = 0.05;
-        fleet.daemons[5].info.versions.upstreams = 9;
+        fleet.daemons[5].info.versions.upstreams = revision(9);
         fleet.daemons[5].has_changed = true;
         let changed = fleet.now;
         loop {
@@ -99,14 +104,14 @@
                     .ahead_of(&own, &Set::default(), 0.5, fleet.now)
                     .is_some()
                 {
-                    daemon.info.versions.upstreams = 9;
+                    daemon.info.versions.upstreams = revision(9);
                     daemon.has_changed = true;
                 }
             }
             let behind = fleet
                 .daemons
                 .iter()
-                .filter(|d| d.info.versions.upstreams != 9);
+                .filter(|d| d.info.versions.upstreams != revision(9));
             if behind.count() == 0 {
                 break;
             }
@@ -181,7 +186,7 @@
 fn a_daemon_without_state_asks_one_that_is_not_behind() {
     let mut fleet = Fleet::new(6, 1, 4, 8);
     for (index, version) in [(1, 3), (2, 4), (3, 4), (4, 2)] {
-        fleet.daemons[index].info.versions.upstreams = version;
+        fleet.daemons[index].info.versions.upstreams = revision(version);
     }
     fleet.run(Duration::from_secs(1));
     let peers = &fleet.daemons[0].exchange.peers;
@@ -191,7 +196,7 @@
         assert!(chosen == Some(address(2)) || chosen == Some(address(3)));
         // One that has some state may ask any that has a newer one, so that all do not ask the same.
         let own = Versions {
-            upstreams: 2,
+            upstreams: revision(2),
             ..Versions::default()
         };
         assert_ne!(
@@ -221,7 +226,7 @@
             fleet.daemons[0].info.crashes.push((crash, crash, 0));
             assert_eq!(tell(&mut fleet), 0);
         }
-        fleet.daemons[0].info.versions.upstreams += 1;
+        fleet.daemons[0].info.versions.upstreams.number += 1;
         assert_eq!(tell(&mut fleet), 1);
     }
 }
@@ -364,12 +369,12 @@
     // Daemons 2 and 4 are in the zone of daemon 0.
     let mut fleet = Fleet::new(6, 2, 4, 9);
     for daemon in &mut fleet.daemons[1..] {
-        daemon.info.versions.upstreams = 2;
+        daemon.info.versions.upstreams = revision(2);
     }
     fleet.run(Duration::from_secs(1));
     let peers = &fleet.daemons[0].exchange.peers;
     let own = Versions {
-        upstreams: 1,
+        upstreams: revision(1),
         ..Versions::default()
     };
     let ahead = |tried: &Set<_>, random| peers.ahead_of(&own, tried, random, fleet.now);
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -14,7 +14,7 @@
 use primrosehoist::state::map::Map;
 use primrosehoist::state::occupancy::{Key, LatencyClass, Load, Occupancy, REPORT_TTL, Work};
 use primrosehoist::state::rate;
-use primrosehoist::state::versions::Versions;
+use primrosehoist::state::versions::{Revision, Versions};
 use tokio::time::Instant;
 
 fn load(latency_class: Option<LatencyClass>, prefill_ms: f32, memory_tokens: u32) -> Load {
@@ -176,13 +176,17 @@
     assert_eq!(own.work("u").running(), 0);
 }
 
+fn revision(number: u64) -> Revision {
+    Revision { era: 3, number }
+}
+
 fn messages() -> Vec<Datagram> {
     let info = Info {
         status: Status::Following,
         versions: Versions {
             configuration: 7,
-            upstreams: 8,
-            evacuations: 9,
+            upstreams: revision(8),
+            evacuations: revision(9),
         },
         avoided: vec![Arc::from("u2")],
         leaving: vec![(Key::from("u3"), 5)],
@@ -242,8 +246,8 @@
             members: Some(vec![("10.0.0.1".parse().expect("an address"), host)]),
         }),
         Datagram::Update(Update {
-            since: 10,
-            revision: 12,
+            since: revision(10),
+            revision: revision(12),
             changes: vec![Change::Remove {
                 id: Arc::from("u"),
                 left: Duration::from_millis(1500),
--- a/tests/roster_rules.rs
+++ b/tests/roster_rules.rs
@@ -5,6 +5,7 @@
 
 use primrosehoist::state::map::Set;
 use primrosehoist::state::roster::{Phase, RECONNECT_GRACE, Roster, Upstream};
+use primrosehoist::state::versions::{Revision, Versions};
 use tokio::time::Instant;
 
 fn upstream(id: &str, zone: &str) -> Upstream {
@@ -207,3 +208,50 @@
         assert_eq!(ids(&roster, now + Duration::from_secs(2)), ["b"]);
     }
 }
+
+#[test]
+fn a_copy_of_the_list_neither_revives_an_upstream_that_left_nor_one_that_drains() {
+    let now = Instant::now();
+    let process = |id: &str, started_ms, phase| Upstream {
+        started_ms: Some(started_ms),
+        phase,
+        ..upstream(id, "z")
+    };
+    let mut roster = Roster::default();
+    for id in ["left", "drains", "ready"] {
+        roster.upsert(process(id, 1, Phase::Ready), now);
+    }
+    roster.upsert(process("drains", 1, Phase::Draining), now);
+    roster.discard("left");
+    let copy = ["left", "drains", "ready", "new"].map(|id| process(id, 1, Phase::Ready));
+    let listed = roster.without_revived(copy.to_vec());
+    let phases: Vec<_> = listed
+        .iter()
+        .map(|upstream| (upstream.id.as_ref(), upstream.phase))
+        .collect();
+    let expected = [
+        ("drains", Phase::Draining),
+        ("ready", Phase::Ready),
+        ("new", Phase::Ready),
+    ];
+    assert_eq!(phases, expected);
+    // Another process under the same id is not meant.
+    let next = ["left", "drains"]
+        .map(|id| process(id, 2, Phase::Ready))
+        .to_vec();
+    assert_eq!(roster.without_revived(next.clone()), next);
+}
+
+#[test]
+fn a_revision_of_a_later_era_is_newer_whatever_its_number() {
+    let revision = |era, number| Revision { era, number };
+    assert!(revision(1, 0) > revision(0, u64::MAX));
+    assert!(revision(1, 2) > revision(1, 1));
+    let versions = |era, number| Versions {
+        upstreams: revision(era, number),
+        ..Versions::default()
+    };
+    assert!(versions(1, 3).is_ahead_of(&versions(0, 40)));
+    assert!(!versions(0, 40).is_ahead_of(&versions(1, 3)));
+    assert_eq!(versions(1, 3).merge(&versions(0, 40)), versions(1, 3));
+}
