--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -21,6 +21,7 @@
 
 use super::context::Context;
 use super::permit;
+use super::registration;
 use super::store_sync;
 
 /// The longest time between two messages in a small fleet.
@@ -263,7 +264,7 @@
             .list_stale(primrosehoist_platform::daemon::KIND)
             .await
         {
-            Ok((objects, _revision)) => store_sync::add_daemons(&context, &objects),
+            Ok((objects, _revision)) => registration::add_daemons(&context, &objects),
             Err(error) => log::info!(error:%; "failed to list the daemons"),
         }
         sleep(REFRESH_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod permit;
 mod placement;
 mod queue;
+mod registration;
 mod reload;
 mod reservation;
 mod selection;
@@ -169,7 +170,7 @@
     for feed in [Feed::Configuration, Feed::Upstreams, Feed::Evacuations] {
         tokio::spawn(store_sync::follow(Arc::clone(&context), feed));
     }
-    tokio::spawn(store_sync::join(Arc::clone(&context)));
+    tokio::spawn(registration::join(Arc::clone(&context)));
     tokio::spawn(store_sync::ping(Arc::clone(&context)));
     tokio::spawn(gossip::send(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(gossip::query(Arc::clone(&context), Arc::clone(&socket)));
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -1,5 +1,4 @@
-//! Follows the platform's store: the configuration, the upstreams and the evacuated zones. Also
-//! registers this daemon there and lists the others.
+//! Follows the platform's store: the configuration, the upstreams and the evacuated zones.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -12,7 +11,7 @@
 use primrosehoist::state::versions::Revision;
 use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::object::{Event, Object};
-use primrosehoist_platform::{config, daemon, upstream};
+use primrosehoist_platform::{config, upstream};
 use serde_json::Value;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -51,13 +50,6 @@
 /// daemons before it reads the store itself.
 const PEER_STATE_WAIT: Duration = Duration::from_secs(1);
 
-/// The longest random delay before a daemon registers again in a store that was restored from a copy, so
-/// that the daemons do not all do so at once.
-const REGISTER_JITTER_MAX: Duration = Duration::from_secs(1);
-
-/// The delay after a failed registration.
-const REGISTER_RETRY_DELAY: Duration = Duration::from_millis(700);
-
 /// A kind of object that is followed in the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Feed {
@@ -76,74 +68,6 @@
     }
 }
 
-/// Registers this daemon in the store and lists the registered daemons, for as long as the process runs:
-/// again whenever the store was restored from a copy. An entry of an earlier start serves as well, and then
-/// the others may be known a little late.
-///
-/// Because each daemon registers before it lists, of two daemons that start concurrently at least
-/// one finds the other.
-pub(crate) async fn join(context: Arc<Context>) {
-    let mut era = register(&context).await;
-    loop {
-        context.set_joined();
-        context.wait_later_era(era).await;
-        sleep(REGISTER_JITTER_MAX.mul_f64(rand::random::<f64>())).await;
-        log::info!(era; "registering again, since the store was restored");
-        era = register(&context).await;
-    }
-}
-
-/// Registers this daemon and lists the others; returns the era of the store.
-async fn register(context: &Context) -> u64 {
-    let settings = &context.settings;
-    let spec = daemon::encode(settings.address, &settings.zone);
-    let store = || context.store.load_full();
-    let is_own = |object: &Object| object.name == *settings.host && object.spec == spec;
-    match store().list_stale(daemon::KIND).await {
-        Ok((objects, revision)) if objects.iter().any(is_own) && !context.has_joined() => {
-            add_daemons(context, &objects);
-            return revision.era;
-        }
-        Ok(_) => {}
-        Err(error) => log::info!(error:%; "failed to list the daemons"),
-    }
-    while let Err(error) = store().put(daemon::KIND, &settings.host, &spec).await {
-        log::warn!(error:%; "registration failed");
-        sleep(REGISTER_RETRY_DELAY).await;
-    }
-    loop {
-        match store().list(daemon::KIND).await {
-            Ok((objects, revision)) => {
-                add_daemons(context, &objects);
-                return revision.era;
-            }
-            Err(error) => {
-                log::warn!(error:%; "failed to list the daemons");
-                sleep(REGISTER_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-/// Adds the daemons of a list.
-pub(crate) fn add_daemons(context: &Context, objects: &[Object]) {
-    let now = Instant::now();
-    let mut exchange = context.exchange.lock();
-    for object in objects {
-        match daemon::decode(object) {
-            Ok(entry) => {
-                let host = Arc::from(object.name.as_str());
-                if exchange.peers.add(&host, &entry.zone, entry.address, now) {
-                    log::info!(host = host.as_ref(), zone = entry.zone.as_ref(), address:% = entry.address; "daemon discovered");
-                }
-            }
-            Err(error) => {
-                log::warn!(host = object.name.as_str(), error:%; "invalid daemon entry");
-            }
-        }
-    }
-}
-
 /// Waits until this daemon should read the store at startup: it is assigned to follow it, or has got
 /// no state from other daemons.
 async fn wait_to_start(context: &Context) {
