Ask for no permit that is known to be denied

Change: the time for which a request may wait for a permit is at most the advance, so that a denial closes the upstream until a permit can be had.

Evidence: denied_requests_do_not_ask_again_... failed before (110,792 permits asked for by 12 clients of one daemon in 6 s) and passes.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -160,8 +160,7 @@
                     return Err(self.unanswered("deferred"));
                 }
             };
-            let permit_wait_max = patience.for_permit();
-            if !permit::acquire(context, job, &placement, permit_wait_max).await {
+            if !permit::acquire(context, job, &placement, patience.for_permit()).await {
                 continue;
             }
             if !placement.tickets.is_empty() {
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -5,6 +5,7 @@
 
 use primrosehoist::coordination::assign::{self, Candidate, Choice};
 use primrosehoist::coordination::peers::Scope;
+use primrosehoist::coordination::permit;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::occupancy::Load;
 use primrosehoist::state::partition::Partitions;
@@ -82,7 +83,7 @@
     /// Returns how long the request may wait for a permit from now on.
     pub(crate) fn for_permit(&self) -> Duration {
         let left = self.give_up_at.saturating_duration_since(Instant::now());
-        left.mul_f64(PERMIT_TIME_SHARE)
+        left.mul_f64(PERMIT_TIME_SHARE).min(permit::ADVANCE_MAX)
     }
 }
 
--- a/crates/primrosehoist-tests/tests/upstream_limits.rs
+++ b/crates/primrosehoist-tests/tests/upstream_limits.rs
@@ -6,7 +6,7 @@
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
-use common::platform::{Deployment, Request, Response, send};
+use common::platform::{Deployment, Request, Response, call, send};
 use common::scripted::{Received, Requests, Script, start, success};
 
 const BODY: &str = "Content-Length: 4\r\n\r\ndone";
@@ -210,6 +210,25 @@
     assert!(more <= 2, "{more}");
 }
 
+#[test]
+fn denied_requests_do_not_ask_again_before_the_time_that_they_were_told() {
+    let (deployment, _requests) = start(1, |received| answer(received, "Server-Limit: 0.6\r\n"));
+    let responses = press(&deployment, "/bad-look/1", Duration::from_secs(6));
+    let metrics = call(&deployment.daemons[0].metrics, "GET", "/metrics", "");
+    let metrics = String::from_utf8_lossy(&metrics.body).into_owned();
+    let asked = metrics
+        .lines()
+        .filter(|line| line.starts_with("primrosehoist_permits_total{"));
+    let asked: f64 = asked
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum();
+    // Each request may ask both upstreams, and once more when a permit was near.
+    assert!(
+        asked > 0.0 && asked <= 4.0 * responses.len() as f64,
+        "{asked}"
+    );
+}
+
 #[test]
 fn unreadable_limits_and_those_in_answers_to_other_requests_are_ignored() {
     const SCRIPTS: [Script; 2] = [
--- a/src/coordination/permit.rs
+++ b/src/coordination/permit.rs
@@ -31,7 +31,7 @@
 
 /// The longest time for which permits are handed out in advance. Whoever takes over does not know of
 /// these.
-const ADVANCE_MAX: Duration = Duration::from_secs(1);
+pub const ADVANCE_MAX: Duration = Duration::from_secs(1);
 
 /// The longest interval between two permits.
 const INTERVAL_MAX: Duration = Duration::from_secs(60);
