Count booked permits whatever the limit becomes

An upstream whose limit alternates, or whose answers overtake each other, could get a multiple of it.

Change: the ledger keeps the number of permits that were handed out in advance, which falls at the rate in force, instead of the time at which the next one is due.

--- a/src/coordination/permit.rs
+++ b/src/coordination/permit.rs
@@ -33,8 +33,8 @@
 /// these.
 pub const ADVANCE_MAX: Duration = Duration::from_secs(1);
 
-/// The longest interval between two permits.
-const INTERVAL_MAX: Duration = Duration::from_secs(60);
+/// The longest time after which a request is told to ask again.
+const WAIT_MAX: Duration = Duration::from_secs(60);
 
 /// Asks another daemon for a permit.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -89,9 +89,12 @@
 /// The permits of one upstream.
 #[derive(Debug, Clone, Copy)]
 struct Bucket {
-    interval: Duration,
-    /// When the next permit is due if none was saved up.
-    due: Instant,
+    /// The permits that were handed out in advance; negative if some were saved up.
+    ahead: f64,
+    /// When `ahead` was determined.
+    at: Instant,
+    /// The rate since then.
+    rate: f64,
 }
 
 /// The permits that this daemon hands out.
@@ -105,23 +108,22 @@
     /// request can wait for `patience`. So requests queue here, in the order of their queries, and no
     /// longer than it is of use.
     pub fn draw(&mut self, upstream: Key, rate: f64, patience: Duration, now: Instant) -> Permit {
-        let interval = Duration::try_from_secs_f64(1.0 / rate).unwrap_or(INTERVAL_MAX);
-        let interval = interval.min(INTERVAL_MAX);
         let new = Bucket {
-            interval,
-            due: now + BURST,
+            ahead: 0.0,
+            at: now,
+            rate,
         };
         let bucket = self.buckets.entry(upstream).or_insert(new);
-        if interval < bucket.interval {
-            // Permits at the higher rate do not wait for one at the lower rate.
-            bucket.due = bucket.due.min(now + BURST + interval);
-        }
-        bucket.interval = interval;
-        let wait = bucket.due.saturating_duration_since(now + BURST);
+        let passed = now.saturating_duration_since(bucket.at);
+        let saved_max = rate * BURST.as_secs_f64();
+        bucket.ahead = (bucket.ahead - bucket.rate * passed.as_secs_f64()).max(-saved_max);
+        bucket.at = now;
+        bucket.rate = rate;
+        let wait = Duration::try_from_secs_f64(bucket.ahead.max(0.0) / rate).unwrap_or(WAIT_MAX);
         if wait > patience.min(ADVANCE_MAX) {
-            return Permit::Denied(wait);
+            return Permit::Denied(wait.min(WAIT_MAX));
         }
-        bucket.due = bucket.due.max(now) + interval;
+        bucket.ahead += 1.0;
         Permit::Granted(wait)
     }
 
