--- a/review/harness/cases/mod.rs
+++ b/review/harness/cases/mod.rs
@@ -1,10 +1,10 @@
 //! The cases, and what they share.
 
 pub mod list;
+pub mod restored;
 pub mod shutdown;
 pub mod silence;
 pub mod tainted;
-pub mod tenants;
 
 use std::io::Write;
 use std::net::SocketAddr;
--- a/review/harness/main.rs
+++ b/review/harness/main.rs
@@ -43,10 +43,10 @@
     let temporary = PathBuf::from(temporary);
     record.line(format!("case {case}, disruption: {trouble}"));
     let outcome = match case.as_str() {
+        "restored" => cases::restored::run(&temporary, &record, trouble),
         "shutdown" => cases::shutdown::run(&temporary, &record, trouble),
         "list" => cases::list::run(&temporary, &record, trouble),
         "tainted" => cases::tainted::run(&temporary, &record, trouble),
-        "tenants" => cases::tenants::run(&temporary, &record, trouble),
         "silence" => cases::silence::run(&temporary, &record, trouble),
         _ => Outcome::CannotRun(format!("unknown case {case}")),
     };
