Confirm watches of the store by its latest revision

Cause: a watch that the store never answers looks like one without a change. Only an outage that a ping falls into restarted the watches, and the pause before the next watch was the same on all daemons, so that one short silence took the watches of all of them.

Ruled out: that other daemons knew the change and did not tell it (none had a watch left); that only configurations are concerned (drains and evacuations were missed the same way). Pings more often would only move the border.

Change: pings ask for the store's latest revision, so often that half of the shortest staleness bound is kept. A follower whose watch has reported nothing up to there asks for the changes of its kind since, without waiting and from stale data where that is recent enough. If there are any, it applies them and restarts the watch. The pause before the next watch is jittered.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -22,10 +22,11 @@
 use primrosehoist::state::rate;
 use primrosehoist::state::roster::{Roster, Upstream};
 use primrosehoist::state::route::Table;
-use primrosehoist::state::versions::Versions;
+use primrosehoist::state::versions::{Revision, Versions};
 use primrosehoist::transport::http::body::Budget;
 use primrosehoist::transport::http::upstream::Pool;
 use primrosehoist_platform::settings::Settings;
+use primrosehoist_platform::store::Freshness;
 use primrosehoist_platform::{header, store};
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
@@ -115,6 +116,10 @@
     pub(crate) configuration: Mutex<Compressed>,
     /// The latest era of the store that this daemon knows of.
     pub(crate) store_era: watch::Sender<u64>,
+    /// The latest revision of the store that this daemon knows of.
+    pub(crate) store_revision: watch::Sender<Revision>,
+    /// When the store last told its latest revision.
+    store_revision_at: Mutex<Instant>,
     /// When the store or another daemon was last heard from.
     pub(crate) last_contact: Mutex<Instant>,
     /// The memory budget for request bodies.
@@ -170,6 +175,8 @@
             store_reachable: watch::Sender::new(true),
             store_recoveries: watch::Sender::new(0),
             store_era: watch::Sender::new(0),
+            store_revision: watch::Sender::new(Revision::default()),
+            store_revision_at: Mutex::new(Instant::now()),
             configuration: Mutex::default(),
             last_contact: Mutex::new(Instant::now()),
             body_budget: Budget::new(settings.memory_mb * BODY_BUDGET_BYTES_PER_MB),
@@ -209,6 +216,31 @@
         });
     }
 
+    /// Records a revision of the store that a response has told, as recent as `freshness` says.
+    pub(crate) fn record_revision(&self, revision: Revision, freshness: Freshness) {
+        self.record_era(revision.era);
+        if freshness == Freshness::Latest {
+            *self.store_revision_at.lock() = Instant::now();
+        }
+        self.store_revision.send_if_modified(|latest| {
+            let is_later = *latest < revision;
+            *latest = revision.max(*latest);
+            is_later
+        });
+    }
+
+    /// Returns the time since the store last told its latest revision.
+    pub(crate) fn store_revision_age(&self) -> Duration {
+        self.store_revision_at.lock().elapsed()
+    }
+
+    /// Waits until the store is known to have a later revision than `revision`.
+    pub(crate) async fn wait_later_revision(&self, revision: Revision) {
+        let mut latest = self.store_revision.subscribe();
+        // The sender lives as long as `self`.
+        let _closed = latest.wait_for(|latest| *latest > revision).await.is_err();
+    }
+
     /// Waits until the store is known to be in a later era than `era`.
     pub(crate) async fn wait_later_era(&self, era: u64) {
         let mut latest = self.store_era.subscribe();
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -11,7 +11,8 @@
 use primrosehoist::state::versions::Revision;
 use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::object::{Event, Object};
-use primrosehoist_platform::{config, upstream};
+use primrosehoist_platform::store::Freshness;
+use primrosehoist_platform::{config, store, upstream};
 use serde_json::Value;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
@@ -20,7 +21,7 @@
 /// How long the store holds a watch without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
-/// The longest interval between pings of the store; jitter shortens it by up to a half. A change must
+/// The longest interval between pings of the store; jitter shortens it by up to a quarter. A change must
 /// take effect within a few seconds although the store has stopped to answer all daemons that follow
 /// it.
 const PING_INTERVAL_MAX: Duration = Duration::from_secs(1);
@@ -38,9 +39,13 @@
 /// usually arrives within this time.
 const LAG_MAX: Duration = Duration::from_millis(400);
 
-/// The pause after changes before the next watch. Changes often come in bursts, and each answered
-/// watch is a call.
-const WATCH_PAUSE: Duration = Duration::from_millis(250);
+/// The longest pause after changes before the next watch; jitter shortens it by up to a half, so that
+/// the daemons do not all lose their watches in the same moment. Changes often come in bursts, and each answered watch
+/// is a call.
+const WATCH_PAUSE_MAX: Duration = Duration::from_millis(250);
+
+/// How long a watch may take to report what another response of the store has already included.
+const WATCH_LAG_MAX: Duration = Duration::from_millis(250);
 
 /// The longest time for which a starting daemon waits for the list of daemons, which tells whether it
 /// is assigned to follow the store.
@@ -117,21 +122,26 @@
 
 /// Pings the store periodically for as long as the process runs.
 ///
-/// A watch that the store lost during an outage cannot be told from one without a change. So when
-/// the store responds again, all watches are restarted, on new connections. While it does not respond,
-/// another daemon is assigned to follow it.
+/// A watch that the store has lost cannot be told from one without a change. So pings ask for the
+/// latest revision of the store, up to which each follower confirms that it has missed nothing. When the
+/// store responds again after an outage, all watches are restarted, on new connections. While it does not
+/// respond, another daemon is assigned to follow it.
 pub(crate) async fn ping(context: Arc<Context>) {
     let mut lost_at: Option<Instant> = None;
     let mut known_era = None;
     let mut interval = PING_INTERVAL_MAX;
     loop {
         context.wait_follows_store(true).await;
-        let jitter = 0.5 + f64::from(rand::random::<u16>()) / f64::from(u16::MAX) / 2.0;
-        sleep(interval.mul_f64(jitter)).await;
+        sleep(jittered(interval, 0.25)).await;
         interval = PING_INTERVAL_MAX;
         let store = context.store.load_full();
-        match (store.ping(upstream::EVACUATION_KIND).await, lost_at) {
-            (Ok(era), None) => {
+        let freshness = ping_freshness(&context);
+        let revision = store.ping(upstream::EVACUATION_KIND, freshness).await;
+        if let Ok(revision) = revision {
+            context.record_revision(revision, freshness);
+        }
+        match (revision, lost_at) {
+            (Ok(Revision { era, .. }), None) => {
                 let is_restored = known_era.is_some_and(|known| known < era);
                 known_era = Some(era);
                 if is_restored {
@@ -140,7 +150,7 @@
                 }
             }
             (Err(_), Some(_)) => {}
-            (Ok(era), Some(since)) => {
+            (Ok(Revision { era, .. }), Some(since)) => {
                 known_era = Some(era);
                 let away_ms = since.elapsed().as_millis() as u64;
                 log::info!(away_ms; "store recovered; restarting watches");
@@ -160,6 +170,24 @@
     }
 }
 
+/// Returns how recent the response to the next ping must be, so that a change is noticed in time although
+/// the watches of all daemons were lost: within half of the shortest staleness bound.
+fn ping_freshness(context: &Context) -> Freshness {
+    let bounds = context.bounds.load();
+    let shortest = bounds.config_apply_max.min(bounds.drain_max);
+    let age_max = shortest.min(bounds.evacuation_max) / 2;
+    if context.store_revision_age() + PING_INTERVAL_MAX > age_max {
+        Freshness::Latest
+    } else {
+        Freshness::Stale
+    }
+}
+
+/// Shortens `duration` at random by up to the share `jitter`.
+fn jittered(duration: Duration, jitter: f64) -> Duration {
+    duration.mul_f64(1.0 - jitter * rand::random::<f64>())
+}
+
 struct Follower {
     context: Arc<Context>,
     feed: Feed,
@@ -195,8 +223,14 @@
         loop {
             let context = Arc::clone(&self.context);
             let store = context.store.load_full();
+            let watch = store.watch(self.feed.kind(), revision, WATCH_TIMEOUT);
             let watched = tokio::select! {
-                watched = store.watch(self.feed.kind(), revision, WATCH_TIMEOUT) => watched,
+                watched = watch => watched,
+                missed = missed_changes(&context, &store, self.feed, revision) => {
+                    // Its connection may be dead, and so may others.
+                    store.close_idle();
+                    missed
+                }
                 () = wait_until_behind(&context, self.feed) => {
                     log::info!(kind = self.feed.kind(), revision:?; "watch lags behind other daemons; listing again");
                     store.close_idle();
@@ -215,7 +249,7 @@
                     self.on_events(events, latest.era);
                     revision = revision.max(latest);
                     if any {
-                        sleep(WATCH_PAUSE).await;
+                        sleep(jittered(WATCH_PAUSE_MAX, 0.5)).await;
                     }
                 }
                 Err(Error::Gone { .. }) => {
@@ -234,7 +268,7 @@
         if self.feed == Feed::Upstreams {
             self.context.set_store_reachable(true);
         }
-        self.context.record_era(revision.era);
+        self.context.record_revision(revision, Freshness::Latest);
         let is_restored = self.era.is_some_and(|era| era < revision.era);
         self.era = Some(revision.era);
         let outage = self.lost_at.take().map(|lost_at| lost_at.elapsed());
@@ -267,8 +301,7 @@
         }
         let backoff = (BACKOFF_MIN * (1 << self.failures.min(4))).min(BACKOFF_MAX);
         self.failures += 1;
-        let jitter = 0.5 + f64::from(rand::random::<u16>()) / f64::from(u16::MAX) / 2.0;
-        sleep(backoff.mul_f64(jitter)).await;
+        sleep(jittered(backoff, 0.5)).await;
     }
 
     /// Applies a complete list as of `revision`, which may lack what `gap` says.
@@ -444,6 +477,43 @@
     }
 }
 
+/// Waits until a watch from `revision` has been lost; returns the changes that it did not report, or the
+/// error that shows that a list is needed.
+///
+/// The watch has missed nothing up to the latest revision of the store if there is no change of its
+/// kind up to there, which a stale response may tell as well.
+async fn missed_changes(
+    context: &Context,
+    store: &store::Client,
+    feed: Feed,
+    revision: Revision,
+) -> Result<(Vec<Event>, Revision), Error> {
+    let kind = feed.kind();
+    let mut confirmed = revision;
+    loop {
+        context.wait_later_revision(confirmed).await;
+        sleep(WATCH_LAG_MAX).await;
+        let latest = *context.store_revision.borrow();
+        let stale = store.changes(kind, confirmed, Freshness::Stale).await;
+        let changes = match stale {
+            Ok((events, seen)) if seen >= latest => Ok((events, seen)),
+            _ => store.changes(kind, confirmed, Freshness::Latest).await,
+        };
+        match changes {
+            Ok((events, seen)) if events.is_empty() => confirmed = confirmed.max(seen),
+            Ok((events, seen)) => {
+                log::warn!(kind, revision:? = confirmed, changes = events.len(); "watch was lost; restarting it");
+                return Ok((events, seen));
+            }
+            Err(error @ Error::Gone { .. }) => return Err(error),
+            Err(error) => {
+                log::info!(kind, error:%; "failed to confirm a watch");
+                sleep(jittered(BACKOFF_MAX, 0.5)).await;
+            }
+        }
+    }
+}
+
 /// Waits until this daemon has lagged behind another one for [`LAG_MAX`].
 async fn wait_until_behind(context: &Context, feed: Feed) {
     let mut peer_versions = context.peer_versions.subscribe();
--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -33,9 +33,10 @@
   --help            prints this text
   --version         prints the version
 
-POST /standin/faults sets {\"mode\":\"none|busy|silent\",\"also_only\":bool,\"lose_writes\":bool}:
-busy responds 429, silent never responds, also_only limits the mode to the second address, and
-lose_writes performs writes but closes the connection without a response.
+POST /standin/faults sets {\"mode\":\"none|busy|silent\",\"also_only\":bool,\"lose_writes\":bool,
+\"lose_watches\":bool}: busy responds 429, silent never responds, also_only limits the mode to the second
+address, lose_writes performs writes but closes the connection without a response, and lose_watches
+never responds to the watches that arrive.
 POST /standin/forget drops the history. POST /standin/copy keeps a copy of the store, and
 POST /standin/restore goes back to it: what was written since is gone, and Store-Era rises by one.
 GET /standin/counts returns the number of calls.
@@ -89,6 +90,7 @@
     mode: Mode,
     also_only: bool,
     lose_writes: bool,
+    lose_watches: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -188,7 +190,11 @@
     };
     let (kind, name) = object.split_once('/').unwrap_or((object, ""));
     if parts.method == Method::GET {
-        return Ok(match parameter(&query, "Watch") {
+        let watched = parameter(&query, "Watch");
+        if watched.is_some() && faults.lose_watches {
+            return std::future::pending().await;
+        }
+        return Ok(match watched {
             Some(revision) => store.watch(kind, &revision, &query).await,
             None if name.is_empty() => store.list(kind, &query),
             None => store.get(kind, name),
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/lost_watches.rs
@@ -0,0 +1,95 @@
+//! Tests that a daemon notices when the store never answers a watch, although it answers all other calls.
+
+mod common;
+
+use std::time::Duration;
+
+use common::platform::{Deployment, Request, configuration, send};
+use serde_json::{Value, json};
+
+/// The time within which a change is in force.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// Starts a deployment whose daemons have all lost their watches of `kind` a while ago. `change` writes an
+/// object of that kind, which answers the watches that were sent before.
+fn start_with_lost_watches<C>(change: C) -> Deployment
+where
+    C: FnOnce(&Deployment),
+{
+    let deployment = Deployment::ready(2);
+    deployment.set_store_faults(&json!({"lose_watches": true}));
+    change(&deployment);
+    // All daemons have sent the next watch, which the store loses.
+    std::thread::sleep(Duration::from_millis(600));
+    deployment.set_store_faults(&json!({}));
+    // The staleness bounds hold again after this time.
+    std::thread::sleep(Duration::from_secs(3));
+    deployment
+}
+
+/// Returns a configuration whose only workspace has `key`.
+fn configuration_with_key(version: u64, key: &str) -> Value {
+    let mut spec = configuration(version);
+    spec["Tenants"][0]["ApiKeys"] = json!([key]);
+    spec
+}
+
+/// Returns whether any daemon sends requests to one of the first `count` runners.
+fn any_uses_first_runners(deployment: &Deployment, count: usize) -> bool {
+    let mut requests = deployment.daemons.iter().flat_map(|daemon| {
+        // Requests with different bodies are spread over the runners.
+        (0..8).map(|number| {
+            let request = Request {
+                body: format!("body {number}").into_bytes(),
+                ..Request::new("GET", "/look/1")
+            };
+            assert_eq!(send(&daemon.ingress, &request).status, 200);
+            deployment.runs(&request.id)[0].0 < count
+        })
+    });
+    requests.any(|uses| uses)
+}
+
+/// Guards against a configuration that is late on all daemons after a short silence of the store.
+#[test]
+fn configuration_takes_effect_in_time_after_a_watch_was_lost() {
+    let deployment = start_with_lost_watches(|deployment| {
+        deployment.configure(&configuration_with_key(2, "second-key"));
+    });
+    deployment.configure(&configuration_with_key(3, "third-key"));
+    std::thread::sleep(APPLY_TIME);
+    for daemon in &deployment.daemons {
+        let status = |key| {
+            let request = Request {
+                key,
+                ..Request::new("GET", "/look/1")
+            };
+            send(&daemon.ingress, &request).status
+        };
+        assert_eq!((status("second-key"), status("third-key")), (401, 200));
+    }
+}
+
+/// Guards against requests to a runner that drains after a short silence of the store.
+#[test]
+fn draining_runner_gets_no_requests_after_a_watch_was_lost() {
+    let deployment = start_with_lost_watches(|deployment| {
+        let mut entry = deployment.entry(2, "ready");
+        entry["Slots"] = json!(8);
+        deployment.put("servers", &deployment.runners[2].id, &entry);
+    });
+    deployment.register(0, "draining");
+    std::thread::sleep(APPLY_TIME);
+    assert!(!any_uses_first_runners(&deployment, 1));
+}
+
+/// Guards against requests to a zone that is evacuated after a short silence of the store.
+#[test]
+fn evacuated_zone_gets_no_requests_after_a_watch_was_lost() {
+    let deployment = start_with_lost_watches(|deployment| {
+        deployment.put("evacuations", "zone-c", &json!({}));
+    });
+    deployment.put("evacuations", "zone-a", &json!({}));
+    std::thread::sleep(APPLY_TIME);
+    assert!(!any_uses_first_runners(&deployment, 2));
+}
