Take the first page of a list for what it is complete up to

Cause: after a list the daemon held the newest revision among all its objects for the version up to which it knew everything, and skipped the changes up to there that its watch reported. A change to an object of an earlier page that comes before the newest one shown by a later page was skipped for good. In the same way, a list that was older than what another daemon had reported undid that, while the version stayed the newer one.

Ruled out: that the watch starts too late (it starts at the first page).

Change: the version after a list is that of the newest change up to its first page; a list older than what is known is ignored (versions::after_list). Lists of evacuations are read by the same code and had the same fault.

--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -8,7 +8,7 @@
 use primrosehoist::protocol::snapshot::Compressed;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::roster::RECONNECT_GRACE;
-use primrosehoist::state::versions::Revision;
+use primrosehoist::state::versions::{self, Revision};
 use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::object::{Event, Object};
 use primrosehoist_platform::store::Freshness;
@@ -307,14 +307,18 @@
     /// Applies a complete list as of `revision`, which may lack what `gap` says.
     fn on_list(&mut self, objects: Vec<Object>, revision: Revision, gap: Gap) {
         let context = &self.context;
-        let newest = objects.iter().map(|object| object.revision).max();
-        let newest = newest.map(|number| Revision { number, ..revision });
-        // The revision of the list also covers changes to other kinds, which other daemons would take
-        // for a change that they missed. Only a removal leaves no other trace.
-        let mut version = newest.unwrap_or(Revision {
-            number: 0,
-            ..revision
-        });
+        self.complete_to = revision;
+        if gap == Gap::Restored && self.feed == Feed::Evacuations {
+            // The operator writes lost evacuations again.
+            self.relist_at = Some(Instant::now() + RECONNECT_GRACE);
+        }
+        let is_empty = objects.is_empty();
+        let numbers = objects.iter().map(|object| object.revision);
+        let Some(mut version) = versions::after_list(revision, numbers, self.known_revision())
+        else {
+            log::info!(kind = self.feed.kind(), revision = revision.number, era = revision.era; "list is older than what other daemons reported; ignored");
+            return;
+        };
         let mut known_to_peers = Revision::default();
         match self.feed {
             Feed::Configuration => {
@@ -332,7 +336,7 @@
                 let removed = roster.replace(upstreams, gap != Gap::None, Instant::now());
                 drop(roster);
                 // Other daemons have to learn of an empty list, too.
-                if removed || newest.is_none() {
+                if removed || is_empty {
                     version = revision;
                 }
                 context.upstreams_listed.store(true, Ordering::Release);
@@ -343,10 +347,8 @@
                 let zones = objects.into_iter().filter(|object| !object.deleting);
                 let mut zones: Set<_> = zones.map(|object| Arc::from(object.name)).collect();
                 if gap == Gap::Restored {
-                    // The operator writes lost evacuations again.
                     let known = context.roster.lock().evacuated_zones().clone();
                     zones.extend(known);
-                    self.relist_at = Some(Instant::now() + RECONNECT_GRACE);
                 }
                 if !context.roster.lock().evacuated_zones().is_subset(&zones) {
                     version = revision;
@@ -358,7 +360,6 @@
         if known_to_peers <= revision {
             version = version.max(known_to_peers);
         }
-        self.complete_to = revision;
         self.advance(version);
         log::info!(kind = self.feed.kind(), revision = revision.number, era = revision.era; "listed");
     }
--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -34,9 +34,10 @@
   --version         prints the version
 
 POST /standin/faults sets {\"mode\":\"none|busy|silent\",\"also_only\":bool,\"lose_writes\":bool,
-\"lose_watches\":bool}: busy responds 429, silent never responds, also_only limits the mode to the second
-address, lose_writes performs writes but closes the connection without a response, and lose_watches
-never responds to the watches that arrive.
+\"lose_watches\":bool,\"list_delay_ms\":N}: busy responds 429, silent never responds, also_only limits the
+mode to the second address, lose_writes performs writes but closes the connection without a response,
+lose_watches never responds to the watches that arrive, and list_delay_ms holds back each page of a list
+after it was read.
 POST /standin/forget drops the history. POST /standin/copy keeps a copy of the store, and
 POST /standin/restore goes back to it: what was written since is gone, and Store-Era rises by one.
 GET /standin/counts returns the number of calls.
@@ -91,6 +92,7 @@
     also_only: bool,
     lose_writes: bool,
     lose_watches: bool,
+    list_delay_ms: u64,
 }
 
 #[derive(Debug, Clone)]
@@ -196,7 +198,11 @@
         }
         return Ok(match watched {
             Some(revision) => store.watch(kind, &revision, &query).await,
-            None if name.is_empty() => store.list(kind, &query),
+            None if name.is_empty() => {
+                let page = store.list(kind, &query);
+                time::sleep(Duration::from_millis(faults.list_delay_ms)).await;
+                page
+            }
             None => store.get(kind, name),
         });
     }
--- a/src/state/versions.rs
+++ b/src/state/versions.rs
@@ -14,6 +14,29 @@
     pub number: u64,
 }
 
+/// Returns the version of what a daemon knows after it has applied a list of the platform's objects of one
+/// kind, or `None` if the list must not be applied, since the daemon already knows later changes.
+///
+/// `listed` is the revision of the first page of the list, and `objects` has the numbers of the revisions of
+/// its objects. Those on later pages may be newer than `listed`. They tell nothing of what else has changed in
+/// between: such changes are still to be reported, by a watch from `listed`.
+///
+/// The version is that of a change to the kind if possible. The revision of the store also covers changes to
+/// other kinds, of which daemons that do not list know nothing.
+pub fn after_list<I>(listed: Revision, objects: I, known: Revision) -> Option<Revision>
+where
+    I: IntoIterator<Item = u64>,
+{
+    if known > listed {
+        return None;
+    }
+    let complete = objects
+        .into_iter()
+        .filter(|number| *number <= listed.number);
+    let number = complete.max().unwrap_or(0);
+    Some(Revision { number, ..listed })
+}
+
 /// The versions of the platform state that a daemon has applied.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versions {
