Test answers without end to reservations and from the store

An operator of a similar system reported a machine that kept bytes without end and ran out of memory. Not tried so far: answers to the daemon's own calls for memory, and the store's.

--- a/crates/primrosehoist-tests/tests/endless_answers.rs
+++ b/crates/primrosehoist-tests/tests/endless_answers.rs
@@ -152,6 +152,23 @@
 
 /// Sends requests to the endless upstreams and to sound ones at once.
 fn assert_harmless(answer: Answer) {
+    let request = match answer {
+        Answer::Event => endless_stream(100),
+        _ => Request::new("GET", "/endless-call/1"),
+    };
+    assert_harmless_to(&request, answer);
+}
+
+/// Returns a request with a prompt of `tokens` tokens for a stream of an endless upstream.
+fn endless_stream(tokens: u64) -> Request {
+    Request {
+        path: String::from("/endless-stream/1"),
+        ..Request::stream(tokens, 8)
+    }
+}
+
+/// Sends requests like `request` to the endless upstreams, and others to sound ones, at once.
+fn assert_harmless_to(request: &Request, answer: Answer) {
     let (deployment, upstreams) = start(answer);
     let ingress = deployment.daemons[0].ingress.clone();
     let process = deployment.daemons[0].process.as_ref();
@@ -159,15 +176,12 @@
     let clients: Vec<_> = (0..CLIENTS)
         .map(|number| {
             let ingress = ingress.clone();
+            let request = Request {
+                id: format!("{}-{number}", request.id),
+                body: format!("{number}").into_bytes(),
+                ..request.clone()
+            };
             std::thread::spawn(move || {
-                let mut request = match answer {
-                    Answer::Event => Request::stream(100, 8),
-                    _ => Request::new("GET", "/endless-call/1"),
-                };
-                if matches!(answer, Answer::Event) {
-                    request.path = String::from("/endless-stream/1");
-                }
-                request.body = format!("{number}").into_bytes();
                 let started = Instant::now();
                 (send(&ingress, &request), started.elapsed())
             })
@@ -242,3 +256,36 @@
 fn a_body_that_trickles_is_harmless() {
     assert_harmless(Answer::Trickle);
 }
+
+/// Guards against a daemon that keeps what an upstream answers to its own call for memory.
+#[test]
+fn reservations_that_are_answered_without_end_are_harmless() {
+    // The prompt needs the memory of both upstreams.
+    assert_harmless_to(&endless_stream(600_000), Answer::Success);
+    assert_harmless_to(&endless_stream(600_000), Answer::HeaderValue);
+}
+
+/// Guards against a daemon that keeps what the store answers to its calls.
+#[test]
+fn answers_of_the_store_without_end_are_harmless() {
+    for answer in [Answer::Success, Answer::HeaderValue, Answer::Trickle] {
+        let (deployment, _upstreams) = start(answer);
+        let store = Endless::start(answer);
+        deployment.change_settings(0, &deployment.store, &store.address);
+        let calls = || store.requests.load(Ordering::Relaxed);
+        wait_until("the daemon calls the endless store", || calls() > 0);
+        for number in 0..60 {
+            let request = Request {
+                body: format!("{number}").into_bytes(),
+                ..Request::new("GET", "/look/1")
+            };
+            let response = send(&deployment.daemons[0].ingress, &request);
+            assert_eq!(response.status, 200, "{answer:?}: {response:?}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        let process = deployment.daemons[0].process.as_ref();
+        let peak = peak_memory_mb(process.expect("the daemon runs").id());
+        println!("{answer:?}: {} calls, peak {peak} MB", calls());
+        assert!(peak < MEMORY_MB, "{answer:?}: {peak} MB");
+    }
+}
