Say what refused requests lacked, and show that the largest prompts starve

Evidence: the refused are never placed and wait out their time. Others would lose more than they gain: they are charged for scarce engines by their prefill time, which grows faster than their weight, and engines that become idle go to the next smaller prompt.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -149,6 +149,7 @@
         // use it for long prompts that should be prefilled one after the other.
         needs_jitter = job.is_long();
         if Instant::now() >= give_up_at {
+            log_shortage(context, job, excluded, &waiting);
             return Err(refusal);
         }
         // The request retries the selection whether it was woken or timed out.
@@ -241,6 +242,26 @@
     }
 }
 
+/// Logs what a request lacks that is about to be refused.
+fn log_shortage(context: &Arc<Context>, job: &Job, excluded: &Set<Arc<str>>, waiting: &Waiting) {
+    let Some(engine) = &job.service.engine else {
+        return;
+    };
+    let partitions = context.partitions.lock().partitions(Instant::now());
+    let demand = job.demand(waiting.left, waiting.resumes);
+    let (permit_wait, reach) = (waiting.for_permit, Scope::Fleet);
+    let candidates = candidates(context, job, excluded, permit_wait, &partitions, reach);
+    let shortage = assign::shortage(&candidates, &demand, engine, &partitions);
+    log::info!(
+        request = job.request.id.as_str(),
+        prompt_tokens = job.request.prompt_tokens,
+        candidates = candidates.len(),
+        elapsed_ms = job.received.elapsed().as_millis() as u64,
+        shortage:%;
+        "no capacity in time"
+    );
+}
+
 /// Returns whether the upstreams in the daemon's zone are considered before the others.
 fn is_local_first(context: &Context, job: &Job) -> bool {
     if context.exchange.lock().peers.scope() == Scope::Fleet || job.service.engine.is_none() {
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 
 use rustc_hash::FxHasher;
+use strum::Display;
 
 use crate::state::engine::Engine;
 use crate::state::occupancy::{LatencyClass, Work};
@@ -234,26 +235,9 @@
     if candidates.is_empty() {
         return Choice::Unavailable;
     }
-    let prefill_ms = engine.prefill_ms(demand.prompt_tokens);
-    let memory = Memory::new(demand, engine);
-    let parts_max = if prefill_ms < SPLIT_MIN_MS {
-        1
-    } else {
-        PARTS_MAX
-    };
-    let planner = Planner {
-        candidates,
-        demand,
-        engine,
-        partitions,
-        protected: protected(candidates, engine),
-        prefill_ms,
-        memory,
-    };
-    let parts_min = planner.memory.helpers + 1;
-    let parts = parts_min..=parts_max.max(parts_min).min(candidates.len());
-    let placements = parts.filter_map(|parts| planner.split(parts));
+    let planner = Planner::new(candidates, demand, engine, partitions);
     // Work for a client that will have given up is wasted and occupies a slot meanwhile.
+    let placements = planner.placements();
     let placements = placements.filter(|placement| placement.ready_ms < demand.abandoned_in_ms);
     let best = placements.min_by(|a, b| a.cost().total_cmp(&b.cost()));
     match best {
@@ -266,6 +250,44 @@
     }
 }
 
+/// What a request lacks that has to wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum Shortage {
+    /// Too few engines have memory for their share of the request.
+    Memory,
+    /// Too few of the engines with memory are free for a part of the prompt, or have a free slot.
+    Engines,
+    /// The engines that are free could not prefill the prompt before the client gives up.
+    Time,
+    /// Other requests would lose more than this one gains.
+    Value,
+}
+
+/// Returns what a request lacks for which [`place`] has returned [`Choice::Wait`].
+pub fn shortage(
+    candidates: &[Candidate],
+    demand: &Demand,
+    engine: &Engine,
+    partitions: &Partitions,
+) -> Shortage {
+    let planner = Planner::new(candidates, demand, engine, partitions);
+    let with_memory = candidates
+        .iter()
+        .filter(|candidate| planner.memory.fits(candidate, engine));
+    if with_memory.count() <= planner.memory.helpers {
+        return Shortage::Memory;
+    }
+    let mut placements = planner.placements().peekable();
+    if placements.peek().is_none() {
+        Shortage::Engines
+    } else if placements.all(|placement| placement.ready_ms >= demand.abandoned_in_ms) {
+        Shortage::Time
+    } else {
+        Shortage::Value
+    }
+}
+
 /// The memory that a request occupies, divided evenly among the engines that hold it.
 #[derive(Debug, Clone, Copy)]
 struct Memory {
@@ -338,7 +360,36 @@
     memory: Memory,
 }
 
-impl Planner<'_> {
+impl<'a> Planner<'a> {
+    fn new(
+        candidates: &'a [Candidate],
+        demand: &'a Demand,
+        engine: &'a Engine,
+        partitions: &'a Partitions,
+    ) -> Self {
+        Self {
+            candidates,
+            demand,
+            engine,
+            partitions,
+            protected: protected(candidates, engine),
+            prefill_ms: engine.prefill_ms(demand.prompt_tokens),
+            memory: Memory::new(demand, engine),
+        }
+    }
+
+    /// Returns the cheapest placement for each number of parts.
+    fn placements(&self) -> impl Iterator<Item = Placement> {
+        let parts_max = if self.prefill_ms < SPLIT_MIN_MS {
+            1
+        } else {
+            PARTS_MAX
+        };
+        let parts_min = self.memory.helpers + 1;
+        let parts_max = parts_max.max(parts_min).min(self.candidates.len());
+        (parts_min..=parts_max).filter_map(|parts| self.split(parts))
+    }
+
     /// Returns what the request gains by being sent now instead of later.
     fn gain(&self, placement: &Placement) -> f64 {
         let in_time = placement.ready_ms <= self.demand.objective_in_ms;
--- a/tests/assign_load/main.rs
+++ b/tests/assign_load/main.rs
@@ -5,9 +5,10 @@
 
 use std::collections::VecDeque;
 
-use model::{Model, Request};
+use model::{Model, Outcome, Request};
 use primrosehoist::coordination::assign::{self, Candidate, Choice};
 use primrosehoist::state::engine::Engine;
+use primrosehoist::state::occupancy::LatencyClass;
 use primrosehoist::state::partition::Partitions;
 
 /// The time between two placement attempts of a waiting request, in milliseconds.
@@ -38,13 +39,19 @@
     short: f64,
     batch: f64,
     long: f64,
+    /// The mean and the largest number of tokens of long prompts.
+    long_tokens: (f64, f64),
 }
 
+/// Long prompts that fit into the memory of one engine.
+const FITTING: (f64, f64) = (210_000.0, 420_000.0);
+
 /// Many short prompts and hardly any long ones.
 const MANY_SHORT: Mix = Mix {
     short: 80.0,
     batch: 1.3,
     long: 0.1,
+    long_tokens: FITTING,
 };
 
 /// Long prompts account for most of the prefill work.
@@ -52,13 +59,27 @@
     short: 12.0,
     batch: 3.3,
     long: 2.4,
+    long_tokens: FITTING,
+};
+
+/// Prompts of up to a million tokens, more than the engines can prefill. One in five requires the memory of
+/// two engines or three.
+const SCARCE: Mix = Mix {
+    short: 20.0,
+    batch: 8.0,
+    long: 13.0,
+    long_tokens: (300_000.0, 1_000_000.0),
 };
 
+/// The number of engines for [`SCARCE`].
+const ENGINES_SCARCE: usize = 48;
+
 /// Short prompts fill most slots of all engines.
 const CROWDED: Mix = Mix {
     short: 110.0,
     batch: 1.5,
     long: 0.1,
+    long_tokens: FITTING,
 };
 
 struct Rng(u64);
@@ -80,6 +101,8 @@
 
 fn requests(mix: Mix, seed: u64) -> Vec<Request> {
     let mut rng = Rng(seed * 2_654_435_761 + 1);
+    let (mean, max) = mix.long_tokens;
+    let target = if max > FITTING.1 { 4000.0 } else { 3000.0 };
     let kinds = [
         (
             mix.short, 4960.0, 0.9, 23_800.0, 35, 300.0, 200.0, 10_000.0, 1.3,
@@ -87,9 +110,7 @@
         (
             mix.batch, 45_000.0, 0.5, 110_000.0, 21, 1500.0, 500.0, 10_000.0, 3.1,
         ),
-        (
-            mix.long, 210_000.0, 0.55, 420_000.0, 17, 3000.0, 800.0, 15_000.0, 22.0,
-        ),
+        (mix.long, mean, 0.55, max, 17, target, 800.0, 15_000.0, 22.0),
     ];
     let mut requests = Vec::new();
     for (rate, tokens, sigma, tokens_max, events, target_ms, pause_ms, deadline_ms, value) in kinds
@@ -108,7 +129,7 @@
                 target_ms,
                 pause_ms,
                 deadline_ms,
-                value: value * (0.3 + 0.7 * tokens / if value > 20.0 { 210_000.0 } else { tokens }),
+                value: value * (0.3 + 0.7 * tokens / if value > 20.0 { mean } else { tokens }),
             });
         }
     }
@@ -194,10 +215,13 @@
             let request = &model.requests[index];
             match policy(&model.candidates(index, now), request, now, sent) {
                 Choice::Send {
-                    primary, helpers, ..
+                    primary,
+                    helpers,
+                    tickets,
+                    ..
                 } => {
                     sent += 1;
-                    model.start_request(index, primary, &helpers, now);
+                    model.start_request(index, primary, &helpers, &tickets, now);
                 }
                 Choice::Wait | Choice::Unavailable => {
                     if now - request.arrives_ms < request.deadline_ms / 2.0 {
@@ -316,3 +340,45 @@
         assert!(placed[0].in_time() >= 0.9, "seed {seed}: {placed:?}");
     }
 }
+
+/// Returns the shares of prompts that were served, of all long ones, of the largest tenth and of the fifth
+/// below it.
+fn served_by_size(model: &Model) -> [f64; 3] {
+    let outcomes = model.requests.iter().zip(&model.outcomes);
+    let long = outcomes.filter(|(request, _)| request.latency_class() == LatencyClass::Relaxed);
+    let mut long: Vec<_> = long.collect();
+    long.sort_by_key(|(request, _)| request.prompt_tokens);
+    let count = long.len();
+    let share = |part: &[(&Request, &Outcome)]| {
+        let served = part.iter().filter(|(_, outcome)| outcome.complete);
+        served.count() as f64 / part.len() as f64
+    };
+    let (tenth, fifth) = (count - count / 10, count - count * 3 / 10);
+    [
+        share(&long),
+        share(&long[tenth..]),
+        share(&long[fifth..tenth]),
+    ]
+}
+
+/// Guards against refusing nearly all of the largest prompts while smaller ones take each engine that
+/// becomes free.
+#[test]
+fn largest_prompts_are_served_when_engines_are_scarce() {
+    let mut served = [0.0; 3];
+    for seed in 1..=3 {
+        let mut model = Model::new(engine(), ENGINES_SCARCE, requests(SCARCE, seed));
+        model.daemons = 60;
+        model.lag_ms = 30.0;
+        let model = run(model, placement);
+        print("placement", &summaries(&model));
+        for (sum, share) in served.iter_mut().zip(served_by_size(&model)) {
+            *sum += share / 3.0;
+        }
+    }
+    let [all, tenth, fifth] = served;
+    println!("served: all {all:.2}, largest tenth {tenth:.2}, fifth below {fifth:.2}");
+    // The operators require that they are served at least half as often as all prompts.
+    assert!(tenth * 2.0 >= all, "largest tenth {tenth:.2}, all {all:.2}");
+    assert!(fifth * 2.0 >= all, "fifth below {fifth:.2}, all {all:.2}");
+}
--- a/tests/assign_load/model.rs
+++ b/tests/assign_load/model.rs
@@ -69,6 +69,8 @@
     helper_parts: Vec<Prefill>,
     own: Vec<Prefill>,
     decoding: Vec<Decode>,
+    /// Memory in tokens that is reserved for requests of other engines.
+    tickets: Vec<(usize, u64)>,
     free_at: f64,
 }
 
@@ -105,9 +107,20 @@
         }
     }
 
-    /// Starts a request on `primary` at `now`, with equal parts of its prompt on `helpers`.
-    pub fn start_request(&mut self, request: usize, primary: usize, helpers: &[usize], now: f64) {
+    /// Starts a request on `primary` at `now`, with equal parts of its prompt on `helpers`, of which the
+    /// first ones hold `tickets` tokens of its memory.
+    pub fn start_request(
+        &mut self,
+        request: usize,
+        primary: usize,
+        helpers: &[usize],
+        tickets: &[u64],
+        now: f64,
+    ) {
         self.sent_ms[request] = now;
+        for (helper, tokens) in helpers.iter().zip(tickets) {
+            self.engines[*helper].tickets.push((request, *tokens));
+        }
         let parts = helpers.len() + 1;
         let remaining_ms =
             self.engine.prefill_ms(self.requests[request].prompt_tokens) / parts as f64;
@@ -147,7 +160,12 @@
             let tokens = self.requests[request].prompt_tokens;
             work.counts[latency_class] += 1;
             work.weights[latency_class] += assign::weight(tokens) as f32;
-            work.memory_tokens += tokens as u32;
+            work.memory_tokens += (tokens - self.reserved(request)) as u32;
+        }
+        for (request, tokens) in &state.tickets {
+            if known(*request) {
+                work.memory_tokens += *tokens as u32;
+            }
         }
         let prefills = state.own.iter().chain(&state.helper_parts);
         let prefills = prefills.filter(|prefill| known(prefill.request));
@@ -172,6 +190,13 @@
         }
     }
 
+    /// Returns the tokens of memory that a request has reserved at helpers.
+    fn reserved(&self, request: usize) -> u64 {
+        let tickets = self.engines.iter().flat_map(|state| &state.tickets);
+        let own = tickets.filter(|(holder, _)| *holder == request);
+        own.map(|(_, tokens)| tokens).sum()
+    }
+
     /// Runs all passes that start before `until`.
     pub fn run(&mut self, until: f64) {
         while let Some(index) = self.next_engine(until) {
@@ -240,7 +265,15 @@
             decoding.events_left -= 1;
             outcome.complete = decoding.events_left == 0;
         }
-        state.decoding.retain(|decoding| decoding.events_left > 0);
+        let (ended, decoding) = state
+            .decoding
+            .drain(..)
+            .partition::<Vec<_>, _>(|decoding| decoding.events_left == 0);
+        state.decoding = decoding;
+        for state in &mut self.engines {
+            let is_over = |request| ended.iter().any(|decoding| decoding.request == request);
+            state.tickets.retain(|(request, _)| !is_over(*request));
+        }
         for request in done {
             self.parts_left[request] -= 1;
             if self.parts_left[request] == 0 {
