Confirm a watch up to the revision that was asked for, and log shortages of capacity only

A response without changes confirms a watch up to the latest known revision. Confirming it only up to the revision of the response would repeat the call without end if the store went back without a new era. A refusal for want of upstreams is no shortage of capacity.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -149,7 +149,9 @@
         // use it for long prompts that should be prefilled one after the other.
         needs_jitter = job.is_long();
         if Instant::now() >= give_up_at {
-            log_shortage(context, job, excluded, &waiting);
+            if refusal == Refusal::Full {
+                log_shortage(context, job, excluded, &waiting);
+            }
             return Err(refusal);
         }
         // The request retries the selection whether it was woken or timed out.
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -39,9 +39,9 @@
 /// usually arrives within this time.
 const LAG_MAX: Duration = Duration::from_millis(400);
 
-/// The longest pause after changes before the next watch; jitter shortens it by up to a half, so that
-/// the daemons do not all lose their watches in the same moment. Changes often come in bursts, and each answered watch
-/// is a call.
+/// The longest pause after changes before the next watch. Changes often come in bursts, and each
+/// answered watch is a call. Jitter shortens the pause by up to a half, so that the daemons do not all
+/// lose their watches in the same moment.
 const WATCH_PAUSE_MAX: Duration = Duration::from_millis(250);
 
 /// How long a watch may take to report what another response of the store has already included.
@@ -223,9 +223,8 @@
         loop {
             let context = Arc::clone(&self.context);
             let store = context.store.load_full();
-            let watch = store.watch(self.feed.kind(), revision, WATCH_TIMEOUT);
             let watched = tokio::select! {
-                watched = watch => watched,
+                watched = store.watch(self.feed.kind(), revision, WATCH_TIMEOUT) => watched,
                 missed = missed_changes(&context, &store, self.feed, revision) => {
                     // Its connection may be dead, and so may others.
                     store.close_idle();
@@ -501,7 +500,7 @@
             _ => store.changes(kind, confirmed, Freshness::Latest).await,
         };
         match changes {
-            Ok((events, seen)) if events.is_empty() => confirmed = confirmed.max(seen),
+            Ok((events, seen)) if events.is_empty() => confirmed = latest.max(seen),
             Ok((events, seen)) => {
                 log::warn!(kind, revision:? = confirmed, changes = events.len(); "watch was lost; restarting it");
                 return Ok((events, seen));
--- a/crates/primrosehoist-tests/tests/lost_watches.rs
+++ b/crates/primrosehoist-tests/tests/lost_watches.rs
@@ -10,8 +10,8 @@
 /// The time within which a change is in force.
 const APPLY_TIME: Duration = Duration::from_secs(2);
 
-/// Starts a deployment whose daemons have all lost their watches of `kind` a while ago. `change` writes an
-/// object of that kind, which answers the watches that were sent before.
+/// Starts a deployment whose daemons have all lost their watches of one kind of object a while ago. `change`
+/// writes an object of that kind, which answers the watches that were sent before.
 fn start_with_lost_watches<C>(change: C) -> Deployment
 where
     C: FnOnce(&Deployment),
