Split pings and changes to upstreams from the follower of the store

Cause: store_sync.rs had grown to 648 lines with three concerns: following the store, pinging it, and changes to upstreams, which gossip applies as well.

Change: store_ping has the ping and how recent its response must be, upstream_changes what is applied from the store and from other daemons. The shares of jitter are named, and their computation is beside the others in coordination::backoff. Nothing else is changed: no call, time or log text; the log field target follows the modules.

--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -22,7 +22,7 @@
 use super::context::Context;
 use super::permit;
 use super::registration;
-use super::store_sync;
+use super::upstream_changes;
 
 /// The longest time between two messages in a small fleet.
 const MESSAGE_INTERVAL_MAX: Duration = Duration::from_millis(250);
@@ -102,7 +102,7 @@
         let spacing = context.exchange.lock().peers.spacing();
         wait_until_due(&context, spacing).await;
         let now = Instant::now();
-        store_sync::expire(&context, now);
+        upstream_changes::expire(&context, now);
         context.occupancy.lock().expire(now);
         {
             let exchange = context.exchange.lock();
@@ -245,7 +245,7 @@
         });
     }
     if let Some(update) = &received.update {
-        store_sync::apply_update(context, update, now);
+        upstream_changes::apply_update(context, update, now);
     }
     let permit = received
         .permit
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -17,9 +17,11 @@
 mod reload;
 mod reservation;
 mod selection;
+mod store_ping;
 mod store_sync;
 mod stream;
 mod suspension;
+mod upstream_changes;
 
 use std::io;
 use std::net::SocketAddr;
@@ -171,7 +173,7 @@
         tokio::spawn(store_sync::follow(Arc::clone(&context), feed));
     }
     tokio::spawn(registration::join(Arc::clone(&context)));
-    tokio::spawn(store_sync::ping(Arc::clone(&context)));
+    tokio::spawn(store_ping::ping(Arc::clone(&context)));
     tokio::spawn(gossip::send(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(gossip::query(Arc::clone(&context), Arc::clone(&socket)));
     tokio::spawn(gossip::receive(Arc::clone(&context), socket));
--- /dev/null
+++ b/crates/primrosehoist-daemon/src/gateway/store_ping.rs
@@ -0,0 +1,82 @@
+//! Pings the platform's store: notices outages, and asks for the latest revision.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use primrosehoist::coordination::backoff;
+use primrosehoist::state::versions::Revision;
+use primrosehoist_platform::store::Freshness;
+use primrosehoist_platform::upstream;
+use tokio::time::{Instant, sleep};
+
+use super::context::Context;
+
+/// The longest interval between pings of the store, before jitter. A change must take effect within a few
+/// seconds although the store has stopped to answer all daemons that follow it.
+const PING_INTERVAL_MAX: Duration = Duration::from_secs(1);
+
+/// The largest share by which jitter shortens the interval. Each ping may cost a call.
+const JITTER: f64 = 0.25;
+
+/// Pings the store periodically for as long as the process runs.
+///
+/// A watch that the store has lost cannot be told from one without a change. So pings ask for the
+/// latest revision of the store, up to which each follower confirms that it has missed nothing. When the
+/// store responds again after an outage, all watches are restarted, on new connections. While it does not
+/// respond, another daemon is assigned to follow it.
+pub(crate) async fn ping(context: Arc<Context>) {
+    let mut lost_at: Option<Instant> = None;
+    let mut known_era = None;
+    let mut interval = PING_INTERVAL_MAX;
+    loop {
+        context.wait_follows_store(true).await;
+        sleep(backoff::shorten(interval, JITTER)).await;
+        interval = PING_INTERVAL_MAX;
+        let store = context.store.load_full();
+        let freshness = ping_freshness(&context);
+        let revision = store.ping(upstream::EVACUATION_KIND, freshness).await;
+        if let Ok(revision) = revision {
+            context.record_revision(revision, freshness);
+        }
+        match (revision, lost_at) {
+            (Ok(Revision { era, .. }), None) => {
+                let is_restored = known_era.is_some_and(|known| known < era);
+                known_era = Some(era);
+                if is_restored {
+                    log::info!(era; "store was restored; restarting watches");
+                    context.store_recoveries.send_modify(|count| *count += 1);
+                }
+            }
+            (Err(_), Some(_)) => {}
+            (Ok(Revision { era, .. }), Some(since)) => {
+                known_era = Some(era);
+                let away_ms = since.elapsed().as_millis() as u64;
+                log::info!(away_ms; "store recovered; restarting watches");
+                lost_at = None;
+                context.set_store_reachable(true);
+                context.store_recoveries.send_modify(|count| *count += 1);
+            }
+            (Err(error), None) => {
+                log::warn!(error:%; "store ping failed");
+                lost_at = Some(Instant::now());
+                context.set_store_reachable(false);
+                store.close_idle();
+                // Only the connection may have failed.
+                interval = Duration::ZERO;
+            }
+        }
+    }
+}
+
+/// Returns how recent the response to the next ping must be, so that a change is noticed in time although
+/// the watches of all daemons were lost: within half of the shortest staleness bound.
+fn ping_freshness(context: &Context) -> Freshness {
+    let bounds = context.bounds.load();
+    let shortest = bounds.config_apply_max.min(bounds.drain_max);
+    let age_max = shortest.min(bounds.evacuation_max) / 2;
+    if context.store_revision_age() + PING_INTERVAL_MAX > age_max {
+        Freshness::Latest
+    } else {
+        Freshness::Stale
+    }
+}
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use primrosehoist::coordination::backoff;
 use primrosehoist::coordination::gossip::{Change, Update};
 use primrosehoist::protocol::snapshot::Compressed;
 use primrosehoist::state::map::Set;
@@ -17,21 +18,21 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::context::Context;
+use super::upstream_changes::{apply_change, confirm_removal};
 
 /// How long the store holds a watch without a change.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(25);
 
-/// The longest interval between pings of the store; jitter shortens it by up to a quarter. A change must
-/// take effect within a few seconds although the store has stopped to answer all daemons that follow
-/// it.
-const PING_INTERVAL_MAX: Duration = Duration::from_secs(1);
-
 /// The backoff after the first failed call, before jitter.
 const BACKOFF_MIN: Duration = Duration::from_millis(150);
 
 /// The longest backoff after repeated failures, before jitter.
 const BACKOFF_MAX: Duration = Duration::from_millis(1200);
 
+/// The largest share by which jitter shortens backoffs and pauses, so that the daemons do not call the
+/// store, or lose their watches, all in the same moment.
+const JITTER: f64 = 0.5;
+
 /// The shortest outage of the store in which entries may have expired.
 const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
@@ -39,9 +40,8 @@
 /// usually arrives within this time.
 const LAG_MAX: Duration = Duration::from_millis(400);
 
-/// The longest pause after changes before the next watch. Changes often come in bursts, and each
-/// answered watch is a call. Jitter shortens the pause by up to a half, so that the daemons do not all
-/// lose their watches in the same moment.
+/// The longest pause after changes before the next watch, before jitter. Changes often come in bursts, and
+/// each answered watch is a call.
 const WATCH_PAUSE_MAX: Duration = Duration::from_millis(250);
 
 /// How long a watch may take to report what another response of the store has already included.
@@ -120,74 +120,6 @@
     }
 }
 
-/// Pings the store periodically for as long as the process runs.
-///
-/// A watch that the store has lost cannot be told from one without a change. So pings ask for the
-/// latest revision of the store, up to which each follower confirms that it has missed nothing. When the
-/// store responds again after an outage, all watches are restarted, on new connections. While it does not
-/// respond, another daemon is assigned to follow it.
-pub(crate) async fn ping(context: Arc<Context>) {
-    let mut lost_at: Option<Instant> = None;
-    let mut known_era = None;
-    let mut interval = PING_INTERVAL_MAX;
-    loop {
-        context.wait_follows_store(true).await;
-        sleep(jittered(interval, 0.25)).await;
-        interval = PING_INTERVAL_MAX;
-        let store = context.store.load_full();
-        let freshness = ping_freshness(&context);
-        let revision = store.ping(upstream::EVACUATION_KIND, freshness).await;
-        if let Ok(revision) = revision {
-            context.record_revision(revision, freshness);
-        }
-        match (revision, lost_at) {
-            (Ok(Revision { era, .. }), None) => {
-                let is_restored = known_era.is_some_and(|known| known < era);
-                known_era = Some(era);
-                if is_restored {
-                    log::info!(era; "store was restored; restarting watches");
-                    context.store_recoveries.send_modify(|count| *count += 1);
-                }
-            }
-            (Err(_), Some(_)) => {}
-            (Ok(Revision { era, .. }), Some(since)) => {
-                known_era = Some(era);
-                let away_ms = since.elapsed().as_millis() as u64;
-                log::info!(away_ms; "store recovered; restarting watches");
-                lost_at = None;
-                context.set_store_reachable(true);
-                context.store_recoveries.send_modify(|count| *count += 1);
-            }
-            (Err(error), None) => {
-                log::warn!(error:%; "store ping failed");
-                lost_at = Some(Instant::now());
-                context.set_store_reachable(false);
-                store.close_idle();
-                // Only the connection may have failed.
-                interval = Duration::ZERO;
-            }
-        }
-    }
-}
-
-/// Returns how recent the response to the next ping must be, so that a change is noticed in time although
-/// the watches of all daemons were lost: within half of the shortest staleness bound.
-fn ping_freshness(context: &Context) -> Freshness {
-    let bounds = context.bounds.load();
-    let shortest = bounds.config_apply_max.min(bounds.drain_max);
-    let age_max = shortest.min(bounds.evacuation_max) / 2;
-    if context.store_revision_age() + PING_INTERVAL_MAX > age_max {
-        Freshness::Latest
-    } else {
-        Freshness::Stale
-    }
-}
-
-/// Shortens `duration` at random by up to the share `jitter`.
-fn jittered(duration: Duration, jitter: f64) -> Duration {
-    duration.mul_f64(1.0 - jitter * rand::random::<f64>())
-}
-
 struct Follower {
     context: Arc<Context>,
     feed: Feed,
@@ -251,7 +183,7 @@
                     self.on_events(events, latest.era);
                     revision = revision.max(latest);
                     if any {
-                        sleep(jittered(WATCH_PAUSE_MAX, 0.5)).await;
+                        sleep(backoff::shorten(WATCH_PAUSE_MAX, JITTER)).await;
                     }
                 }
                 Err(Error::Gone { .. }) => {
@@ -301,9 +233,9 @@
             self.lost_at = Some(Instant::now());
             log::warn!(kind = self.feed.kind(), error:%; "store connection lost");
         }
-        let backoff = (BACKOFF_MIN * (1 << self.failures.min(4))).min(BACKOFF_MAX);
+        let delay = (BACKOFF_MIN * (1 << self.failures.min(4))).min(BACKOFF_MAX);
         self.failures += 1;
-        sleep(jittered(backoff, 0.5)).await;
+        sleep(backoff::shorten(delay, JITTER)).await;
     }
 
     /// Applies a complete list as of `revision`, which may lack what `gap` says.
@@ -522,7 +454,7 @@
             }
             Err(error) => {
                 log::info!(kind, error:%; "failed to confirm a watch");
-                sleep(jittered(BACKOFF_MAX, 0.5)).await;
+                sleep(backoff::shorten(BACKOFF_MAX, JITTER)).await;
             }
         }
     }
@@ -579,80 +511,6 @@
     }
 }
 
-/// Applies changes to upstreams that another daemon received, if this daemon has all earlier ones.
-/// Otherwise it requests all upstreams.
-pub(crate) fn apply_update(context: &Context, update: &Update, now: Instant) {
-    let own = context.versions.lock().upstreams;
-    if own >= update.revision {
-        for change in &update.changes {
-            confirm_removal(context, change, now);
-        }
-        return;
-    }
-    if own < update.since {
-        return;
-    }
-    for change in &update.changes {
-        apply_change(context, change, update.revision, now);
-    }
-    context.versions.lock().upstreams = update.revision;
-    context.urgent.notify_one();
-}
-
-/// Removes an upstream that counts as missing, since its entry may have expired during an outage, if
-/// `change` says that it has left. The daemon that reported it missing knew less.
-fn confirm_removal(context: &Context, change: &Change, now: Instant) {
-    if let Change::Remove { id, left } = change
-        && left.is_zero()
-        && context.roster.lock().discard_missing(id)
-    {
-        log::info!(upstream = id.as_ref(); "missing upstream has left; removed");
-        forget_upstream(context, id, now);
-    }
-}
-
-fn apply_change(context: &Context, change: &Change, revision: Revision, now: Instant) {
-    match change {
-        Change::Upsert(entry) => {
-            log::info!(
-                upstream = entry.id.as_ref(),
-                service = entry.service.as_ref(),
-                phase:? = entry.phase,
-                cold_ms = entry.cold_ms,
-                revision = revision.number;
-                "upstream changed"
-            );
-            context.roster.lock().upsert(entry.clone(), now);
-            context.queue.wake_all();
-        }
-        Change::Remove { id, left } => {
-            log::info!(upstream = id.as_ref(), revision = revision.number, left_ms = left.as_millis() as u64; "upstream removed");
-            if left.is_zero() {
-                context.roster.lock().discard(id);
-                forget_upstream(context, id, now);
-            } else {
-                context.roster.lock().mark_missing(id, now + *left);
-            }
-        }
-    }
-}
-
-/// Removes the upstreams whose entries are still missing some time after an outage of the store.
-pub(crate) fn expire(context: &Context, now: Instant) {
-    let missing = context.roster.lock().expire(now);
-    for id in missing {
-        log::info!(upstream = id.as_ref(); "upstream still missing from the store; removed");
-        forget_upstream(context, &id, now);
-    }
-}
-
-fn forget_upstream(context: &Context, id: &str, now: Instant) {
-    context.allowance.lock().remove(id);
-    context.permits.remove(id);
-    context.health.lock().remove(id);
-    context.crashes.lock().upstream_down(id, now);
-}
-
 fn decode_upstream(object: &Object) -> Option<primrosehoist::state::roster::Upstream> {
     upstream::decode(object)
         .inspect_err(|error| {
--- a/src/coordination/backoff.rs
+++ b/src/coordination/backoff.rs
@@ -18,3 +18,8 @@
 pub fn jitter(interval: Duration) -> Duration {
     interval.mul_f64(rand::rng().random_range(0.8..=1.2))
 }
+
+/// Returns `interval`, shortened at random by up to `share` of it.
+pub fn shorten(interval: Duration, share: f64) -> Duration {
+    interval.mul_f64(1.0 - share * rand::rng().random_range(0.0..=1.0))
+}
