Share the tests' check of which runners get requests

Cause: three test files asked in their own words whether a runner still gets requests, and two tests of paged_lists had the same ten lines.

Change: Deployment::uses_first_runners asks each daemon 16 times with different bodies (8 or 16 before); paged_lists runs its two changes to a runner through one function. No check, bound or expected status is loosened.

--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -438,6 +438,23 @@
         found
     }
 
+    /// Returns whether any daemon sends requests to one of the first `count` runners.
+    pub fn uses_first_runners(&self, count: usize) -> bool {
+        let mut requests = self.daemons.iter().flat_map(|daemon| {
+            // Requests with different bodies are spread over the runners.
+            (0..16).map(|number| {
+                let request = Request {
+                    body: format!("body {number}").into_bytes(),
+                    ..Request::new("GET", "/look/1")
+                };
+                let response = send(&daemon.ingress, &request);
+                assert_eq!(response.status, 200, "{}: {response:?}", daemon.ingress);
+                self.runs(&request.id)[0].0 < count
+            })
+        });
+        requests.any(|uses| uses)
+    }
+
     /// Returns the log lines of a daemon for request `id`.
     pub fn logged(&self, daemon: usize, id: &str) -> Vec<Value> {
         let text = fs::read_to_string(&self.daemons[daemon].log).unwrap_or_default();
--- a/crates/primrosehoist-tests/tests/gateway_restarts.rs
+++ b/crates/primrosehoist-tests/tests/gateway_restarts.rs
@@ -127,22 +127,6 @@
     assert_eq!(response.status, 200, "{response:?}");
 }
 
-/// Asserts that no daemon sends requests to the first runner.
-fn assert_first_runner_is_unused(deployment: &Deployment) {
-    for daemon in &deployment.daemons {
-        // Requests with different bodies are spread over the runners.
-        for number in 0..8 {
-            let request = Request {
-                body: format!("body {number}").into_bytes(),
-                ..Request::new("GET", "/look/1")
-            };
-            let response = send(&daemon.ingress, &request);
-            assert_eq!(response.status, 200, "{response:?}");
-            assert_ne!(deployment.runs(&request.id)[0].0, 0, "{}", daemon.ingress);
-        }
-    }
-}
-
 /// The entry of a runner is removed while the daemons that follow the store cannot reach it. They use
 /// the runner a little longer, since the entry may only have expired. The daemons that get the list
 /// from them must stop when they do.
@@ -168,7 +152,7 @@
     });
     // The drain time, counted from when the followers learned that the entry was removed.
     std::thread::sleep(Duration::from_millis(2200));
-    assert_first_runner_is_unused(&deployment);
+    assert!(!deployment.uses_first_runners(1));
 }
 
 /// A runner that leaves after the store is back is not one whose entry expired: it gets no more
@@ -184,7 +168,7 @@
     std::thread::sleep(Duration::from_millis(1300));
     deployment.delete("servers", &deployment.runners[0].id);
     std::thread::sleep(Duration::from_millis(200));
-    assert_first_runner_is_unused(&deployment);
+    assert!(!deployment.uses_first_runners(1));
 }
 
 /// Tells a daemon, as another one that was cut off from the store, that an upstream is missing with the
@@ -249,7 +233,7 @@
     std::thread::sleep(Duration::from_millis(50));
     deployment.delete("servers", &id);
     std::thread::sleep(Duration::from_millis(400));
-    assert_first_runner_is_unused(&deployment);
+    assert!(!deployment.uses_first_runners(1));
 }
 
 /// A daemon that was stopped for some seconds must not accept a key that was withdrawn meanwhile, nor
--- a/crates/primrosehoist-tests/tests/lost_watches.rs
+++ b/crates/primrosehoist-tests/tests/lost_watches.rs
@@ -48,22 +48,6 @@
     }
 }
 
-/// Returns whether any daemon sends requests to one of the first `count` runners.
-fn any_uses_first_runners(deployment: &Deployment, count: usize) -> bool {
-    let mut requests = deployment.daemons.iter().flat_map(|daemon| {
-        // Requests with different bodies are spread over the runners.
-        (0..8).map(|number| {
-            let request = Request {
-                body: format!("body {number}").into_bytes(),
-                ..Request::new("GET", "/look/1")
-            };
-            assert_eq!(send(&daemon.ingress, &request).status, 200);
-            deployment.runs(&request.id)[0].0 < count
-        })
-    });
-    requests.any(|uses| uses)
-}
-
 /// Guards against a configuration that is late on all daemons after a short silence of the store.
 #[test]
 fn configuration_takes_effect_in_time_after_a_watch_was_lost() {
@@ -98,7 +82,7 @@
     });
     deployment.register(0, "draining");
     std::thread::sleep(APPLY_TIME);
-    assert!(!any_uses_first_runners(&deployment, 1));
+    assert!(!deployment.uses_first_runners(1));
 }
 
 /// Guards against requests to a zone that is evacuated after a short silence of the store.
@@ -109,5 +93,5 @@
     });
     deployment.put("evacuations", "zone-a", &json!({}));
     std::thread::sleep(APPLY_TIME);
-    assert!(!any_uses_first_runners(&deployment, 2));
+    assert!(!deployment.uses_first_runners(2));
 }
--- a/crates/primrosehoist-tests/tests/paged_lists.rs
+++ b/crates/primrosehoist-tests/tests/paged_lists.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use common::platform::{Deployment, Request, send};
+use common::platform::Deployment;
 use serde_json::json;
 
 /// The time within which a change is in force.
@@ -27,52 +27,40 @@
     deployment.set_store_faults(&json!({}));
 }
 
-/// Returns whether the daemon sends requests to one of the first `count` runners.
-fn uses_first_runners(deployment: &Deployment, count: usize) -> bool {
-    let mut requests = (0..16).map(|number| {
-        // Requests with different bodies are spread over the runners.
-        let request = Request {
-            body: format!("body {number}").into_bytes(),
-            ..Request::new("GET", "/look/1")
-        };
-        assert_eq!(send(&deployment.daemons[0].ingress, &request).status, 200);
-        deployment.runs(&request.id)[0].0 < count
-    });
-    requests.any(|uses| uses)
-}
-
-/// Guards against requests to a runner that began to drain between two pages of a list.
-#[test]
-fn runner_that_drains_between_two_pages_gets_no_requests() {
+/// Runs `change` to the first runner between two pages of the list of runners, and then changes an entry of
+/// the second page. Returns whether the first runner still gets requests.
+fn is_used_after<C>(change: C) -> bool
+where
+    C: FnOnce(&Deployment),
+{
     let deployment = Deployment::ready(1);
-    let last = |slots: u64| {
+    let write_last = |slots: u64| {
         let mut entry = deployment.entry(2, "draining");
         entry["Slots"] = json!(slots);
         deployment.put("servers", "z-on-the-second-page", &entry);
     };
-    last(8);
+    write_last(8);
     change_between_pages(&deployment, || {
-        deployment.register(0, "draining");
-        last(9);
+        change(&deployment);
+        write_last(9);
     });
-    assert!(!uses_first_runners(&deployment, 1));
+    deployment.uses_first_runners(1)
+}
+
+/// Guards against requests to a runner that began to drain between two pages of a list.
+#[test]
+fn runner_that_drains_between_two_pages_gets_no_requests() {
+    assert!(!is_used_after(|deployment| {
+        deployment.register(0, "draining");
+    }));
 }
 
 /// Guards against requests to a runner whose entry was removed between two pages of a list.
 #[test]
 fn runner_that_is_removed_between_two_pages_gets_no_requests() {
-    let deployment = Deployment::ready(1);
-    let last = |slots: u64| {
-        let mut entry = deployment.entry(2, "draining");
-        entry["Slots"] = json!(slots);
-        deployment.put("servers", "z-on-the-second-page", &entry);
-    };
-    last(8);
-    change_between_pages(&deployment, || {
+    assert!(!is_used_after(|deployment| {
         deployment.delete("servers", &deployment.runners[0].id);
-        last(9);
-    });
-    assert!(!uses_first_runners(&deployment, 1));
+    }));
 }
 
 /// Guards against requests to a zone that was evacuated between two pages of a list.
@@ -86,5 +74,5 @@
         deployment.put("evacuations", "zone-a", &json!({}));
         deployment.put("evacuations", "zone-p", &json!({}));
     });
-    assert!(!uses_first_runners(&deployment, 2));
+    assert!(!deployment.uses_first_runners(2));
 }
