Close the gate of a call before it is reported as unsent

Cause: a call whose time limit passes is dropped, which ends the task of its connection only at the next await of that task. Another thread that is just writing the call sends it all the same, after Gate::has_sent was read as false. The call is then sent to another upstream, or reported as not run. The same holds for Job::sent when a stop of the daemon expires, and for the relay of the older face.

Change: Gate::close denies further writes and answers under the lock that holds check and write together; has_sent is private. A job's handoff starts or is cancelled, but not both. The log line of a call that got no response in time now has whether it was handed over, as for other failures.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -1,7 +1,6 @@
 //! The attempts of a request, until one gets a response.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use http::{HeaderMap, Request, StatusCode};
@@ -247,8 +246,16 @@
                 return Err(Failed { upstream, failure });
             }
             Err(_elapsed) => {
+                let handed = gate.close();
+                log::info!(
+                    request = self.job.request.id.as_str(),
+                    upstream = upstream.id.as_ref(),
+                    handed,
+                    limit_ms = limit.as_millis() as u64;
+                    "no response from upstream in time"
+                );
                 self.record(&upstream, Observation::Unreachable);
-                let failure = if gate.has_sent() {
+                let failure = if handed {
                     Failure::Lost
                 } else {
                     Failure::Unsent
@@ -260,18 +267,19 @@
     }
 
     fn on_error(&self, upstream: &Arc<Upstream>, gate: &Gate, error: &Error) -> Failure {
+        let handed = gate.close();
         log::info!(
             request = self.job.request.id.as_str(),
             upstream = upstream.id.as_ref(),
-            handed = gate.has_sent(),
+            handed,
             error:%;
             "no response from upstream"
         );
-        if gate.has_denied() && !gate.has_sent() {
+        if gate.has_denied() && !handed {
             return Failure::Unsent;
         }
         self.record(upstream, Observation::Unreachable);
-        if !gate.has_sent() {
+        if !handed {
             let mut crashes = self.context.crashes.lock();
             crashes.upstream_down(&upstream.id, Instant::now());
             return Failure::Unsent;
@@ -530,10 +538,7 @@
                     && !context.pauses.is_outdated()
                     && !is_quarantined(&context, &job)
                     && context.roster.lock().is_routable(&upstream, Instant::now()));
-            if may_send {
-                job.sent.store(true, Ordering::Release);
-            }
-            may_send
+            may_send && job.handoff.start()
         };
         Arc::new(Gate::new(Arc::default(), allowed))
     }
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -1,7 +1,7 @@
 //! Handles client requests: admits them as jobs and turns their outcomes into responses.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +9,7 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use primrosehoist::state::handoff::Handoff;
 use primrosehoist::state::route::{Access, Kind, Table};
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::body::{self, Buffered};
@@ -165,10 +166,10 @@
             Err(_elapsed) => plain(StatusCode::GATEWAY_TIMEOUT, "the time is over"),
         },
         () = context.wait_expiring() => {
-            if job.sent.load(Ordering::Acquire) {
-                plain(StatusCode::BAD_GATEWAY, "the daemon shuts down")
-            } else {
+            if job.handoff.cancel() {
                 refuse("the daemon shuts down", CLOSING_RETRY_S)
+            } else {
+                plain(StatusCode::BAD_GATEWAY, "the daemon shuts down")
             }
         }
     }
@@ -238,7 +239,7 @@
     let fingerprint = job::fingerprint(client, target, body.bytes());
     Ok(Job {
         fingerprint,
-        sent: AtomicBool::new(false),
+        handoff: Handoff::default(),
         crash_causes: job::crash_causes(fingerprint, &request.shared_parts),
         target: target.to_owned(),
         method: head.method,
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -2,11 +2,11 @@
 
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use http::HeaderMap;
 use primrosehoist::coordination::assign::{self, Demand};
+use primrosehoist::state::handoff::Handoff;
 use primrosehoist::state::occupancy::LatencyClass;
 use primrosehoist::state::route::{Route, Service};
 use primrosehoist::transport::http::body::Buffered;
@@ -44,7 +44,7 @@
     /// The hash of client key, path and body.
     pub(crate) fingerprint: u64,
     /// Whether any of the request may have been sent to an upstream.
-    pub(crate) sent: AtomicBool,
+    pub(crate) handoff: Handoff,
     /// What may crash the upstreams that run the request: the fingerprint, then hashes of the parts of
     /// the prompt that other requests share.
     pub(crate) crash_causes: Vec<u64>,
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -150,9 +150,9 @@
     };
     match sent {
         Ok(Ok(exchange)) => relay_response(task, exchange, registration, responder).await,
-        Ok(Err(error)) if !gate.has_sent() => Err(Stop::Unsent(unsent(&error))),
+        Ok(Err(error)) if !gate.close() => Err(Stop::Unsent(unsent(&error))),
         Ok(Err(error)) => Err(Stop::Broken(Failure::upstream_failed(&error.to_string()))),
-        Err(_) if !gate.has_sent() => Err(Stop::Unsent(Failure::not_run(
+        Err(_) if !gate.close() => Err(Stop::Unsent(Failure::not_run(
             Reason::Timeout,
             "the request was not sent in time",
         ))),
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/calls_run_once.rs
@@ -0,0 +1,215 @@
+//! Tests that a call that must run once does so, while daemons are paused, stopped and killed and
+//! upstreams refuse calls, lose answers and repeat refusals late.
+//!
+//! `PRIMROSEHOIST_SEEDS` sets the number of seeds, `PRIMROSEHOIST_SECONDS` how long each one runs.
+
+mod common;
+
+use std::collections::HashMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::PoisonError;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use common::platform::{Deployment, Request, Response, receive};
+use common::scripted::{Received, refusal, start, success};
+
+const CALLERS: u64 = 16;
+const DAEMONS: u8 = 2;
+
+/// What an upstream does with a call, by the hash of its id and the upstream.
+#[derive(PartialEq)]
+enum Deed {
+    Refuse,
+    RefuseTwice,
+    Lose,
+    Answer,
+}
+
+fn hash(id: &str, upstream: usize) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (id, upstream).hash(&mut hasher);
+    hasher.finish()
+}
+
+fn deed(id: &str, upstream: usize) -> Deed {
+    match hash(id, upstream) % 20 {
+        0 => Deed::Refuse,
+        1 => Deed::RefuseTwice,
+        2 => Deed::Lose,
+        _ => Deed::Answer,
+    }
+}
+
+fn answer(received: &Received) -> (String, bool) {
+    let previous = received.previous.iter();
+    let repeated = previous.filter(|id| deed(id, received.upstream) == Deed::RefuseTwice);
+    let late: String = repeated.map(|id| refusal(id)).collect();
+    let number = hash(&received.id, received.upstream) / 20;
+    std::thread::sleep(Duration::from_millis(number % 3 * (number % 11)));
+    match deed(&received.id, received.upstream) {
+        Deed::Refuse | Deed::RefuseTwice => (late + &refusal(&received.id), false),
+        Deed::Lose => (late, true),
+        Deed::Answer => {
+            let answer = success(&received.id) + "Content-Length: 4\r\n\r\ndone";
+            (late + &answer, number.is_multiple_of(13))
+        }
+    }
+}
+
+/// Calls until `ends`, and keeps each connection until it is closed; returns the status by id, zero
+/// if there was no answer.
+fn call_repeatedly(
+    seed: u64,
+    addresses: &[String],
+    ends: Instant,
+    stopped: &AtomicBool,
+) -> HashMap<String, u16> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut statuses = HashMap::new();
+    let mut kept: Option<TcpStream> = None;
+    while Instant::now() < ends && !stopped.load(Ordering::Relaxed) {
+        let address = &addresses[rng.random_range(0..addresses.len())];
+        let Some(mut connection) = kept.take().or_else(|| TcpStream::connect(address).ok()) else {
+            std::thread::sleep(Duration::from_millis(5));
+            continue;
+        };
+        connection
+            .set_read_timeout(Some(Duration::from_secs(10)))
+            .expect("sets the timeout");
+        let mut request = Request::new("POST", "/bad-order/1");
+        let timeout_ms = if rng.random_bool(0.5) {
+            rng.random_range(6..40)
+        } else {
+            rng.random_range(40..3000)
+        };
+        request.headers = vec![("X-Deadline-Ms", timeout_ms.to_string())];
+        let sent = connection.write_all(&request.bytes());
+        let response = sent.ok().map(|()| receive(&mut connection));
+        let complete = response.filter(|response| response.complete);
+        let status = complete.as_ref().map_or(0, |response| response.status);
+        statuses.insert(request.id, status);
+        let is_kept = |response: &Response| response.header("connection") != Some("close");
+        if complete.as_ref().is_some_and(is_kept) {
+            kept = Some(connection);
+        }
+    }
+    statuses
+}
+
+/// Pauses, stops and kills daemons until `ends`; returns the number of faults.
+fn inject(rng: &mut StdRng, deployment: &mut Deployment, ends: Instant) -> usize {
+    let mut faults = 0;
+    while Instant::now() < ends {
+        std::thread::sleep(Duration::from_millis(rng.random_range(20..250)));
+        let index = rng.random_range(0..usize::from(DAEMONS));
+        let process = deployment.daemons[index].process.as_mut();
+        let process = process.expect("the daemon runs");
+        faults += 1;
+        match rng.random_range(0..12) {
+            0 => process.kill(),
+            1 => {
+                process.terminate();
+                assert!(process.wait(Duration::from_secs(15)).is_some(), "stops");
+            }
+            2 => {
+                process.reload();
+                continue;
+            }
+            _ => {
+                process.pause();
+                std::thread::sleep(Duration::from_millis(rng.random_range(2..80)));
+                process.resume();
+                continue;
+            }
+        }
+        deployment.start_daemon(index);
+    }
+    faults
+}
+
+fn run(seed: u64, duration: Duration) {
+    let (mut deployment, requests) = start(DAEMONS, answer);
+    let daemons = deployment.daemons.iter();
+    let addresses: Vec<String> = daemons.map(|daemon| daemon.ingress.clone()).collect();
+    let ends = Instant::now() + duration;
+    let stopped = AtomicBool::new(false);
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (statuses, faults) = std::thread::scope(|scope| {
+        let (addresses, stopped) = (&addresses, &stopped);
+        let callers: Vec<_> = (0..CALLERS)
+            .map(|caller| {
+                scope.spawn(move || call_repeatedly(seed << 8 | caller, addresses, ends, stopped))
+            })
+            .collect();
+        let faults = inject(&mut rng, &mut deployment, ends);
+        stopped.store(true, Ordering::Relaxed);
+        let callers = callers.into_iter();
+        let statuses: HashMap<String, u16> = callers
+            .flat_map(|caller| caller.join().expect("the caller does not panic"))
+            .collect();
+        (statuses, faults)
+    });
+    // Calls that are still on their way may yet run.
+    std::thread::sleep(Duration::from_secs(2));
+    let received = requests.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut runs: HashMap<&str, usize> = HashMap::new();
+    for one in received.iter() {
+        let refused = matches!(
+            deed(&one.id, one.upstream),
+            Deed::Refuse | Deed::RefuseTwice
+        );
+        *runs.entry(&one.id).or_default() += usize::from(!refused);
+    }
+    let count = |wanted: u16| {
+        statuses
+            .values()
+            .filter(|status| **status == wanted)
+            .count()
+    };
+    println!(
+        "seed={seed} calls={} faults={faults} answered={} not_run={} uncertain={} no_answer={}",
+        statuses.len(),
+        count(200),
+        count(503),
+        count(502) + count(504),
+        count(0),
+    );
+    let twice: Vec<_> = runs.iter().filter(|(_, runs)| **runs > 1).collect();
+    let denied: Vec<_> = statuses
+        .iter()
+        .filter(|(_, status)| matches!(status, 408 | 421 | 429 | 503))
+        .filter(|(id, _)| runs.get(id.as_str()).is_some_and(|runs| *runs > 0))
+        .collect();
+    assert!(twice.is_empty(), "seed {seed}: ran twice: {twice:?}");
+    assert!(
+        denied.is_empty(),
+        "seed {seed}: ran, but reported as not run: {denied:?}"
+    );
+    assert!(count(200) > 100, "seed {seed}: hardly any call ran");
+    assert!(
+        count(503) > 0,
+        "seed {seed}: no call was reported as not run"
+    );
+}
+
+fn setting(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value
+        .and_then(|value| value.parse().ok())
+        .unwrap_or(default)
+}
+
+/// Guards against calls that run twice, or run although they were reported as not run.
+#[test]
+fn calls_run_once_beside_faults() {
+    let duration = Duration::from_secs(setting("PRIMROSEHOIST_SECONDS", 12));
+    for seed in 1..=setting("PRIMROSEHOIST_SEEDS", 1) {
+        run(seed, duration);
+    }
+}
--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -52,7 +52,8 @@
         request
     }
 
-    fn bytes(&self) -> Vec<u8> {
+    /// Returns the request as it is sent.
+    pub fn bytes(&self) -> Vec<u8> {
         let headers = self.headers.iter();
         let headers: Vec<String> = headers
             .map(|(name, value)| format!("{name}: {value}\r\n"))
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod files;
 pub mod fleet;
+pub mod handoff;
 pub mod health;
 pub mod limit;
 pub mod map;
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -63,6 +63,7 @@
     may_write: Box<dyn Fn(bool) -> bool + Send + Sync>,
     sent: AtomicBool,
     denied: AtomicBool,
+    closed: AtomicBool,
 }
 
 impl fmt::Debug for Gate {
@@ -70,6 +71,7 @@
         f.debug_struct("Gate")
             .field("sent", &self.sent)
             .field("denied", &self.denied)
+            .field("closed", &self.closed)
             .finish_non_exhaustive()
     }
 }
@@ -86,31 +88,44 @@
             may_write: Box::new(may_write),
             sent: AtomicBool::new(false),
             denied: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
         }
     }
 
+    /// Denies all further writes, and returns whether any byte of the request was sent.
+    ///
+    /// A dropped call may still be written by another thread, which drives its connection.
+    pub fn close(&self) -> bool {
+        let _guard = self.lock();
+        self.closed.store(true, Ordering::Release);
+        self.has_sent()
+    }
+
     /// Returns whether a write was denied, so that the failure of the request says nothing about its
     /// upstream.
     pub fn has_denied(&self) -> bool {
         self.denied.load(Ordering::Acquire)
     }
 
-    /// Returns whether any byte of the request was sent.
-    pub fn has_sent(&self) -> bool {
+    /// Returns whether any byte of the request was sent so far. Only [`Gate::close`] makes it final.
+    fn has_sent(&self) -> bool {
         self.sent.load(Ordering::Acquire)
     }
 
+    fn lock(&self) -> MutexGuard<'_, ()> {
+        self.write_lock
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Runs `write` if the request may be sent.
     fn try_write<W>(&self, write: W) -> Poll<io::Result<usize>>
     where
         W: FnOnce() -> Poll<io::Result<usize>>,
     {
-        let _guard = self
-            .write_lock
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let _guard = self.lock();
         let sent_before = self.has_sent();
-        if !(self.may_write)(sent_before) {
+        if self.closed.load(Ordering::Acquire) || !(self.may_write)(sent_before) {
             self.denied.store(true, Ordering::Release);
             return Poll::Ready(Err(io::ErrorKind::PermissionDenied.into()));
         }
@@ -288,7 +303,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails or the gate denies a write. [`Gate::has_sent`] tells
+    /// Returns an error if the connection fails or the gate denies a write. [`Gate::close`] tells
     /// whether any byte was sent.
     pub async fn send(
         &self,
@@ -302,7 +317,7 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the connection fails or the gate denies a write. [`Gate::has_sent`] tells
+    /// Returns an error if the connection fails or the gate denies a write. [`Gate::close`] tells
     /// whether any byte was sent.
     pub async fn send_with(
         &self,
--- a/tests/http_transport.rs
+++ b/tests/http_transport.rs
@@ -2,7 +2,7 @@
 
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, mpsc};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +14,7 @@
 use primrosehoist::transport::http::{BoxError, Payload};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 fn limits() -> Limits {
     Limits {
@@ -166,7 +167,7 @@
         let counting = tokio::spawn(count_bytes(listener));
         let gate = Arc::new(Gate::new(Arc::default(), |_sent| false));
         assert!(pool.send(request(body), &gate).await.is_err());
-        assert!(!gate.has_sent());
+        assert!(!gate.close());
         assert!(gate.has_denied());
         assert_eq!(counting.await.expect("counted"), 0);
     }
@@ -195,7 +196,49 @@
     let counting = tokio::spawn(count_bytes(listener));
     let large = "x".repeat(32 << 20);
     assert!(pool.send(request(&large), &gate).await.is_err());
-    assert!(gate.has_sent() && locked.load(Ordering::SeqCst));
+    assert!(gate.close() && locked.load(Ordering::SeqCst));
     assert!(checks.load(Ordering::SeqCst) > 1);
     assert!(counting.await.expect("counted") < large.len() as u64);
 }
+
+/// Guards against calls that are reported as unsent while another thread is just writing them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn call_that_is_given_up_during_a_write_is_not_reported_as_unsent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("has an address"));
+    let counting = tokio::spawn(count_bytes(listener));
+    let (writes, mut writing) = tokio::sync::mpsc::unbounded_channel();
+    let (permits, permitted) = mpsc::channel();
+    let permitted = Mutex::new(permitted);
+    let gate = Arc::new(Gate::new(Arc::default(), move |_sent| {
+        writes.send(()).expect("the test waits for writes");
+        let permitted = permitted.lock().expect("the lock is not poisoned");
+        permitted.recv().is_ok()
+    }));
+    tokio::select! {
+        _ = pool.send(request("some text"), &gate) => panic!("the write has not been permitted"),
+        _ = writing.recv() => {}
+    }
+    let permitting = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(50));
+        // The thread that writes may have ended.
+        let _permitted = permits.send(());
+    });
+    let sent = gate.close();
+    permitting.join().expect("does not panic");
+    let received = counting.await.expect("counted");
+    assert_eq!(sent, received > 0, "{received} bytes were received");
+}
+
+#[tokio::test]
+async fn closed_gate_denies_all_writes() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("has an address"));
+    let counting = tokio::spawn(count_bytes(listener));
+    let gate = Arc::new(Gate::new(Arc::default(), |_sent| true));
+    assert!(!gate.close());
+    let call = request("some text");
+    let sent = timeout(Duration::from_secs(5), pool.send(call, &gate)).await;
+    assert!(sent.expect("ends").is_err());
+    assert_eq!(counting.await.expect("counted"), 0);
+}
