Send a repeated request on a connection of its own

Cause: a response names a request, not one sending of it. A late copy of the first refusal then carries the right id and is taken for the answer, while the request runs.

Change: an attempt at an upstream that the request was sent to before uses a new connection, where no bytes of an earlier attempt can arrive. Resumed streams are covered as well.

Test: late_copy_of_a_refusal_that_blames_a_helper_is_not_taken_for_the_next_answer in faulty_answers failed with the rule taken out (status 503, the request had run) and passes now.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -63,6 +63,9 @@
     pub(crate) job: Arc<Job>,
     failover: Failover,
     excluded: Set<Arc<str>>,
+    /// The upstreams that the request was sent to. All attempts have the same id, so that a late copy
+    /// of an earlier response on a connection cannot be told from the response to a later attempt.
+    called: Set<Arc<str>>,
     /// The number of attempts made so far.
     pub(crate) count: u32,
     /// The last error response of an upstream.
@@ -122,6 +125,7 @@
             job,
             failover,
             excluded: Set::default(),
+            called: Set::default(),
             count: 0,
             reported: None,
             reopens_at: None,
@@ -235,7 +239,8 @@
         let gate = self.gate(&upstream);
         let request = self.request(&placement, remaining, last_event);
         let pool = self.context.pool(upstream.address);
-        let options = self.options();
+        let options = self.options(&upstream);
+        self.called.insert(Arc::clone(&upstream.id));
         let limit = self.silence_timeout(&placement);
         let sent_at = Instant::now();
         let sent = timeout(limit, pool.send_with(&options, request, &gate)).await;
@@ -492,8 +497,10 @@
         allowance.has_retry(service, Instant::now())
     }
 
-    fn options(&self) -> Options {
-        let idle_max = if self.job.route.is_retryable() {
+    fn options(&self, upstream: &Upstream) -> Options {
+        let idle_max = if self.called.contains(&upstream.id) {
+            Duration::ZERO
+        } else if self.job.route.is_retryable() {
             Options::default().idle_max
         } else {
             IDLE_MAX_NON_IDEMPOTENT
--- a/crates/primrosehoist-tests/tests/common/scripted.rs
+++ b/crates/primrosehoist-tests/tests/common/scripted.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::platform::{Deployment, Request, Response, configuration, send};
 
@@ -17,6 +17,8 @@
     pub previous: Option<String>,
     /// Whether it resumes a stream.
     pub resumes: bool,
+    /// The upstreams that prefill parts of its prompt.
+    pub helpers: Option<String>,
     /// The number of the upstream.
     pub upstream: usize,
     /// The address of the upstream.
@@ -72,6 +74,7 @@
                 id: header("x-attempt-id").unwrap_or_default(),
                 previous: previous.take(),
                 resumes: header("last-event-id").is_some(),
+                helpers: header("x-helpers"),
                 upstream: self.number,
                 address: self.address.clone(),
                 elapsed: self.first.get_or_init(Instant::now).elapsed(),
@@ -115,12 +118,21 @@
 /// Starts daemons with a service of two upstreams that follow `script`, at the paths `/bad-ask/`,
 /// `/bad-look/` and `/bad-order/`.
 pub fn start(daemons: u8, script: Script) -> (Deployment, Requests) {
+    start_with(daemons, script, |_service| {})
+}
+
+/// Starts a deployment as [`start`] does, whose service is changed by `adjust`.
+pub fn start_with<A>(daemons: u8, script: Script, adjust: A) -> (Deployment, Requests)
+where
+    A: FnOnce(&mut Value),
+{
     let deployment = Deployment::ready(daemons);
     let requests = Requests::default();
     let mut spec = configuration(2);
     let service = spec["Services"][0].clone();
     let mut bad = service.clone();
     bad["Name"] = json!("bad");
+    adjust(&mut bad);
     spec["Services"] = json!([service, bad]);
     let routes = spec["Routes"].as_array_mut().expect("routes");
     for mut route in routes.clone() {
--- a/crates/primrosehoist-tests/tests/faulty_answers.rs
+++ b/crates/primrosehoist-tests/tests/faulty_answers.rs
@@ -2,7 +2,14 @@
 
 mod common;
 
-use common::scripted::{Received, Script, count, event, refusal, send_to, start, success};
+use std::sync::PoisonError;
+
+use serde_json::json;
+
+use common::platform::{Request, send};
+use common::scripted::{
+    Received, Script, count, event, refusal, send_to, start, start_with, success,
+};
 
 #[test]
 fn refusal_of_an_earlier_request_is_not_taken_for_an_answer() {
@@ -24,6 +31,43 @@
     assert!(refused > 0, "no connection was used again");
 }
 
+/// Guards against a request that runs again because the refusal of its first attempt came twice.
+#[test]
+fn late_copy_of_a_refusal_that_blames_a_helper_is_not_taken_for_the_next_answer() {
+    let script: Script = |received| {
+        if let Some(helper) = &received.helpers {
+            let refusal = refusal(&received.id);
+            let blame = format!("\r\nAt-Server: {helper}\r\nX-Not-Executed");
+            return (refusal.replace("\r\nX-Not-Executed", &blame), false);
+        }
+        // The request runs now, behind the late copy.
+        let repeats = received.previous.as_ref() == Some(&received.id);
+        let late = repeats.then(|| refusal(&received.id)).unwrap_or_default();
+        let events = event(1);
+        let answer = format!(
+            "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
+            events.len()
+        );
+        (late + &success(&received.id) + &answer, false)
+    };
+    // Slow enough that two engines share the prompt to meet the objective.
+    let (deployment, requests) = start_with(1, script, |service| {
+        service["Engine"]["read_per_s"] = json!(256_000.0);
+    });
+    let request = Request {
+        path: "/bad-ask/1".to_owned(),
+        ..Request::stream(120_000, 4)
+    };
+    let response = send(&deployment.daemons[0].ingress, &request);
+    let read = requests.lock().unwrap_or_else(PoisonError::into_inner);
+    let split = read.iter().filter(|received| received.helpers.is_some());
+    assert!(split.count() > 0, "the prompt was not shared: {read:?}");
+    let runs = read.iter().filter(|received| received.helpers.is_none());
+    assert_eq!(runs.count(), 1, "{read:?}");
+    assert_eq!(response.status, 200, "the request has run: {response:?}");
+    assert_eq!(response.events(), [1]);
+}
+
 /// Breaks off a new stream inside its third event, and answers one that is resumed with `resumed`.
 fn break_off(received: &Received, resumed: &str) -> (String, bool) {
     if received.resumes {
