End the connection of a refusal on the older face

Cause: refusals of engines and plain services carry no id of the attempt. A late copy of one, on a connection that is used again, is taken for the refusal of the next call, which runs: the caller is told that it did not.

Change: a connection is not used again after a refusal.

A late copy of another answer of a plain service is still possible, since these carry no id either.

--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -168,7 +168,7 @@
 ) -> Result<(), Stop> {
     let status = exchange.response.status().as_u16();
     if matches!(status, 409 | 429 | 503) || (task.engine && status >= 500) {
-        return relay_refusal(task, status, exchange, registration, responder).await;
+        return relay_refusal(task, status, exchange, responder).await;
     }
     if task.dispatch.stream && status == 200 {
         return relay_stream(task, Some(exchange), registration, responder).await;
@@ -308,7 +308,6 @@
     task: &Task,
     status: u16,
     mut exchange: Exchange,
-    registration: &Registration,
     responder: &mut Responder,
 ) -> Result<(), Stop> {
     let head = Reply::Head {
@@ -322,7 +321,8 @@
         )));
     };
     let body = body.to_bytes();
-    registration.holding().pool.release(exchange);
+    // A late copy would be taken for the refusal of the next request, so the connection ends.
+    drop(exchange);
     if let Some(rejection) = Rejection::read(status, &body) {
         return Err(Stop::Rejected(rejected(rejection)));
     }
--- a/crates/primrosehoist-tests/tests/common/scripted.rs
+++ b/crates/primrosehoist-tests/tests/common/scripted.rs
@@ -33,8 +33,14 @@
 /// The requests that upstreams have read.
 pub type Requests = Arc<Mutex<Vec<Received>>>;
 
-fn start_upstream(upstream: usize, script: Script, requests: &Requests) -> String {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
+/// Starts an upstream that listens on `address`; returns its address.
+pub fn start_upstream(
+    address: &str,
+    upstream: usize,
+    script: Script,
+    requests: &Requests,
+) -> String {
+    let listener = TcpListener::bind(address).expect("binds");
     let address = listener.local_addr().expect("has an address").to_string();
     let requests = Arc::clone(requests);
     let own = address.clone();
@@ -146,7 +152,7 @@
     for number in 0..2 {
         let mut entry = deployment.entry(0, "ready");
         entry["Service"] = json!("bad");
-        entry["Address"] = json!(start_upstream(number, script, &requests));
+        entry["Address"] = json!(start_upstream("127.0.0.1:0", number, script, &requests));
         deployment.put("servers", &format!("bad-{number}"), &entry);
     }
     std::thread::sleep(Duration::from_millis(900));
--- a/crates/primrosehoist-tests/tests/once.rs
+++ b/crates/primrosehoist-tests/tests/once.rs
@@ -15,6 +15,7 @@
 
 use common::caller::call;
 use common::history::{Outcome, Submission, violations};
+use common::scripted::{Received, Requests, start_upstream};
 use common::{Fleet, Layout, counts, fault};
 
 const CALLERS: usize = 6;
@@ -164,6 +165,45 @@
     list["items"].as_array().map_or(0, Vec::len)
 }
 
+/// Guards against a refusal that comes twice and is taken for the answer to the next call as well.
+#[test]
+fn call_behind_the_late_copy_of_a_refusal_is_not_reported_as_not_run() {
+    let mut fleet = Fleet::start(Layout {
+        engines_per_zone: 0,
+        ..Layout::default()
+    });
+    let requests = Requests::default();
+    for (number, service) in fleet.services.iter_mut().enumerate() {
+        service.process.take();
+        let script = |received: &Received| {
+            const BODY: &str = r#"{"error":{"code":"not_run"}}"#;
+            let length = BODY.len();
+            let refusal = format!("HTTP/1.1 503 Full\r\nContent-Length: {length}\r\n\r\n{BODY}");
+            let answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+            // A call behind a refusal runs.
+            let runs = received.previous.is_some();
+            (refusal + if runs { answer } else { "" }, false)
+        };
+        start_upstream(&service.address, number, script, &requests);
+    }
+    for number in 0..12 {
+        let address = &fleet.daemons[number % fleet.daemons.len()].caller;
+        let url = format!("http://{address}/services/north-orders/orders/{number}");
+        let key = number.to_string();
+        let headers = [
+            ("authorization", "Bearer key-north"),
+            ("idempotency-key", key.as_str()),
+            ("x-timeout-ms", "1000"),
+        ];
+        let reply = call("POST", &url, &headers, "body");
+        assert_ne!(reply.status, 200, "{reply:?}");
+    }
+    let read = requests.lock().expect("the lock is not poisoned");
+    assert!(read.len() >= 12, "{} calls reached a service", read.len());
+    let ran = read.iter().filter(|received| received.previous.is_some());
+    assert_eq!(ran.count(), 0, "calls ran that were answered by a copy");
+}
+
 #[test]
 fn each_use_of_a_key_gets_the_right_response() {
     let fleet = Fleet::start(Layout {
