Write a conditional in faulty_answers as the linter asks

Cause: the test of late copies was committed before the linter ran over it. Change: if and else instead of then and unwrap_or_default. No behaviour changes; clippy passes.

--- a/crates/primrosehoist-tests/tests/faulty_answers.rs
+++ b/crates/primrosehoist-tests/tests/faulty_answers.rs
@@ -42,7 +42,11 @@
         }
         // The request runs now, behind the late copy.
         let repeats = received.previous.as_ref() == Some(&received.id);
-        let late = repeats.then(|| refusal(&received.id)).unwrap_or_default();
+        let late = if repeats {
+            refusal(&received.id)
+        } else {
+            String::new()
+        };
         let events = event(1);
         let answer = format!(
             "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{events}\r\n0\r\n\r\n",
