Test that a stream that must not be resumed runs once

Three ways to end the connection, with and without events: the request reached one upstream once in each. The configuration of scripted upstreams can now be changed as a whole.

--- a/crates/primrosehoist-tests/tests/common/scripted.rs
+++ b/crates/primrosehoist-tests/tests/common/scripted.rs
@@ -124,10 +124,10 @@
 /// Starts daemons with a service of two upstreams that follow `script`, at the paths `/bad-ask/`,
 /// `/bad-look/` and `/bad-order/`.
 pub fn start(daemons: u8, script: Script) -> (Deployment, Requests) {
-    start_with(daemons, script, |_service| {})
+    start_with(daemons, script, |_spec| {})
 }
 
-/// Starts a deployment as [`start`] does, whose service is changed by `adjust`.
+/// Starts a deployment as [`start`] does, whose configuration is changed by `adjust`.
 pub fn start_with<A>(daemons: u8, script: Script, adjust: A) -> (Deployment, Requests)
 where
     A: FnOnce(&mut Value),
@@ -138,7 +138,6 @@
     let service = spec["Services"][0].clone();
     let mut bad = service.clone();
     bad["Name"] = json!("bad");
-    adjust(&mut bad);
     spec["Services"] = json!([service, bad]);
     let routes = spec["Routes"].as_array_mut().expect("routes");
     for mut route in routes.clone() {
@@ -148,6 +147,7 @@
         route["Service"] = json!("bad");
         routes.push(route);
     }
+    adjust(&mut spec);
     deployment.configure(&spec);
     for number in 0..2 {
         let mut entry = deployment.entry(0, "ready");
--- a/crates/primrosehoist-tests/tests/faulty_answers.rs
+++ b/crates/primrosehoist-tests/tests/faulty_answers.rs
@@ -55,8 +55,8 @@
         (late + &success(&received.id) + &answer, false)
     };
     // Slow enough that two engines share the prompt to meet the objective.
-    let (deployment, requests) = start_with(1, script, |service| {
-        service["Engine"]["read_per_s"] = json!(256_000.0);
+    let (deployment, requests) = start_with(1, script, |spec| {
+        spec["Services"][1]["Engine"]["read_per_s"] = json!(256_000.0);
     });
     let request = Request {
         path: "/bad-ask/1".to_owned(),
@@ -147,3 +147,22 @@
     assert_eq!(response.events(), [1, 2, 3, 4]);
     assert_eq!(count(&requests, &request.id), 2, "the stream was resumed");
 }
+
+#[test]
+fn stream_that_must_not_be_resumed_runs_once() {
+    const SCRIPTS: [Script; 3] = [
+        |received| break_off(received, ""),
+        |received| (success(&received.id), true),
+        |_| (String::new(), true),
+    ];
+    for script in SCRIPTS {
+        let (deployment, requests) = start_with(1, script, |spec| {
+            for route in spec["Routes"].as_array_mut().expect("routes") {
+                route["Resumable"] = json!(false);
+            }
+        });
+        let (request, response) = send_to(&deployment, "/bad-ask/1");
+        assert!(!response.complete || response.status == 502, "{response:?}");
+        assert_eq!(count(&requests, &request.id), 1, "{response:?}");
+    }
+}
