Refuse long prompts on arrival while most engines prefill, whatever their size

Cause: all of them wait, and each engine that becomes free is taken by a prompt that needs one. A large one needs several at a time; after its objective has passed it gains too little for the engines that answer others.

Ruled out: memory and time.

Change: from 0.7 of the engines for long prompts that are busy, a share of arriving long prompts is refused at once, up to all at 1.0, in fleets of 32 such engines or more. The share is the same for all sizes. Engines then stay free, so that the largest find several at a time and are in time. The reason is 'overloaded'; a log line has the busy share.

Four tests of the rule in assign_choice.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -144,6 +144,9 @@
     ) -> Result<Response, Unanswered> {
         let resumes = last_event != self.job.request.last_event;
         let mut patience = Patience::new(&self.job, resumes);
+        if self.count == 0 && selection::is_refused(&self.context, &self.job, patience) {
+            return Err(self.unanswered("overloaded"));
+        }
         loop {
             self.context.pauses.wait_current().await;
             if self.job.remaining() < REMAINING_MIN {
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -159,6 +159,32 @@
     }
 }
 
+/// Returns whether `job` is refused on arrival, because more long prompts arrive than the engines can
+/// prefill. A client that already has a part of its answer is not.
+pub(crate) fn is_refused(context: &Context, job: &Job, patience: Patience) -> bool {
+    let Some(engine) = &job.service.engine else {
+        return false;
+    };
+    if !job.is_long() || job.request.last_event.is_some() {
+        return false;
+    }
+    let (excluded, demand) = (Set::default(), job.demand(1.0, false));
+    let partitions = context.partitions.lock().partitions(Instant::now());
+    let (permit_wait, reach) = (patience.for_permit(), Scope::Fleet);
+    let candidates = candidates(context, job, &excluded, permit_wait, &partitions, reach);
+    let refused = assign::is_refused(&candidates, &demand, engine, rand::random());
+    if refused {
+        log::info!(
+            request = job.request.id.as_str(),
+            prompt_tokens = job.request.prompt_tokens,
+            candidates = candidates.len(),
+            busy_share = assign::busy_share(&candidates, engine);
+            "refused on arrival, since most engines prefill long prompts"
+        );
+    }
+    refused
+}
+
 /// Returns when an upstream of the job's service accepts work again, if that is too late: all have
 /// deferred requests, or the requests that wait for permits use up the limits of all.
 fn reopens_at(context: &Context, job: &Job, patience: Patience) -> Option<Instant> {
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -14,6 +14,8 @@
 //! The target workload mixes many short prompts that have strict pause limits with a few long
 //! prompts. Either kind may dominate the work for seconds at a time.
 
+mod scarcity;
+
 use std::hash::{Hash, Hasher};
 use std::sync::Arc;
 
@@ -25,6 +27,9 @@
 use crate::state::partition::Partitions;
 use crate::state::roster::Upstream;
 
+use scarcity::{above, is_free, protected, usage};
+pub use scarcity::{busy_share, is_refused};
+
 /// The fraction of a request's weight that is lost if it misses its objective. The operators value
 /// a late answer at about a quarter of one in time.
 const LATE_LOSS: f64 = 0.75;
@@ -40,10 +45,6 @@
 /// on an unprotected engine, or any other on a protected one.
 const CLASS_MISMATCH_COST: f64 = 0.4;
 
-/// The fraction of the slots of protected engines that the planner fills. The rest is headroom for
-/// arrivals that other daemons have not reported yet.
-const PROTECTED_UTILIZATION: f64 = 0.75;
-
 /// The factor on the loss of requests that decode on a protected engine, since the requests placed
 /// there next would lose as well.
 const PROTECTED_FACTOR: f64 = 2.0;
@@ -87,9 +88,6 @@
 /// other engines before their own prompts, the first one could starve.
 pub const LONG_PREFILL_MS: f64 = 100.0;
 
-/// The largest prefill backlog of an engine that is given a long prompt, in milliseconds.
-const BACKLOG_MAX_MS: f64 = 60.0;
-
 /// The cost of each second until a prompt is prefilled, as a fraction of the request's weight. It
 /// splits prompts across as many engines as possible without harm to other requests.
 const WAIT_COST_PER_S: f64 = 0.1;
@@ -314,25 +312,6 @@
     }
 }
 
-/// Returns which candidates are protected: the ones that run the most latency-sensitive requests,
-/// as many as are needed to hold all of these.
-fn protected(candidates: &[Candidate], engine: &Engine) -> Vec<bool> {
-    let sensitive = |candidate: &Candidate| {
-        candidate.work.count(LatencyClass::Strict) + candidate.work.count(LatencyClass::Moderate)
-    };
-    let total: u32 = candidates.iter().map(sensitive).sum();
-    let slots = (engine.slots as f64 * PROTECTED_UTILIZATION).max(1.0);
-    let count = (f64::from(total) / slots).ceil() as usize;
-    let mut order: Vec<usize> = (0..candidates.len()).collect();
-    // The sort is stable, so ties keep the order that all daemons share.
-    order.sort_by_key(|index| std::cmp::Reverse(sensitive(&candidates[*index])));
-    let mut protected = vec![false; candidates.len()];
-    for index in order.into_iter().take(count) {
-        protected[index] = true;
-    }
-    protected
-}
-
 /// One way to place a request.
 struct Placement {
     /// The expected loss of other requests.
@@ -403,10 +382,8 @@
         if self.prefill_ms < LONG_PREFILL_MS {
             return 0.0;
         }
-        let open = || (0..self.candidates.len()).filter(|index| !self.protected[*index]);
-        let busy = open().filter(|index| !self.can_prefill(&self.candidates[*index]));
-        let busy_share = busy.count() as f64 / open().count().max(1) as f64;
-        let scarcity = ((busy_share - SCARCITY_THRESHOLD) / (1.0 - SCARCITY_THRESHOLD)).max(0.0);
+        let usage = usage(self.candidates, &self.protected);
+        let scarcity = above(usage.busy_share(), SCARCITY_THRESHOLD);
         self.prefill_ms / 1000.0 * PREFILL_VALUE_PER_S * scarcity * self.demand.wait_left
     }
 
@@ -491,7 +468,7 @@
     }
 
     fn can_prefill(&self, candidate: &Candidate) -> bool {
-        self.prefill_ms < LONG_PREFILL_MS || f64::from(candidate.work.prefill_ms) <= BACKLOG_MAX_MS
+        self.prefill_ms < LONG_PREFILL_MS || is_free(candidate)
     }
 
     /// Returns what the requests that decode on a candidate lose by `part_ms` of prefill.
--- /dev/null
+++ b/src/coordination/assign/scarcity.rs
@@ -0,0 +1,94 @@
+//! How scarce engines for long prompts are, and which prompts are refused on arrival because of that.
+//!
+//! The target load is more long prompts than the engines can prefill for seconds at a time. If all of
+//! them waited, each engine that becomes free would be taken by a prompt that needs only one, and the
+//! largest would be refused in the end. Refusing a share of all sizes alike leaves engines free, so
+//! that the largest find several at a time and the others are in time.
+
+use super::{Candidate, Demand, LONG_PREFILL_MS, PARTS_MAX};
+use crate::state::engine::Engine;
+use crate::state::occupancy::LatencyClass;
+
+/// The fraction of the slots of protected engines that the planner fills. The rest is headroom for
+/// arrivals that other daemons have not reported yet.
+const PROTECTED_UTILIZATION: f64 = 0.75;
+
+/// The largest prefill backlog of an engine that is given a long prompt, in milliseconds.
+const BACKLOG_MAX_MS: f64 = 60.0;
+
+/// The share of busy engines for long prompts from which such prompts are refused on arrival.
+const REFUSAL_THRESHOLD: f64 = 0.7;
+
+/// The number of engines for long prompts below which none is refused on arrival. With few engines, a
+/// single prompt makes most of them busy for a moment.
+const REFUSAL_ENGINES_MIN: usize = 2 * PARTS_MAX;
+
+/// Returns whether a request is refused on arrival, because more long prompts arrive than the engines
+/// can prefill. `draw` is a random number from 0 to 1.
+pub fn is_refused(candidates: &[Candidate], demand: &Demand, engine: &Engine, draw: f64) -> bool {
+    let is_long = engine.prefill_ms(demand.prompt_tokens) >= LONG_PREFILL_MS;
+    if !is_long || demand.latency_class != LatencyClass::Relaxed {
+        return false;
+    }
+    let usage = usage(candidates, &protected(candidates, engine));
+    usage.open >= REFUSAL_ENGINES_MIN && draw < above(usage.busy_share(), REFUSAL_THRESHOLD)
+}
+
+/// Returns the share of the engines for long prompts that are not free for one.
+pub fn busy_share(candidates: &[Candidate], engine: &Engine) -> f64 {
+    usage(candidates, &protected(candidates, engine)).busy_share()
+}
+
+/// Returns how far `share` is above `threshold`, from 0 to 1 for the whole.
+pub(super) fn above(share: f64, threshold: f64) -> f64 {
+    ((share - threshold) / (1.0 - threshold)).max(0.0)
+}
+
+/// How many of the engines for long prompts are in use.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Usage {
+    /// The engines that are not protected.
+    open: usize,
+    /// Those of them that are not free for a long prompt.
+    busy: usize,
+}
+
+impl Usage {
+    pub(super) fn busy_share(self) -> f64 {
+        self.busy as f64 / self.open.max(1) as f64
+    }
+}
+
+/// Returns how many of the engines that are not `protected` are in use.
+pub(super) fn usage(candidates: &[Candidate], protected: &[bool]) -> Usage {
+    let open = || candidates.iter().zip(protected).filter(|(_, is)| !**is);
+    let busy = open().filter(|(candidate, _)| !is_free(candidate));
+    Usage {
+        open: open().count(),
+        busy: busy.count(),
+    }
+}
+
+/// Returns whether an engine is free for a long prompt.
+pub(super) fn is_free(candidate: &Candidate) -> bool {
+    f64::from(candidate.work.prefill_ms) <= BACKLOG_MAX_MS
+}
+
+/// Returns which candidates are protected: the ones that run the most latency-sensitive requests,
+/// as many as are needed to hold all of these.
+pub(super) fn protected(candidates: &[Candidate], engine: &Engine) -> Vec<bool> {
+    let sensitive = |candidate: &Candidate| {
+        candidate.work.count(LatencyClass::Strict) + candidate.work.count(LatencyClass::Moderate)
+    };
+    let total: u32 = candidates.iter().map(sensitive).sum();
+    let slots = (engine.slots as f64 * PROTECTED_UTILIZATION).max(1.0);
+    let count = (f64::from(total) / slots).ceil() as usize;
+    let mut order: Vec<usize> = (0..candidates.len()).collect();
+    // The sort is stable, so ties keep the order that all daemons share.
+    order.sort_by_key(|index| std::cmp::Reverse(sensitive(&candidates[*index])));
+    let mut protected = vec![false; candidates.len()];
+    for index in order.into_iter().take(count) {
+        protected[index] = true;
+    }
+    protected
+}
--- a/tests/assign_choice.rs
+++ b/tests/assign_choice.rs
@@ -374,3 +374,49 @@
     assert!(min_ms < 12_000.0 / 2.0, "{min_ms}");
     assert!(min_ms > 1000.0, "{min_ms}");
 }
+
+/// Returns how many of 1000 requests are refused on arrival while `busy` of `count` engines prefill long
+/// prompts.
+fn refused(demand: &Demand, count: usize, busy: usize) -> usize {
+    let works = (0..count).map(|id| {
+        if id < busy {
+            prefilling(900.0)
+        } else {
+            strict(0)
+        }
+    });
+    let candidates: Vec<Candidate> = works
+        .enumerate()
+        .map(|(id, work)| candidate(id, work))
+        .collect();
+    let draws = (0..1000).map(|number| f64::from(number) / 1000.0);
+    let refused = draws.filter(|draw| assign::is_refused(&candidates, demand, &engine(), *draw));
+    refused.count()
+}
+
+/// Guards against serving smaller prompts at the cost of the largest while engines are scarce.
+#[test]
+fn prompts_of_all_sizes_are_refused_alike_when_engines_are_scarce() {
+    let counts = [150_000, 300_000, 1_000_000].map(|tokens| refused(&demand(tokens), 100, 91));
+    assert!(counts[0] > 500, "{counts:?}");
+    assert_eq!(counts, [counts[0]; 3]);
+}
+
+#[test]
+fn no_prompt_is_refused_on_arrival_while_engines_are_free() {
+    assert_eq!(refused(&demand(600_000), 100, 70), 0);
+    let some = refused(&demand(600_000), 100, 80);
+    assert!(some > 0 && some < refused(&demand(600_000), 100, 95));
+}
+
+#[test]
+fn prompts_that_tolerate_only_short_pauses_are_not_refused_on_arrival() {
+    for tokens in [5000, 45_000, 90_000] {
+        assert_eq!(refused(&demand(tokens), 100, 100), 0);
+    }
+}
+
+#[test]
+fn prompts_wait_in_a_small_fleet() {
+    assert_eq!(refused(&demand(300_000), 16, 16), 0);
+}
--- a/tests/assign_load/main.rs
+++ b/tests/assign_load/main.rs
@@ -14,6 +14,9 @@
 /// The time between two placement attempts of a waiting request, in milliseconds.
 const POLL_INTERVAL_MS: f64 = 10.0;
 
+/// The time after which a caller whose request was refused on arrival comes again, in milliseconds.
+const RETURN_MS: f64 = 1500.0;
+
 /// The number of engines at the smaller site.
 const ENGINES: usize = 16;
 
@@ -149,6 +152,11 @@
     )
 }
 
+fn refuses(candidates: &[Candidate], request: &Request, now: f64) -> bool {
+    let draw = (request.arrives_ms * 7919.0 + now * 6131.0).fract();
+    assign::is_refused(candidates, &request.demand(now), &engine(), draw)
+}
+
 fn send(primary: usize) -> Choice {
     Choice::Send {
         primary,
@@ -198,6 +206,8 @@
 
 fn run(mut model: Model, policy: Policy) -> Model {
     let mut waiting: VecDeque<usize> = VecDeque::new();
+    // Requests that arrive, or come again after a refusal, and when.
+    let mut arriving: Vec<(usize, f64)> = Vec::new();
     let mut next = 0;
     let mut sent = 0;
     let mut now = 0.0;
@@ -205,9 +215,20 @@
         model.run(now);
         model.advance_idle(now);
         while next < model.requests.len() && model.requests[next].arrives_ms <= now {
-            waiting.push_back(next);
+            arriving.push((next, now));
             next += 1;
         }
+        for (index, since) in std::mem::take(&mut arriving) {
+            let request = &model.requests[index];
+            if now < since {
+                arriving.push((index, since));
+            } else if !refuses(&model.candidates(index, now), request, now) {
+                waiting.push_back(index);
+            } else if since - request.arrives_ms < POLL_INTERVAL_MS {
+                // Callers come again once.
+                arriving.push((index, now + RETURN_MS));
+            }
+        }
         for _ in 0..waiting.len() {
             let Some(index) = waiting.pop_front() else {
                 break;
