--- a/crates/primrosehoist-tests/tests/calls_run_once.rs
+++ b/crates/primrosehoist-tests/tests/calls_run_once.rs
@@ -22,9 +22,9 @@
 const CALLERS: u64 = 16;
 const DAEMONS: u8 = 2;
 
-/// What an upstream does with a call, by the hash of its id and the upstream.
+/// How an upstream handles a call, by the hash of its id and the upstream.
 #[derive(PartialEq)]
-enum Deed {
+enum Behavior {
     Refuse,
     RefuseTwice,
     Lose,
@@ -37,25 +37,26 @@
     hasher.finish()
 }
 
-fn deed(id: &str, upstream: usize) -> Deed {
+fn behavior(id: &str, upstream: usize) -> Behavior {
     match hash(id, upstream) % 20 {
-        0 => Deed::Refuse,
-        1 => Deed::RefuseTwice,
-        2 => Deed::Lose,
-        _ => Deed::Answer,
+        0 => Behavior::Refuse,
+        1 => Behavior::RefuseTwice,
+        2 => Behavior::Lose,
+        _ => Behavior::Answer,
     }
 }
 
+/// Answers a call; the late copy of a refusal arrives just before the answer to the next call.
 fn answer(received: &Received) -> (String, bool) {
     let previous = received.previous.iter();
-    let repeated = previous.filter(|id| deed(id, received.upstream) == Deed::RefuseTwice);
+    let repeated = previous.filter(|id| behavior(id, received.upstream) == Behavior::RefuseTwice);
     let late: String = repeated.map(|id| refusal(id)).collect();
     let number = hash(&received.id, received.upstream) / 20;
     std::thread::sleep(Duration::from_millis(number % 3 * (number % 11)));
-    match deed(&received.id, received.upstream) {
-        Deed::Refuse | Deed::RefuseTwice => (late + &refusal(&received.id), false),
-        Deed::Lose => (late, true),
-        Deed::Answer => {
+    match behavior(&received.id, received.upstream) {
+        Behavior::Refuse | Behavior::RefuseTwice => (late + &refusal(&received.id), false),
+        Behavior::Lose => (late, true),
+        Behavior::Answer => {
             let answer = success(&received.id) + "Content-Length: 4\r\n\r\ndone";
             (late + &answer, number.is_multiple_of(13))
         }
@@ -161,8 +162,8 @@
     let mut runs: HashMap<&str, usize> = HashMap::new();
     for one in received.iter() {
         let refused = matches!(
-            deed(&one.id, one.upstream),
-            Deed::Refuse | Deed::RefuseTwice
+            behavior(&one.id, one.upstream),
+            Behavior::Refuse | Behavior::RefuseTwice
         );
         *runs.entry(&one.id).or_default() += usize::from(!refused);
     }
