Refuse long prompts on arrival only if the engines are busy for a while

Cause: prompts are split across all engines that are free, so most engines are busy as soon as a few prompts run, each for a moment.

Change: the share of refusals by busy engines counts in full from 1.5 s of mean backlog, and not at all below 0.5 s. The log line has both.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -174,11 +174,13 @@
     let candidates = candidates(context, job, &excluded, permit_wait, &partitions, reach);
     let refused = assign::is_refused(&candidates, &demand, engine, rand::random());
     if refused {
+        let usage = assign::Usage::of(&candidates, engine);
         log::info!(
             request = job.request.id.as_str(),
             prompt_tokens = job.request.prompt_tokens,
-            candidates = candidates.len(),
-            busy_share = assign::busy_share(&candidates, engine);
+            open = usage.open,
+            busy_share = usage.busy_share,
+            backlog_ms = usage.backlog_ms.round();
             "refused on arrival, since most engines prefill long prompts"
         );
     }
--- a/src/coordination/assign.rs
+++ b/src/coordination/assign.rs
@@ -27,8 +27,8 @@
 use crate::state::partition::Partitions;
 use crate::state::roster::Upstream;
 
-use scarcity::{above, is_free, protected, usage};
-pub use scarcity::{busy_share, is_refused};
+pub use scarcity::{Usage, is_refused};
+use scarcity::{above, is_free, protected};
 
 /// The fraction of a request's weight that is lost if it misses its objective. The operators value
 /// a late answer at about a quarter of one in time.
@@ -382,8 +382,8 @@
         if self.prefill_ms < LONG_PREFILL_MS {
             return 0.0;
         }
-        let usage = usage(self.candidates, &self.protected);
-        let scarcity = above(usage.busy_share(), SCARCITY_THRESHOLD);
+        let usage = Usage::new(self.candidates, &self.protected);
+        let scarcity = above(usage.busy_share, SCARCITY_THRESHOLD);
         self.prefill_ms / 1000.0 * PREFILL_VALUE_PER_S * scarcity * self.demand.wait_left
     }
 
--- a/src/coordination/assign/scarcity.rs
+++ b/src/coordination/assign/scarcity.rs
@@ -19,6 +19,11 @@
 /// The share of busy engines for long prompts from which such prompts are refused on arrival.
 const REFUSAL_THRESHOLD: f64 = 0.7;
 
+/// The mean prefill that the engines for long prompts still have to do from which prompts are refused
+/// on arrival, and from which the busy share alone decides, in milliseconds. Below, all engines may
+/// be busy because a few prompts are split across all of them.
+const REFUSAL_BACKLOG_MS: (f64, f64) = (500.0, 1500.0);
+
 /// The number of engines for long prompts below which none is refused on arrival. With few engines, a
 /// single prompt makes most of them busy for a moment.
 const REFUSAL_ENGINES_MIN: usize = 2 * PARTS_MAX;
@@ -30,13 +35,8 @@
     if !is_long || demand.latency_class != LatencyClass::Relaxed {
         return false;
     }
-    let usage = usage(candidates, &protected(candidates, engine));
-    usage.open >= REFUSAL_ENGINES_MIN && draw < above(usage.busy_share(), REFUSAL_THRESHOLD)
-}
-
-/// Returns the share of the engines for long prompts that are not free for one.
-pub fn busy_share(candidates: &[Candidate], engine: &Engine) -> f64 {
-    usage(candidates, &protected(candidates, engine)).busy_share()
+    let usage = Usage::of(candidates, engine);
+    usage.open >= REFUSAL_ENGINES_MIN && draw < usage.refused_share()
 }
 
 /// Returns how far `share` is above `threshold`, from 0 to 1 for the whole.
@@ -44,28 +44,43 @@
     ((share - threshold) / (1.0 - threshold)).max(0.0)
 }
 
-/// How many of the engines for long prompts are in use.
+/// How far the engines for long prompts are in use.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Usage {
+pub struct Usage {
     /// The engines that are not protected.
-    open: usize,
-    /// Those of them that are not free for a long prompt.
-    busy: usize,
+    pub open: usize,
+    /// The share of these that are not free for a long prompt.
+    pub busy_share: f64,
+    /// The mean prefill that they still have to do, in milliseconds.
+    pub backlog_ms: f64,
 }
 
 impl Usage {
-    pub(super) fn busy_share(self) -> f64 {
-        self.busy as f64 / self.open.max(1) as f64
+    /// Returns the use of the engines of a service.
+    pub fn of(candidates: &[Candidate], engine: &Engine) -> Self {
+        Self::new(candidates, &protected(candidates, engine))
+    }
+
+    pub(super) fn new(candidates: &[Candidate], protected: &[bool]) -> Self {
+        let open = || {
+            let all = candidates.iter().zip(protected);
+            all.filter(|(_, is)| !**is).map(|(candidate, _)| candidate)
+        };
+        let count = open().count().max(1) as f64;
+        let busy = open().filter(|candidate| !is_free(candidate));
+        let backlogs = open().map(|candidate| f64::from(candidate.work.prefill_ms));
+        Self {
+            open: open().count(),
+            busy_share: busy.count() as f64 / count,
+            backlog_ms: backlogs.sum::<f64>() / count,
+        }
     }
-}
 
-/// Returns how many of the engines that are not `protected` are in use.
-pub(super) fn usage(candidates: &[Candidate], protected: &[bool]) -> Usage {
-    let open = || candidates.iter().zip(protected).filter(|(_, is)| !**is);
-    let busy = open().filter(|(candidate, _)| !is_free(candidate));
-    Usage {
-        open: open().count(),
-        busy: busy.count(),
+    /// Returns the share of long prompts that are refused on arrival.
+    fn refused_share(self) -> f64 {
+        let (begin, end) = REFUSAL_BACKLOG_MS;
+        let backlog = ((self.backlog_ms - begin) / (end - begin)).clamp(0.0, 1.0);
+        above(self.busy_share, REFUSAL_THRESHOLD) * backlog
     }
 }
 
--- a/tests/assign_choice.rs
+++ b/tests/assign_choice.rs
@@ -376,11 +376,15 @@
 }
 
 /// Returns how many of 1000 requests are refused on arrival while `busy` of `count` engines prefill long
-/// prompts.
+/// prompts for two seconds.
 fn refused(demand: &Demand, count: usize, busy: usize) -> usize {
+    refused_with(demand, count, busy, 2000.0)
+}
+
+fn refused_with(demand: &Demand, count: usize, busy: usize, prefill_ms: f32) -> usize {
     let works = (0..count).map(|id| {
         if id < busy {
-            prefilling(900.0)
+            prefilling(prefill_ms)
         } else {
             strict(0)
         }
@@ -409,6 +413,12 @@
     assert!(some > 0 && some < refused(&demand(600_000), 100, 95));
 }
 
+/// Guards against refusals while a few prompts, split across all engines, are done in a moment.
+#[test]
+fn no_prompt_is_refused_on_arrival_while_engines_are_busy_for_a_moment() {
+    assert_eq!(refused_with(&demand(600_000), 100, 100, 400.0), 0);
+}
+
 #[test]
 fn prompts_that_tolerate_only_short_pauses_are_not_refused_on_arrival() {
     for tokens in [5000, 45_000, 90_000] {
