Show that a call runs although it is reported as not run

Callers of a route that must run once got 503 for calls that had run, so that they may send them again. A runner is replaced at its address; the call that names the old one is refused with 421 and comes again on the connection of its refusal, where a late copy of the refusal bears its id.

The scripts of scripted upstreams may now have state.

--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -99,6 +99,23 @@
     }
 }
 
+/// Creates or replaces an object in the store.
+pub fn put(store: &str, kind: &str, name: &str, spec: &Value) {
+    let body = json!({"Metadata": {"Name": name}, "Spec": spec}).to_string();
+    let path = format!("/primrosehoist/objects/{kind}");
+    let created = call(store, "POST", &path, &body);
+    if created.status == 409 {
+        let path = format!("{path}/{name}");
+        assert_eq!(call(store, "PUT", &path, &body).status, 200);
+    }
+}
+
+/// Deletes an object in the store.
+pub fn delete(store: &str, kind: &str, name: &str) {
+    let path = format!("/primrosehoist/objects/{kind}/{name}");
+    assert_eq!(call(store, "DELETE", &path, "").status, 200);
+}
+
 /// Sends `request` on a new connection and reads the response.
 pub fn send(address: &str, request: &Request) -> Response {
     let mut connection = connect(address);
@@ -378,18 +395,11 @@
     }
 
     pub fn put(&self, kind: &str, name: &str, spec: &Value) {
-        let body = json!({"Metadata": {"Name": name}, "Spec": spec}).to_string();
-        let path = format!("/primrosehoist/objects/{kind}");
-        let created = call(&self.store, "POST", &path, &body);
-        if created.status == 409 {
-            let path = format!("{path}/{name}");
-            assert_eq!(call(&self.store, "PUT", &path, &body).status, 200);
-        }
+        put(&self.store, kind, name, spec);
     }
 
     pub fn delete(&self, kind: &str, name: &str) {
-        let path = format!("/primrosehoist/objects/{kind}/{name}");
-        assert_eq!(call(&self.store, "DELETE", &path, "").status, 200);
+        delete(&self.store, kind, name);
     }
 
     /// Drops the history of the store, which ends all watches.
--- a/crates/primrosehoist-tests/tests/common/scripted.rs
+++ b/crates/primrosehoist-tests/tests/common/scripted.rs
@@ -15,6 +15,10 @@
     pub id: String,
     /// The id of the request before it on the connection.
     pub previous: Option<String>,
+    /// What was sent in answer to that one.
+    pub previous_answer: String,
+    /// The upstream that the request is meant for.
+    pub expected: String,
     /// Whether it resumes a stream.
     pub resumes: bool,
     /// The upstreams that prefill parts of its prompt.
@@ -27,19 +31,17 @@
     pub elapsed: Duration,
 }
 
-/// Returns what an upstream sends, and whether it then closes the connection.
+/// A script without state: returns what an upstream sends, and whether it then closes the connection.
 pub type Script = fn(&Received) -> (String, bool);
 
 /// The requests that upstreams have read.
 pub type Requests = Arc<Mutex<Vec<Received>>>;
 
-/// Starts an upstream that listens on `address`; returns its address.
-pub fn start_upstream(
-    address: &str,
-    upstream: usize,
-    script: Script,
-    requests: &Requests,
-) -> String {
+/// Starts an upstream that listens on `address` and follows `script`; returns its address.
+pub fn start_upstream<S>(address: &str, upstream: usize, script: S, requests: &Requests) -> String
+where
+    S: Fn(&Received) -> (String, bool) + Clone + Send + 'static,
+{
     let listener = TcpListener::bind(address).expect("binds");
     let address = listener.local_addr().expect("has an address").to_string();
     let requests = Arc::clone(requests);
@@ -53,6 +55,7 @@
                 first: Arc::clone(&first),
                 requests: Arc::clone(&requests),
             };
+            let script = script.clone();
             std::thread::spawn(move || upstream.serve(connection, script));
         }
     });
@@ -68,8 +71,12 @@
 }
 
 impl Upstream {
-    fn serve(&self, mut connection: TcpStream, script: Script) {
+    fn serve<S>(&self, mut connection: TcpStream, script: S)
+    where
+        S: Fn(&Received) -> (String, bool),
+    {
         let mut previous = None;
+        let mut previous_answer = String::new();
         while let Some(head) = read_request(&mut connection) {
             let header = |name: &str| {
                 let mut lines = head.lines().filter_map(|line| line.split_once(": "));
@@ -79,6 +86,8 @@
             let received = Received {
                 id: header("x-attempt-id").unwrap_or_default(),
                 previous: previous.take(),
+                previous_answer: std::mem::take(&mut previous_answer),
+                expected: header("x-expect-instance").unwrap_or_default(),
                 resumes: header("last-event-id").is_some(),
                 helpers: header("x-helpers"),
                 upstream: self.number,
@@ -93,6 +102,7 @@
             if connection.write_all(answer.as_bytes()).is_err() || closes {
                 return;
             }
+            previous_answer = answer;
         }
     }
 }
@@ -123,13 +133,17 @@
 
 /// Starts daemons with a service of two upstreams that follow `script`, at the paths `/bad-ask/`,
 /// `/bad-look/` and `/bad-order/`.
-pub fn start(daemons: u8, script: Script) -> (Deployment, Requests) {
+pub fn start<S>(daemons: u8, script: S) -> (Deployment, Requests)
+where
+    S: Fn(&Received) -> (String, bool) + Clone + Send + 'static,
+{
     start_with(daemons, script, |_spec| {})
 }
 
 /// Starts a deployment as [`start`] does, whose configuration is changed by `adjust`.
-pub fn start_with<A>(daemons: u8, script: Script, adjust: A) -> (Deployment, Requests)
+pub fn start_with<S, A>(daemons: u8, script: S, adjust: A) -> (Deployment, Requests)
 where
+    S: Fn(&Received) -> (String, bool) + Clone + Send + 'static,
     A: FnOnce(&mut Value),
 {
     let deployment = Deployment::ready(daemons);
@@ -152,7 +166,12 @@
     for number in 0..2 {
         let mut entry = deployment.entry(0, "ready");
         entry["Service"] = json!("bad");
-        entry["Address"] = json!(start_upstream("127.0.0.1:0", number, script, &requests));
+        entry["Address"] = json!(start_upstream(
+            "127.0.0.1:0",
+            number,
+            script.clone(),
+            &requests
+        ));
         deployment.put("servers", &format!("bad-{number}"), &entry);
     }
     std::thread::sleep(Duration::from_millis(900));
@@ -182,6 +201,11 @@
     format!("HTTP/1.1 200 OK\r\nX-Attempt-Id: {id}\r\nX-Response-Seal: s.{id}\r\n")
 }
 
+/// Returns the answer of an upstream that is not the one that the request is meant for.
+pub fn misdirected(id: &str) -> String {
+    format!("HTTP/1.1 421 Other\r\nX-Attempt-Id: {id}\r\nContent-Length: 0\r\n\r\n")
+}
+
 pub fn refusal(id: &str) -> String {
     format!(
         "HTTP/1.1 503 Full\r\nX-Attempt-Id: {id}\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
--- a/crates/primrosehoist-tests/tests/faulty_answers.rs
+++ b/crates/primrosehoist-tests/tests/faulty_answers.rs
@@ -2,13 +2,15 @@
 
 mod common;
 
-use std::sync::PoisonError;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
 
 use serde_json::json;
 
-use common::platform::{Request, send};
+use common::platform::{Deployment, Request, delete, put, send};
 use common::scripted::{
-    Received, Script, count, event, refusal, send_to, start, start_with, success,
+    Received, Requests, Script, count, event, misdirected, refusal, send_to, start, start_upstream,
+    start_with, success,
 };
 
 #[test]
@@ -72,6 +74,54 @@
     assert_eq!(response.events(), [1]);
 }
 
+/// Guards against calls that run although they are reported as not run, or run twice, because the
+/// refusal of an upstream that was replaced at its address came twice.
+#[test]
+fn late_copy_of_a_refusal_by_a_replaced_upstream_is_not_taken_for_the_next_answer() {
+    const CALLS: usize = 30;
+    let deployment = Deployment::ready(1);
+    let mut entry = deployment.entry(0, "ready");
+    for runner in &deployment.runners {
+        deployment.delete("servers", &runner.id);
+    }
+    let requests = Requests::default();
+    let (store, first) = (deployment.store.clone(), entry.clone());
+    let replaced = Arc::new(Mutex::new(Vec::new()));
+    let script = move |received: &Received| {
+        let mut replaced = replaced.lock().unwrap_or_else(PoisonError::into_inner);
+        if !replaced.contains(&received.id) {
+            replaced.push(received.id.clone());
+            let mut entry = first.clone();
+            entry["Address"] = json!(received.address);
+            delete(&store, "servers", &received.expected);
+            let successor = format!("upstream-{}", replaced.len());
+            put(&store, "servers", &successor, &entry);
+            // The daemon learns of the successor first.
+            std::thread::sleep(Duration::from_millis(100));
+            return (misdirected(&received.id), false);
+        }
+        let previous = received.previous.as_deref();
+        let refusal = previous.map(misdirected);
+        let late = refusal.filter(|refusal| received.previous_answer == *refusal);
+        let answer = success(&received.id) + "Content-Length: 4\r\n\r\ndone";
+        (late.unwrap_or_default() + &answer, false)
+    };
+    entry["Address"] = json!(start_upstream("127.0.0.1:0", 0, script, &requests));
+    deployment.put("servers", "upstream-0", &entry);
+    std::thread::sleep(Duration::from_millis(900));
+    let mut failed = Vec::new();
+    for _ in 0..CALLS {
+        let request = Request::new("POST", "/order/1");
+        let response = send(&deployment.daemons[0].ingress, &request);
+        // The first time it is refused, and then it runs.
+        let runs = count(&requests, &request.id) - 1;
+        if (runs, response.status) != (1, 200) {
+            failed.push((request.id, runs, response.status));
+        }
+    }
+    assert!(failed.is_empty(), "id, runs and status: {failed:?}");
+}
+
 /// Breaks off a new stream inside its third event, and answers one that is resumed with `resumed`.
 fn break_off(received: &Received, resumed: &str) -> (String, bool) {
     if received.resumes {
