Log the connection of a refusal

The line of a refused attempt named the upstream only. Two refusals of a request on one connection, the second of which is a copy, looked like those of two upstreams. The line now has the numbers of the connection and of the request on it; so has the line of a response that does not match.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -368,6 +368,8 @@
             log::warn!(
                 request = self.job.request.id.as_str(),
                 upstream = upstream.id.as_ref(),
+                connection = response.exchange.number().0,
+                exchange = response.exchange.number().1,
                 status = status.as_u16(),
                 echoed = answer.id_matches,
                 receipt = answer.has_receipt;
@@ -402,6 +404,8 @@
         log::info!(
             request = self.job.request.id.as_str(),
             upstream = upstream.id.as_ref(),
+            connection = response.exchange.number().0,
+            exchange = response.exchange.number().1,
             status = response.status.as_u16(),
             faulty = answer.failed_upstream.as_deref().unwrap_or("");
             "upstream did not run the request"
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -5,7 +5,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -33,6 +33,9 @@
 /// How long an idle connection is kept unless its upstream specifies a shorter timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The number of the next connection of this process.
+static NEXT_NUMBER: AtomicU64 = AtomicU64::new(1);
+
 quick_error! {
     /// An error from a call to an upstream.
     #[derive(Debug)]
@@ -221,6 +224,10 @@
     _driver: Driver,
     idle_since: Instant,
     idle_timeout: Duration,
+    /// The number of the connection in this process.
+    number: u64,
+    /// The number of requests sent on it.
+    requests: u64,
 }
 
 impl Connection {
@@ -270,6 +277,11 @@
 }
 
 impl Exchange {
+    /// Returns the number of the connection in this process, and of the request on it.
+    pub fn number(&self) -> (u64, u64) {
+        (self.connection.number, self.connection.requests)
+    }
+
     /// Sets how long the connection may stay idle in the pool.
     pub fn set_idle_timeout(&mut self, timeout: Duration) {
         self.connection.idle_timeout = timeout;
@@ -335,6 +347,7 @@
                 .current_gate
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(gate));
+            connection.requests += 1;
             match connection.sender.try_send_request(request).await {
                 Ok(response) => {
                     return Ok(Exchange {
@@ -401,6 +414,8 @@
             _driver: Driver(driver.abort_handle()),
             idle_since: Instant::now(),
             idle_timeout: IDLE_TIMEOUT,
+            number: NEXT_NUMBER.fetch_add(1, Ordering::Relaxed),
+            requests: 0,
         })
     }
 }
