Close the connection of each answer that is not a success

Callers of a route that must run once saw calls run twice, or got 503 for calls that had run. An upstream that refuses a request may send the refusal once more, late, with the id of the request. If the request came again on the same connection, the copy was taken for its answer. Earlier sendings were remembered by the id of the upstream, where attempts are counted, but connections are kept by address: a successor at the address of an upstream was unknown there. Orders, the older face and calls to the store share connections without any id.

The pool now closes a connection unless its response is a success, for all of its users; so does the pool of connections to the store. Attempts no longer remember which upstreams they called.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -48,12 +48,6 @@
 /// The delay after a failed memory reservation.
 const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// The timeout for reading the body of a rejection.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(20);
-
-/// The maximum size of the body of a rejection whose connection is kept, in bytes.
-const DISCARD_BYTES_MAX: usize = 64 * 1024;
-
 /// The maximum size of a response that is not streamed, in bytes.
 const RESPONSE_BYTES_MAX: u64 = 4 << 20;
 
@@ -63,9 +57,6 @@
     pub(crate) job: Arc<Job>,
     failover: Failover,
     excluded: Set<Arc<str>>,
-    /// The upstreams that the request was sent to. All attempts have the same id, so that a late copy
-    /// of an earlier response on a connection cannot be told from the response to a later attempt.
-    called: Set<Arc<str>>,
     /// The number of attempts made so far.
     pub(crate) count: u32,
     /// The last error response of an upstream.
@@ -125,7 +116,6 @@
             job,
             failover,
             excluded: Set::default(),
-            called: Set::default(),
             count: 0,
             reported: None,
             reopens_at: None,
@@ -242,8 +232,7 @@
         let gate = self.gate(&upstream);
         let request = self.request(&placement, remaining, last_event);
         let pool = self.context.pool(upstream.address);
-        let options = self.options(&upstream);
-        self.called.insert(Arc::clone(&upstream.id));
+        let options = self.options();
         let limit = self.silence_timeout(&placement);
         let sent_at = Instant::now();
         let sent = timeout(limit, pool.send_with(&options, request, &gate)).await;
@@ -359,7 +348,6 @@
         if answer.not_executed && answer.id_matches {
             self.context.note_answer(&upstream, &answer, sent_at);
             let upstream = self.on_rejection(&response, &answer);
-            response.discard().await;
             let failure = Failure::Rejected;
             return Err(Failed { upstream, failure });
         }
@@ -504,10 +492,8 @@
         allowance.has_retry(service, Instant::now())
     }
 
-    fn options(&self, upstream: &Upstream) -> Options {
-        let idle_max = if self.called.contains(&upstream.id) {
-            Duration::ZERO
-        } else if self.job.route.is_retryable() {
+    fn options(&self) -> Options {
+        let idle_max = if self.job.route.is_retryable() {
             Options::default().idle_max
         } else {
             IDLE_MAX_NON_IDEMPOTENT
@@ -602,14 +588,6 @@
 }
 
 impl Response {
-    /// Discards the body, and keeps the connection if the body is short and arrives quickly.
-    async fn discard(mut self) {
-        let rest = body::discard(self.exchange.response.body_mut(), DISCARD_BYTES_MAX);
-        if timeout(DISCARD_TIMEOUT, rest).await == Ok(true) {
-            self.return_connection();
-        }
-    }
-
     /// Returns the connection to the pool after the body has been read completely.
     pub(crate) fn return_connection(self) {
         if !self.closes_connection {
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -365,7 +365,14 @@
     }
 
     /// Returns the connection of an exchange to the pool after its response was read to the end.
+    ///
+    /// The connection is closed unless the response is a success. A refusal may come twice, and its
+    /// copy has the id of the request that was refused, so it could be taken for the answer if the
+    /// request came again on the connection, for whatever reason.
     pub fn release(&self, exchange: Exchange) {
+        if !exchange.response.status().is_success() {
+            return;
+        }
         let mut connection = exchange.connection;
         connection.idle_since = Instant::now();
         *connection
--- a/src/transport/platform/endpoint.rs
+++ b/src/transport/platform/endpoint.rs
@@ -73,8 +73,9 @@
             let (response, connection) = self.send(operation, method, path, body, timeout).await?;
             let (head, body) = response.into_parts();
             let response = read(operation, body).await?;
-            self.pool.put_idle(connection);
             check_status(operation, &head)?;
+            // A refusal may come twice, so its connection is closed.
+            self.pool.put_idle(connection);
             Ok((head.headers, response))
         };
         tokio::time::timeout(timeout, call)
--- a/tests/http_transport.rs
+++ b/tests/http_transport.rs
@@ -242,3 +242,52 @@
     assert!(sent.expect("ends").is_err());
     assert_eq!(counting.await.expect("counted"), 0);
 }
+
+/// Accepts connections and answers each request with `status`; returns the number of connections.
+async fn count_connections(listener: TcpListener, status: u16) -> u32 {
+    let mut connections = 0;
+    while let Ok(accepted) = timeout(Duration::from_millis(300), listener.accept()).await {
+        let (mut stream, _) = accepted.expect("accepts");
+        connections += 1;
+        tokio::spawn(async move {
+            let mut buffer = [0; 4096];
+            while let Ok(1..) = stream.read(&mut buffer).await {
+                let response = format!("HTTP/1.1 {status} x\r\nContent-Length: 0\r\n\r\n");
+                if stream.write_all(response.as_bytes()).await.is_err() {
+                    return;
+                }
+            }
+        });
+    }
+    connections
+}
+
+/// Guards against a late copy of a refusal that is taken for the answer to the next request.
+#[tokio::test]
+async fn connection_that_carried_a_refusal_is_not_used_again() {
+    const REQUESTS: u32 = 4;
+    for (status, expected) in [
+        (200, 1),
+        (206, 1),
+        (400, REQUESTS),
+        (408, REQUESTS),
+        (409, REQUESTS),
+        (421, REQUESTS),
+        (429, REQUESTS),
+        (500, REQUESTS),
+        (503, REQUESTS),
+        (507, REQUESTS),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+        let pool = Pool::new(listener.local_addr().expect("has an address"));
+        let counting = tokio::spawn(count_connections(listener, status));
+        for _ in 0..REQUESTS {
+            let gate = Arc::new(Gate::new(Arc::default(), |_sent| true));
+            let sent = pool.send(request(""), &gate).await;
+            let mut exchange = sent.expect("is answered");
+            assert!(discard(exchange.response.body_mut(), 0).await);
+            pool.release(exchange);
+        }
+        assert_eq!(counting.await.expect("counted"), expected, "{status}");
+    }
+}
--- a/tests/peer_platform.rs
+++ b/tests/peer_platform.rs
@@ -27,6 +27,29 @@
     Client::new(address, &host, &zone)
 }
 
+/// Guards against a late copy of a refusal that is taken for the response to the next call.
+#[tokio::test]
+async fn call_after_a_refusal_that_comes_twice_gets_its_own_response() {
+    const REFUSAL: &str = "HTTP/1.1 503 Down\r\ncontent-length: 0\r\n\r\n";
+    const ABSENT: &str = "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = client(&listener.local_addr().unwrap().to_string());
+    tokio::spawn(async move {
+        let mut first = REFUSAL;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut response = std::mem::replace(&mut first, ABSENT).to_owned();
+            while let Ok(1..) = stream.read(&mut [0; 4096]).await {
+                let _sent = stream.write_all(response.as_bytes()).await;
+                response.push_str(ABSENT);
+            }
+        }
+    });
+    let refused = client.get(CHANGES, "1").await.unwrap_err();
+    assert!(refused.to_string().contains("status 503"), "{refused}");
+    let absent = client.get(CHANGES, "1").await.unwrap_err();
+    assert!(absent.to_string().contains("not found"), "{absent}");
+}
+
 #[tokio::test]
 async fn error_responses_map_to_typed_errors() {
     let cases = [
