Give the two functions named is_refused names of their own

One tells whether an address refuses connections, the other whether a long prompt is refused on arrival. attempt.rs imports both.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -14,7 +14,9 @@
 use primrosehoist::state::route::Kind;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::body::{self, Buffered};
-use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Options, Pool, is_refused};
+use primrosehoist::transport::http::upstream::{
+    Error, Exchange, Gate, Options, Pool, refuses_connections,
+};
 use primrosehoist_platform::header;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -134,7 +136,7 @@
     ) -> Result<Response, Unanswered> {
         let resumes = last_event != self.job.request.last_event;
         let mut patience = Patience::new(&self.job, resumes);
-        if self.count == 0 && selection::is_refused(&self.context, &self.job, patience) {
+        if self.count == 0 && selection::is_refused_on_arrival(&self.context, &self.job, patience) {
             return Err(self.unanswered("overloaded"));
         }
         loop {
@@ -301,7 +303,7 @@
         if is_first {
             let (context, upstream) = (Arc::clone(&self.context), Arc::clone(upstream));
             tokio::spawn(async move {
-                if is_refused(upstream.address, CONNECT_TIMEOUT).await {
+                if refuses_connections(upstream.address, CONNECT_TIMEOUT).await {
                     log::info!(upstream = upstream.id.as_ref(); "upstream refuses connections");
                     let mut crashes = context.crashes.lock();
                     crashes.upstream_down(&upstream.id, Instant::now());
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -161,7 +161,7 @@
 
 /// Returns whether `job` is refused on arrival, because more long prompts arrive than the engines can
 /// prefill. A client that already has a part of its answer is not.
-pub(crate) fn is_refused(context: &Context, job: &Job, patience: Patience) -> bool {
+pub(crate) fn is_refused_on_arrival(context: &Context, job: &Job, patience: Patience) -> bool {
     let Some(engine) = &job.service.engine else {
         return false;
     };
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -52,7 +52,7 @@
 }
 
 /// Returns whether a new connection to `address` is refused, because no process listens there.
-pub async fn is_refused(address: SocketAddr, connect_timeout: Duration) -> bool {
+pub async fn refuses_connections(address: SocketAddr, connect_timeout: Duration) -> bool {
     let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
     let is_refusal = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
     matches!(connected, Ok(Err(error)) if is_refusal(&error))
