Send what gets an answer without an id on a connection of its own

Callers of plain services on the older face could have a call run twice: the copy of a success was taken for the answer to the next call, and the connection, now one answer behind, went back to the pool, since it had carried only successes. The refusal of that call then met the call after it, which was reported as not run and sent to another service.

An answer without an id proves nothing about the request that it meets.

--- a/crates/primrosehoist-daemon/src/gateway/reservation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reservation.rs
@@ -13,7 +13,6 @@
 use http_body_util::{BodyExt, Full};
 use primrosehoist::state::rate;
 use primrosehoist::state::roster::Upstream;
-use primrosehoist::transport::http::body;
 use primrosehoist::transport::http::upstream::{Gate, Options};
 use primrosehoist_platform::{header as platform_header, reservation};
 use serde_json::Value;
@@ -33,9 +32,6 @@
 /// The timeout of a request to reserve or release memory. Upstreams respond within milliseconds.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The maximum size of a response to a request to reserve or release memory, in bytes.
-const RESPONSE_BYTES_MAX: usize = 64 * 1024;
-
 /// The maximum number of attempts to release a reservation. If all fail, its lease expires.
 const RELEASE_ATTEMPTS_MAX: u32 = 3;
 
@@ -180,7 +176,9 @@
     let gate = Arc::new(Gate::new(Arc::default(), |_sent| true));
     let pool = context.pool(address);
     let exchanged = async {
-        let mut exchange = pool.send_with(&Options::default(), request, &gate).await?;
+        let exchange = pool
+            .send_with(&Options::single_use(), request, &gate)
+            .await?;
         let status = exchange.response.status();
         if platform_header::is_leaving(exchange.response.headers()) {
             context.note_leaving(&ticket.upstream);
@@ -189,9 +187,6 @@
         if let rate::Notice::Limited(_) = notice {
             context.note_limit(&ticket.upstream, notice, Instant::now());
         }
-        if body::discard(exchange.response.body_mut(), RESPONSE_BYTES_MAX).await {
-            pool.release(exchange);
-        }
         Ok::<_, primrosehoist::transport::http::upstream::Error>(status)
     };
     match timeout(REQUEST_TIMEOUT, exchanged).await {
--- a/crates/primrosehoist-daemon/src/holder/call.rs
+++ b/crates/primrosehoist-daemon/src/holder/call.rs
@@ -8,8 +8,7 @@
 use http_body_util::{BodyExt, Full};
 use primrosehoist::coordination::admission::{self, Finish};
 use primrosehoist::transport::http::Payload;
-use primrosehoist::transport::http::body;
-use primrosehoist::transport::http::upstream::{Error, Exchange, Gate};
+use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Options};
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -24,9 +23,6 @@
 /// The timeout of one cancellation request.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// The maximum size of the response to a cancellation request, in bytes.
-const RESPONSE_BYTES_MAX: usize = 64 * 1024;
-
 /// The delay between cancellation requests.
 const CANCEL_RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -76,7 +72,11 @@
 pub(crate) async fn resume(task: &Task, holding: &Holding, from: u64) -> Result<Exchange, Error> {
     let content = json!({"id": task.dispatch.attempt, "from": from});
     let request = post(holding, &task.host, "/admin/resume", &content);
-    holding.pool.send(request, &gate(task, holding)).await
+    let options = Options::single_use();
+    holding
+        .pool
+        .send_with(&options, request, &gate(task, holding))
+        .await
 }
 
 /// Cancels the attempt at the engine, and counts it as in flight until the engine confirms or
@@ -123,16 +123,16 @@
     let request = post(holding, &task.host, path, &content);
     // Safe without a lease, since it ends only an attempt of this daemon.
     let gate = Arc::new(Gate::new(Arc::clone(&holding.write_lock), |_sent| true));
-    let sent = timeout(CANCEL_TIMEOUT, holding.pool.send(request, &gate)).await;
-    let Ok(Ok(mut exchange)) = sent else {
+    let options = Options::single_use();
+    let sent = timeout(
+        CANCEL_TIMEOUT,
+        holding.pool.send_with(&options, request, &gate),
+    )
+    .await;
+    let Ok(Ok(exchange)) = sent else {
         return false;
     };
-    let cancelled = exchange.response.status().is_success();
-    let rest = body::discard(exchange.response.body_mut(), RESPONSE_BYTES_MAX);
-    if timeout(CANCEL_TIMEOUT, rest).await == Ok(true) {
-        holding.pool.release(exchange);
-    }
-    cancelled
+    exchange.response.status().is_success()
 }
 
 /// Builds a `POST` request to the admin interface of an engine.
--- a/crates/primrosehoist-daemon/src/holder/group.rs
+++ b/crates/primrosehoist-daemon/src/holder/group.rs
@@ -6,10 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use primrosehoist::protocol::outcome::{Failure, Reason};
 use primrosehoist::protocol::wire::{Dispatch, Reply};
 use primrosehoist::state::queue::Item;
+use primrosehoist::transport::http::upstream::Options;
 use serde_json::json;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -72,9 +72,14 @@
     });
     let request = call::post(holding, &task.host, "/admin/kv/reserve", &content);
     let gate = call::gate(task, holding);
-    let sent = timeout(CALL_TIMEOUT, holding.pool.send(request, &gate)).await;
+    let options = Options::single_use();
+    let sent = timeout(
+        CALL_TIMEOUT,
+        holding.pool.send_with(&options, request, &gate),
+    )
+    .await;
     let unavailable = |message: &str| Failure::not_run(Reason::Unavailable, message);
-    let mut exchange = match sent {
+    let exchange = match sent {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(error)) => return Err(unavailable(&error.to_string())),
         Err(_) => {
@@ -84,9 +89,6 @@
         }
     };
     let status = exchange.response.status();
-    if let Ok(Ok(_)) = timeout(CALL_TIMEOUT, exchange.response.body_mut().collect()).await {
-        holding.pool.release(exchange);
-    }
     match status.as_u16() {
         200 => Ok(()),
         507 => Err(Failure::not_run(
--- a/crates/primrosehoist-daemon/src/holder/reconcile.rs
+++ b/crates/primrosehoist-daemon/src/holder/reconcile.rs
@@ -9,7 +9,7 @@
 use primrosehoist::coordination::backoff;
 use primrosehoist::coordination::reconcile::{self, Abandoned, Context, Listing, Resource};
 use primrosehoist::transport::http::Payload;
-use primrosehoist::transport::http::upstream::{Error, Gate};
+use primrosehoist::transport::http::upstream::{Error, Gate, Options};
 use quick_error::quick_error;
 use serde_json::json;
 use tokio::time::{Instant, interval, timeout};
@@ -212,7 +212,10 @@
         !checks_lease || lease.permits_sending(Instant::now())
     }));
     let called = timeout(CALL_TIMEOUT, async {
-        let sent = holding.pool.send(request, &gate).await;
+        let sent = holding
+            .pool
+            .send_with(&Options::single_use(), request, &gate)
+            .await;
         let mut exchange = sent.map_err(|error| match error {
             Error::Connect(..) => Failure::Connect(error),
             Error::Send(..) => Failure::Call(error),
@@ -221,7 +224,6 @@
         let content = Limited::new(body, LIST_BYTES_MAX).collect().await;
         let content = content.map_err(|error| Failure::Response(error.to_string()))?;
         let status = exchange.response.status();
-        holding.pool.release(exchange);
         if status.is_success() {
             Ok(content.to_bytes())
         } else {
--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -296,7 +296,10 @@
         responder.send(part).await.map_err(Stop::Closed)?;
         index += 1;
     }
-    registration.holding().pool.release(exchange);
+    // The answers of a plain service bear no id, so that its next one may be a copy of this one.
+    if task.engine {
+        registration.holding().pool.release(exchange);
+    }
     Ok(())
 }
 
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -255,6 +255,18 @@
     }
 }
 
+impl Options {
+    /// Returns the options of a request that gets a connection of its own. Use them if the response has
+    /// no id of the request, since it could then be that of an earlier one, and do not release the
+    /// connection.
+    pub fn single_use() -> Self {
+        Self {
+            idle_max: Duration::ZERO,
+            ..Self::default()
+        }
+    }
+}
+
 /// A pool of connections to one upstream.
 pub struct Pool {
     address: SocketAddr,
