--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{HeaderMap, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::BodyExt;
 use primrosehoist::coordination::failover::{Decision, Failover, Failure};
 use primrosehoist::coordination::stall::{self, Expectation};
@@ -20,6 +20,7 @@
 use primrosehoist_platform::header;
 use tokio::time::{Instant, sleep, timeout};
 
+use super::answer::{BufferedResponse, Response, Unanswered};
 use super::context::Context;
 use super::job::Job;
 use super::permit;
@@ -67,16 +68,6 @@
     pub(crate) reopens_at: Option<Instant>,
 }
 
-/// A response whose head has been received.
-pub(crate) struct Response {
-    pub(crate) placement: Placement,
-    pub(crate) exchange: Exchange,
-    pub(crate) pool: Arc<Pool>,
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    closes_connection: bool,
-}
-
 /// A failed attempt.
 struct Failed {
     /// The upstream at fault, which may be a helper.
@@ -84,27 +75,6 @@
     failure: Failure,
 }
 
-/// A response with its complete body.
-#[derive(Debug, Clone)]
-pub(crate) struct BufferedResponse {
-    pub(crate) status: StatusCode,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Buffered,
-}
-
-/// Why a request has no successful response.
-#[derive(Debug)]
-pub(crate) enum Unanswered {
-    /// The request did not run and will not run.
-    NotRun(&'static str),
-    /// The request may have run.
-    Uncertain(&'static str),
-    /// The deadline passed; the request may have run if `true`.
-    Expired(bool),
-    /// An upstream returned an error response.
-    Reported(Box<BufferedResponse>),
-}
-
 impl Attempts {
     /// Creates the attempts of `job`.
     pub(crate) fn new(context: Arc<Context>, job: Arc<Job>) -> Self {
@@ -235,7 +205,7 @@
         let request = self.request(&placement, remaining, last_event);
         let pool = self.context.pool(upstream.address);
         let options = self.options();
-        let limit = self.silence_timeout(&placement);
+        let limit = self.silence_timeout(Some(&placement));
         let sent_at = Instant::now();
         let sent = timeout(limit, pool.send_with(&options, request, &gate)).await;
         let exchange = match sent {
@@ -337,19 +307,11 @@
         if let Some(time) = keep_alive {
             exchange.set_idle_timeout(time);
         }
-        let response = Response {
-            placement,
-            exchange,
-            pool,
-            status,
-            headers,
-            closes_connection: answer.closes_connection,
-        };
         let hop = self.context.hop_to(&upstream.zone);
         self.context.partitions.lock().record_success(&hop);
         if answer.not_executed && answer.id_matches {
             self.context.note_answer(&upstream, &answer, sent_at);
-            let upstream = self.on_rejection(&response, &answer);
+            let upstream = self.on_rejection(&placement, &exchange, &answer);
             let failure = Failure::Rejected;
             return Err(Failed { upstream, failure });
         }
@@ -358,8 +320,8 @@
             log::warn!(
                 request = self.job.request.id.as_str(),
                 upstream = upstream.id.as_ref(),
-                connection = response.exchange.number().0,
-                exchange = response.exchange.number().1,
+                connection = exchange.number().0,
+                exchange = exchange.number().1,
                 status = status.as_u16(),
                 echoed = answer.id_matches,
                 receipt = answer.has_receipt;
@@ -372,12 +334,23 @@
         self.context.note_answer(&upstream, &answer, sent_at);
         if status.is_success() {
             let mut partitions = self.context.partitions.lock();
-            for helper in &response.placement.helpers {
+            for helper in &placement.helpers {
                 partitions.record_success(&hop_between(&upstream, helper));
             }
+        } else {
+            self.record(&upstream, Observation::Failure);
+        }
+        let response = Response {
+            placement: Some(placement),
+            exchange,
+            pool,
+            status,
+            headers,
+            closes_connection: answer.closes_connection,
+        };
+        if status.is_success() {
             return Ok(response);
         }
-        self.record(&upstream, Observation::Failure);
         let failure = match self.collect(response).await {
             Ok(buffered) => {
                 self.reported = Some(buffered);
@@ -389,20 +362,26 @@
     }
 
     /// Handles a response that says that the request did not run; returns the upstream at fault.
-    fn on_rejection(&self, response: &Response, answer: &header::Response) -> Arc<Upstream> {
-        let upstream = &response.placement.upstream;
+    fn on_rejection(
+        &self,
+        placement: &Placement,
+        exchange: &Exchange,
+        answer: &header::Response,
+    ) -> Arc<Upstream> {
+        let upstream = &placement.upstream;
+        let status = exchange.response.status();
         log::info!(
             request = self.job.request.id.as_str(),
             upstream = upstream.id.as_ref(),
-            connection = response.exchange.number().0,
-            exchange = response.exchange.number().1,
-            status = response.status.as_u16(),
+            connection = exchange.number().0,
+            exchange = exchange.number().1,
+            status = status.as_u16(),
             faulty = answer.failed_upstream.as_deref().unwrap_or("");
             "upstream did not run the request"
         );
         // The rejection may blame a helper, by its id or its address.
         let faulty = answer.failed_upstream.as_deref().and_then(|faulty| {
-            let mut helpers = response.placement.helpers.iter();
+            let mut helpers = placement.helpers.iter();
             helpers
                 .find(|helper| helper.id.as_ref() == faulty || helper.address.to_string() == faulty)
         });
@@ -411,7 +390,7 @@
             let hop = hop_between(upstream, helper);
             let mut partitions = self.context.partitions.lock();
             partitions.record_failure(&hop, &helper.id, Instant::now());
-        } else if response.status == StatusCode::MISDIRECTED_REQUEST {
+        } else if status == StatusCode::MISDIRECTED_REQUEST {
             // Another process now listens on the address.
             self.record(upstream, Observation::Unreachable);
         }
@@ -427,8 +406,8 @@
         &self,
         mut response: Response,
     ) -> Result<BufferedResponse, Failure> {
-        let upstream = Arc::clone(&response.placement.upstream);
-        let limit = self.silence_timeout(&response.placement);
+        let upstream = response.upstream().map(Arc::clone);
+        let limit = self.silence_timeout(response.placement.as_ref());
         let limits = body::Limits {
             bytes_max: RESPONSE_BYTES_MAX,
             idle_timeout: limit,
@@ -448,13 +427,15 @@
             Err(error) => {
                 log::info!(
                     request = self.job.request.id.as_str(),
-                    upstream = upstream.id.as_ref(),
+                    upstream = upstream.as_ref().map_or("", |upstream| upstream.id.as_ref()),
                     error:%;
                     "failed to read the response body"
                 );
-                self.record(&upstream, Observation::Unreachable);
-                if error == body::Error::Broken {
-                    self.suspect_crash(&upstream, false);
+                if let Some(upstream) = &upstream {
+                    self.record(upstream, Observation::Unreachable);
+                    if error == body::Error::Broken {
+                        self.suspect_crash(upstream, false);
+                    }
                 }
                 Err(Failure::Lost)
             }
@@ -506,9 +487,13 @@
         }
     }
 
-    /// Returns how long the upstream of `placement` may be silent before its first event.
-    pub(crate) fn silence_timeout(&self, placement: &Placement) -> Duration {
+    /// Returns how long the upstream of `placement` may be silent before its first event. Another
+    /// daemon that placed the request itself limits how long its upstream may be silent.
+    pub(crate) fn silence_timeout(&self, placement: Option<&Placement>) -> Duration {
         let remaining = self.job.remaining();
+        let Some(placement) = placement else {
+            return remaining;
+        };
         let may_retry = self.may_retry();
         let limit = match self.job.route.kind {
             Kind::Stream => {
@@ -588,12 +573,3 @@
 fn hop_between(from: &Upstream, to: &Upstream) -> Hop {
     (Arc::clone(&from.zone), Arc::clone(&to.zone))
 }
-
-impl Response {
-    /// Returns the connection to the pool after the body has been read completely.
-    pub(crate) fn return_connection(self) {
-        if !self.closes_connection {
-            self.pool.release(self.exchange);
-        }
-    }
-}
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -10,13 +10,15 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use primrosehoist::state::handoff::Handoff;
+use primrosehoist::state::health::Observation;
 use primrosehoist::state::route::{Access, Kind, Table};
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::body::{self, Buffered};
 use primrosehoist_platform::header;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{Attempts, BufferedResponse, Unanswered};
+use super::answer::{BufferedResponse, Unanswered};
+use super::attempt::Attempts;
 use super::context::Context;
 use super::job::{self, Job};
 use super::stream::Relay;
@@ -287,16 +289,21 @@
             Ok(response) => response,
             Err(unanswered) => return unanswered_response(unanswered, &attempts, progress),
         };
-        let upstream = Arc::clone(&response.placement.upstream);
+        let upstream = response.upstream().map(Arc::clone);
         match attempts.collect(response).await {
             Ok(buffered) => {
-                let success = primrosehoist::state::health::Observation::Success;
-                attempts.record(&upstream, success);
+                if let Some(upstream) = &upstream {
+                    attempts.record(upstream, Observation::Success);
+                }
                 progress.set_outcome("complete");
                 return forwarded_response(&buffered);
             }
             Err(failure) => {
-                if let Err(unanswered) = attempts.on_failure(&upstream, failure) {
+                let ended = match &upstream {
+                    Some(upstream) => attempts.on_failure(upstream, failure),
+                    None => Err(Unanswered::Uncertain("helper")),
+                };
+                if let Err(unanswered) = ended {
                     return unanswered_response(unanswered, &attempts, progress);
                 }
             }
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! Each daemon forwards requests directly to upstreams. It learns the state of the platform from
 //! the platform's store, from gossip messages of other daemons, and from upstream responses.
 
+mod answer;
 mod attempt;
 mod context;
 mod gossip;
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -15,7 +15,8 @@
 use std::sync::Arc;
 use tokio::time::{Instant, timeout_at};
 
-use super::attempt::{Attempts, Response, Unanswered};
+use super::answer::{Response, Unanswered};
+use super::attempt::Attempts;
 use super::ingress::Progress;
 use super::placement::Placement;
 
@@ -151,7 +152,7 @@
             Ok(response) => {
                 log::info!(
                     request = self.attempts.job.request.id.as_str(),
-                    upstream = response.placement.upstream.id.as_ref(),
+                    upstream = response.upstream_id(),
                     after = self.last_event.unwrap_or_default();
                     "stream resumed"
                 );
@@ -176,7 +177,10 @@
         let Some(response) = self.response.take() else {
             return Err(Unanswered::Uncertain("upstream"));
         };
-        let upstream = Arc::clone(&response.placement.upstream);
+        // All attempts that were left went with the request to the daemon that placed it.
+        let Some(upstream) = response.upstream().map(Arc::clone) else {
+            return Err(Unanswered::Uncertain("helper"));
+        };
         drop(response);
         self.attempts.record(&upstream, Observation::Unreachable);
         self.attempts.on_failure(&upstream, failure)
@@ -204,7 +208,7 @@
             let limit = self
                 .response
                 .as_ref()
-                .map(|response| self.silence_timeout(&response.placement));
+                .map(|response| self.silence_timeout(response.placement.as_ref()));
             let (Some(limit), Some(response)) = (limit, self.response.as_mut()) else {
                 return Step::Broken(Failure::Lost);
             };
@@ -218,15 +222,14 @@
                     }
                 }
                 Ok(Some(Err(error))) => {
-                    let upstream = Arc::clone(&response.placement.upstream);
                     log::info!(
                         request = self.attempts.job.request.id.as_str(),
-                        upstream = upstream.id.as_ref(),
+                        upstream = response.upstream_id(),
                         after = self.last_event.unwrap_or_default(),
                         error:%;
                         "stream broke"
                     );
-                    self.attempts.suspect_crash(&upstream, self.has_survived());
+                    self.suspect_crash();
                     return Step::Broken(Failure::Lost);
                 }
                 Ok(None) => return self.end(),
@@ -251,14 +254,14 @@
 
     /// Returns the id of the upstream that generates the stream.
     fn upstream_id(&self) -> &str {
-        let response = self.response.as_ref();
-        response.map_or("", |response| response.placement.upstream.id.as_ref())
+        self.response.as_ref().map_or("", Response::upstream_id)
     }
 
     /// Records a complete event and returns it, unless the client already has it.
     fn accept(&mut self, event: Bytes) -> Option<Bytes> {
-        if let Some(response) = self.response.as_mut() {
-            response.placement.finish_prefill();
+        let response = self.response.as_mut();
+        if let Some(placement) = response.and_then(|response| response.placement.as_mut()) {
+            placement.finish_prefill();
         }
         if self.events == 0 {
             let job = &self.attempts.job;
@@ -280,6 +283,13 @@
         Some(event)
     }
 
+    /// Records that the connection broke, so that the request may have crashed the upstream.
+    fn suspect_crash(&self) {
+        if let Some(upstream) = self.response.as_ref().and_then(Response::upstream) {
+            self.attempts.suspect_crash(upstream, self.has_survived());
+        }
+    }
+
     /// Returns whether the upstream has survived the start of the answer.
     fn has_survived(&self) -> bool {
         self.events_of_attempt >= SURVIVED_EVENTS
@@ -288,15 +298,13 @@
     /// Handles the end of the body. Bytes after the last complete event mean that it was cut off.
     fn end(&mut self) -> Step {
         if !self.splitter.remainder().is_empty() {
-            if let Some(response) = self.response.as_ref() {
-                let upstream = &response.placement.upstream;
-                self.attempts.suspect_crash(upstream, self.has_survived());
-            }
+            self.suspect_crash();
             return Step::Broken(Failure::Lost);
         }
         if let Some(response) = self.response.take() {
-            self.attempts
-                .record(&response.placement.upstream, Observation::Success);
+            if let Some(upstream) = response.upstream() {
+                self.attempts.record(upstream, Observation::Success);
+            }
             response.return_connection();
         }
         Step::End
@@ -309,7 +317,7 @@
             || (self.attempts.may_retry() && self.attempts.has_retry())
     }
 
-    fn silence_timeout(&self, placement: &Placement) -> Duration {
+    fn silence_timeout(&self, placement: Option<&Placement>) -> Duration {
         if self.events == 0 {
             return self.attempts.silence_timeout(placement);
         }
