Parse and print versions of platform state in one place

The path of a request for state had a format and a parser of its own in peer_sync. Requests between daemons need the same text, so it is now the Display and FromStr of Versions.

--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -14,7 +14,7 @@
 use http_body_util::{BodyExt, Full};
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
 use primrosehoist::state::map::Set;
-use primrosehoist::state::versions::{Revision, Versions};
+use primrosehoist::state::versions::Versions;
 use primrosehoist::transport::hedge::first_success;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::platform::Endpoint;
@@ -78,33 +78,12 @@
     response
 }
 
-/// Returns the request path of a daemon whose versions are `own`.
-fn request_path(own: &Versions) -> String {
-    let Versions {
-        configuration,
-        upstreams,
-        evacuations,
-    } = own;
-    let revision = |revision: &Revision| format!("{},{}", revision.era, revision.number);
-    let (upstreams, evacuations) = (revision(upstreams), revision(evacuations));
-    format!("{PATH}?{configuration},{upstreams},{evacuations}")
-}
-
-/// Parses the versions of the requesting daemon. Missing or invalid ones count as 0.
+/// Returns the versions of the requesting daemon. One that states none gets everything.
 fn parse_versions(query: &str) -> Versions {
-    let mut parts = query.split(',').map(|part| part.parse().unwrap_or(0));
-    let mut next = || parts.next().unwrap_or(0);
-    Versions {
-        configuration: next(),
-        upstreams: Revision {
-            era: next(),
-            number: next(),
-        },
-        evacuations: Revision {
-            era: next(),
-            number: next(),
-        },
-    }
+    query.parse().unwrap_or_else(|error| {
+        log::debug!(query, error:%; "request for state without versions");
+        Versions::default()
+    })
 }
 
 /// Returns a daemon that is not in `tried` and has newer state than `own`.
@@ -197,7 +176,7 @@
 /// Requests the state that is newer than this daemon's from the daemon at `address`.
 async fn fetch(context: &Context, address: SocketAddr) -> Option<Snapshot> {
     let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
-    let path = request_path(&context.versions.lock());
+    let path = format!("{PATH}?{}", *context.versions.lock());
     let step = format!("fetch platform state from {address}");
     let result = endpoint.call(&step, Method::GET, &path, Bytes::new(), REQUEST_TIMEOUT);
     match result.await {
--- a/src/state/versions.rs
+++ b/src/state/versions.rs
@@ -1,7 +1,20 @@
 //! The versions of the platform state that a daemon has applied.
 
+use std::fmt;
+use std::str::FromStr;
+
+use quick_error::quick_error;
 use serde::{Deserialize, Serialize};
 
+quick_error! {
+    /// An error from parsing [`Versions`].
+    #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+    pub enum Error {
+        /// The text is not a list of five numbers.
+        Malformed { display("versions are five numbers separated by commas") }
+    }
+}
+
 /// A revision of the platform's store.
 ///
 /// Revisions go back when the store is restored from a copy, and are given out again. Its era rises each
@@ -66,3 +79,44 @@
             || self.evacuations > other.evacuations
     }
 }
+
+impl fmt::Display for Versions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            configuration,
+            upstreams,
+            evacuations,
+        } = self;
+        write!(f, "{configuration},{},{}", upstreams.era, upstreams.number)?;
+        write!(f, ",{},{}", evacuations.era, evacuations.number)
+    }
+}
+
+impl FromStr for Versions {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        let parts = text.split(',').map(|part| part.parse().ok());
+        let numbers: Option<Vec<u64>> = parts.collect();
+        let [
+            configuration,
+            upstreams_era,
+            upstreams,
+            evacuations_era,
+            evacuations,
+        ] = numbers
+            .and_then(|numbers| numbers.try_into().ok())
+            .ok_or(Error::Malformed)?;
+        Ok(Self {
+            configuration,
+            upstreams: Revision {
+                era: upstreams_era,
+                number: upstreams,
+            },
+            evacuations: Revision {
+                era: evacuations_era,
+                number: evacuations,
+            },
+        })
+    }
+}
