Show that hosts cut off from all upstreams hardly serve anybody

Callers of a host that has lost its links to all upstreams get no answer, or one after many seconds, while other hosts serve theirs.

--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -3,7 +3,9 @@
 #![allow(dead_code, reason = "each test program uses only some of the helpers")]
 
 pub mod caller;
+pub mod calls;
 pub mod history;
+pub mod links;
 pub mod load;
 pub mod platform;
 pub mod process;
--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -231,6 +231,8 @@
 
 /// The processes of a deployment.
 pub struct Deployment {
+    /// The first three numbers of all addresses.
+    pub network: String,
     pub store: String,
     pub daemons: Vec<Daemon>,
     pub runners: Vec<Runner>,
@@ -251,6 +253,21 @@
     where
         S: Fn(u8) -> bool,
     {
+        let mut deployment = Self::without_daemons();
+        let second_store = format!("{}.1:7101", deployment.network);
+        for index in 0..daemons {
+            let store = if second(index) {
+                second_store.clone()
+            } else {
+                deployment.store.clone()
+            };
+            deployment.add_daemon("zone-a", &store);
+        }
+        deployment
+    }
+
+    /// Starts a store and three runners in two zones. There are no daemons yet.
+    pub fn without_daemons() -> Self {
         let number = DEPLOYMENTS.fetch_add(1, Ordering::Relaxed);
         let own = std::process::id();
         let directory = std::env::temp_dir().join(format!("primrosehoist-users-{own}-{number}"));
@@ -263,6 +280,7 @@
         let process = Process::start("primrosehoist-standin", &arguments, &log);
         wait_until_listening(&store);
         let mut deployment = Self {
+            network,
             store,
             daemons: Vec::new(),
             runners: Vec::new(),
@@ -273,25 +291,21 @@
             deployment.runners.push(Runner {
                 id: format!("i-{index}"),
                 zone,
-                address: format!("{network}.{}:7200", 20 + index),
+                address: format!("{}.{}:7200", deployment.network, 20 + index),
                 process: None,
             });
             deployment.start_runner(index);
         }
-        for index in 0..daemons {
-            let store = if second(index) {
-                &second_store
-            } else {
-                &deployment.store
-            };
-            let daemon =
-                deployment.prepare_daemon(&format!("{network}.{}", 40 + index), index, store);
-            deployment.daemons.push(daemon);
-            deployment.start_daemon(index as usize);
-        }
         deployment
     }
 
+    /// Starts another daemon, which reaches the store at `store`.
+    pub fn add_daemon(&mut self, zone: &str, store: &str) {
+        let daemon = self.prepare_daemon(zone, store);
+        self.daemons.push(daemon);
+        self.start_daemon(self.daemons.len() - 1);
+    }
+
     /// Starts a deployment, configures it and waits until its daemons are ready.
     pub fn ready(daemons: u8) -> Self {
         Self::start(daemons).into_ready()
@@ -320,10 +334,12 @@
         deployment
     }
 
-    fn prepare_daemon(&self, ip: &str, index: u8, store: &str) -> Daemon {
+    fn prepare_daemon(&self, zone: &str, store: &str) -> Daemon {
+        let index = self.daemons.len();
+        let ip = format!("{}.{}", self.network, 40 + index);
         let settings = self.directory.join(format!("daemon-{index}.toml"));
         let text = format!(
-            "NodeName = \"frontend-{index}\"\nRole = \"gateway\"\nIp = \"{ip}\"\nZone = \"zone-a\"\n\
+            "NodeName = \"frontend-{index}\"\nRole = \"gateway\"\nIp = \"{ip}\"\nZone = \"{zone}\"\n\
              InternalPorts = [7340, 7355]\nHeartbeatMs = 1200\n\
              [Listen]\nFrontend = \"{ip}:8227\"\nReadiness = \"{ip}:8220\"\n\
              [Limits]\nMemoryMb = 260\n\
