Tell servers the address of the client, and bind pools to a source address

A server passes the address of the client on as an extension of the request; a pool can be bound to the host's own address; a budget tells whether a share of it stays free; a connection can be opened in advance and kept if there is no idle one. Each has a test. No change of behavior yet.

--- a/src/transport/http/body.rs
+++ b/src/transport/http/body.rs
@@ -50,6 +50,8 @@
 #[derive(Debug, Clone)]
 pub struct Budget {
     units: Arc<Semaphore>,
+    /// The number of units when no body is buffered.
+    total: usize,
     /// The bytes of each body that are not counted.
     exempt_bytes: u64,
 }
@@ -63,13 +65,23 @@
     /// Creates a budget of `bytes` bytes, in which the first `exempt_bytes` of each body are not
     /// counted: small bodies are buffered even if large ones have exhausted the budget.
     pub fn with_exemption(bytes: u64, exempt_bytes: u64) -> Self {
-        let units = (bytes / BUDGET_UNIT_BYTES) as usize;
+        let total = ((bytes / BUDGET_UNIT_BYTES) as usize).min(Semaphore::MAX_PERMITS);
         Self {
-            units: Arc::new(Semaphore::new(units.min(Semaphore::MAX_PERMITS))),
+            units: Arc::new(Semaphore::new(total)),
+            total,
             exempt_bytes,
         }
     }
 
+    /// Returns whether `share` of the budget, from 0 to 1, stays free if a body of `length` bytes is
+    /// buffered.
+    pub fn keeps_free(&self, share: f64, length: u64) -> bool {
+        let needed = length.saturating_sub(self.exempt_bytes);
+        let needed = needed.div_ceil(BUDGET_UNIT_BYTES) as usize;
+        let left = self.units.available_permits().saturating_sub(needed);
+        left as f64 >= self.total as f64 * share
+    }
+
     /// Reserves the memory by which a body of `length` bytes exceeds one of `reserved` bytes.
     fn reserve(&self, length: u64, reserved: u64) -> Result<OwnedSemaphorePermit, Error> {
         let counted = |bytes: u64| bytes.saturating_sub(self.exempt_bytes);
--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -50,10 +51,15 @@
     pub write_timeout: Duration,
 }
 
+/// The address of the client, an extension of each request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Peer(pub SocketAddr);
+
 /// Serves connections with `handler` until `stop` becomes true, then lets open connections finish
 /// their current request. Returns when all connections are closed.
 ///
-/// `limits` is called for each connection. Connections in the accept queue when `stop` becomes true
+/// Each request has the address of its client as the extension [`Peer`]. `limits` is called for each
+/// connection. Connections in the accept queue when `stop` becomes true
 /// are also served.
 pub async fn serve<L, H, F, B>(
     listener: TcpListener,
@@ -70,12 +76,12 @@
     let capacity = limits().connections.min(Semaphore::MAX_PERMITS);
     let permits = Arc::new(Semaphore::new(capacity));
     let mut stopped = stop.clone();
-    let serve_one = |stream| {
+    let serve_one = |stream, peer| {
         // A connection above the limit is closed immediately.
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             return;
         };
-        let connection = serve_connection(stream, limits(), stop.clone(), handler.clone());
+        let connection = serve_connection(stream, peer, limits(), stop.clone(), handler.clone());
         tokio::spawn(async move {
             connection.await;
             drop(permit);
@@ -87,7 +93,7 @@
             _ = stopped.wait_for(|stop| *stop) => break,
         };
         match accepted {
-            Ok((stream, _peer)) => serve_one(stream),
+            Ok((stream, peer)) => serve_one(stream, Peer(peer)),
             Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
@@ -103,7 +109,7 @@
 /// sent a request. So new handshakes are ignored first; their clients try again and are refused.
 async fn drain<S>(listener: TcpListener, serve_one: S)
 where
-    S: Fn(TcpStream),
+    S: Fn(TcpStream, Peer),
 {
     let end = match socket::ignore_handshakes(&listener) {
         Ok(()) => Instant::now() + HANDSHAKE_TIMEOUT,
@@ -122,12 +128,12 @@
         }
     };
     loop {
-        let accepted = listener.accept().and_then(|(stream, _peer)| {
+        let accepted = listener.accept().and_then(|(stream, peer)| {
             stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
+            Ok((TcpStream::from_std(stream)?, Peer(peer)))
         });
         match accepted {
-            Ok(stream) => serve_one(stream),
+            Ok((stream, peer)) => serve_one(stream, peer),
             Err(_) if Instant::now() >= end => return,
             Err(error) => {
                 if error.kind() != io::ErrorKind::WouldBlock {
@@ -141,6 +147,7 @@
 
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
+    peer: Peer,
     limits: Limits,
     mut stop: watch::Receiver<bool>,
     handler: H,
@@ -163,8 +170,9 @@
         limits.idle_timeout,
         limits.head_timeout,
     );
-    let service = service_fn(move |request| {
+    let service = service_fn(move |mut request: Request<Incoming>| {
         let active = activity.begin();
+        request.extensions_mut().insert(peer);
         let response = handler(request);
         async move {
             let response = response.await;
--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -3,7 +3,7 @@
 
 use std::fmt;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use quick_error::quick_error;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -270,6 +270,8 @@
 /// A pool of connections to one upstream.
 pub struct Pool {
     address: SocketAddr,
+    /// The local address of the connections; `None` if the system chooses it.
+    source: Option<IpAddr>,
     idle: Mutex<Vec<Connection>>,
 }
 
@@ -313,10 +315,20 @@
     pub fn new(address: SocketAddr) -> Self {
         Self {
             address,
+            source: None,
             idle: Mutex::new(Vec::new()),
         }
     }
 
+    /// Creates a pool of connections to `address` from the local address `source`, by which the peer
+    /// knows this host.
+    pub fn bound_to(address: SocketAddr, source: IpAddr) -> Self {
+        Self {
+            source: Some(source),
+            ..Self::new(address)
+        }
+    }
+
     /// Returns the address of the upstream.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -391,6 +403,28 @@
             .current_gate
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = None;
+        self.keep(connection);
+    }
+
+    /// Makes a connection and keeps it for a later request, unless there is an idle one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection cannot be established.
+    pub async fn open_idle(&self, connect_timeout: Duration) -> Result<(), Error> {
+        let mut connection = self.connect(connect_timeout).await?;
+        // The upstream may already have closed it, for instance if it has too many.
+        if connection.sender.ready().await.is_ok() {
+            connection.idle_since = Instant::now();
+            let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+            if idle.is_empty() {
+                idle.push(connection);
+            }
+        }
+        Ok(())
+    }
+
+    fn keep(&self, connection: Connection) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         if !connection.sender.is_closed() && idle.len() < IDLE_MAX {
             idle.push(connection);
@@ -405,9 +439,21 @@
         idle.pop_if(|connection| connection.is_reusable(idle_max, now))
     }
 
+    async fn connect_stream(&self) -> io::Result<TcpStream> {
+        let Some(source) = self.source else {
+            return TcpStream::connect(self.address).await;
+        };
+        let socket = match source {
+            IpAddr::V4(_) => TcpSocket::new_v4()?,
+            IpAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.bind(SocketAddr::new(source, 0))?;
+        socket.connect(self.address).await
+    }
+
     async fn connect(&self, connect_timeout: Duration) -> Result<Connection, Error> {
         let failed = |source| Error::Connect(self.address, source);
-        let stream = timeout(connect_timeout, TcpStream::connect(self.address))
+        let stream = timeout(connect_timeout, self.connect_stream())
             .await
             .map_err(|_source| failed(io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
--- a/tests/http_server.rs
+++ b/tests/http_server.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use primrosehoist::transport::http::server::{Limits, serve};
+use primrosehoist::transport::http::server::{Limits, Peer, serve};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -161,3 +161,33 @@
     }
     assert_eq!(unanswered, 0, "connections were reset without a response");
 }
+
+async fn respond_with_peer(request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let peer = request.extensions().get::<Peer>();
+    let text = peer.map_or_else(|| "unknown".to_owned(), |Peer(peer)| peer.to_string());
+    Response::new(Full::new(Bytes::from(format!("{text} here"))))
+}
+
+#[tokio::test]
+async fn each_request_has_the_address_of_its_client() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    let (stop, stopped) = watch::channel(false);
+    let mut first = send_request(address).await;
+    let serving = tokio::spawn(serve(listener, limits, stopped, respond_with_peer));
+    let expected = first.local_addr().expect("has an address").to_string();
+    for _ in 0..2 {
+        let response = read_response(&mut first).await;
+        assert!(response.contains(&expected), "{response:?}");
+        let request = b"GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+        first.write_all(request).await.expect("sends the request");
+    }
+    // The second client is served from the accept queue.
+    let mut second = send_request(address).await;
+    stop.send_replace(true);
+    let expected = second.local_addr().expect("has an address").to_string();
+    let response = read_response(&mut second).await;
+    assert!(response.contains(&expected), "{response:?}");
+    drop((first, second));
+    serving.await.expect("the server stops");
+}
--- a/tests/http_transport.rs
+++ b/tests/http_transport.rs
@@ -1,5 +1,6 @@
 //! Body buffering, write timeouts, and the write gate of upstream requests.
 
+use std::net::IpAddr;
 use std::pin::pin;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, mpsc};
@@ -51,6 +52,19 @@
     assert!(collect(9_000, &budget).await.is_ok());
 }
 
+#[tokio::test]
+async fn a_share_of_the_budget_is_kept_free() {
+    let budget = Budget::new(12 * 1024);
+    assert!(budget.keeps_free(1.0, 0));
+    assert!(budget.keeps_free(1.0 / 3.0, 8 * 1024));
+    assert!(!budget.keeps_free(1.0 / 3.0, 8 * 1024 + 1));
+    let body = collect(4 * 1024, &budget).await.expect("fits the budget");
+    assert!(budget.keeps_free(1.0 / 3.0, 4 * 1024));
+    assert!(!budget.keeps_free(1.0 / 3.0, 4 * 1024 + 1));
+    drop(body);
+    assert!(budget.keeps_free(1.0, 0));
+}
+
 #[tokio::test]
 async fn small_bodies_are_buffered_when_large_ones_have_exhausted_the_budget() {
     let budget = Budget::with_exemption(8 * 1024, 1000);
@@ -291,3 +305,62 @@
         assert_eq!(counting.await.expect("counted"), expected, "{status}");
     }
 }
+
+#[tokio::test]
+async fn connection_that_was_opened_idle_carries_the_next_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("has an address"));
+    let counting = tokio::spawn(count_connections(listener, 200));
+    let opened = pool.open_idle(Duration::from_secs(1)).await;
+    opened.expect("connects");
+    let gate = Arc::new(Gate::new(Arc::default(), |_sent| true));
+    let sent = pool.send(request("text"), &gate).await;
+    let mut exchange = sent.expect("is answered");
+    assert!(discard(exchange.response.body_mut(), 0).await);
+    pool.release(exchange);
+    assert_eq!(counting.await.expect("counted"), 1);
+    let refused = pool.open_idle(Duration::from_secs(1)).await;
+    assert!(refused.is_err(), "nothing listens any more");
+}
+
+#[tokio::test]
+async fn only_one_of_the_connections_that_are_opened_idle_is_kept() {
+    const OPENED: usize = 20;
+    const KEPT: usize = 1;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let pool = Pool::new(listener.local_addr().expect("has an address"));
+    let mut streams = Vec::new();
+    for _ in 0..OPENED {
+        let opened = pool.open_idle(Duration::from_secs(1)).await;
+        opened.expect("connects");
+        streams.push(listener.accept().await.expect("accepts").0);
+    }
+    let mut open = 0;
+    for stream in &mut streams {
+        let mut buffer = [0; 1];
+        let read = timeout(Duration::from_millis(100), stream.read(&mut buffer)).await;
+        open += usize::from(read.is_err());
+    }
+    assert_eq!(open, KEPT);
+}
+
+#[tokio::test]
+async fn a_pool_connects_from_the_address_that_it_is_bound_to() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
+    let address = listener.local_addr().expect("has an address");
+    for source in ["127.0.0.41", "127.0.0.42"] {
+        let source: IpAddr = source.parse().expect("is an address");
+        let pool = Pool::bound_to(address, source);
+        let gate = Arc::new(Gate::new(Arc::default(), |_sent| true));
+        // Closes each connection when its address is known.
+        let accept = async { listener.accept().await.expect("accepts").1 };
+        let (sent, peer) = tokio::join!(pool.send(request(""), &gate), accept);
+        assert_eq!(peer.ip(), source);
+        assert!(sent.is_err());
+    }
+    let elsewhere: IpAddr = "192.0.2.1".parse().expect("is an address");
+    let pool = Pool::bound_to(address, elsewhere);
+    let gate = Arc::new(Gate::new(Arc::default(), |_sent| true));
+    assert!(pool.send(request(""), &gate).await.is_err());
+    assert!(!gate.close(), "nothing was sent from another address");
+}
