--- a/crates/primrosehoist-daemon/src/gateway/answer.rs
+++ b/crates/primrosehoist-daemon/src/gateway/answer.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use http::{HeaderMap, StatusCode};
+use primrosehoist::protocol::handover::Outcome;
 use primrosehoist::state::roster::Upstream;
+use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::body::Buffered;
 use primrosehoist::transport::http::upstream::{Exchange, Pool};
 
@@ -23,16 +25,31 @@
 /// A response with its complete body.
 #[derive(Debug, Clone)]
 pub(crate) struct BufferedResponse {
+    /// The upstream that answered, if it is known.
+    pub(crate) upstream: Option<Arc<str>>,
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Buffered,
 }
 
+/// The answer to a request, and what became of the request.
+pub(crate) struct Answer {
+    pub(crate) response: http::Response<Payload>,
+    pub(crate) outcome: Outcome,
+    /// The upstream that answered, if it is known.
+    pub(crate) upstream: Option<Arc<str>>,
+    /// Why no upstream answered.
+    pub(crate) reason: &'static str,
+}
+
 /// Why a request has no successful response.
 #[derive(Debug)]
 pub(crate) enum Unanswered {
     /// The request did not run and will not run.
     NotRun(&'static str),
+    /// This daemon, to which the request was handed, is cut off itself. The request did not run here,
+    /// and another daemon may take it.
+    CutOff,
     /// The request may have run.
     Uncertain(&'static str),
     /// The deadline passed; the request may have run if `true`.
--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -14,9 +14,7 @@
 use primrosehoist::state::route::Kind;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::body::{self, Buffered};
-use primrosehoist::transport::http::upstream::{
-    Error, Exchange, Gate, Options, Pool, refuses_connections,
-};
+use primrosehoist::transport::http::upstream::{Error, Exchange, Gate, Options, Pool};
 use primrosehoist_platform::header;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -25,12 +23,13 @@
 use super::job::Job;
 use super::permit;
 use super::placement::Placement;
+use super::reach::Waiting;
 use super::reservation::{self, Reservation};
 use super::selection::{self, Patience, Refusal};
 
 /// The timeout for connecting to an upstream. A live host accepts within a few milliseconds, and
 /// the kernel retransmits a lost SYN only after one second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The longest idle time of a connection that is reused for a non-idempotent request. If the
 /// upstream had just closed the connection, it would be unknown whether the request ran.
@@ -40,7 +39,7 @@
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 
 /// The least remaining time in which an attempt is made.
-const REMAINING_MIN: Duration = Duration::from_millis(5);
+pub(crate) const REMAINING_MIN: Duration = Duration::from_millis(5);
 
 /// The timeout of a call that may be retried, as a multiple of the latency objective.
 const CALL_TIMEOUT_FACTOR: f64 = 3.0;
@@ -66,6 +65,8 @@
     reported: Option<BufferedResponse>,
     /// When an upstream accepts work again, if none does before the request must be placed.
     pub(crate) reopens_at: Option<Instant>,
+    /// When the caller may come again, as another daemon says that could not place the request.
+    pub(crate) retry_after: Option<Duration>,
 }
 
 /// A failed attempt.
@@ -78,11 +79,14 @@
 impl Attempts {
     /// Creates the attempts of `job`.
     pub(crate) fn new(context: Arc<Context>, job: Arc<Job>) -> Self {
-        let failover = Failover::new(job.route.is_retryable(), job.route.attempts_max);
-        context
-            .allowance
-            .lock()
-            .record_request(&job.service.name, Instant::now());
+        let failover = Failover::new(job.route.is_retryable(), job.attempts_max);
+        // The retry budget counts a request once, at the daemon that received it.
+        if job.entry.is_none() {
+            context
+                .allowance
+                .lock()
+                .record_request(&job.service.name, Instant::now());
+        }
         Self {
             context,
             job,
@@ -91,6 +95,7 @@
             count: 0,
             reported: None,
             reopens_at: None,
+            retry_after: None,
         }
     }
 
@@ -104,15 +109,33 @@
         &mut self,
         last_event: Option<u64>,
     ) -> Result<Response, Unanswered> {
-        let resumes = last_event != self.job.request.last_event;
+        let resumes = self.job.resumes || last_event != self.job.request.last_event;
         let mut patience = Patience::new(&self.job, resumes);
-        if self.count == 0 && selection::is_refused_on_arrival(&self.context, &self.job, patience) {
+        let places_itself = !self.must_hand_over();
+        if self.count == 0
+            && places_itself
+            && selection::is_refused_on_arrival(&self.context, &self.job, patience)
+        {
             return Err(self.unanswered("overloaded"));
         }
+        let mut has_taker = true;
         loop {
             self.context.pauses.wait_current().await;
             if self.job.remaining() < REMAINING_MIN {
-                return Err(Unanswered::Expired(self.failover.may_have_run()));
+                return Err(self.expired());
+            }
+            if has_taker && self.must_hand_over() {
+                if let Some(response) = self.hand_over(last_event).await? {
+                    return Ok(response);
+                }
+                if !self.context.hears_upstreams() {
+                    return Err(self.unanswered("no_peer"));
+                }
+                // Connections that were opened before still carry requests.
+                has_taker = false;
+            }
+            if self.job.entry.is_some() && self.context.is_cut_off() {
+                return Err(self.cut_off());
             }
             if is_quarantined(&self.context, &self.job) {
                 return Err(self.unanswered("crashes_upstreams"));
@@ -123,6 +146,8 @@
                 Ok(placement) => placement,
                 Err(Refusal::Full) => return Err(self.unanswered("full")),
                 Err(Refusal::NoUpstream) => return Err(self.unanswered("no_upstream")),
+                // It is handed over, or placed here if the other daemons are cut off, too.
+                Err(Refusal::CutOff) => continue,
                 Err(Refusal::Deferred(until)) => {
                     self.reopens_at = Some(until);
                     return Err(self.unanswered("deferred"));
@@ -149,7 +174,26 @@
         }
     }
 
-    fn unanswered(&mut self, reason: &'static str) -> Unanswered {
+    /// Returns the outcome of a request whose deadline has passed.
+    pub(crate) fn expired(&self) -> Unanswered {
+        Unanswered::Expired(self.failover.may_have_run())
+    }
+
+    /// Returns the outcome of a request that was handed to this daemon, which is cut off itself.
+    fn cut_off(&mut self) -> Unanswered {
+        if self.failover.may_have_run() {
+            return self.unanswered("cut_off");
+        }
+        Unanswered::CutOff
+    }
+
+    /// Returns the number of upstreams on which the request may still run.
+    pub(crate) fn attempts_left(&self) -> u64 {
+        self.failover.runs_left()
+    }
+
+    /// Returns the outcome of a request for which no further attempt may be made.
+    pub(crate) fn unanswered(&mut self, reason: &'static str) -> Unanswered {
         if let Some(buffered) = self.reported.take() {
             return Unanswered::Reported(Box::new(buffered));
         }
@@ -196,10 +240,11 @@
     /// Makes one attempt.
     async fn attempt(
         &mut self,
-        placement: Placement,
+        mut placement: Placement,
         last_event: Option<u64>,
     ) -> Result<Response, Failed> {
         let upstream = Arc::clone(&placement.upstream);
+        placement.waiting = Some(Waiting::begin(&self.context, &upstream.id));
         let remaining = self.job.remaining();
         let gate = self.gate(&upstream);
         let request = self.request(&placement, remaining, last_event);
@@ -248,6 +293,9 @@
             return Failure::Unsent;
         }
         self.record(upstream, Observation::Unreachable);
+        if !handed && self.context.is_cut_off() {
+            return Failure::Unsent;
+        }
         if !handed {
             let mut crashes = self.context.crashes.lock();
             crashes.upstream_down(&upstream.id, Instant::now());
@@ -257,38 +305,6 @@
         Failure::Lost
     }
 
-    /// Records that the connection broke after the request was sent, so that the request may have
-    /// crashed the upstream. A part of its prompt that the upstream has `survived` has not.
-    pub(crate) fn suspect_crash(&self, upstream: &Arc<Upstream>, survived: bool) {
-        let causes = if survived {
-            vec![self.job.fingerprint]
-        } else {
-            self.job.crash_causes.clone()
-        };
-        let hash = |text: &str| super::job::fingerprint(text, "", &[]) >> 32;
-        let id = (hash(&upstream.id) << 32) | hash(&self.job.request.id);
-        let mut crashes = self.context.crashes.lock();
-        let is_first = crashes.add_suspect(causes, &upstream.id, id, Instant::now());
-        drop(crashes);
-        if is_first {
-            let (context, upstream) = (Arc::clone(&self.context), Arc::clone(upstream));
-            tokio::spawn(async move {
-                if refuses_connections(upstream.address, CONNECT_TIMEOUT).await {
-                    log::info!(upstream = upstream.id.as_ref(); "upstream refuses connections");
-                    let mut crashes = context.crashes.lock();
-                    crashes.upstream_down(&upstream.id, Instant::now());
-                }
-            });
-        }
-    }
-
-    /// Records that an upstream has survived the start of an answer, so that no part of the prompt
-    /// crashes upstreams.
-    pub(crate) fn absolve_parts(&self) {
-        let mut crashes = self.context.crashes.lock();
-        crashes.absolve(self.job.shared_parts(), rand::random(), Instant::now());
-    }
-
     async fn on_head(
         &mut self,
         placement: Placement,
@@ -297,6 +313,7 @@
         sent_at: Instant,
     ) -> Result<Response, Failed> {
         let upstream = Arc::clone(&placement.upstream);
+        self.context.record_heard();
         let status = exchange.response.status();
         let headers = exchange.response.headers();
         let answer = header::Response::new(status, headers, &self.job.request.id);
@@ -414,9 +431,16 @@
             total_timeout: limit,
         };
         let body = response.exchange.response.body_mut();
+        let body = body.map_frame(|frame| {
+            if upstream.is_some() {
+                self.context.record_heard();
+            }
+            frame
+        });
         match Buffered::collect(body, &limits, &self.context.response_budget).await {
             Ok(body) => {
                 let buffered = BufferedResponse {
+                    upstream: upstream.map(|upstream| Arc::clone(&upstream.id)),
                     status: response.status,
                     headers: response.headers.clone(),
                     body,
@@ -442,30 +466,9 @@
         }
     }
 
-    /// Records how an attempt from this daemon to `upstream` ended.
-    pub(crate) fn record(&self, upstream: &Arc<Upstream>, observation: Observation) {
-        if observation == Observation::Success {
-            let mut crashes = self.context.crashes.lock();
-            crashes.upstream_answered(&upstream.id);
-            crashes.absolve(&self.job.crash_causes, rand::random(), Instant::now());
-        }
-        if observation == Observation::Unreachable {
-            let hop = self.context.hop_to(&upstream.zone);
-            let mut partitions = self.context.partitions.lock();
-            partitions.record_failure(&hop, &upstream.id, Instant::now());
-        }
-        self.record_health(upstream, observation);
-    }
-
-    /// Records how an attempt ended for `upstream`, without regard to the network path.
-    fn record_health(&self, upstream: &Arc<Upstream>, observation: Observation) {
-        let mut health = self.context.health.lock();
-        health.record(&upstream.id, observation, Instant::now());
-    }
-
     /// Returns whether another attempt may follow if the current one fails.
     pub(crate) fn may_retry(&self) -> bool {
-        self.job.route.is_retryable() && u64::from(self.count) < self.job.route.attempts_max
+        self.job.route.is_retryable() && u64::from(self.count) < self.job.attempts_max
     }
 
     /// Returns whether the retry budget allows another attempt now.
@@ -564,7 +567,7 @@
 }
 
 /// Returns whether the request, or a part of its prompt, must not run again.
-fn is_quarantined(context: &Context, job: &Job) -> bool {
+pub(crate) fn is_quarantined(context: &Context, job: &Job) -> bool {
     let crashes = context.crashes.lock();
     crashes.is_quarantined(&job.crash_causes, Instant::now())
 }
--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -2,7 +2,7 @@
 //!
 //! It is split into small parts, each with one writer where possible.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -16,10 +16,11 @@
 use primrosehoist::state::bounds::Bounds;
 use primrosehoist::state::crash::Crashes;
 use primrosehoist::state::health::Health;
-use primrosehoist::state::map::Map;
+use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::occupancy::Occupancy;
 use primrosehoist::state::partition::{Detector, Hop};
 use primrosehoist::state::rate;
+use primrosehoist::state::reach;
 use primrosehoist::state::roster::{Roster, Upstream};
 use primrosehoist::state::route::Table;
 use primrosehoist::state::versions::{Revision, Versions};
@@ -28,13 +29,15 @@
 use primrosehoist_platform::settings::Settings;
 use primrosehoist_platform::store::Freshness;
 use primrosehoist_platform::{header, store};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, Semaphore, watch};
 use tokio::time::Instant;
 
 use super::gossip;
 use super::pause::Monitor;
 use super::permit::Permits;
 use super::queue::Queue;
+use super::takeover;
+use super::takeover::HANDOVERS_MAX;
 use crate::metrics::Metrics;
 
 /// The memory for request bodies in bytes per megabyte of process memory: one half.
@@ -77,10 +80,18 @@
     pub(crate) health: Mutex<Health>,
     /// Recent failures to reach other availability zones.
     pub(crate) partitions: Mutex<Detector>,
+    /// Whether this host can reach upstreams at all.
+    pub(crate) reach: Mutex<reach::Detector>,
+    /// Notified when upstreams may have to be probed.
+    pub(crate) reach_doubted: Notify,
+    /// Whether this host is cut off from the upstreams.
+    pub(crate) cut_off: watch::Sender<bool>,
     /// Requests that may have crashed upstreams.
     pub(crate) crashes: Mutex<Crashes>,
     /// The connection pools of the upstreams.
     pub(crate) pools: Mutex<Map<SocketAddr, Arc<Pool>>>,
+    /// The connection pools of the daemons to which requests are handed.
+    handover_pools: Mutex<Map<IpAddr, Arc<Pool>>>,
     /// The requests that wait for upstream capacity.
     pub(crate) queue: Queue,
     /// The versions of platform state that this daemon has applied.
@@ -97,6 +108,8 @@
     pub(crate) expiring: watch::Sender<bool>,
     /// The number of requests in progress.
     pub(crate) in_progress: AtomicUsize,
+    /// Permits for requests that other daemons hand over.
+    pub(crate) handovers: Arc<Semaphore>,
     /// Notified when this daemon's load on upstreams changes.
     pub(crate) changed: Notify,
     /// Notified when other daemons must learn of a change immediately.
@@ -157,8 +170,12 @@
             permits: Permits::default(),
             health: Mutex::default(),
             partitions: Mutex::default(),
+            reach: Mutex::default(),
+            reach_doubted: Notify::new(),
+            cut_off: watch::Sender::new(false),
             crashes: Mutex::default(),
             pools: Mutex::default(),
+            handover_pools: Mutex::default(),
             queue: Queue::default(),
             versions: Mutex::default(),
             upstreams_listed: AtomicBool::new(false),
@@ -167,6 +184,7 @@
             closing: AtomicBool::new(false),
             expiring: watch::Sender::new(false),
             in_progress: AtomicUsize::new(0),
+            handovers: Arc::new(Semaphore::new(HANDOVERS_MAX)),
             changed: Notify::new(),
             urgent: Notify::new(),
             peer_versions: watch::Sender::new(Versions::default()),
@@ -202,6 +220,12 @@
         self.closing.load(Ordering::Acquire)
     }
 
+    /// Returns whether this host is cut off from the upstreams, so that failures to reach them say
+    /// nothing of them.
+    pub(crate) fn is_cut_off(&self) -> bool {
+        *self.cut_off.borrow()
+    }
+
     /// Records a message from the store or another daemon.
     pub(crate) fn record_contact(&self) {
         *self.last_contact.lock() = Instant::now();
@@ -399,6 +423,23 @@
         Arc::clone(pool.or_insert_with(|| Arc::new(Pool::new(address))))
     }
 
+    /// Returns the connection pool for requests that are handed to the daemon at `address`, creating
+    /// it if necessary. That daemon knows this one by the source address.
+    pub(crate) fn handover_pool(&self, address: IpAddr) -> Arc<Pool> {
+        let port = takeover::port(&self.settings);
+        let mut pools = self.handover_pools.lock();
+        let create = || Pool::bound_to(SocketAddr::new(address, port), self.settings.address);
+        Arc::clone(pools.entry(address).or_insert_with(|| Arc::new(create())))
+    }
+
+    /// Returns a daemon that is not in `tried` and to which requests may be handed.
+    pub(crate) fn handover_target(&self, tried: &Set<IpAddr>) -> Option<IpAddr> {
+        let exchange = self.exchange.lock();
+        exchange
+            .peers
+            .handover_target(tried, rand::random(), Instant::now())
+    }
+
     /// Activates `table` if it is newer than the active one; returns whether it is. `compress`
     /// returns the same configuration in the store's format.
     pub(crate) fn install_table<C>(&self, table: Table, compress: C) -> bool
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -58,9 +58,16 @@
     let crashes = context.crashes.lock();
     let (recent, absolutions) = (crashes.recent(now), crashes.recent_absolutions(now));
     drop(crashes);
+    let cut_off = context.is_cut_off();
+    let avoided = if cut_off {
+        Vec::new()
+    } else {
+        context.health.lock().avoided(now)
+    };
     Info {
         status: context.member().status,
-        avoided: context.health.lock().avoided(now),
+        cut_off,
+        avoided,
         leaving: roster.leaving(),
         limits: roster.recent_limits(now),
         crashes: recent,
@@ -212,9 +219,15 @@
 /// Applies a message; returns the answer to its sender, if it requires one.
 fn apply(context: &Context, sender: IpAddr, datagram: Datagram) -> Option<Datagram> {
     let now = Instant::now();
-    let received = with_exchange(context, now, |exchange, view| {
-        exchange.receive(sender, datagram, view, now)
+    let (received, became_cut_off) = with_exchange(context, now, |exchange, view| {
+        let was_cut_off = exchange.peers.is_cut_off(sender);
+        let received = exchange.receive(sender, datagram, view, now);
+        let became_cut_off = !was_cut_off && exchange.peers.is_cut_off(sender);
+        (received, became_cut_off)
     });
+    if became_cut_off {
+        context.record_cut_off_peer();
+    }
     let received = match received {
         Ok(received) => received,
         Err(error) => {
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -9,18 +9,20 @@
 use http::{HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use primrosehoist::state::handoff::Handoff;
+use primrosehoist::protocol::handover::Outcome;
 use primrosehoist::state::health::Observation;
 use primrosehoist::state::route::{Access, Kind, Table};
 use primrosehoist::transport::http::Payload;
-use primrosehoist::transport::http::body::{self, Buffered};
+use primrosehoist::transport::http::body;
 use primrosehoist_platform::header;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::{Instant, timeout_at};
 
-use super::answer::{BufferedResponse, Unanswered};
+use super::admission::{self, Admission};
+use super::answer::{Answer, BufferedResponse, Unanswered};
 use super::attempt::Attempts;
 use super::context::Context;
-use super::job::{self, Job};
+use super::job::Job;
 use super::stream::Relay;
 use super::suspension;
 
@@ -29,12 +31,6 @@
 /// store responds only about twice a minute, but other daemons send several times a second.
 const ISOLATION_MARGIN: Duration = Duration::from_secs(1);
 
-/// The longest time without progress on a request body.
-const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// The timeout for a complete request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(20);
-
 /// The `Retry-After` of a daemon that has no current configuration, in seconds.
 const UNCONFIGURED_RETRY_S: f64 = 0.5;
 
@@ -50,12 +46,14 @@
 const RETRY_JITTER_S: f64 = 1.2;
 
 /// How long before the route's timeout a request ends, so that the response arrives in time.
-const TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
+pub(crate) const TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
 
 /// Tracks a request in progress. Dropping it logs and counts the outcome.
 pub(crate) struct Progress {
     context: Arc<Context>,
     id: String,
+    /// The host of the daemon that handed the request over.
+    entry: Option<Arc<str>>,
     workspace: Option<Arc<str>>,
     route: Arc<str>,
     service: Arc<str>,
@@ -67,14 +65,22 @@
     longest_pause: Duration,
     outcome: &'static str,
     reason: &'static str,
+    /// The permit for a request that was handed over.
+    _permit: Option<OwnedSemaphorePermit>,
 }
 
 impl Progress {
-    fn new(context: &Arc<Context>, job: &Job, version: u64) -> Self {
+    fn new(
+        context: &Arc<Context>,
+        job: &Job,
+        version: u64,
+        permit: Option<OwnedSemaphorePermit>,
+    ) -> Self {
         context.in_progress.fetch_add(1, Ordering::AcqRel);
         Self {
             context: Arc::clone(context),
             id: job.request.id.clone(),
+            entry: job.entry.clone(),
             workspace: job.workspace.clone(),
             route: Arc::clone(&job.route.name),
             service: Arc::clone(&job.service.name),
@@ -86,6 +92,7 @@
             longest_pause: Duration::ZERO,
             outcome: "client_left",
             reason: "",
+            _permit: permit,
         }
     }
 
@@ -107,9 +114,13 @@
 impl Drop for Progress {
     fn drop(&mut self) {
         self.context.in_progress.fetch_sub(1, Ordering::AcqRel);
-        self.context.metrics.ended(&self.service, self.outcome);
+        // The daemon that received the request from the client counts its end.
+        if self.entry.is_none() {
+            self.context.metrics.ended(&self.service, self.outcome);
+        }
         log::info!(
             request = self.id.as_str(),
+            entry = self.entry.as_deref().unwrap_or(""),
             workspace = self.workspace.as_deref().unwrap_or(""),
             route = self.route.as_ref(),
             service = self.service.as_ref(),
@@ -149,7 +160,18 @@
         Ok(job) => (job, table.version()),
         Err(response) => return *response,
     };
-    let progress = Progress::new(context, &job, version);
+    serve(context, job, version, None).await.response
+}
+
+/// Makes the attempts of a request that was admitted with configuration `version`. A request that
+/// was handed over holds its `permit` until it ends.
+pub(crate) async fn serve(
+    context: &Arc<Context>,
+    job: Job,
+    version: u64,
+    permit: Option<OwnedSemaphorePermit>,
+) -> Answer {
+    let progress = Progress::new(context, &job, version, permit);
     let kind = job.route.kind;
     let deadline = job.deadline;
     let job = Arc::new(job);
@@ -164,14 +186,19 @@
     // of their own.
     tokio::select! {
         outcome = timeout_at(deadline + TIMEOUT_MARGIN, outcome) => match outcome {
-            Ok(response) => response,
-            Err(_elapsed) => plain(StatusCode::GATEWAY_TIMEOUT, "the time is over"),
+            Ok(answer) => answer,
+            Err(_elapsed) => expired("the time is over"),
         },
         () = context.wait_expiring() => {
             if job.handoff.cancel() {
-                refuse("the daemon shuts down", CLOSING_RETRY_S)
+                // Its caller is not affected if another daemon takes the request.
+                if job.entry.is_some() {
+                    busy("shutdown")
+                } else {
+                    not_run("the daemon shuts down", CLOSING_RETRY_S)
+                }
             } else {
-                plain(StatusCode::BAD_GATEWAY, "the daemon shuts down")
+                uncertain("the daemon shuts down")
             }
         }
     }
@@ -187,7 +214,7 @@
     received: Instant,
 ) -> Result<Job, Refusal> {
     let suspended = suspension::total();
-    let (head, body) = request.into_parts();
+    let (head, mut body) = request.into_parts();
     let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.or(head.uri.host()).unwrap_or_default();
     let isolated = context.is_isolated(context.bounds.load().config_apply_max + ISOLATION_MARGIN);
@@ -218,44 +245,29 @@
             return Err(Box::new(plain(StatusCode::UNAUTHORIZED, "unknown key")));
         }
     };
-    let hash = job::fingerprint(&request.id, "", &[]) >> 8;
-    let service = route
-        .pick_service(hash)
-        .and_then(|name| table.service(name));
-    let Some(service) = service else {
+    let Some(service) = admission::service(table, route, &request.id) else {
         log::error!(route = route.name.as_ref(), version = table.version(); "no service");
         return Err(Box::new(refuse("no service", UNCONFIGURED_RETRY_S)));
     };
-    let limits = body::Limits {
-        bytes_max: table.limits().body_bytes_max,
-        idle_timeout: BODY_IDLE_TIMEOUT,
-        total_timeout: BODY_TIMEOUT,
-    };
-    let body = Buffered::collect(body, &limits, &context.body_budget)
-        .await
-        .map_err(|error| Box::new(body_error_response(&request.id, &error)))?;
-    let target = head.uri.path_and_query().map_or("/", |path| path.as_str());
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let client = request.key.as_deref().unwrap_or("");
-    let priority = workspace.as_ref().and_then(|workspace| workspace.priority);
-    let fingerprint = job::fingerprint(client, target, body.bytes());
-    Ok(Job {
-        fingerprint,
-        handoff: Handoff::default(),
-        crash_causes: job::crash_causes(fingerprint, &request.shared_parts),
-        target: target.to_owned(),
-        method: head.method,
-        headers: head.headers,
-        body,
-        service: Arc::clone(service),
-        workspace: workspace.map(|workspace| Arc::clone(&workspace.name)),
-        priority: priority.unwrap_or(route.priority),
-        route: Arc::clone(route),
+    let id = request.id.clone();
+    let admission = Admission {
+        head,
         request,
+        route: Arc::clone(route),
+        service: Arc::clone(service),
+        workspace,
+        entry: None,
+        attempts_max: route.attempts_max,
+        resumes: false,
         received,
         deadline: received + timeout.saturating_sub(TIMEOUT_MARGIN),
         suspended,
-    })
+    };
+    let bytes_max = table.limits().body_bytes_max;
+    let job = admission.read_body(&mut body, bytes_max, &context.body_budget);
+    job.await
+        .map_err(|error| Box::new(body_error_response(&id, &error)))
 }
 
 fn body_error_response(id: &str, error: &body::Error) -> Response<Payload> {
@@ -268,26 +280,26 @@
     }
 }
 
-async fn respond_streaming(attempts: Attempts, progress: Progress) -> Response<Payload> {
+async fn respond_streaming(attempts: Attempts, progress: Progress) -> Answer {
     match Relay::start(attempts, progress).await {
         Ok((relay, status, mut headers)) => {
             headers.remove(CONTENT_LENGTH);
+            let upstream = Some(relay.upstream_id()).filter(|id| !id.is_empty());
+            let upstream = upstream.map(Arc::from);
             let mut response = Response::new(relay.into_body());
             *response.status_mut() = status;
             *response.headers_mut() = headers;
-            response
-        }
-        Err((unanswered, attempts, progress)) => {
-            unanswered_response(unanswered, &attempts, progress)
+            answered(upstream, response)
         }
+        Err((unanswered, attempts, progress)) => unanswered_answer(unanswered, &attempts, progress),
     }
 }
 
-async fn respond_buffered(mut attempts: Attempts, mut progress: Progress) -> Response<Payload> {
+async fn respond_buffered(mut attempts: Attempts, mut progress: Progress) -> Answer {
     loop {
         let response = match attempts.execute(attempts.job.request.last_event).await {
             Ok(response) => response,
-            Err(unanswered) => return unanswered_response(unanswered, &attempts, progress),
+            Err(unanswered) => return unanswered_answer(unanswered, &attempts, progress),
         };
         let upstream = response.upstream().map(Arc::clone);
         match attempts.collect(response).await {
@@ -296,15 +308,16 @@
                     attempts.record(upstream, Observation::Success);
                 }
                 progress.set_outcome("complete");
-                return forwarded_response(&buffered);
+                let upstream = upstream.map(|upstream| Arc::clone(&upstream.id));
+                return answered(upstream, forwarded_response(&buffered));
             }
             Err(failure) => {
                 let ended = match &upstream {
                     Some(upstream) => attempts.on_failure(upstream, failure),
-                    None => Err(Unanswered::Uncertain("helper")),
+                    None => Err(Unanswered::Uncertain("peer")),
                 };
                 if let Err(unanswered) = ended {
-                    return unanswered_response(unanswered, &attempts, progress);
+                    return unanswered_answer(unanswered, &attempts, progress);
                 }
             }
         }
@@ -320,16 +333,19 @@
     response
 }
 
-/// Returns the response for a request without a successful upstream response.
-fn unanswered_response(
+/// Returns the answer to a request without a successful upstream response.
+fn unanswered_answer(
     unanswered: Unanswered,
     attempts: &Attempts,
     mut progress: Progress,
-) -> Response<Payload> {
+) -> Answer {
     match unanswered {
         Unanswered::NotRun(reason) => {
             progress.set_outcome("not_run");
             progress.reason = reason;
+            if let Some(after) = attempts.retry_after {
+                return not_run(reason, after.as_secs_f64());
+            }
             let retry_after_max_s = attempts.job.remaining().as_secs_f64() / 3.0;
             let jitter = f64::from(rand::random::<u16>()) / f64::from(u16::MAX);
             let retry_after_s = (RETRY_MIN_S + jitter * RETRY_JITTER_S).min(retry_after_max_s);
@@ -337,32 +353,89 @@
                 .reopens_at
                 .map(|at| at.saturating_duration_since(Instant::now()));
             let reopens_after_s = reopens_after.map_or(0.0, |after| after.as_secs_f64());
-            refuse(reason, reopens_after_s + retry_after_s)
+            not_run(reason, reopens_after_s + retry_after_s)
+        }
+        Unanswered::CutOff => {
+            progress.set_outcome("not_run");
+            progress.reason = "cut_off";
+            busy("cut_off")
         }
         Unanswered::Uncertain(reason) => {
             progress.set_outcome("uncertain");
             progress.reason = reason;
-            plain(StatusCode::BAD_GATEWAY, reason)
+            uncertain(reason)
         }
         Unanswered::Expired(may_have_run) => {
             progress.set_outcome("expired");
             progress.reason = if may_have_run { "sent" } else { "unsent" };
             if may_have_run {
-                plain(StatusCode::GATEWAY_TIMEOUT, "the time is over")
+                expired("the time is over")
             } else {
-                refuse("the time is over", RETRY_MIN_S)
+                not_run("the time is over", RETRY_MIN_S)
             }
         }
         Unanswered::Reported(buffered) => {
             progress.set_outcome("upstream_failed");
-            if implies_not_run(buffered.status) {
-                return response(StatusCode::BAD_GATEWAY, Bytes::new());
+            let is_client = attempts.job.entry.is_none();
+            let response = if is_client && implies_not_run(buffered.status) {
+                response(StatusCode::BAD_GATEWAY, Bytes::new())
+            } else {
+                forwarded_response(&buffered)
+            };
+            Answer {
+                response,
+                outcome: Outcome::Reported,
+                upstream: buffered.upstream,
+                reason: "upstream",
             }
-            forwarded_response(&buffered)
         }
     }
 }
 
+fn answered(upstream: Option<Arc<str>>, response: Response<Payload>) -> Answer {
+    Answer {
+        response,
+        outcome: Outcome::Answered,
+        upstream,
+        reason: "",
+    }
+}
+
+/// Returns the answer to a request of another daemon that a third one may take.
+fn busy(reason: &'static str) -> Answer {
+    Answer {
+        outcome: Outcome::Busy,
+        ..not_run(reason, CLOSING_RETRY_S)
+    }
+}
+
+fn not_run(reason: &'static str, after_s: f64) -> Answer {
+    Answer {
+        response: refuse(reason, after_s),
+        outcome: Outcome::NotRun,
+        upstream: None,
+        reason,
+    }
+}
+
+fn uncertain(reason: &'static str) -> Answer {
+    Answer {
+        response: plain(StatusCode::BAD_GATEWAY, reason),
+        outcome: Outcome::Uncertain,
+        upstream: None,
+        reason,
+    }
+}
+
+fn expired(reason: &'static str) -> Answer {
+    Answer {
+        response: plain(StatusCode::GATEWAY_TIMEOUT, reason),
+        outcome: Outcome::Expired,
+        upstream: None,
+        reason,
+    }
+}
+
 /// Returns whether the status of an upstream's error response would imply that the request did not
 /// run, which the upstream did not state.
 fn implies_not_run(status: StatusCode) -> bool {
@@ -386,7 +459,7 @@
     response
 }
 
-fn plain(status: StatusCode, reason: &str) -> Response<Payload> {
+pub(crate) fn plain(status: StatusCode, reason: &str) -> Response<Payload> {
     let mut response = response(status, Bytes::from(format!("{reason}\n")));
     let text = HeaderValue::from_static("text/plain");
     response.headers_mut().insert(CONTENT_TYPE, text);
@@ -394,7 +467,7 @@
 }
 
 /// Returns a 503 for a request that did not run, with `after_s` seconds as `Retry-After`.
-fn refuse(reason: &str, after_s: f64) -> Response<Payload> {
+pub(crate) fn refuse(reason: &str, after_s: f64) -> Response<Payload> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, reason);
     if let Ok(after) = HeaderValue::from_str(&format!("{after_s:.2}")) {
         response.headers_mut().insert(RETRY_AFTER, after);
--- a/crates/primrosehoist-daemon/src/gateway/job.rs
+++ b/crates/primrosehoist-daemon/src/gateway/job.rs
@@ -33,6 +33,12 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<Service>,
     pub(crate) workspace: Option<Arc<str>>,
+    /// The host of the daemon that handed the request over, if it came to that one.
+    pub(crate) entry: Option<Arc<str>>,
+    /// The largest number of upstreams on which the request may run.
+    pub(crate) attempts_max: u64,
+    /// Whether the client has received a part of the answer from another daemon.
+    pub(crate) resumes: bool,
     /// The priority; 0 is the highest.
     pub(crate) priority: u64,
     /// When the request was received.
@@ -41,7 +47,7 @@
     pub(crate) deadline: Instant,
     /// The host's total suspended time when the request was received.
     pub(crate) suspended: Duration,
-    /// The hash of client key, path and body.
+    /// The hash of workspace, path and body.
     pub(crate) fingerprint: u64,
     /// Whether any of the request may have been sent to an upstream.
     pub(crate) handoff: Handoff,
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -3,17 +3,21 @@
 //! Each daemon forwards requests directly to upstreams. It learns the state of the platform from
 //! the platform's store, from gossip messages of other daemons, and from upstream responses.
 
+mod admission;
 mod answer;
 mod attempt;
 mod context;
 mod gossip;
+mod handover;
 mod ingress;
 mod job;
+mod observation;
 mod pause;
 mod peer_sync;
 mod permit;
 mod placement;
 mod queue;
+mod reach;
 mod registration;
 mod reload;
 mod reservation;
@@ -22,6 +26,7 @@
 mod store_sync;
 mod stream;
 mod suspension;
+mod takeover;
 mod upstream_changes;
 
 use std::io;
@@ -164,6 +169,7 @@
     let readiness = listen(settings.readiness).await?;
     let port = settings.link_ports.0;
     let peer_state = listen(SocketAddr::new(settings.address, port)).await?;
+    let handovers = listen(SocketAddr::new(settings.address, takeover::port(settings))).await?;
     let metrics = listen(SocketAddr::new(settings.address, options.metrics_port)).await?;
     let socket = gossip::bind(settings.address, port)
         .await
@@ -181,6 +187,7 @@
     tokio::spawn(gossip::refresh(Arc::clone(&context)));
     tokio::spawn(peer_sync::catch_up(Arc::clone(&context)));
     tokio::spawn(pause::watch(Arc::clone(&context)));
+    tokio::spawn(reach::watch(Arc::clone(&context)));
     let (stop, stopped) = watch::channel(false);
     let serve_port = |listener, connections, respond: fn(&Context, &str) -> Response<Payload>| {
         tokio::spawn(serve_internal(
@@ -194,7 +201,11 @@
     serve_port(readiness, INTERNAL_CONNECTIONS_MAX, readiness_response);
     serve_port(peer_state, PEER_STATE_CONNECTIONS_MAX, peer_sync::respond);
     serve_port(metrics, INTERNAL_CONNECTIONS_MAX, metrics_response);
-    let serving = tokio::spawn(serve_clients(Arc::clone(&context), clients, stopped));
+    let clients = serve_clients(Arc::clone(&context), clients, stopped.clone());
+    let handovers = takeover::serve(Arc::clone(&context), handovers, stopped);
+    let serving = tokio::spawn(async {
+        tokio::join!(clients, handovers);
+    });
     log::info!(
         host = settings.host.as_ref(),
         zone = settings.zone.as_ref(),
--- a/crates/primrosehoist-daemon/src/gateway/placement.rs
+++ b/crates/primrosehoist-daemon/src/gateway/placement.rs
@@ -7,6 +7,7 @@
 use primrosehoist::state::roster::Upstream;
 
 use super::context::Context;
+use super::reach::Waiting;
 use super::reservation::Reservation;
 
 /// The load that an attempt puts on its upstreams. Dropping it removes the load.
@@ -22,6 +23,8 @@
     pub(crate) ready: Duration,
     /// The memory reserved at the helpers.
     pub(crate) reservation: Option<Reservation>,
+    /// Set while the attempt waits for what its upstream sends.
+    pub(crate) waiting: Option<Waiting>,
     loads: Vec<(Arc<str>, Load)>,
     prefilling: bool,
 }
@@ -59,6 +62,7 @@
             tickets,
             ready: Duration::ZERO,
             reservation: None,
+            waiting: None,
             loads,
             prefilling: true,
         }
--- a/crates/primrosehoist-daemon/src/gateway/queue.rs
+++ b/crates/primrosehoist-daemon/src/gateway/queue.rs
@@ -8,8 +8,9 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// The order of the queue: by priority, then by the time of the latency objective, then by arrival.
-pub(crate) type Rank = (u64, Instant, u64);
+/// The order of the queue: by priority, requests of other daemons last, then by the time of the latency
+/// objective, then by arrival.
+pub(crate) type Rank = (u64, bool, Instant, u64);
 
 /// A priority queue of waiting requests.
 #[derive(Debug, Default)]
@@ -27,10 +28,12 @@
 }
 
 impl Queue {
-    /// Inserts a request with `priority`, ahead of those of the same priority that are due later.
-    pub(crate) fn insert(&self, priority: u64, due: Instant) -> Entry<'_> {
+    /// Inserts a request with `priority`, ahead of those of the same priority that are due later or, if
+    /// it is not, `handed_over` by other daemons.
+    pub(crate) fn insert(&self, priority: u64, handed_over: bool, due: Instant) -> Entry<'_> {
         let rank = (
             priority,
+            handed_over,
             due,
             self.next_number.fetch_add(1, Ordering::Relaxed),
         );
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -55,6 +55,8 @@
     NoUpstream,
     /// All upstreams of the service want no requests until this time, which is too late.
     Deferred(Instant),
+    /// The host was cut off from the upstreams while the request waited.
+    CutOff,
 }
 
 /// The share of its waiting time that a request may wait for a permit. The queue for permits is
@@ -113,13 +115,21 @@
         (false, false) => job.priority,
         (false, true) => job.priority + OVERDUE_RANK_OFFSET,
     };
-    let mut queued = context.queue.insert(rank(overdue), job.due());
+    let enqueue = |overdue| {
+        let handed_over = job.entry.is_some();
+        context.queue.insert(rank(overdue), handed_over, job.due())
+    };
+    let mut queued = enqueue(overdue);
     let mut needs_jitter = false;
     let mut wide_at = Instant::now();
+    let was_cut_off = context.is_cut_off();
     loop {
+        if !was_cut_off && context.is_cut_off() {
+            return Err(Refusal::CutOff);
+        }
         if !resumes && !overdue && Instant::now() >= job.due() {
             overdue = true;
-            queued = context.queue.insert(rank(overdue), job.due());
+            queued = enqueue(overdue);
         }
         let left = give_up_at.saturating_duration_since(Instant::now());
         let waiting = Waiting {
@@ -165,7 +175,7 @@
     let Some(engine) = &job.service.engine else {
         return false;
     };
-    if !job.is_long() || job.request.last_event.is_some() {
+    if !job.is_long() || job.resumes || job.request.last_event.is_some() {
         return false;
     }
     let (excluded, demand) = (Set::default(), job.demand(1.0, false));
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -179,7 +179,7 @@
         };
         // All attempts that were left went with the request to the daemon that placed it.
         let Some(upstream) = response.upstream().map(Arc::clone) else {
-            return Err(Unanswered::Uncertain("helper"));
+            return Err(Unanswered::Uncertain("peer"));
         };
         drop(response);
         self.attempts.record(&upstream, Observation::Unreachable);
@@ -217,6 +217,9 @@
             let frame = timeout_at(due_at, frame).await;
             match frame {
                 Ok(Some(Ok(frame))) => {
+                    if response.placement.is_some() {
+                        self.attempts.context.record_heard();
+                    }
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
@@ -253,7 +256,7 @@
     }
 
     /// Returns the id of the upstream that generates the stream.
-    fn upstream_id(&self) -> &str {
+    pub(crate) fn upstream_id(&self) -> &str {
         self.response.as_ref().map_or("", Response::upstream_id)
     }
 
@@ -263,7 +266,8 @@
         if let Some(placement) = response.and_then(|response| response.placement.as_mut()) {
             placement.finish_prefill();
         }
-        if self.events == 0 {
+        // The daemon that received the request from the client counts its first event.
+        if self.events == 0 && self.attempts.job.entry.is_none() {
             let job = &self.attempts.job;
             let metrics = &self.attempts.context.metrics;
             metrics.first_token(&job.service.name, job.received.elapsed());
@@ -318,7 +322,7 @@
     }
 
     fn silence_timeout(&self, placement: Option<&Placement>) -> Duration {
-        if self.events == 0 {
+        if self.events == 0 || placement.is_none() {
             return self.attempts.silence_timeout(placement);
         }
         let job = &self.attempts.job;
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -31,7 +31,9 @@
     peer_bytes: Counter<u64>,
     gossip_messages: Counter<u64>,
     permits: Counter<u64>,
+    handovers_taken: Counter<u64>,
     version: Gauge<u64>,
+    cut_off: Gauge<u64>,
 }
 
 impl Metrics {
@@ -82,10 +84,19 @@
                 "primrosehoist_permits",
                 "Permits requested for upstreams that name a limit",
             ),
+            handovers_taken: counter(
+                &meter,
+                "primrosehoist_handovers_taken",
+                "Requests that other daemons handed over to this one",
+            ),
             version: meter
                 .u64_gauge("primrosehoist_config_version")
                 .with_description("The configuration version in force")
                 .build(),
+            cut_off: meter
+                .u64_gauge("primrosehoist_cut_off")
+                .with_description("Whether the host is cut off from all upstreams")
+                .build(),
             _provider: provider,
         })
     }
@@ -153,6 +164,14 @@
         self.permits.add(1, &[label("outcome", outcome)]);
     }
 
+    /// Counts a request that another daemon handed over; `outcome` is what that one was told.
+    pub(crate) fn handover_taken<O>(&self, outcome: O)
+    where
+        O: Display,
+    {
+        self.handovers_taken.add(1, &[label("outcome", outcome)]);
+    }
+
     /// Counts datagrams exchanged with other daemons, and their bytes; `direction` is `sent` or
     /// `received`.
     pub(crate) fn gossip(&self, direction: &'static str, messages: u64, bytes: u64) {
@@ -166,6 +185,11 @@
         self.version.record(version, &[]);
     }
 
+    /// Records whether the host is cut off from the upstreams.
+    pub(crate) fn cut_off(&self, cut_off: bool) {
+        self.cut_off.record(u64::from(cut_off), &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -176,7 +176,9 @@
     metrics.peer_bytes("sent", 512);
     metrics.gossip("received", 3, 90);
     metrics.permit("granted");
+    metrics.handover_taken("busy");
     metrics.version(7);
+    metrics.cut_off(true);
     let text = metrics.render().expect("the metrics are encoded");
     let value = |name: &str| {
         let line = text.lines().find(|line| line.starts_with(name));
@@ -189,6 +191,7 @@
         ("primrosehoist_queue_seconds_count{", "1"),
         ("primrosehoist_in_flight{", "1"),
         ("primrosehoist_retries_total{", "1"),
+        ("primrosehoist_cut_off{", "1"),
         ("primrosehoist_platform_calls_total{", "3"),
         ("primrosehoist_peer_bytes_total{direction=\"sent\"", "512"),
         (
@@ -197,6 +200,7 @@
         ),
         ("primrosehoist_gossip_messages_total{", "3"),
         ("primrosehoist_permits_total{", "1"),
+        ("primrosehoist_handovers_taken_total{outcome=\"busy\"", "1"),
         ("primrosehoist_config_version{", "7"),
     ];
     for (name, expected) in cases {
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod calls;
+pub mod handover;
 pub mod history;
 pub mod links;
 pub mod load;
--- a/crates/primrosehoist-tests/tests/common/scripted.rs
+++ b/crates/primrosehoist-tests/tests/common/scripted.rs
@@ -21,6 +21,8 @@
     pub expected: String,
     /// Whether it resumes a stream.
     pub resumes: bool,
+    /// The request line and the headers.
+    pub head: String,
     /// The upstreams that prefill parts of its prompt.
     pub helpers: Option<String>,
     /// The number of the upstream.
@@ -90,6 +92,7 @@
                 expected: header("x-expect-instance").unwrap_or_default(),
                 resumes: header("last-event-id").is_some(),
                 helpers: header("x-helpers"),
+                head: head.clone(),
                 upstream: self.number,
                 address: self.address.clone(),
                 elapsed: self.first.get_or_init(Instant::now).elapsed(),
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/cut_off_cases.rs
@@ -0,0 +1,246 @@
+//! Tests that a host counts as cut off only if it is, and that daemons that take requests over do
+//! not end what another one could serve.
+
+mod common;
+
+use std::fs;
+use std::net::TcpStream;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use common::handover::{handover, headers, start};
+use common::links::{Links, Mode};
+use common::platform::{
+    Deployment, Request, configuration, receive, send, start_request, wait_until,
+};
+use serde_json::json;
+
+fn log(deployment: &Deployment, daemon: usize) -> String {
+    fs::read_to_string(&deployment.daemons[daemon].log).unwrap_or_default()
+}
+
+/// Guards against hosts that count as cut off because the three upstreams that are probed are down.
+#[test]
+fn host_that_reaches_some_of_many_upstreams_is_not_cut_off() {
+    let deployment = Deployment::start(2);
+    deployment.configure(&configuration(1));
+    for index in 0..deployment.runners.len() {
+        let mut entry = deployment.entry(index, "ready");
+        entry["Zone"] = json!("zone-a");
+        deployment.put("servers", &deployment.runners[index].id, &entry);
+    }
+    for number in 0..18 {
+        let mut entry = deployment.entry(0, "ready");
+        entry["Zone"] = json!("zone-a");
+        entry["Address"] = json!(format!("{}.{}:7200", deployment.network, 70 + number));
+        deployment.put("servers", &format!("dead-{number}"), &entry);
+    }
+    for index in 0..deployment.daemons.len() {
+        deployment.wait_until_ready(index);
+    }
+    sleep(Duration::from_millis(600));
+    let end = Instant::now() + Duration::from_secs(30);
+    let served = std::sync::atomic::AtomicUsize::new(0);
+    let failed = std::sync::atomic::AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        for caller in 0..24 {
+            let address = &deployment.daemons[caller % 2].ingress;
+            let (served, failed) = (&served, &failed);
+            scope.spawn(move || {
+                while Instant::now() < end {
+                    let request = if caller % 3 == 0 {
+                        Request::stream(100, 40)
+                    } else {
+                        Request::new("GET", "/look/1")
+                    };
+                    let response = send(address, &request);
+                    let is_served = response.status == 200 && response.complete;
+                    let counter = if is_served { served } else { failed };
+                    counter.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                    sleep(Duration::from_millis(20));
+                }
+            });
+        }
+    });
+    let statuses = (served.into_inner(), failed.into_inner());
+    let count = |message: &str| -> usize {
+        let daemons = 0..deployment.daemons.len();
+        daemons
+            .map(|daemon| log(&deployment, daemon).matches(message).count())
+            .sum()
+    };
+    let cuts = count("host is cut off from all upstreams");
+    println!(
+        "served and not {statuses:?}, cuts {cuts}, probed {}, taken over {}",
+        count("upstreams probed"),
+        count("request taken over")
+    );
+    assert_eq!(cuts, 0);
+}
+
+/// Guards against requests that are refused although a third host could serve them.
+#[test]
+fn daemon_that_takes_over_and_is_cut_off_itself_is_busy_for_what_waits_there() {
+    let (deployment, links) = Links::deployment(&["zone-a", "zone-a", "zone-b"]);
+    let address = deployment.daemons[0].ingress.clone();
+    let own: Vec<TcpStream> = (0..90)
+        .map(|_| start_request(&address, &Request::stream(100, 900)))
+        .collect();
+    sleep(Duration::from_millis(500));
+    let request = Request::stream(100, 4);
+    let mut connection = start(&deployment, &request, &headers(&handover()));
+    wait_until("it is taken over", || {
+        log(&deployment, 0).contains("request taken over")
+    });
+    sleep(Duration::from_millis(200));
+    assert!(deployment.runs(&request.id).is_empty(), "it waits");
+    links.set(0, Mode::Hang);
+    let began = Instant::now();
+    let response = receive(&mut connection);
+    println!("{:?} after {:?}", response, began.elapsed());
+    assert!(deployment.runs(&request.id).is_empty());
+    assert_eq!(
+        response.header("primrosehoist-outcome"),
+        Some("busy"),
+        "{response:?}"
+    );
+    drop(own);
+}
+
+/// Guards against requests that are refused although an open connection to an upstream lives on.
+#[test]
+fn host_that_no_other_one_helps_uses_its_open_connections() {
+    let (deployment, links) = Links::deployment(&["zone-a", "zone-a"]);
+    // The other daemon stops, and so takes no requests, but ends what it serves.
+    let last = Request::stream(100, 420);
+    let _last = start_request(&deployment.daemons[1].ingress, &last);
+    wait_until("it runs", || !deployment.runs(&last.id).is_empty());
+    let process = deployment.daemons[1].process.as_ref().expect("it runs");
+    process.terminate();
+    wait_until("it takes no requests", || {
+        log(&deployment, 1).contains("new requests are refused")
+    });
+    let address = deployment.daemons[0].ingress.clone();
+    let calls = |count: usize, prompt: u64| -> Vec<u16> {
+        let streams: Vec<TcpStream> = (0..count)
+            .map(|_| start_request(&address, &Request::stream(prompt, 8)))
+            .collect();
+        let responses = streams.into_iter().map(|mut stream| receive(&mut stream));
+        responses.map(|response| response.status).collect()
+    };
+    calls(6, 100);
+    links.set(0, Mode::Refuse);
+    sleep(Duration::from_millis(100));
+    let served = calls(2, 100);
+    println!("before it is known: {served:?}");
+    // More than there are open connections.
+    println!("many: {:?}", calls(16, 100));
+    let is_known = log(&deployment, 0).contains("host is cut off from all upstreams");
+    let statuses: Vec<u16> = (0..6).flat_map(|_| calls(1, 100)).collect();
+    println!("known: {is_known}, then {statuses:?}");
+    assert!(is_known);
+    assert_eq!(statuses, [200; 6]);
+}
+
+/// Guards against requests that are held at a host that is cut off, although a third one could serve
+/// them.
+#[test]
+fn daemon_that_takes_over_and_is_cut_off_itself_is_busy_for_what_did_not_run() {
+    let (deployment, links) = Links::deployment(&["zone-a", "zone-a", "zone-b"]);
+    let address = deployment.daemons[0].ingress.clone();
+    // They make the daemon notice.
+    let own: Vec<TcpStream> = (0..24)
+        .map(|_| start_request(&address, &Request::stream(100, 900)))
+        .collect();
+    sleep(Duration::from_millis(500));
+    links.set(0, Mode::Hang);
+    let request = Request::new("POST", "/order/1");
+    let began = Instant::now();
+    let mut connection = start(&deployment, &request, &headers(&handover()));
+    wait_until("it is noticed", || {
+        log(&deployment, 0).contains("host is cut off from all upstreams")
+    });
+    let noticed = began.elapsed();
+    let response = receive(&mut connection);
+    println!(
+        "noticed after {noticed:?}, {response:?} after {:?}",
+        began.elapsed()
+    );
+    assert!(deployment.runs(&request.id).is_empty());
+    assert_eq!(
+        response.header("primrosehoist-outcome"),
+        Some("busy"),
+        "{response:?}"
+    );
+    drop(own);
+}
+
+/// `StableWindowMs` of the deployment.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+
+/// Cuts off the daemons in `cut`, sends a request to the first one every `interval`, and asserts that two
+/// thirds of those that are sent `STABLE_WINDOW` after the cut or later are served.
+fn quiet_host_serves<R>(zones: &[&str], cut: &[usize], mode: Mode, interval: Duration, request: R)
+where
+    R: Fn(usize) -> Request + Sync,
+{
+    let (deployment, links) = Links::deployment(zones);
+    let address = &deployment.daemons[0].ingress;
+    let exchange = |number: usize| {
+        let mut request = request(number);
+        "2500".clone_into(&mut request.headers[0].1);
+        let sent = Instant::now();
+        let response = send(address, &request);
+        (sent, response.status, response.complete, sent.elapsed())
+    };
+    let cut_at = usize::try_from(2000 / interval.as_millis()).expect("small");
+    let mut began = Instant::now();
+    let exchanges: Vec<_> = std::thread::scope(|scope| {
+        let exchange = &exchange;
+        let mut sent = Vec::new();
+        for number in 0..usize::try_from(12_000 / interval.as_millis()).expect("small") {
+            if number == cut_at {
+                began = Instant::now();
+                for daemon in cut {
+                    links.set(*daemon, mode);
+                }
+            }
+            sent.push(scope.spawn(move || exchange(number)));
+            sleep(interval);
+        }
+        sent.into_iter()
+            .map(|one| one.join().expect("no panic"))
+            .collect()
+    });
+    for (sent, status, complete, took) in &exchanges {
+        let at = sent.saturating_duration_since(began);
+        println!("{at:?} {status} {complete} {took:?}");
+    }
+    let late = exchanges
+        .iter()
+        .filter(|one| one.0 >= began + STABLE_WINDOW);
+    let served = late.clone().filter(|one| one.1 == 200 && one.2).count();
+    let all = late.count();
+    assert!(served * 3 >= all * 2, "{served} of {all} served");
+}
+
+#[test]
+fn quiet_host_with_calls_that_run_once_serves() {
+    let once = |_| Request::new("POST", "/order/1");
+    let interval = Duration::from_secs(1);
+    quiet_host_serves(&["zone-a", "zone-a"], &[0], Mode::Hang, interval, once);
+}
+
+#[test]
+fn host_whose_idle_neighbours_are_cut_off_too_serves() {
+    let mut zones = ["zone-a"; 9];
+    zones[8] = "zone-b";
+    let calls = |number: usize| match number % 3 {
+        0 => Request::new("GET", "/look/1"),
+        1 => Request::new("POST", "/order/1"),
+        _ => Request::stream(100, 4),
+    };
+    let interval = Duration::from_millis(400);
+    let cut = [0, 1, 2, 3, 4, 5, 6, 7];
+    quiet_host_serves(&zones, &cut, Mode::Hang, interval, calls);
+}
--- a/crates/primrosehoist-tests/tests/cut_off_hosts.rs
+++ b/crates/primrosehoist-tests/tests/cut_off_hosts.rs
@@ -302,7 +302,7 @@
 #[test]
 fn all_upstreams_dead_is_not_a_cut() {
     let mut deployment = Deployment::ready(3);
-    let (exchanges, (mut runs, known, [died, known_at, back])) =
+    let (exchanges, (mut runs, [known, dead_logs, back_logs], [died, known_at, back])) =
         beside_load(&mut deployment, |deployment| {
             sleep(CALM);
             let runs = count_runs(deployment);
@@ -314,12 +314,16 @@
             let known_at = Instant::now();
             let known = logs(deployment);
             sleep(STABLE_WINDOW);
+            let dead_logs = logs(deployment);
             for index in 0..deployment.runners.len() {
                 deployment.start_runner(index);
             }
             let back = Instant::now();
+            // A daemon that reaches them first takes over requests of the others until they do.
+            sleep(Duration::from_secs(1));
+            let back_logs = logs(deployment);
             sleep(STABLE_WINDOW + CALM);
-            (runs, known, [died, known_at, back])
+            (runs, [known, dead_logs, back_logs], [died, known_at, back])
         });
     for (id, count) in count_runs(&deployment) {
         *runs.entry(id).or_default() += count;
@@ -334,7 +338,10 @@
             "{response:?}"
         );
     }
-    for (text, known) in logs(&deployment).iter().zip(&known) {
+    for (text, known) in dead_logs.iter().zip(&known) {
+        assert!(!text[known.len()..].contains(TAKEN_OVER));
+    }
+    for (text, known) in logs(&deployment).iter().zip(&back_logs) {
         assert!(!text[known.len()..].contains(TAKEN_OVER));
     }
     let meanwhile = served(&exchanges, |one| (known_at..back).contains(&one.sent));
--- a/src/coordination/failover.rs
+++ b/src/coordination/failover.rs
@@ -70,6 +70,11 @@
         self.runs > 0
     }
 
+    /// Returns the number of upstreams on which the request may still run.
+    pub fn runs_left(&self) -> u64 {
+        self.runs_max.saturating_sub(self.runs)
+    }
+
     /// Records a failed attempt and returns what follows.
     ///
     /// `budget` draws on the retry budget and is called only if another attempt is possible. A
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use crate::coordination::peers::{Error, Peers, Scope};
+use crate::coordination::peers::{Error, Peers, Scope, Told};
 use crate::coordination::permit;
 use crate::coordination::watchers::{Member, Status};
 use crate::state::crash;
@@ -45,6 +45,8 @@
 pub struct Info {
     /// The state of its watch on the store.
     pub status: Status,
+    /// Whether its host is cut off from the upstreams.
+    pub cut_off: bool,
     /// The versions of the platform state that it has applied.
     pub versions: Versions,
     /// The upstreams that it avoids after failures.
@@ -285,7 +287,10 @@
         let last = self.last_state.as_ref();
         // Warnings and crashes change often while upstreams fail, and each daemon repeats them.
         last.is_none_or(|(at, told)| {
-            now >= *at + interval || told.status != info.status || told.versions != info.versions
+            now >= *at + interval
+                || told.status != info.status
+                || told.cut_off != info.cut_off
+                || told.versions != info.versions
         })
     }
 
@@ -309,6 +314,7 @@
                 _ if is_due || is_new => {
                     let info = Info {
                         status: info.status,
+                        cut_off: info.cut_off,
                         versions: info.versions,
                         ..Info::default()
                     };
@@ -485,11 +491,8 @@
             load,
         } = state;
         let member = member(&host, &zone, info.status);
-        let (started_ms, _) = sequence;
-        let versions = info.versions;
-        let is_first = self
-            .peers
-            .update(sender, member, started_ms, versions, now)?;
+        let told = Told::new(info.versions, info.cut_off);
+        let is_first = self.peers.update(sender, member, sequence.0, told, now)?;
         let load = self.relevant(&zone, load, &view.zone_of, now);
         view.occupancy
             .update_report(&host, &zone, sequence, load, now);
@@ -519,9 +522,9 @@
         Z: Fn(Key) -> Option<Arc<str>>,
     {
         let member = member(&query.host, &query.zone, query.info.status);
-        let versions = query.info.versions;
+        let told = Told::new(query.info.versions, query.info.cut_off);
         self.peers
-            .update(sender, member, query.started_ms, versions, now)?;
+            .update(sender, member, query.started_ms, told, now)?;
         let own_zone = &self.own.zone;
         let is_near = |key| (view.zone_of)(key).as_ref() == Some(own_zone);
         let recent = (view.recent)();
@@ -559,9 +562,8 @@
             members,
         } = summary;
         let member = member(&host, &zone, info.status);
-        let versions = info.versions;
-        self.peers
-            .update(sender, member, started_ms, versions, now)?;
+        let told = Told::new(info.versions, info.cut_off);
+        self.peers.update(sender, member, started_ms, told, now)?;
         if zone != self.own.zone {
             match members {
                 Some(mut members) => {
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -53,11 +53,27 @@
     Zone,
 }
 
+/// What a daemon tells of itself that decides what others ask of it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Told {
+    /// The versions of the platform state that it has applied.
+    pub versions: Versions,
+    /// Whether its host is cut off from the upstreams.
+    pub cut_off: bool,
+}
+
+impl Told {
+    /// Creates what a daemon tells of itself.
+    pub fn new(versions: Versions, cut_off: bool) -> Self {
+        Self { versions, cut_off }
+    }
+}
+
 /// A daemon at its address.
 #[derive(Debug, Clone)]
 struct Peer {
     member: Member,
-    versions: Versions,
+    told: Told,
     /// The start time of its process in Unix milliseconds, once a message of it was received.
     started_ms: Option<u64>,
     /// When it was last heard from, or reported to be live, unless it is known to be gone.
@@ -111,7 +127,7 @@
                 zone: Arc::clone(zone),
                 status: Status::Idle,
             },
-            versions: Versions::default(),
+            told: Told::default(),
             started_ms: None,
             last_heard: Some(now),
         };
@@ -120,6 +136,11 @@
         true
     }
 
+    /// Returns whether a daemon is known at `address`.
+    pub fn contains(&self, address: IpAddr) -> bool {
+        self.by_address.contains_key(&address)
+    }
+
     /// Returns a number that changes when a daemon is added.
     pub fn generation(&self) -> u64 {
         self.generation
@@ -163,7 +184,7 @@
         address: IpAddr,
         member: Member,
         started_ms: u64,
-        versions: Versions,
+        told: Told,
         now: Instant,
     ) -> Result<bool, Error> {
         let peer = self.by_address.get_mut(&address);
@@ -174,7 +195,7 @@
         let is_first = peer.started_ms != Some(started_ms);
         *peer = Peer {
             member,
-            versions,
+            told,
             started_ms: Some(started_ms),
             last_heard: Some(now),
         };
@@ -302,15 +323,15 @@
     ) -> Option<IpAddr> {
         let peers = self.by_address.iter();
         let (mut near, mut far): (Vec<_>, Vec<_>) = peers
-            .filter(|(_, peer)| peer.is_live(now) && peer.versions.is_ahead_of(own))
+            .filter(|(_, peer)| peer.is_live(now) && peer.told.versions.is_ahead_of(own))
             .filter(|(address, _)| !tried.contains(address))
             .partition(|(_, peer)| peer.member.zone == self.zone);
         if *own != Versions::default() && !tried.is_empty() {
             far.append(&mut near);
         } else {
-            let versions = near.iter().map(|(_, peer)| peer.versions);
+            let versions = near.iter().map(|(_, peer)| peer.told.versions);
             let newest = versions.fold(*own, |newest, versions| newest.merge(&versions));
-            let is_newest = |peer: &Peer| !newest.is_ahead_of(&peer.versions);
+            let is_newest = |peer: &Peer| !newest.is_ahead_of(&peer.told.versions);
             if near.iter().any(|(_, peer)| is_newest(peer)) {
                 near.retain(|(_, peer)| is_newest(peer));
             }
@@ -319,6 +340,29 @@
         pick(&candidates, random).map(|(address, _)| **address)
     }
 
+    /// Returns whether the daemon at `address` says that it is cut off from the upstreams.
+    pub fn is_cut_off(&self, address: IpAddr) -> bool {
+        let peer = self.by_address.get(&address);
+        peer.is_some_and(|peer| peer.told.cut_off)
+    }
+
+    /// Returns the address of a random live daemon that is not cut off from the upstreams and not in
+    /// `tried`, of the own zone if there is one. `random` is from 0 to 1.
+    pub fn handover_target(
+        &self,
+        tried: &Set<IpAddr>,
+        random: f64,
+        now: Instant,
+    ) -> Option<IpAddr> {
+        let peers = self.by_address.iter();
+        let (near, far): (Vec<_>, Vec<_>) = peers
+            .filter(|(_, peer)| self.is_heard(peer, now) && !peer.told.cut_off)
+            .filter(|(address, _)| !tried.contains(address))
+            .partition(|(_, peer)| peer.member.zone == self.zone);
+        let candidates = if near.is_empty() { far } else { near };
+        pick(&candidates, random).map(|(address, _)| **address)
+    }
+
     /// Returns the live daemons of `zone` with their addresses, including the own one.
     pub fn live_in(&self, zone: &str, now: Instant) -> Vec<(IpAddr, Arc<str>)> {
         let live = self.in_zone(zone).filter(|(_, peer)| peer.is_live(now));
--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -9,7 +9,7 @@
 pub const DATAGRAM_BYTES_MAX: usize = 60_000;
 
 /// The magic number of this version of the format, at the start of every datagram.
-const MAGIC: [u8; 2] = [0x70, 7];
+const MAGIC: [u8; 2] = [0x70, 8];
 
 quick_error! {
     /// An error from encoding or decoding a [`Datagram`] or a
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -3,6 +3,7 @@
 pub mod codec;
 pub mod event;
 pub mod gossip;
+pub mod handover;
 pub mod openai;
 pub mod operator;
 pub mod platform;
--- a/src/state/health.rs
+++ b/src/state/health.rs
@@ -143,6 +143,18 @@
         }
     }
 
+    /// Returns whether this daemon avoids `upstream`.
+    pub fn is_avoided(&self, upstream: &str, now: Instant) -> bool {
+        let record = self.records.get(upstream);
+        record.is_some_and(|record| record.avoid_until.is_some_and(|until| now < until))
+    }
+
+    /// Forgets the upstreams that could not be reached, after failures that were not theirs.
+    pub fn forget_unreachable(&mut self) {
+        self.records
+            .retain(|_, record| record.avoid_until.is_none());
+    }
+
     /// Removes the state of an upstream that no longer exists.
     pub fn remove(&mut self, upstream: &str) {
         self.records.remove(upstream);
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -22,6 +22,7 @@
 pub mod plan;
 pub mod queue;
 pub mod rate;
+pub mod reach;
 pub mod roster;
 pub mod route;
 pub mod versions;
--- a/src/state/partition.rs
+++ b/src/state/partition.rs
@@ -82,6 +82,11 @@
         self.records.remove(hop);
     }
 
+    /// Forgets the failures on all hops from `zone`.
+    pub fn forget_from(&mut self, zone: &str) {
+        self.records.retain(|(from, _), _| from.as_ref() != zone);
+    }
+
     /// Returns the hops that are considered partitioned at `now`.
     pub fn partitions(&self, now: Instant) -> Partitions {
         let partitioned =
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -550,6 +550,11 @@
             })
     }
 
+    /// Returns the registered upstream with this id.
+    pub fn get(&self, id: &str) -> Option<&Arc<Upstream>> {
+        self.entries.get(id).map(|entry| &entry.upstream)
+    }
+
     /// Returns all registered upstreams.
     pub fn upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.entries.values().map(|entry| &entry.upstream)
--- a/src/state/route.rs
+++ b/src/state/route.rs
@@ -158,6 +158,7 @@
     hosts: HashMap<Arc<str>, Vec<Arc<Route>>>,
     services: Map<Arc<str>, Arc<Service>>,
     keys: HashMap<Arc<str>, Arc<Workspace>>,
+    workspaces: HashMap<Arc<str>, Arc<Workspace>>,
     requires_key: bool,
     limits: Limits,
 }
@@ -182,17 +183,20 @@
         let by_name = |service: Service| (Arc::clone(&service.name), Arc::new(service));
         let requires_key = !workspaces.is_empty();
         let mut keys = HashMap::new();
+        let mut by_workspace = HashMap::new();
         for workspace in workspaces {
             let workspace = Arc::new(workspace);
             for key in &workspace.keys {
                 keys.insert(Arc::clone(key), Arc::clone(&workspace));
             }
+            by_workspace.insert(Arc::clone(&workspace.name), workspace);
         }
         Self {
             version,
             hosts,
             services: services.into_iter().map(by_name).collect(),
             keys,
+            workspaces: by_workspace,
             requires_key,
             limits,
         }
@@ -222,6 +226,11 @@
         self.services.get(name)
     }
 
+    /// Returns the workspace with this name.
+    pub fn workspace(&self, name: &str) -> Option<&Arc<Workspace>> {
+        self.workspaces.get(name)
+    }
+
     /// Checks whether a client with `key` may use `route`.
     pub fn access(&self, route: &Route, key: Option<&str>) -> Access {
         if route.open || !self.requires_key {
--- a/tests/failover_rules.rs
+++ b/tests/failover_rules.rs
@@ -90,3 +90,20 @@
         Ok(())
     });
 }
+
+#[test]
+fn only_attempts_that_may_have_run_use_up_runs() {
+    let mut failover = Failover::new(true, 3);
+    for (failure, left) in [
+        (Failure::Unsent, 3),
+        (Failure::Rejected, 3),
+        (Failure::Lost, 2),
+        (Failure::Reported, 1),
+        (Failure::Lost, 0),
+        (Failure::Lost, 0),
+    ] {
+        let _decision = failover.on_failure(failure, || true);
+        assert_eq!(failover.runs_left(), left, "{failure}");
+    }
+    assert_eq!(Failover::new(false, 3).runs_left(), 1);
+}
--- a/tests/gossip_exchange/main.rs
+++ b/tests/gossip_exchange/main.rs
@@ -8,6 +8,7 @@
 
 use primrosehoist::coordination::gossip::{Datagram, Info, Outgoing, QUERY_INTERVAL, Query, State};
 use primrosehoist::coordination::peers::{Error, FLEET_SCOPE_MAX, Scope};
+use primrosehoist::coordination::watchers::SILENCE_MAX;
 use primrosehoist::protocol::gossip::encode;
 use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::occupancy::Occupancy;
@@ -231,6 +232,124 @@
     }
 }
 
+/// A daemon that is cut off tells others at once, and those of other zones with a load there too.
+#[test]
+fn a_cut_off_daemon_tells_others_at_once() {
+    for mut fleet in fleets(11) {
+        // The upstream is in another zone than the daemon.
+        fleet.begin(0, 1);
+        fleet.run(Duration::from_secs(1));
+        let now = fleet.now;
+        let tell = |fleet: &mut Fleet| {
+            let all = fleet.act(0, |exchange, view| exchange.tell_load(view, now));
+            let told = all.into_iter().filter_map(|outgoing| {
+                let Datagram::State(state) = outgoing.datagram else {
+                    return None;
+                };
+                Some((outgoing.targets, state.info.cut_off))
+            });
+            told.collect::<Vec<_>>()
+        };
+        tell(&mut fleet);
+        for cut_off in [true, false] {
+            fleet.daemons[0].info.cut_off = cut_off;
+            let all = tell(&mut fleet);
+            assert!(all.iter().all(|(_, told)| *told == cut_off));
+            let targets: Set<_> = all.into_iter().flat_map(|(targets, _)| targets).collect();
+            let (near, far) = (address(fleet.zones), address(1));
+            assert!(targets.contains(&near) && targets.contains(&far));
+            assert!(tell(&mut fleet).is_empty(), "it is told once");
+        }
+    }
+}
+
+#[test]
+fn a_helper_is_a_live_daemon_that_is_not_cut_off() {
+    // Daemons 2 and 4 are in the zone of daemon 0.
+    let mut fleet = Fleet::new(6, 2, 4, 12);
+    let run = |fleet: &mut Fleet, cut_off: [bool; 6]| {
+        for (daemon, cut_off) in fleet.daemons.iter_mut().zip(cut_off) {
+            daemon.has_changed = daemon.info.cut_off != cut_off;
+            daemon.info.cut_off = cut_off;
+        }
+        fleet.run(Duration::from_millis(100));
+    };
+    let helpers = |fleet: &Fleet, tried: &[usize]| {
+        let tried: Set<_> = tried.iter().map(|index| address(*index)).collect();
+        let peers = &fleet.daemons[0].exchange.peers;
+        let steps = (0..20).map(|step| f64::from(step) / 20.0);
+        let chosen: Set<_> = steps
+            .filter_map(|random| peers.handover_target(&tried, random, fleet.now))
+            .collect();
+        let indices = (0..6).filter(|index| chosen.contains(&address(*index)));
+        indices.collect::<Vec<_>>()
+    };
+    run(&mut fleet, [false; 6]);
+    assert_eq!(helpers(&fleet, &[]), [2, 4], "the own zone goes first");
+    assert_eq!(helpers(&fleet, &[2]), [4]);
+    assert_eq!(helpers(&fleet, &[2, 4]), [1, 3, 5]);
+    run(&mut fleet, [true, false, true, false, false, true]);
+    assert_eq!(helpers(&fleet, &[]), [4]);
+    assert_eq!(helpers(&fleet, &[4]), [1, 3]);
+    run(&mut fleet, [true, false, true, false, true, true]);
+    assert_eq!(helpers(&fleet, &[]), [1, 3]);
+    run(&mut fleet, [true; 6]);
+    assert!(helpers(&fleet, &[]).is_empty());
+    run(&mut fleet, [true, true, false, true, true, true]);
+    assert_eq!(helpers(&fleet, &[]), [2], "it is not cut off any more");
+    fleet.kill(2);
+    fleet.run(SILENCE_MAX);
+    assert!(helpers(&fleet, &[]).is_empty(), "it is silent");
+}
+
+/// Daemons of other zones hear of it from queries and summaries.
+#[test]
+fn a_cut_off_daemon_is_known_to_those_that_ask_it() {
+    let mut fleet = Fleet::new(FLEET_SCOPE_MAX + 8, 4, 24, 13);
+    for daemon in &mut fleet.daemons {
+        daemon.info.cut_off = true;
+    }
+    fleet.daemons[5].info.cut_off = false;
+    // Every other daemon of the zone is asked by, or asks, a given one only by chance.
+    fleet.run(Duration::from_secs(2));
+    let now = fleet.now;
+    let peers = &fleet.daemons[1].exchange.peers;
+    assert_eq!(
+        peers.handover_target(&Set::default(), 0.5, now),
+        Some(address(5))
+    );
+    let query = |fleet: &mut Fleet, cut_off| {
+        fleet.act(0, |exchange, view| {
+            let query = Datagram::Query(Query {
+                host: Arc::from("host-5"),
+                zone: zone(5, 4),
+                started_ms: 1,
+                info: Info {
+                    cut_off,
+                    ..Info::default()
+                },
+                members: 0,
+            });
+            let received = exchange.receive(address(5), query, view, now);
+            received.expect("the daemon is known");
+        });
+    };
+    let others: Set<_> = (1..FLEET_SCOPE_MAX + 8)
+        .filter(|index| *index != 5)
+        .map(address)
+        .collect();
+    let helper = |fleet: &Fleet| {
+        fleet.daemons[0]
+            .exchange
+            .peers
+            .handover_target(&others, 0.5, now)
+    };
+    query(&mut fleet, true);
+    assert_eq!(helper(&fleet), None);
+    query(&mut fleet, false);
+    assert_eq!(helper(&fleet), Some(address(5)));
+}
+
 /// The planned fleet.
 const PLANNED_DAEMONS: usize = 400;
 const PLANNED_ZONES: usize = 12;
--- a/tests/health_warnings.rs
+++ b/tests/health_warnings.rs
@@ -65,3 +65,36 @@
         [name("gone")]
     );
 }
+
+#[test]
+fn unreachable_upstreams_are_forgotten_and_faulty_ones_are_not() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.record(&name("faulty"), Observation::Failure, now);
+    for _ in 0..5 {
+        health.record(&name("cut"), Observation::Unreachable, now);
+    }
+    health.record_warnings(&name("h1"), &[name("warned")], now);
+    let costs = |health: &Health| ["faulty", "warned"].map(|id| health.cost(id, 0, now));
+    let before = costs(&health);
+    health.forget_unreachable();
+    assert_eq!(costs(&health), before);
+    assert!(
+        before
+            .iter()
+            .all(|cost| cost.is_some_and(|cost| cost > 0.0))
+    );
+    assert!(health.avoided(now).is_empty());
+    assert_eq!(health.cost("cut", 3, now), Some(0.0));
+}
+
+#[tokio::test(start_paused = true)]
+async fn upstream_is_avoided_for_a_while_after_it_could_not_be_reached() {
+    let mut health = Health::default();
+    let (upstream, now) = (Arc::from("u"), Instant::now());
+    health.record(&upstream, Observation::Failure, now);
+    assert!(!health.is_avoided(&upstream, now));
+    health.record(&upstream, Observation::Unreachable, now);
+    assert!(health.is_avoided(&upstream, now));
+    assert!(!health.is_avoided(&upstream, now + Duration::from_secs(6)));
+}
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -183,6 +183,7 @@
 fn messages() -> Vec<Datagram> {
     let info = Info {
         status: Status::Following,
+        cut_off: true,
         versions: Versions {
             configuration: 7,
             upstreams: revision(8),
--- a/tests/partition_detection.rs
+++ b/tests/partition_detection.rs
@@ -84,3 +84,23 @@
     assert!(!is_partitioned(&detector, &hop("b", "a"), now));
     assert!(!is_partitioned(&detector, &hop("a", "c"), now));
 }
+
+#[test]
+fn hops_from_a_zone_can_be_forgotten() {
+    let now = Instant::now();
+    let mut detector = Detector::default();
+    for hop in [hop("a", "b"), hop("a", "c"), hop("b", "c")] {
+        detector.record_failure(&hop, &Arc::from("u1"), now);
+        detector.record_failure(&hop, &Arc::from("u2"), now);
+        assert!(is_partitioned(&detector, &hop, now));
+    }
+    detector.forget_from("a");
+    assert!(!is_partitioned(&detector, &hop("a", "b"), now));
+    assert!(!is_partitioned(&detector, &hop("a", "c"), now));
+    assert!(is_partitioned(&detector, &hop("b", "c"), now));
+    detector.record_failure(&hop("a", "b"), &Arc::from("u1"), now);
+    assert!(
+        !is_partitioned(&detector, &hop("a", "b"), now),
+        "the failures before do not count any more"
+    );
+}
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -90,6 +90,10 @@
     for (route, key, expected) in cases {
         assert_eq!(table.access(route, key), expected, "{key:?}");
     }
+    let named = table.workspace("rope").expect("is in the table");
+    assert_eq!(named.priority, Some(2));
+    assert_eq!(table.workspace("k1"), None);
+    assert_eq!(table.workspace(""), None);
 }
 
 #[test]
