Log that a request waits for capacity

The log showed when a request was placed or refused, not that it waited from when on, nor with which priority. So it could not tell a request that was overtaken in the queue from one that was not yet in it. Once per request that waits; no other change of behavior.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -122,6 +122,7 @@
     let mut queued = enqueue(overdue);
     let mut needs_jitter = false;
     let mut wide_at = Instant::now();
+    let mut is_logged = false;
     let was_cut_off = context.is_cut_off();
     loop {
         if !was_cut_off && context.is_cut_off() {
@@ -164,6 +165,10 @@
             }
             return Err(refusal);
         }
+        if !is_logged {
+            is_logged = true;
+            log_queued(job, overdue);
+        }
         // The request retries the selection whether it was woken or timed out.
         let _woken = timeout(POLL_INTERVAL, queued.woken()).await.is_ok();
     }
@@ -282,6 +287,17 @@
     }
 }
 
+/// Logs that a request waits in the queue.
+fn log_queued(job: &Job, overdue: bool) {
+    log::info!(
+        request = job.request.id.as_str(),
+        priority = job.priority,
+        handed_over = job.entry.is_some(),
+        overdue;
+        "queued"
+    );
+}
+
 /// Logs what a request lacks that is about to be refused.
 fn log_shortage(context: &Arc<Context>, job: &Job, excluded: &Set<Arc<str>>, waiting: &Waiting) {
     let Some(engine) = &job.service.engine else {
