Let queued requests look for capacity in the order of the queue

Each queued request retried the selection when it was woken, in order, and in any case after 25 ms. The order was thus kept by the moment at which tasks ran, and a request whose interval was over took a slot that one ahead of it had not seen yet. Ruled out by the logs of four failed runs: the own request was queued 0.2 s before, and not overdue.

When capacity may have become free, a round begins, and each request of the service has its turn to select, in the order of the queue (coordination::turn). That holds for priorities of routes, too.

The test now frees eight slots a run, at other moments between two polls, and no request is overdue meanwhile; nothing that it checked is left out.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -11,15 +11,15 @@
 use primrosehoist::state::partition::Partitions;
 use primrosehoist::state::roster::Upstream;
 use strum::Display;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 use super::context::Context;
 use super::job::Job;
 use super::placement::Placement;
 
-/// The longest time between two selections of a queued request. Reports of other daemons and the
-/// passage of time also free capacity, without a wake-up.
-const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// The longest time that a queued request goes without a selection while those ahead of it have not
+/// had their turn, since capacity becomes free faster than they can look for it.
+const TURN_WAIT_MAX: Duration = Duration::from_millis(100);
 
 /// The interval between two selections of a queued request among the upstreams of all zones, whose
 /// load is known less exactly than that in the daemon's zone.
@@ -116,12 +116,15 @@
         (false, true) => job.priority + OVERDUE_RANK_OFFSET,
     };
     let enqueue = |overdue| {
-        let handed_over = job.entry.is_some();
-        context.queue.insert(rank(overdue), handed_over, job.due())
+        let (service, handed_over) = (&job.service.name, job.entry.is_some());
+        let queue = &context.queue;
+        queue.insert(service, rank(overdue), handed_over, job.due())
     };
     let mut queued = enqueue(overdue);
     let mut needs_jitter = false;
     let mut wide_at = Instant::now();
+    let mut selected_at = Instant::now();
+    let mut refusal = Refusal::Full;
     let mut is_logged = false;
     let was_cut_off = context.is_cut_off();
     loop {
@@ -139,26 +142,33 @@
             resumes,
             is_wide: Instant::now() >= wide_at,
         };
-        if waiting.is_wide {
-            wide_at = Instant::now() + WIDE_INTERVAL;
-        }
-        let refusal = match try_select(context, job, excluded, &waiting) {
-            Ok(selection) if !needs_jitter => return Ok(selection.place(context, job)),
-            Ok(_selection) => {
-                sleep(JITTER_MAX.mul_f64(rand::random::<f64>())).await;
-                needs_jitter = false;
-                continue;
+        if queued.has_turn() || selected_at.elapsed() >= TURN_WAIT_MAX {
+            selected_at = Instant::now();
+            if waiting.is_wide {
+                wide_at = Instant::now() + WIDE_INTERVAL;
             }
-            Err(refusal) => refusal,
-        };
-        if refusal == Refusal::NoUpstream
-            && let Some(at) = reopens_at(context, job, patience)
-        {
-            return Err(Refusal::Deferred(at));
+            refusal = match try_select(context, job, excluded, &waiting) {
+                Ok(selection) if !needs_jitter => return Ok(selection.place(context, job)),
+                Ok(_selection) => {
+                    // It must not hold up those behind it meanwhile.
+                    drop(queued);
+                    sleep(JITTER_MAX.mul_f64(rand::random::<f64>())).await;
+                    queued = enqueue(overdue);
+                    needs_jitter = false;
+                    continue;
+                }
+                Err(refusal) => refusal,
+            };
+            queued.end_turn();
+            if refusal == Refusal::NoUpstream
+                && let Some(at) = reopens_at(context, job, patience)
+            {
+                return Err(Refusal::Deferred(at));
+            }
+            // All daemons see freed capacity at the same time. Without a random delay, several would
+            // use it for long prompts that should be prefilled one after the other.
+            needs_jitter = job.is_long();
         }
-        // All daemons see freed capacity at the same time. Without a random delay, several would
-        // use it for long prompts that should be prefilled one after the other.
-        needs_jitter = job.is_long();
         if Instant::now() >= give_up_at {
             if refusal == Refusal::Full {
                 log_shortage(context, job, excluded, &waiting);
@@ -169,8 +179,7 @@
             is_logged = true;
             log_queued(job, overdue);
         }
-        // The request retries the selection whether it was woken or timed out.
-        let _woken = timeout(POLL_INTERVAL, queued.woken()).await.is_ok();
+        queued.woken().await;
     }
 }
 
--- a/crates/primrosehoist-tests/tests/takeover.rs
+++ b/crates/primrosehoist-tests/tests/takeover.rs
@@ -16,12 +16,19 @@
 use common::scripted::{self, success};
 use http::{HeaderMap, HeaderValue};
 use primrosehoist::protocol::handover::{self, Outcome};
+use primrosehoist::state::map::Set;
 use primrosehoist::state::versions::{Revision, Versions};
 use serde_json::Value;
 
 /// The largest number of requests that a daemon takes over at once.
 const HANDOVERS_MAX: usize = 256;
 
+/// The number of own requests that wait behind handed-over ones, one after the other.
+const OWN_REQUESTS: u32 = 8;
+
+/// The difference between rounds in the moment at which a slot becomes free.
+const PHASE: Duration = Duration::from_millis(3);
+
 /// Hands `request` over and reads the answer.
 fn hand_over(
     deployment: &Deployment,
@@ -59,6 +66,14 @@
         .sum()
 }
 
+/// Returns the ids of the requests that runners have begun.
+fn started(deployment: &Deployment) -> Set<String> {
+    let counts = (0..deployment.runners.len()).map(|index| deployment.counts(index));
+    let runs = counts.flat_map(|counts| counts["runs"].as_array().expect("runs").clone());
+    runs.filter_map(|run| run["id"].as_str().map(str::to_owned))
+        .collect()
+}
+
 fn logged<'a>(lines: &'a [Value], message: &str) -> Vec<&'a Value> {
     lines
         .iter()
@@ -429,6 +444,11 @@
 #[test]
 fn own_requests_go_before_those_that_were_taken_over() {
     let deployment = Deployment::ready(2);
+    // None of those that wait is given up or overdue meanwhile.
+    let mut patient = configuration(2);
+    patient["Routes"][0]["SloMs"] = Value::from(3000);
+    deployment.configure(&patient);
+    std::thread::sleep(Duration::from_millis(900));
     let mut streams: Vec<(String, TcpStream)> = (0..HANDOVERS_MAX)
         .map(|_| {
             let request = Request::stream(100, 500);
@@ -436,27 +456,30 @@
             (request.id, stream)
         })
         .collect();
-    std::thread::sleep(Duration::from_millis(60));
-    let own = Request::stream(100, 4);
-    let mut own_stream = start_request(&deployment.daemons[0].ingress, &own);
-    std::thread::sleep(Duration::from_millis(60));
-    let runs = |id: &str| !deployment.runs(id).is_empty();
-    let waiting: Vec<String> = streams
-        .iter()
-        .filter(|(id, _)| !runs(id))
-        .map(|(id, _)| id.clone())
-        .collect();
-    assert!(!waiting.is_empty(), "the runners have too many slots");
-    assert!(!runs(&own.id));
-    // Frees one slot.
-    let running = streams.iter().position(|(id, _)| !waiting.contains(id));
-    drop(streams.swap_remove(running.expect("some run")));
-    wait_until("the slot is taken", || {
-        runs(&own.id) || waiting.iter().any(|id| runs(id))
-    });
-    assert!(runs(&own.id), "a handed-over request got the slot");
-    let response = receive(&mut own_stream);
-    assert_eq!(response.events(), event_ids(4));
+    for round in 0..OWN_REQUESTS {
+        let own = Request::stream(100, 4);
+        let mut own_stream = start_request(&deployment.daemons[0].ingress, &own);
+        wait_until("the request is queued", || {
+            !logged(&deployment.logged(0, &own.id), "queued").is_empty()
+        });
+        let before = started(&deployment);
+        let ids = streams.iter().map(|(id, _)| id.clone());
+        let waiting: Vec<String> = ids.filter(|id| !before.contains(id)).collect();
+        assert!(!waiting.is_empty(), "the runners have too many slots");
+        assert!(!before.contains(&own.id));
+        // Frees one slot, in each round at another moment between two polls of those that wait.
+        std::thread::sleep(PHASE * round);
+        let running = streams.iter().position(|(id, _)| before.contains(id));
+        drop(streams.swap_remove(running.expect("some run")));
+        wait_until("the slot is taken", || {
+            let now = started(&deployment);
+            now.contains(&own.id) || waiting.iter().any(|id| now.contains(id))
+        });
+        let now = started(&deployment);
+        assert!(now.contains(&own.id), "a handed-over request got the slot");
+        let response = receive(&mut own_stream);
+        assert_eq!(response.events(), event_ids(4));
+    }
 }
 
 #[test]
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,4 +24,5 @@
 pub mod request;
 pub mod retry;
 pub mod stall;
+pub mod turn;
 pub mod watchers;
--- /dev/null
+++ b/src/coordination/turn.rs
@@ -0,0 +1,87 @@
+//! Decides which of the requests that wait for capacity may use it next.
+//!
+//! Requests differ in what they need, so one that finds too little must not hold up those behind it.
+//! When capacity may have become free, a round begins: each request has a turn, in the order of
+//! rank, to look for capacity. One that looked outside its turn could take what a request ahead of
+//! it has not seen yet.
+
+use std::collections::BTreeMap;
+use std::ops::Bound;
+
+/// The requests that wait, each with a handle by which it is notified, and a round of turns.
+#[derive(Debug)]
+pub struct Round<R, H> {
+    waiting: BTreeMap<R, H>,
+    /// The last request that had its turn, unless the round has just begun.
+    passed: Option<R>,
+}
+
+impl<R, H> Default for Round<R, H> {
+    fn default() -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            passed: None,
+        }
+    }
+}
+
+impl<R, H> Round<R, H>
+where
+    R: Ord + Copy,
+{
+    /// Adds a request, ahead of those with a greater rank. It has a turn at once if no request
+    /// ahead of it is still to have one.
+    pub fn insert(&mut self, rank: R, handle: H) {
+        self.waiting.insert(rank, handle);
+    }
+
+    /// Removes a request. Returns the one whose turn it becomes by that, if any.
+    pub fn remove(&mut self, rank: R) -> Option<&H> {
+        let had_turn = self.next().is_some_and(|(next, _)| next == rank);
+        self.waiting.remove(&rank);
+        if had_turn {
+            self.next().map(|(_, handle)| handle)
+        } else {
+            None
+        }
+    }
+
+    /// Begins a round. Returns the request whose turn it is.
+    pub fn restart(&mut self) -> Option<&H> {
+        self.passed = None;
+        self.next().map(|(_, handle)| handle)
+    }
+
+    /// Returns whether a request may look for capacity: all requests ahead of it have had their
+    /// turn.
+    pub fn has_turn(&self, rank: R) -> bool {
+        self.next().is_none_or(|(next, _)| rank <= next)
+    }
+
+    /// Ends the turn of a request that found no capacity. Returns the one whose turn it becomes, if
+    /// any. Does nothing if it is not the request's turn.
+    pub fn end_turn(&mut self, rank: R) -> Option<&H> {
+        if self.next().is_none_or(|(next, _)| next != rank) {
+            return None;
+        }
+        self.passed = Some(rank);
+        self.next().map(|(_, handle)| handle)
+    }
+
+    /// Returns whether all requests have had their turn.
+    pub fn is_complete(&self) -> bool {
+        self.next().is_none()
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Returns the first request that has not had its turn.
+    fn next(&self) -> Option<(R, &H)> {
+        let after = self.passed.map_or(Bound::Unbounded, Bound::Excluded);
+        let mut rest = self.waiting.range((after, Bound::Unbounded));
+        rest.next().map(|(rank, handle)| (*rank, handle))
+    }
+}
--- /dev/null
+++ b/tests/turn_rules.rs
@@ -0,0 +1,127 @@
+//! Tests in which order requests that wait for capacity may look for it.
+
+use std::collections::BTreeSet;
+
+use arbtest::arbtest;
+use primrosehoist::coordination::turn::Round;
+
+fn round(ranks: &[u8]) -> Round<u8, u8> {
+    let mut round = Round::default();
+    for rank in ranks {
+        round.insert(*rank, *rank);
+    }
+    round
+}
+
+#[test]
+fn requests_have_turns_in_the_order_of_rank() {
+    let mut round = round(&[5, 2, 9]);
+    assert_eq!(round.restart(), Some(&2));
+    for (rank, next) in [(2, Some(&5)), (5, Some(&9)), (9, None)] {
+        assert!(round.has_turn(rank));
+        assert!(!round.is_complete());
+        assert_eq!(round.end_turn(rank), next);
+    }
+    assert!(round.is_complete());
+}
+
+#[test]
+fn request_that_wakes_up_by_itself_does_not_overtake_one_ahead_of_it() {
+    let mut round = round(&[2, 5]);
+    round.restart();
+    assert!(!round.has_turn(5));
+    // The end of a turn that it does not have changes nothing.
+    assert_eq!(round.end_turn(5), None);
+    assert!(!round.has_turn(5));
+    round.end_turn(2);
+    assert!(round.has_turn(5));
+    // Capacity becomes free before it runs.
+    assert_eq!(round.restart(), Some(&2));
+    assert!(!round.has_turn(5));
+}
+
+#[test]
+fn request_that_arrives_waits_only_for_those_ahead_of_it() {
+    let mut round = round(&[2, 5]);
+    round.restart();
+    round.insert(1, 1);
+    round.insert(7, 7);
+    assert!(round.has_turn(1));
+    assert!(!round.has_turn(7));
+    assert_eq!(round.end_turn(1), Some(&2));
+    round.end_turn(2);
+    round.end_turn(5);
+    assert!(round.has_turn(7));
+    round.end_turn(7);
+    round.insert(9, 9);
+    assert!(round.has_turn(9), "the round is complete");
+}
+
+#[test]
+fn request_that_leaves_passes_its_turn_on() {
+    let mut round = round(&[2, 5, 9]);
+    round.restart();
+    assert_eq!(round.remove(5), None);
+    assert_eq!(round.remove(2), Some(&9));
+    assert_eq!(round.remove(9), None);
+    assert!(round.is_empty());
+}
+
+#[test]
+fn no_request_overtakes_another_and_each_round_reaches_all() {
+    arbtest(|random| {
+        let mut round = Round::default();
+        let mut notified = BTreeSet::new();
+        let mut waiting = BTreeSet::new();
+        // Those that have looked for capacity since it last became free.
+        let mut looked = BTreeSet::new();
+        for _ in 0..random.int_in_range(1..=60)? {
+            let rank = random.int_in_range(0..=15)?;
+            match random.int_in_range(0..=5)? {
+                0 | 1 if waiting.insert(rank) => {
+                    round.insert(rank, rank);
+                    run(&mut round, rank, &waiting, &mut looked, &mut notified);
+                }
+                2 if waiting.remove(&rank) => {
+                    looked.remove(&rank);
+                    notified.remove(&rank);
+                    notified.extend(round.remove(rank));
+                }
+                3 => {
+                    looked.clear();
+                    notified.extend(round.restart());
+                }
+                _ => {
+                    // Any of those that are waiting may wake up by itself as well.
+                    notified.remove(&rank);
+                    if waiting.contains(&rank) {
+                        run(&mut round, rank, &waiting, &mut looked, &mut notified);
+                    }
+                }
+            }
+        }
+        while let Some(rank) = notified.pop_first() {
+            run(&mut round, rank, &waiting, &mut looked, &mut notified);
+        }
+        assert!(round.is_complete());
+        assert_eq!(looked, waiting);
+        Ok(())
+    });
+}
+
+/// Runs a request that was notified.
+fn run(
+    round: &mut Round<u8, u8>,
+    rank: u8,
+    waiting: &BTreeSet<u8>,
+    looked: &mut BTreeSet<u8>,
+    notified: &mut BTreeSet<u8>,
+) {
+    if !round.has_turn(rank) {
+        return;
+    }
+    let ahead = waiting.range(..rank).find(|other| !looked.contains(other));
+    assert_eq!(ahead, None, "{rank} overtakes another request");
+    looked.insert(rank);
+    notified.extend(round.end_turn(rank));
+}
