Listen with an accept queue of 1,024 connections

The daemons listened with the runtime's default queue of 128; the kernel drops the handshakes beyond it, and clients repeat them after a second. A daemon that hands over gives a connection up after 0.3 s and tries another one, so that a host that helps many is passed over.

Ruled out: limits of connections and of requests taken over, which are higher and would be logged.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 use opentelemetry_sdk::error::OTelSdkError;
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::server::{self, Limits};
+use primrosehoist::transport::socket;
 use primrosehoist_platform::settings::{self, Settings};
 use quick_error::quick_error;
 use tokio::net::TcpListener;
@@ -165,12 +166,12 @@
 async fn serve(settings: Settings, options: &Options) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
-    let clients = listen(settings.ingress).await?;
-    let readiness = listen(settings.readiness).await?;
+    let clients = listen(settings.ingress)?;
+    let readiness = listen(settings.readiness)?;
     let port = settings.link_ports.0;
-    let peer_state = listen(SocketAddr::new(settings.address, port)).await?;
-    let handovers = listen(SocketAddr::new(settings.address, takeover::port(settings))).await?;
-    let metrics = listen(SocketAddr::new(settings.address, options.metrics_port)).await?;
+    let peer_state = listen(SocketAddr::new(settings.address, port))?;
+    let handovers = listen(SocketAddr::new(settings.address, takeover::port(settings)))?;
+    let metrics = listen(SocketAddr::new(settings.address, options.metrics_port))?;
     let socket = gossip::bind(settings.address, port)
         .await
         .map_err(|source| Error::Listen(SocketAddr::new(settings.address, port), source))?;
@@ -217,10 +218,8 @@
     Ok(())
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen(address, source))
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    socket::listen(address).map_err(|source| Error::Listen(address, source))
 }
 
 fn serve_clients(
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -9,6 +9,7 @@
 use opentelemetry_sdk::error::OTelSdkError;
 use primrosehoist::transport::http::server::{self, Limits};
 use primrosehoist::transport::peer;
+use primrosehoist::transport::socket;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -85,8 +86,8 @@
 async fn serve(settings: Settings) -> Result<End, Error> {
     let secret = settings.secret()?;
     let node = Arc::new(Node::new(&settings, &secret)?);
-    let callers = listen(settings.listen.caller).await?;
-    let operators = listen(settings.listen.admin).await?;
+    let callers = listen(settings.listen.caller)?;
+    let operators = listen(settings.listen.admin)?;
     let links = links::start(&node, &settings).await?;
     tokio::spawn(claims::sweep(Arc::clone(&node)));
     let (stop, stopped) = watch::channel(false);
@@ -140,8 +141,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| Error::Listen(address, source))
+fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
+    socket::listen(address).map_err(|source| Error::Listen(address, source))
 }
--- a/crates/primrosehoist-tests/tests/common/handover.rs
+++ b/crates/primrosehoist-tests/tests/common/handover.rs
@@ -12,6 +12,9 @@
 
 use super::platform::{Deployment, HOST, Request};
 
+/// The port of daemons for requests of other daemons.
+pub const PORT: u16 = 7341;
+
 /// The number of each sending.
 pub const SENDING: u64 = 0xabcd_0123_4567_89ef;
 
@@ -53,7 +56,7 @@
         let source = SocketAddr::new(source, 0);
         socket.bind(&source.into()).expect("binds");
     }
-    let port = SocketAddr::new(address(deployment, 0), 7341);
+    let port = SocketAddr::new(address(deployment, 0), PORT);
     socket.connect(&port.into()).expect("connects");
     let connection = TcpStream::from(socket);
     let timeout = Some(Duration::from_secs(20));
--- a/crates/primrosehoist-tests/tests/takeover.rs
+++ b/crates/primrosehoist-tests/tests/takeover.rs
@@ -4,11 +4,11 @@
 mod common;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::PoisonError;
 use std::time::{Duration, Instant};
 
-use common::handover::{SENDING, bytes, connect_from, handover, headers, start};
+use common::handover::{PORT, SENDING, bytes, connect_from, handover, headers, start};
 use common::platform::{
     Deployment, Request, Response, call, configuration, event_ids, receive, send, start_request,
     wait_until,
@@ -29,6 +29,12 @@
 /// The difference between rounds in the moment at which a slot becomes free.
 const PHASE: Duration = Duration::from_millis(3);
 
+/// The number of connections of a burst, as many as requests that a daemon takes over.
+const BURST: usize = HANDOVERS_MAX;
+
+/// How long a connection of a burst may take.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Hands `request` over and reads the answer.
 fn hand_over(
     deployment: &Deployment,
@@ -482,6 +488,26 @@
     }
 }
 
+#[test]
+fn burst_of_connections_to_a_paused_daemon_is_not_dropped() {
+    let deployment = Deployment::ready(2);
+    let daemon = &deployment.daemons[0];
+    let ingress: SocketAddr = daemon.ingress.parse().expect("is an address");
+    let process = daemon.process.as_ref().expect("runs");
+    for port in [ingress.port(), PORT] {
+        let address = SocketAddr::new(ingress.ip(), port);
+        process.pause();
+        // A connection that is dropped is tried again after a second.
+        let connected: Vec<TcpStream> = (0..BURST)
+            .map_while(|_| TcpStream::connect_timeout(&address, CONNECT_TIMEOUT).ok())
+            .collect();
+        process.resume();
+        assert_eq!(connected.len(), BURST, "port {port}");
+    }
+    let request = Request::new("GET", "/look/1");
+    assert_eq!(send(&daemon.ingress, &request).status, 200);
+}
+
 #[test]
 fn headers_between_daemons_do_not_reach_the_upstream() {
     let answer = |received: &scripted::Received| {
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -1,15 +1,15 @@
-//! TCP socket options that detect an unresponsive peer, and one for listeners that are about to
-//! close.
+//! TCP socket options that detect an unresponsive peer, and the accept queues of listeners.
 //!
 //! A host that lost power or is behind a partition sends no reset, so a connection to it would stay
 //! open for as long as the operating system retransmits. Keep-alive probes detect this on an idle
 //! connection, and the user timeout while sent bytes are unacknowledged.
 
 use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::{SockFilter, SockRef, TcpKeepalive};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 /// Idle time before the first keep-alive probe, and the interval between probes. One second is the
 /// smallest value that the options accept.
@@ -22,6 +22,25 @@
 /// in a row.
 const USER_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// The length of accept queues, in connections. The kernel drops the handshakes beyond it, and their
+/// clients try again after a second.
+const ACCEPT_QUEUE: u32 = 1024;
+
+/// Listens on `address`, with an accept queue for a burst of connections.
+///
+/// # Errors
+///
+/// Returns an error if the operating system rejects the address.
+pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(ACCEPT_QUEUE)
+}
+
 /// Disables Nagle's algorithm on `stream` and makes it fail a few seconds after its peer stops
 /// responding.
 ///
