--- a/crates/primrosehoist-daemon/src/gateway/queue.rs
+++ b/crates/primrosehoist-daemon/src/gateway/queue.rs
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
-/// The longest time between two rounds of a service's queue. Reports of other daemons and the
+/// The longest time between two selections of a queued request. Reports of other daemons and the
 /// passage of time also free capacity, without a wake-up.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -18,20 +18,15 @@
 /// objective, then by arrival.
 type Rank = (u64, bool, Instant, u64);
 
-/// A priority queue of waiting requests, with a line for each service.
+/// A priority queue of waiting requests.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
+    /// The requests that wait for the upstreams of each service.
     lines: Mutex<Map<Arc<str>, Line>>,
     next_number: AtomicU64,
 }
 
-/// The requests that wait for the upstreams of a service.
-#[derive(Debug)]
-struct Line {
-    round: Round<Rank, Arc<Notify>>,
-    /// When the round began.
-    since: Instant,
-}
+type Line = Round<Rank, Arc<Notify>>;
 
 /// A request's entry in the queue. Dropping it removes the request from the queue.
 #[derive(Debug)]
@@ -56,11 +51,8 @@
         let rank = (priority, handed_over, due, number);
         let notify = Arc::new(Notify::new());
         let mut lines = self.lines.lock();
-        let line = lines.entry(Arc::clone(service)).or_insert_with(|| Line {
-            round: Round::default(),
-            since: Instant::now(),
-        });
-        line.round.insert(rank, Arc::clone(&notify));
+        let line = lines.entry(Arc::clone(service)).or_default();
+        line.insert(rank, Arc::clone(&notify));
         Entry {
             queue: self,
             service: Arc::clone(service),
@@ -72,45 +64,46 @@
     /// Begins a round for each service, since capacity may have become free.
     pub(crate) fn wake_all(&self) {
         for line in self.lines.lock().values_mut() {
-            line.restart();
+            notify(line.restart());
         }
     }
 }
 
-impl Line {
-    fn restart(&mut self) {
-        self.since = Instant::now();
-        notify(self.round.restart());
-    }
-}
-
 impl Entry<'_> {
-    /// Returns whether the request may look for capacity.
+    /// Returns whether the request may use capacity that it finds: all requests ahead of it have
+    /// looked for capacity in this round.
     pub(crate) fn has_turn(&self) -> bool {
         let lines = self.queue.lines.lock();
         let line = lines.get(&self.service);
-        line.is_none_or(|line| line.round.has_turn(self.rank))
+        line.is_none_or(|line| line.has_turn(self.rank))
+    }
+
+    /// Returns whether no request is ahead of this one.
+    pub(crate) fn is_first(&self) -> bool {
+        let lines = self.queue.lines.lock();
+        let line = lines.get(&self.service);
+        line.is_none_or(|line| line.is_first(self.rank))
     }
 
     /// Lets the next request look for capacity, since this one found none.
     pub(crate) fn end_turn(&self) {
         if let Some(line) = self.queue.lines.lock().get_mut(&self.service) {
-            notify(line.round.end_turn(self.rank));
+            notify(line.end_turn(self.rank));
         }
     }
 
-    /// Waits for the request's turn, but at most for [`POLL_INTERVAL`].
-    pub(crate) async fn woken(&self) {
-        if timeout(POLL_INTERVAL, self.notify.notified()).await.is_ok() {
-            return;
-        }
-        if let Some(line) = self.queue.lines.lock().get_mut(&self.service)
-            && line.round.is_complete()
-            && line.since.elapsed() >= POLL_INTERVAL
-        {
-            line.restart();
+    /// Begins a round, since this request found capacity that those ahead of it have not seen.
+    pub(crate) fn restart_round(&self) {
+        if let Some(line) = self.queue.lines.lock().get_mut(&self.service) {
+            notify(line.restart());
         }
     }
+
+    /// Waits until it is the request's turn, but at most for [`POLL_INTERVAL`]; returns whether it
+    /// was notified.
+    pub(crate) async fn woken(&self) -> bool {
+        timeout(POLL_INTERVAL, self.notify.notified()).await.is_ok()
+    }
 }
 
 impl Drop for Entry<'_> {
@@ -119,8 +112,8 @@
         let Some(line) = lines.get_mut(&self.service) else {
             return;
         };
-        notify(line.round.remove(self.rank));
-        if line.round.is_empty() {
+        notify(line.remove(self.rank));
+        if line.is_empty() {
             lines.remove(&self.service);
         }
     }
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -17,8 +17,8 @@
 use super::job::Job;
 use super::placement::Placement;
 
-/// The longest time that a queued request goes without a selection while those ahead of it have not
-/// had their turn, since capacity becomes free faster than they can look for it.
+/// The longest time that a queued request leaves capacity to those ahead of it that have not had their
+/// turn, since capacity becomes free faster than they can look for it.
 const TURN_WAIT_MAX: Duration = Duration::from_millis(100);
 
 /// The interval between two selections of a queued request among the upstreams of all zones, whose
@@ -123,7 +123,8 @@
     let mut queued = enqueue(overdue);
     let mut needs_jitter = false;
     let mut wide_at = Instant::now();
-    let mut selected_at = Instant::now();
+    let mut turn_at = Instant::now();
+    let mut polls = false;
     let mut refusal = Refusal::Full;
     let mut is_logged = false;
     let was_cut_off = context.is_cut_off();
@@ -142,32 +143,47 @@
             resumes,
             is_wide: Instant::now() >= wide_at,
         };
-        if queued.has_turn() || selected_at.elapsed() >= TURN_WAIT_MAX {
-            selected_at = Instant::now();
+        let has_turn = queued.has_turn();
+        if has_turn || polls {
             if waiting.is_wide {
                 wide_at = Instant::now() + WIDE_INTERVAL;
             }
-            refusal = match try_select(context, job, excluded, &waiting) {
+            // What a poll finds has become free unnoticed, so that those ahead go first.
+            let may_use = has_turn && (!polls || queued.is_first());
+            let may_use = may_use || turn_at.elapsed() >= TURN_WAIT_MAX;
+            match try_select(context, job, excluded, &waiting) {
+                Ok(_selection) if !may_use => {
+                    // Otherwise a round is under way.
+                    if has_turn {
+                        queued.restart_round();
+                    }
+                }
                 Ok(selection) if !needs_jitter => return Ok(selection.place(context, job)),
                 Ok(_selection) => {
                     // It must not hold up those behind it meanwhile.
                     drop(queued);
                     sleep(JITTER_MAX.mul_f64(rand::random::<f64>())).await;
                     queued = enqueue(overdue);
-                    needs_jitter = false;
+                    (needs_jitter, polls) = (false, false);
                     continue;
                 }
-                Err(refusal) => refusal,
-            };
-            queued.end_turn();
-            if refusal == Refusal::NoUpstream
-                && let Some(at) = reopens_at(context, job, patience)
-            {
-                return Err(Refusal::Deferred(at));
+                Err(reason) => {
+                    refusal = reason;
+                    queued.end_turn();
+                    if has_turn {
+                        turn_at = Instant::now();
+                    }
+                    if refusal == Refusal::NoUpstream
+                        && let Some(at) = reopens_at(context, job, patience)
+                    {
+                        return Err(Refusal::Deferred(at));
+                    }
+                    // All daemons see freed capacity at the same time. Without a random delay,
+                    // several would use it for long prompts that should be prefilled one after the
+                    // other.
+                    needs_jitter = job.is_long();
+                }
             }
-            // All daemons see freed capacity at the same time. Without a random delay, several would
-            // use it for long prompts that should be prefilled one after the other.
-            needs_jitter = job.is_long();
         }
         if Instant::now() >= give_up_at {
             if refusal == Refusal::Full {
@@ -179,7 +195,7 @@
             is_logged = true;
             log_queued(job, overdue);
         }
-        queued.woken().await;
+        polls = !queued.woken().await;
     }
 }
 
--- a/src/coordination/turn.rs
+++ b/src/coordination/turn.rs
@@ -68,9 +68,9 @@
         self.next().map(|(_, handle)| handle)
     }
 
-    /// Returns whether all requests have had their turn.
-    pub fn is_complete(&self) -> bool {
-        self.next().is_none()
+    /// Returns whether no request is ahead of this one.
+    pub fn is_first(&self, rank: R) -> bool {
+        self.waiting.range(..rank).next().is_none()
     }
 
     /// Returns whether no request waits.
