Consider other zones until a request's turn has come

A poll that finds capacity in another zone begins a round instead of using it. The next selection among all zones was then due only 0.1 s later, so that the request, at its turn, saw its own zone alone. The delay now counts from a selection that found nothing.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -145,9 +145,6 @@
         };
         let has_turn = queued.has_turn();
         if has_turn || polls {
-            if waiting.is_wide {
-                wide_at = Instant::now() + WIDE_INTERVAL;
-            }
             // What a poll finds has become free unnoticed, so that those ahead go first.
             let may_use = has_turn && (!polls || queued.is_first());
             let may_use = may_use || turn_at.elapsed() >= TURN_WAIT_MAX;
@@ -170,6 +167,10 @@
                 Err(reason) => {
                     refusal = reason;
                     queued.end_turn();
+                    // What is found in other zones is still considered at the request's turn.
+                    if waiting.is_wide {
+                        wide_at = Instant::now() + WIDE_INTERVAL;
+                    }
                     if has_turn {
                         turn_at = Instant::now();
                     }
