Avoid upstreams that do not answer a reservation of memory

Prompts that need memory of another upstream were refused as long as that upstream could not be reached, though two others could: 503 for 8 of 8 that were sent 3 s or more after the links to it were cut. A host that served only such prompts never noticed that it was cut off from all upstreams: 0 of 8 served, no probe.

Memory is reserved before an attempt is made. A reservation without an answer counted nowhere, so that the next placement chose the same upstream, each 0.5 s until the deadline, and the detection of a cut had no sign. It counts as a failure to reach the upstream now. An upstream that refuses has answered, and counts as before.

At a host that is cut off, those of the first 0.5 to 2 s are still refused.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -157,13 +157,18 @@
                 continue;
             }
             if !placement.tickets.is_empty() {
-                let reserved = Reservation::acquire(&self.context, &self.job, &placement).await;
-                if reserved.is_none() {
-                    drop(placement);
-                    sleep(RESERVE_RETRY_DELAY).await;
-                    continue;
+                match Reservation::acquire(&self.context, &self.job, &placement).await {
+                    Ok(reserved) => placement.reservation = Some(reserved),
+                    Err(silent) => {
+                        drop(placement);
+                        // Otherwise the next placement needs the same upstream.
+                        if let Some(upstream) = silent {
+                            self.record(&upstream, Observation::Unreachable);
+                        }
+                        sleep(RESERVE_RETRY_DELAY).await;
+                        continue;
+                    }
                 }
-                placement.reservation = reserved;
             }
             self.count += 1;
             match self.attempt(placement, last_event).await {
--- a/crates/primrosehoist-daemon/src/gateway/reservation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reservation.rs
@@ -54,13 +54,17 @@
 }
 
 impl Reservation {
-    /// Reserves the memory that `placement` needs at its helpers; returns `None` and releases the
-    /// acquired part if one helper refuses.
+    /// Reserves the memory that `placement` needs at its helpers.
+    ///
+    /// # Errors
+    ///
+    /// Releases the acquired part if one helper refuses or does not answer; returns that helper if it
+    /// does not answer.
     pub(crate) async fn acquire(
         context: &Arc<Context>,
         job: &Job,
         placement: &Placement,
-    ) -> Option<Self> {
+    ) -> Result<Self, Option<Arc<Upstream>>> {
         let tickets: Vec<Ticket> = placement
             .tickets
             .iter()
@@ -80,7 +84,8 @@
             renewal: tokio::spawn(renew(Arc::clone(context), tickets.clone())).abort_handle(),
         };
         for ticket in by_upstream {
-            let granted = reserve(context, ticket).await;
+            let status = reserve(context, ticket).await;
+            let granted = status == Some(StatusCode::OK);
             log::info!(
                 request = job.request.id.as_str(),
                 upstream = ticket.upstream.id.as_ref(),
@@ -90,10 +95,11 @@
                 "memory reservation"
             );
             if !granted {
-                return None;
+                let is_silent = status.is_none();
+                return Err(is_silent.then(|| Arc::clone(&ticket.upstream)));
             }
         }
-        Some(reservation)
+        Ok(reservation)
     }
 
     /// Returns the ticket for the helper at `index`.
@@ -123,7 +129,7 @@
     loop {
         renewals.tick().await;
         for ticket in &tickets {
-            if !reserve(&context, ticket).await {
+            if reserve(&context, ticket).await != Some(StatusCode::OK) {
                 log::warn!(
                     upstream = ticket.upstream.id.as_ref(),
                     ticket = ticket.id.as_str();
@@ -134,12 +140,9 @@
     }
 }
 
-async fn reserve(context: &Context, ticket: &Ticket) -> bool {
+async fn reserve(context: &Context, ticket: &Ticket) -> Option<StatusCode> {
     let body = reservation::reserve(&ticket.id, ticket.tokens, LEASE);
-    matches!(
-        send_request(context, ticket, &body).await,
-        Some(StatusCode::OK)
-    )
+    send_request(context, ticket, &body).await
 }
 
 async fn release(context: Arc<Context>, ticket: Ticket) {
--- a/crates/primrosehoist-tests/tests/cut_off_cases.rs
+++ b/crates/primrosehoist-tests/tests/cut_off_cases.rs
@@ -244,3 +244,60 @@
     let cut = [0, 1, 2, 3, 4, 5, 6, 7];
     quiet_host_serves(&zones, &cut, Mode::Hang, interval, calls);
 }
+
+/// Returns a stream whose prompt needs memory of two upstreams.
+fn split_prompt() -> Request {
+    let mut request = Request::stream(600_000, 4);
+    "2500".clone_into(&mut request.headers[0].1);
+    request
+}
+
+/// Returns the statuses of the prompts that a host serves which needs memory of two upstreams for each,
+/// sent from 3 s after `cut` on.
+fn split_prompts_after<C>(deployment: &Deployment, cut: C) -> Vec<u16>
+where
+    C: FnOnce(),
+{
+    let address = &deployment.daemons[0].ingress;
+    for _ in 0..5 {
+        assert_eq!(send(address, &split_prompt()).status, 200);
+    }
+    cut();
+    let began = Instant::now();
+    let mut sent = Vec::new();
+    while began.elapsed() < Duration::from_secs(7) {
+        sent.push((began.elapsed(), start_request(address, &split_prompt())));
+        sleep(Duration::from_millis(500));
+    }
+    let statuses = sent.into_iter().map(|(at, mut connection)| {
+        let status = receive(&mut connection).status;
+        println!("{at:?} {status}");
+        (at, status)
+    });
+    let statuses: Vec<_> = statuses.collect();
+    let late = statuses.iter().filter(|(at, _)| *at >= STABLE_WINDOW);
+    late.map(|(_, status)| *status).collect()
+}
+
+/// Guards against a host that never notices, since no attempt is made before memory is reserved.
+#[test]
+fn host_that_only_serves_split_prompts_notices_that_it_is_cut_off() {
+    let (deployment, links) = Links::deployment(&["zone-a", "zone-a"]);
+    let statuses = split_prompts_after(&deployment, || links.set(0, Mode::Hang));
+    assert!(log(&deployment, 0).contains("host is cut off from all upstreams"));
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served * 3 >= statuses.len() * 2, "{statuses:?}");
+}
+
+/// Guards against prompts that need memory of the same silent upstream again and again.
+#[test]
+fn split_prompts_are_served_while_one_upstream_cannot_be_reached() {
+    for upstream in 0..2 {
+        let (deployment, links) = Links::deployment(&["zone-a", "zone-a"]);
+        let cut = || links.set_upstream(upstream, Mode::Hang);
+        let statuses = split_prompts_after(&deployment, cut);
+        let served = statuses.iter().filter(|status| **status == 200).count();
+        assert!(served * 3 >= statuses.len() * 2, "{statuses:?}");
+        assert!(!log(&deployment, 0).contains("host is cut off from all upstreams"));
+    }
+}
