Read what upstreams sent during a pause before giving them up

A daemon that was paused (SIGSTOP, SIGCONT) for longer than an upstream may be silent broke off streams of which it had the rest: after 2.0 s 20 of 20 streams and 20 of 40 requests in two of three runs, 5 of 40 after 3.5 s in the third, "stream timed out" in the log. Calls were given up, too ("no response from upstream in time", 3 to 6 in each of three runs). The upstreams counted as unreachable, and the other attempts were paid from the retry budget.

When the process goes on, all its timers have expired, and a task may see that before the task that reads the connection has run. So a fault of the process was taken for a silence of all upstreams. After a pause, which the pulse of the process shows, the limit begins anew once the state of the platform is current. The deadline of the request holds as before.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! The attempts of a request, until one gets a response.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -257,7 +258,17 @@
         let options = self.options();
         let limit = self.silence_timeout(Some(&placement));
         let sent_at = Instant::now();
-        let sent = timeout(limit, pool.send_with(&options, request, &gate)).await;
+        let sent = {
+            let mut sending = pin!(pool.send_with(&options, request, &gate));
+            let sent = timeout(limit, sending.as_mut()).await;
+            if sent.is_err() && self.context.pauses.is_outdated() {
+                // This process was paused, and has not read what the upstream sent meanwhile.
+                self.context.pauses.wait_current().await;
+                timeout(self.silence_timeout(Some(&placement)), sending).await
+            } else {
+                sent
+            }
+        };
         let exchange = match sent {
             Ok(Ok(exchange)) => exchange,
             Ok(Err(error)) => {
--- a/crates/primrosehoist-daemon/src/gateway/stream.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stream.rs
@@ -236,6 +236,11 @@
                     return Step::Broken(Failure::Lost);
                 }
                 Ok(None) => return self.end(),
+                Err(_elapsed) if self.attempts.context.pauses.is_outdated() => {
+                    // This process was paused, and has not read what the upstream sent meanwhile.
+                    self.attempts.context.pauses.wait_current().await;
+                    due = None;
+                }
                 Err(_elapsed) => {
                     // The stream may only be slow. It is not given up without a replacement.
                     if self.events > 0 && !self.may_replace() {
--- a/crates/primrosehoist-tests/tests/cut_off_cases.rs
+++ b/crates/primrosehoist-tests/tests/cut_off_cases.rs
@@ -301,3 +301,39 @@
         assert!(!log(&deployment, 0).contains("host is cut off from all upstreams"));
     }
 }
+
+/// Guards against streams that are broken off, and upstreams that are blamed, although only this process
+/// did not read what they sent.
+#[test]
+fn paused_daemon_blames_no_upstream_and_is_not_cut_off() {
+    let deployment = Deployment::ready(2);
+    let address = deployment.daemons[0].ingress.clone();
+    for pause_ms in [1200, 2000, 3500] {
+        let start = |count: usize, request: &dyn Fn() -> Request| -> Vec<TcpStream> {
+            let requests = (0..count).map(|_| request());
+            requests.map(|one| start_request(&address, &one)).collect()
+        };
+        let streams = start(20, &|| Request::stream(5000, 500));
+        sleep(Duration::from_millis(300));
+        let calls = start(20, &|| Request::new("GET", "/look/1"));
+        let process = deployment.daemons[0].process.as_ref().expect("it runs");
+        process.pause();
+        sleep(Duration::from_millis(pause_ms));
+        process.resume();
+        let all = streams.into_iter().chain(calls);
+        let responses: Vec<_> = all.map(|mut one| receive(&mut one)).collect();
+        let served = responses
+            .iter()
+            .filter(|one| one.status == 200 && one.complete);
+        println!("{pause_ms} ms: {} served", served.clone().count());
+        assert_eq!(served.count(), responses.len());
+    }
+    for message in [
+        "host is cut off from all upstreams",
+        "no response from upstream in time",
+        "stream timed out",
+    ] {
+        let found = log(&deployment, 0).matches(message).count();
+        assert_eq!(found, 0, "{message}");
+    }
+}
