Close connections to helping daemons that are not used again

A host that was cut off kept up to 16 idle connections to each daemon that helped it for 30 s, though none that was idle for 0.5 s is used again: 16 of 16 were open after a pause of 1 s and one more call, 1 is now (one run each; the test fails before).

--- a/crates/primrosehoist-daemon/src/gateway/handover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/handover.rs
@@ -124,10 +124,12 @@
     async fn on_answer(
         &mut self,
         sending: u64,
-        exchange: Exchange,
+        mut exchange: Exchange,
         pool: Arc<Pool>,
         sent_at: Instant,
     ) -> Handed {
+        // A connection that is not used again must not take the place of others there.
+        exchange.set_idle_timeout(IDLE_MAX);
         let status = exchange.response.status();
         let headers = exchange.response.headers();
         // A statement about another sending says nothing of this one.
--- a/crates/primrosehoist-tests/tests/cut_off_cases.rs
+++ b/crates/primrosehoist-tests/tests/cut_off_cases.rs
@@ -337,3 +337,47 @@
         assert_eq!(found, 0, "{message}");
     }
 }
+
+/// Returns the number of established connections to the port of the second daemon for requests of
+/// others.
+fn connections_to_helper(deployment: &Deployment) -> usize {
+    let table = fs::read_to_string("/proc/net/tcp").expect("is readable");
+    let network = deployment.network.split('.');
+    let parts: Vec<u8> = network
+        .map(|part| part.parse().expect("a number"))
+        .collect();
+    let [first, second, third] = parts[..] else {
+        panic!("{parts:?}");
+    };
+    let remote = format!(
+        "{:02X}{third:02X}{second:02X}{first:02X}:{:04X} 01",
+        41, 7341
+    );
+    table.matches(&remote).count()
+}
+
+/// Guards against cut-off hosts that use up the connections of the few that help them.
+#[test]
+fn cut_off_host_keeps_no_connections_that_it_does_not_use_again() {
+    let (deployment, links) = Links::deployment(&["zone-a", "zone-a"]);
+    let address = deployment.daemons[0].ingress.clone();
+    links.set(0, Mode::Reset);
+    let calls = |count: usize| -> Vec<u16> {
+        let streams: Vec<TcpStream> = (0..count)
+            .map(|_| start_request(&address, &Request::stream(100, 20)))
+            .collect();
+        let responses = streams.into_iter().map(|mut stream| receive(&mut stream));
+        responses.map(|response| response.status).collect()
+    };
+    calls(4);
+    wait_until("it is noticed", || {
+        log(&deployment, 0).contains("host is cut off from all upstreams")
+    });
+    assert_eq!(calls(40), [200; 40]);
+    sleep(Duration::from_secs(1));
+    let before = connections_to_helper(&deployment);
+    assert_eq!(calls(1), [200]);
+    let after = connections_to_helper(&deployment);
+    println!("connections: {before}, after one more call {after}");
+    assert!(after <= 2, "{after} connections after one call");
+}
