--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Returns when the request stops waiting for capacity.
+    pub(crate) fn gives_up_at(&self) -> Instant {
+        self.give_up_at
+    }
+
     /// Returns how long the request may wait for a permit from now on.
     pub(crate) fn for_permit(&self) -> Duration {
         let left = self.give_up_at.saturating_duration_since(Instant::now());
--- a/crates/primrosehoist-tests/tests/cut_off_cases.rs
+++ b/crates/primrosehoist-tests/tests/cut_off_cases.rs
@@ -381,3 +381,46 @@
     println!("connections: {before}, after one more call {after}");
     assert!(after <= 2, "{after} connections after one call");
 }
+
+/// Guards against requests that use up all upstreams while none of them can be reached, and are refused
+/// although they are back.
+#[test]
+fn calls_that_wait_while_no_host_reaches_an_upstream_are_served_afterwards() {
+    let (deployment, links) = Links::deployment(&["zone-a", "zone-a"]);
+    let address = deployment.daemons[0].ingress.clone();
+    let start = |number: usize| {
+        let request = Request {
+            body: format!("body {number}").into_bytes(),
+            ..Request::new("GET", "/look/1")
+        };
+        start_request(&address, &request)
+    };
+    for daemon in 0..2 {
+        links.set(daemon, Mode::Reset);
+    }
+    let first: Vec<TcpStream> = (0..4).map(start).collect();
+    wait_until("both are cut off", || {
+        let is_known =
+            |daemon| log(&deployment, daemon).contains("host is cut off from all upstreams");
+        is_known(0) && is_known(1)
+    });
+    // No upstream is avoided any more for what failed before.
+    sleep(Duration::from_secs(8));
+    let waiting: Vec<TcpStream> = (4..12)
+        .map(|number| {
+            sleep(Duration::from_millis(50));
+            start(number)
+        })
+        .collect();
+    for daemon in 0..2 {
+        links.set(daemon, Mode::Pass);
+    }
+    let healed = Instant::now();
+    let statuses: Vec<u16> = waiting
+        .into_iter()
+        .map(|mut one| receive(&mut one).status)
+        .collect();
+    println!("{statuses:?} {:?} after the cut", healed.elapsed());
+    drop(first);
+    assert_eq!(statuses, [200; 8]);
+}
