Send each prompt of the older face on a connection of its own

Callers of the older face could have a prompt with an idempotency key run twice, or get not_run for one that had run. Refusals of engines bear no id, and the connection of a success was used for the next prompt; a refusal that arrived there before the answer, from a faulty engine, was believed to be about that prompt. A copy of a refusal alone does not do this, since its connection is closed: it takes bytes that belong to no request, after a success.

An answer without an id proves nothing about the request that it meets, so prompts use a connection once, as calls of plain services and orders do. refusals_of_engines failed before: of 60 prompts 23 ran twice and 18 ran and were reported as not run, with 41 refusals too many; without them 0 and 0 of 60. Now 0 and 0 of 60. late_copies, path, outcome, openai, poison, memory, faulty_answers and halves pass.

The cost of a new connection for each prompt on the older face was not measured.

--- a/crates/primrosehoist-daemon/src/holder/relay.rs
+++ b/crates/primrosehoist-daemon/src/holder/relay.rs
@@ -13,7 +13,7 @@
 use primrosehoist::protocol::wire::Reply;
 use primrosehoist::state::limit;
 use primrosehoist::transport::http::Payload;
-use primrosehoist::transport::http::upstream::{self, Exchange};
+use primrosehoist::transport::http::upstream::{self, Exchange, Options};
 use tokio::time::{sleep, timeout, timeout_at};
 
 use super::registration::Registration;
@@ -144,8 +144,11 @@
     })?;
     let gate = call::gate(task, holding);
     registration.mark_running(&task.dispatch.fingerprint);
+    // Refusals bear no id, nor does any answer of a plain service.
+    let options = Options::single_use();
+    let sent = holding.pool.send_with(&options, request, &gate);
     let sent = tokio::select! {
-        sent = timeout_at(task.deadline, holding.pool.send(request, &gate)) => sent,
+        sent = timeout_at(task.deadline, sent) => sent,
         closed = responder.closed() => return Err(Stop::Closed(closed)),
     };
     match sent {
@@ -252,7 +255,6 @@
             "bytes follow the last event",
         )));
     }
-    registration.holding().pool.release(exchange);
     Ok(())
 }
 
@@ -296,10 +298,6 @@
         responder.send(part).await.map_err(Stop::Closed)?;
         index += 1;
     }
-    // The answers of a plain service bear no id, so that its next one may be a copy of this one.
-    if task.engine {
-        registration.holding().pool.release(exchange);
-    }
     Ok(())
 }
 
@@ -324,8 +322,6 @@
         )));
     };
     let body = body.to_bytes();
-    // A late copy would be taken for the refusal of the next request, so the connection ends.
-    drop(exchange);
     if let Some(rejection) = Rejection::read(status, &body) {
         return Err(Stop::Rejected(rejected(rejection)));
     }
