Wait in tests until new connections meet the mode of a link

daemon_that_takes_over_and_is_cut_off_itself_is_busy_... failed once, beside a soak and other tests: the request was uncertain instead of busy. Its log shows that it was sent on a new connection in the millisecond after the links were set to hang: all others to that upstream carried streams. Links::set only told the task of each link, so that the kernel could still accept the connection, and what was written there may have run for all that the daemon knows.

--- a/crates/primrosehoist-tests/tests/common/links.rs
+++ b/crates/primrosehoist-tests/tests/common/links.rs
@@ -28,6 +28,9 @@
 /// How long an upstream may take to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long it may take until new connections meet a mode that was set.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// The interval between attempts to bind an address again.
 const REBIND_PERIOD: Duration = Duration::from_millis(5);
 
@@ -58,9 +61,16 @@
 
 /// The links of each daemon to each upstream.
 pub struct Links {
-    modes: Vec<Vec<watch::Sender<Mode>>>,
+    links: Vec<Vec<Link>>,
     // Dropping it closes all connections.
-    _runtime: Runtime,
+    runtime: Runtime,
+}
+
+/// The link of a daemon to an upstream.
+struct Link {
+    mode: watch::Sender<Mode>,
+    /// The mode that new connections meet.
+    applied: watch::Receiver<Mode>,
 }
 
 impl Links {
@@ -74,17 +84,19 @@
             .enable_all()
             .build()
             .expect("the runtime starts");
-        let mut modes = Vec::new();
+        let mut all = Vec::new();
         for (number, zone) in (0..).zip(zones) {
             let port = FIRST_LINK_PORT + number;
             let links = upstreams.iter().map(|upstream| {
                 let suffix = format!(":{UPSTREAM_PORT}");
                 let ip = upstream.strip_suffix(&suffix).expect("the port is known");
-                let (mode, receiver) = watch::channel(Mode::Pass);
-                runtime.spawn(listen(format!("{ip}:{port}"), upstream.clone(), receiver));
-                mode
+                let (mode, wanted) = watch::channel(Mode::Pass);
+                let (apply, applied) = watch::channel(Mode::Refuse);
+                let address = format!("{ip}:{port}");
+                runtime.spawn(listen(address, upstream.clone(), wanted, apply));
+                Link { mode, applied }
             });
-            modes.push(links.collect());
+            all.push(links.collect());
             let address = format!("{}.1:{}", deployment.network, FIRST_STORE_PORT + number);
             let store = deployment.store.clone();
             let listener = runtime
@@ -99,8 +111,8 @@
         // The daemons discover each other through notices.
         std::thread::sleep(Duration::from_millis(600));
         Self {
-            modes,
-            _runtime: runtime,
+            links: all,
+            runtime,
         }
     }
 
@@ -117,24 +129,48 @@
         (deployment, links)
     }
 
-    /// Sets the mode of all links of a daemon.
+    /// Sets the mode of all links of a daemon. New connections meet it from now on.
     pub fn set(&self, daemon: usize, mode: Mode) {
-        for link in &self.modes[daemon] {
-            link.send_replace(mode);
-        }
+        self.apply(&self.links[daemon].iter().collect::<Vec<_>>(), mode);
     }
 
-    /// Sets the mode of the links of all daemons to an upstream.
+    /// Sets the mode of the links of all daemons to an upstream. New connections meet it from now on.
     pub fn set_upstream(&self, upstream: usize, mode: Mode) {
-        for links in &self.modes {
-            links[upstream].send_replace(mode);
+        let links = self.links.iter().map(|links| &links[upstream]);
+        self.apply(&links.collect::<Vec<_>>(), mode);
+    }
+
+    fn apply(&self, links: &[&Link], mode: Mode) {
+        for link in links {
+            link.mode.send_replace(mode);
+        }
+        for link in links {
+            let mut applied = link.applied.clone();
+            let applied = applied.wait_for(|applied| *applied == mode);
+            let applied = self
+                .runtime
+                .block_on(async { timeout(APPLY_TIMEOUT, applied).await.is_ok() });
+            assert!(applied, "the mode of a link is not applied");
         }
     }
 }
 
 /// Listens as `mode` says, and forwards connections to `upstream`.
-async fn listen(address: String, upstream: String, mut mode: watch::Receiver<Mode>) {
-    while mode.wait_for(|mode| mode.listens()).await.is_ok() {
+async fn listen(
+    address: String,
+    upstream: String,
+    mut mode: watch::Receiver<Mode>,
+    applied: watch::Sender<Mode>,
+) {
+    loop {
+        let current = *mode.borrow_and_update();
+        if !current.listens() {
+            applied.send_replace(current);
+            if mode.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
         let Ok(listener) = TcpListener::bind(&address).await else {
             sleep(REBIND_PERIOD).await;
             continue;
@@ -144,8 +180,11 @@
             tokio::select! {
                 biased;
                 changed = mode.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
                     let current = *mode.borrow_and_update();
-                    if changed.is_err() || !current.listens() {
+                    if !current.listens() {
                         break;
                     }
                     let set = if current == Mode::Hang {
@@ -154,6 +193,7 @@
                         detach(&SockRef::from(&listener))
                     };
                     set.expect("socket filters are supported");
+                    applied.send_replace(current);
                 }
                 accepted = listener.accept() => if let Ok((connection, _)) = accepted {
                     tokio::spawn(forward(connection, upstream.clone(), mode.clone()));
