Bound the wait for a turn by the patience of the request

A request now leaves capacity to those ahead of it for a quarter of its queueing time at most, or 0.1 s.

Nothing is given up for 30 s now, which the log must confirm, and the first request that is placed after the own one was queued must be the own one.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -21,6 +21,9 @@
 /// turn, since capacity becomes free faster than they can look for it.
 const TURN_WAIT_MAX: Duration = Duration::from_millis(100);
 
+/// The share of its queueing time for which a request does so at most.
+const TURN_WAIT_SHARE: f64 = 0.25;
+
 /// The interval between two selections of a queued request among the upstreams of all zones, whose
 /// load is known less exactly than that in the daemon's zone.
 const WIDE_INTERVAL: Duration = Duration::from_millis(100);
@@ -132,6 +135,7 @@
     let mut polls = false;
     let mut refusal = Refusal::Full;
     let mut is_logged = false;
+    let turn_wait_max = TURN_WAIT_MAX.min(queue_time_max.mul_f64(TURN_WAIT_SHARE));
     let was_cut_off = context.is_cut_off();
     loop {
         if !was_cut_off && context.is_cut_off() {
@@ -152,7 +156,7 @@
         if has_turn || polls {
             // What a poll finds has become free unnoticed, so that those ahead go first.
             let may_use = has_turn && (!polls || queued.is_first());
-            let may_use = may_use || turn_at.elapsed() >= TURN_WAIT_MAX;
+            let may_use = may_use || turn_at.elapsed() >= turn_wait_max;
             match try_select(context, job, excluded, &waiting) {
                 Ok(_selection) if !may_use => {
                     // Otherwise a round is under way.
--- a/crates/primrosehoist-tests/tests/takeover.rs
+++ b/crates/primrosehoist-tests/tests/takeover.rs
@@ -447,18 +447,35 @@
     assert!(exit.is_some_and(|exit| exit.success()), "{exit:?}");
 }
 
+/// Returns the first request that was placed after `id` was queued.
+fn placed_after_queued(deployment: &Deployment, id: &str) -> Option<String> {
+    let log = std::fs::read_to_string(&deployment.daemons[0].log).expect("is readable");
+    let lines = log
+        .lines()
+        .filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    let mut later = lines.skip_while(|line| line["message"] != "queued" || line["request"] != id);
+    let placed = later.find(|line| line["message"] == "placed")?;
+    placed["request"].as_str().map(str::to_owned)
+}
+
 #[test]
 fn own_requests_go_before_those_that_were_taken_over() {
     let deployment = Deployment::ready(2);
     // None of those that wait is given up or overdue meanwhile.
     let mut patient = configuration(2);
-    patient["Routes"][0]["SloMs"] = Value::from(3000);
+    patient["Routes"][0]["SloMs"] = Value::from(30_000);
+    patient["Routes"][0]["TimeoutMs"] = Value::from(60_000);
     deployment.configure(&patient);
     std::thread::sleep(Duration::from_millis(900));
+    let handover = handover::Request {
+        remaining: Duration::from_secs(60),
+        ..handover()
+    };
     let mut streams: Vec<(String, TcpStream)> = (0..HANDOVERS_MAX)
         .map(|_| {
-            let request = Request::stream(100, 500);
-            let stream = start(&deployment, &request, &headers(&handover()));
+            let mut request = Request::stream(100, 1000);
+            request.headers[0].1 = "60000".to_owned();
+            let stream = start(&deployment, &request, &headers(&handover));
             (request.id, stream)
         })
         .collect();
@@ -469,23 +486,30 @@
             !logged(&deployment.logged(0, &own.id), "queued").is_empty()
         });
         let before = started(&deployment);
-        let ids = streams.iter().map(|(id, _)| id.clone());
-        let waiting: Vec<String> = ids.filter(|id| !before.contains(id)).collect();
-        assert!(!waiting.is_empty(), "the runners have too many slots");
+        let waiting = streams
+            .iter()
+            .filter(|(id, _)| !before.contains(id))
+            .count();
+        assert!(waiting > 0, "the runners have too many slots");
         assert!(!before.contains(&own.id));
         // Frees one slot, in each round at another moment between two polls of those that wait.
         std::thread::sleep(PHASE * round);
         let running = streams.iter().position(|(id, _)| before.contains(id));
         drop(streams.swap_remove(running.expect("some run")));
         wait_until("the slot is taken", || {
-            let now = started(&deployment);
-            now.contains(&own.id) || waiting.iter().any(|id| now.contains(id))
+            placed_after_queued(&deployment, &own.id).is_some()
         });
-        let now = started(&deployment);
-        assert!(now.contains(&own.id), "a handed-over request got the slot");
+        let first = placed_after_queued(&deployment, &own.id);
+        assert_eq!(
+            first.as_ref(),
+            Some(&own.id),
+            "a handed-over request got the slot"
+        );
         let response = receive(&mut own_stream);
         assert_eq!(response.events(), event_ids(4));
     }
+    let log = std::fs::read_to_string(&deployment.daemons[0].log).expect("is readable");
+    assert!(!log.contains("no capacity in time"), "one was given up");
 }
 
 #[test]
