Move the wait for links to where requests are handed over

The condition of a queued request that may use what it finds is one expression. No change of behavior.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -51,9 +51,6 @@
 /// The delay after a failed memory reservation.
 const RESERVE_RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// The interval between checks whether upstreams, or a daemon that reaches some, can be reached again.
-const LINKS_POLL_INTERVAL: Duration = Duration::from_millis(25);
-
 /// The maximum size of a response that is not streamed, in bytes.
 const RESPONSE_BYTES_MAX: u64 = 4 << 20;
 
@@ -142,10 +139,7 @@
                 return Err(self.cut_off());
             }
             if self.is_without_links() {
-                if Instant::now() >= patience.gives_up_at() {
-                    return Err(self.unanswered("cut_off"));
-                }
-                sleep(LINKS_POLL_INTERVAL).await;
+                self.wait_for_links(patience.gives_up_at()).await?;
                 continue;
             }
             if is_quarantined(&self.context, &self.job) {
@@ -195,12 +189,6 @@
         Unanswered::Expired(self.failover.may_have_run())
     }
 
-    /// Returns whether attempts would only fail: this host is cut off, no connection of before works, and
-    /// no other daemon takes the request. Each would exclude an upstream that may be back soon.
-    fn is_without_links(&self) -> bool {
-        self.context.is_cut_off() && !self.context.hears_upstreams() && !self.must_hand_over()
-    }
-
     /// Returns the outcome of a request that was handed to this daemon, which is cut off itself.
     fn cut_off(&mut self) -> Unanswered {
         if self.failover.may_have_run() {
--- a/crates/primrosehoist-daemon/src/gateway/handover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/handover.rs
@@ -16,7 +16,7 @@
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::upstream::{Exchange, Gate, Options, Pool};
 use primrosehoist_platform::header;
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::answer::{Response, Unanswered};
 use super::attempt::{Attempts, REMAINING_MIN, is_quarantined};
@@ -31,6 +31,9 @@
 /// the connection, it would be unknown whether the request ran.
 const IDLE_MAX: Duration = Duration::from_millis(500);
 
+/// The interval between checks whether upstreams, or a daemon that reaches some, can be reached again.
+const LINKS_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// What became of a request at one daemon.
 enum Handed {
     Answered(Box<Response>),
@@ -49,6 +52,26 @@
             && context.handover_target(&Set::default()).is_some()
     }
 
+    /// Returns whether attempts would only fail: this host is cut off, no connection of before works, and
+    /// no other daemon takes the request. Each would exclude an upstream that may be back soon.
+    pub(crate) fn is_without_links(&self) -> bool {
+        self.context.is_cut_off() && !self.context.hears_upstreams() && !self.must_hand_over()
+    }
+
+    /// Waits until it is time to check again whether the request is [without
+    /// links](Self::is_without_links).
+    ///
+    /// # Errors
+    ///
+    /// Returns an error at `give_up_at`.
+    pub(crate) async fn wait_for_links(&mut self, give_up_at: Instant) -> Result<(), Unanswered> {
+        if Instant::now() >= give_up_at {
+            return Err(self.unanswered("cut_off"));
+        }
+        sleep(LINKS_POLL_INTERVAL).await;
+        Ok(())
+    }
+
     /// Hands the request to other daemons until one takes it. A stream starts after `last_event`.
     /// Returns `None` if none of them takes it.
     ///
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -155,8 +155,8 @@
         let has_turn = queued.has_turn();
         if has_turn || polls {
             // What a poll finds has become free unnoticed, so that those ahead go first.
-            let may_use = has_turn && (!polls || queued.is_first());
-            let may_use = may_use || turn_at.elapsed() >= turn_wait_max;
+            let may_use =
+                (has_turn && (!polls || queued.is_first())) || turn_at.elapsed() >= turn_wait_max;
             match try_select(context, job, excluded, &waiting) {
                 Ok(_selection) if !may_use => {
                     // Otherwise a round is under way.
