Expect waits beyond any duration without a panic

No caller saw it, since no daemon advertises such numbers.

Cause: the expected wait of an upstream divides the advertised tokens by the advertised rate and converts the quotient by Duration::from_secs_f64, which panics beyond 2^64 s; sums of waits and the count of requests could overflow in the same way. Ruled out: a choice that breaks a rule; the panic comes from the choice itself.

Change: these conversions and sums saturate.

--- a/src/state/placement.rs
+++ b/src/state/placement.rs
@@ -244,24 +244,24 @@
         self.advert.in_flight.saturating_add(self.advert.queued)
     }
 
-    /// Returns the prefill time of `tokens` prompt tokens.
+    /// Returns the prefill time of `tokens` prompt tokens. Adverts may hold any number.
     fn prefill_time(&self, tokens: u64) -> Duration {
         let rate = match self.advert.prefill_rate {
             0 => RATE_DEFAULT,
             measured => measured,
         };
-        Duration::from_secs_f64(tokens as f64 / rate as f64)
+        Duration::try_from_secs_f64(tokens as f64 / rate as f64).unwrap_or(Duration::MAX)
     }
 
     /// Returns the expected wait for a slot and for memory.
     fn admission_wait(&self, request: &Request) -> Duration {
-        let excess = (self.requests() + 1).saturating_sub(self.advert.limit);
+        let excess = self.requests().saturating_add(1).saturating_sub(self.advert.limit);
         let memory = if self.fits_now(request) {
             Duration::ZERO
         } else {
             MEMORY_WAIT
         };
-        SLOT_WAIT * excess + memory
+        (SLOT_WAIT * excess).saturating_add(memory)
     }
 
     /// Returns the expected wait of a short prompt. Queued tokens of long prompts count twice.
@@ -272,12 +272,15 @@
         } else {
             CROSS_ZONE_WAIT
         };
-        self.prefill_time(tokens) + self.admission_wait(request) + zone
+        self.prefill_time(tokens)
+            .saturating_add(self.admission_wait(request))
+            .saturating_add(zone)
     }
 
     /// Returns the expected wait of a long prompt behind other long prompts.
     fn long_wait(&self, request: &Request) -> Duration {
-        self.prefill_time(self.advert.long_tokens) + self.admission_wait(request)
+        self.prefill_time(self.advert.long_tokens)
+            .saturating_add(self.admission_wait(request))
     }
 }
 
@@ -326,7 +329,8 @@
     random: u64,
 ) -> Candidate<'a> {
     let wait = |c: &Candidate<'_>| c.short_wait(request);
-    let bound = candidates.iter().map(wait).min().unwrap_or_default() + EQUAL_WAIT_MAX;
+    let shortest = candidates.iter().map(wait).min().unwrap_or_default();
+    let bound = shortest.saturating_add(EQUAL_WAIT_MAX);
     let near: Vec<Candidate<'a>> = candidates
         .iter()
         .filter(|c| wait(c) <= bound)
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -239,6 +239,25 @@
     .budget_ms(1_000);
 }
 
+#[test]
+fn waits_beyond_the_longest_duration_do_not_panic() {
+    for short in [true, false] {
+        let mut cluster = Cluster::new();
+        for index in 1..=6 {
+            let advert = cluster.advert(&format!("u{index}"));
+            advert.prefill_rate = 1;
+            advert.in_flight = u32::MAX;
+            advert.tokens = u64::MAX;
+            advert.long_tokens = u64::MAX;
+        }
+        let idle = cluster.advert("u5");
+        (idle.in_flight, idle.tokens, idle.long_tokens) = (0, 0, 0);
+        let tokens = if short { 1_000 } else { LONG_TOKENS };
+        let chosen = cluster.choose(&request(tokens), 0);
+        assert_eq!(chosen.as_deref(), Ok("u5"), "{tokens} tokens");
+    }
+}
+
 #[test]
 fn a_group_holds_the_request_in_equal_parts() {
     arbtest(|u| {
