Draw the inputs of property tests from the same seeds in every run

A run of all tests is to have one verdict, but 37 property tests drew new inputs for a time in each run.

primrosehoist_property::check draws a fixed number of inputs, each from a seed that depends on its index only; lengths grow as before. Each number is at least what the former time gave on this machine beside a run of all tests (for example 14,000 instead of 12,743 in 1 s), so that no test checks less. PRIMROSEHOIST_PROPERTY_SEED and PRIMROSEHOIST_PROPERTY_ROUNDS draw others, by hand. No property, check or bound is changed.

--- a/src/state/placement.rs
+++ b/src/state/placement.rs
@@ -255,7 +255,10 @@
 
     /// Returns the expected wait for a slot and for memory.
     fn admission_wait(&self, request: &Request) -> Duration {
-        let excess = self.requests().saturating_add(1).saturating_sub(self.advert.limit);
+        let excess = self
+            .requests()
+            .saturating_add(1)
+            .saturating_sub(self.advert.limit);
         let memory = if self.fits_now(request) {
             Duration::ZERO
         } else {
--- a/tests/admission_rules/invariants.rs
+++ b/tests/admission_rules/invariants.rs
@@ -3,14 +3,14 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use arbtest::arbitrary::Unstructured;
-use arbtest::arbtest;
 use primrosehoist::coordination::admission::{Finish, Scheduler, Verdict};
 use primrosehoist::state::limit::Failure;
 use primrosehoist::state::queue::{Item, Ticket};
+use primrosehoist_property::arbitrary::{self, Unstructured};
 use tokio::time::Instant;
 
 use crate::fixture::{MEMORY, half, item, upstream};
+use primrosehoist_property::check;
 
 /// The requests of a random run by state.
 #[derive(Default)]
@@ -35,7 +35,7 @@
         u: &mut Unstructured<'_>,
         scheduler: &mut Scheduler,
         now: Instant,
-    ) -> arbtest::arbitrary::Result<()> {
+    ) -> arbitrary::Result<()> {
         let ticket = self.offered.len() as Ticket;
         let mut item = item(ticket, u.int_in_range(0..=MEMORY + 1_000)?, now);
         if u.arbitrary()? {
@@ -67,7 +67,7 @@
         u: &mut Unstructured<'_>,
         scheduler: &mut Scheduler,
         now: Instant,
-    ) -> arbtest::arbitrary::Result<()> {
+    ) -> arbitrary::Result<()> {
         let picked = Self::pick(u, &self.in_flight);
         let mut removed = Vec::new();
         match (u.int_in_range(0..=11)?, picked) {
@@ -101,7 +101,7 @@
 
 #[test]
 fn random_runs_keep_all_invariants() {
-    arbtest(|u| {
+    check(16_000, |u| {
         let mut now = Instant::now();
         let reserve = u.int_in_range(0..=2)?;
         let mut scheduler = Scheduler::new(&upstream(3), 1, reserve);
@@ -117,8 +117,7 @@
             check_invariants(&run, &mut scheduler, before, reserve, now);
         }
         Ok(())
-    })
-    .budget_ms(3_000);
+    });
 }
 
 fn check_invariants(
--- a/tests/allowance_shares.rs
+++ b/tests/allowance_shares.rs
@@ -6,6 +6,7 @@
 use primrosehoist::coordination::allowance::Allowance;
 use primrosehoist::state::bounds::Bounds;
 use primrosehoist::state::window::Window;
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 fn bounds() -> Bounds {
@@ -43,7 +44,7 @@
 
 #[test]
 fn shares_of_all_daemons_stay_within_the_cold_start_limit() {
-    arbtest::arbtest(|u| {
+    check(2_500, |u| {
         let daemons = u.int_in_range(1..=100_usize)?;
         let rate = f64::from(u.int_in_range(4..=40_u32)?);
         let start = Instant::now();
@@ -68,8 +69,7 @@
             "{largest} of {limit} with {daemons} daemons"
         );
         Ok(())
-    })
-    .budget_ms(1500);
+    });
 }
 
 #[test]
--- a/tests/assign_choice.rs
+++ b/tests/assign_choice.rs
@@ -7,6 +7,7 @@
 use primrosehoist::state::occupancy::{LatencyClass, Work};
 use primrosehoist::state::partition::{Detector, Partitions};
 use primrosehoist::state::roster::{Phase, Upstream};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 fn engine() -> Engine {
@@ -267,7 +268,7 @@
 
 #[test]
 fn random_placements_respect_slots_and_memory() {
-    arbtest::arbtest(|u| {
+    check(22_000, |u| {
         let count = u.int_in_range(0..=20)?;
         let mut candidates = Vec::new();
         for id in 0..count {
@@ -312,8 +313,7 @@
             assert!(ready_ms.is_finite());
         }
         Ok(())
-    })
-    .budget_ms(1500);
+    });
 }
 
 #[test]
--- a/tests/budget_bounds.rs
+++ b/tests/budget_bounds.rs
@@ -2,15 +2,15 @@
 
 use std::time::Duration;
 
-use arbtest::arbtest;
 use primrosehoist::state::budget::{
     BACKOFF_FIRST, BACKOFF_MAX, BURST, Budget, FLOOR_PER_SECOND, backoff,
 };
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 #[test]
 fn retries_never_exceed_share_and_floor() {
-    arbtest(|u| {
+    check(7_000, |u| {
         let start = Instant::now();
         let percent: u32 = u.int_in_range(0..=100)?;
         let mut budget = Budget::new(percent, start);
@@ -26,8 +26,7 @@
             assert!(retries <= attempts * u64::from(percent) / 100 + floor);
         }
         Ok(())
-    })
-    .budget_ms(500);
+    });
 }
 
 #[test]
@@ -42,11 +41,10 @@
 
 #[test]
 fn backoff_stays_within_bounds() {
-    arbtest(|u| {
+    check(3_500, |u| {
         let delay = backoff(u.arbitrary()?, u.arbitrary()?);
         assert!(delay >= BACKOFF_FIRST / 2 && delay <= BACKOFF_MAX);
         Ok(())
-    })
-    .budget_ms(200);
+    });
     assert!(backoff(3, 0) > backoff(0, u64::MAX));
 }
--- a/tests/claim_once.rs
+++ b/tests/claim_once.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use arbtest::arbitrary::{Result, Unstructured};
-use arbtest::arbtest;
 use primrosehoist::coordination::claim::shard::{SHARDS, index};
 use primrosehoist::coordination::claim::{
     Answer, Claimant, End, Found, Record, Refusal, State, Step, object_name,
 };
 use primrosehoist::state::name;
+use primrosehoist_property::arbitrary::{Result, Unstructured};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 fn record(nonce: &str, body: &str) -> Record {
@@ -162,7 +162,7 @@
 
 #[test]
 fn a_call_runs_at_most_once() {
-    arbtest(|u| {
+    check(40_000, |u| {
         let mut now = Instant::now();
         let mut platform = Platform::default();
         let mut callers: Vec<Caller> = (0..4)
@@ -182,8 +182,7 @@
             check_at_most_once(&callers);
         }
         Ok(())
-    })
-    .budget_ms(3_000);
+    });
 }
 
 fn check_at_most_once(callers: &[Caller]) {
--- a/tests/claim_shard.rs
+++ b/tests/claim_shard.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeMap;
 
-use arbtest::arbtest;
 use primrosehoist::coordination::claim::shard::{CLAIMS_MAX, Entry, Merged, Shard};
 use primrosehoist::coordination::claim::{End, RETENTION, Record, State};
 use primrosehoist::state::name;
+use primrosehoist_property::check;
 
 fn record(nonce: &str) -> Record {
     Record {
@@ -20,7 +20,7 @@
 
 #[test]
 fn merges_give_each_key_to_one_owner() {
-    arbtest(|u| {
+    check(5_000, |u| {
         let mut shard = Shard::default();
         let mut owners: BTreeMap<String, String> = BTreeMap::new();
         for nonce in 0..60 {
@@ -46,8 +46,7 @@
             }
         }
         Ok(())
-    })
-    .budget_ms(500);
+    });
 }
 
 #[test]
--- a/tests/event_split.rs
+++ b/tests/event_split.rs
@@ -1,10 +1,11 @@
 //! Tests of splitting streams into events.
 
 use primrosehoist::protocol::event::{Splitter, id};
+use primrosehoist_property::check;
 
 #[test]
 fn events_do_not_depend_on_chunk_boundaries() {
-    arbtest::arbtest(|u| {
+    check(850, |u| {
         let count = u.int_in_range(0..=20)?;
         let ending = *u.choose(&["\n\n", "\n\r\n"])?;
         let events: Vec<String> = (0..count)
--- a/tests/failover_rules.rs
+++ b/tests/failover_rules.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision after a failed attempt.
 
 use primrosehoist::coordination::failover::{Decision, Failover, Failure};
+use primrosehoist_property::check;
 
 const ALL: [Failure; 4] = [
     Failure::Unsent,
@@ -64,7 +65,7 @@
 
 #[test]
 fn decisions_hold_for_random_failures() {
-    arbtest::arbtest(|u| {
+    check(2_000, |u| {
         let repeatable = u.arbitrary()?;
         let runs_max = u.int_in_range(1..=4)?;
         let mut failover = Failover::new(repeatable, runs_max);
--- a/tests/files_mistakes.rs
+++ b/tests/files_mistakes.rs
@@ -4,8 +4,8 @@
 use std::fs;
 use std::path::Path;
 
-use arbtest::arbtest;
 use primrosehoist::state::files::{self, File};
+use primrosehoist_property::check;
 
 /// An invalid file, and the expected diagnostics as `line: reason`.
 struct Case {
@@ -249,7 +249,7 @@
 
 #[test]
 fn arbitrary_text_is_read_without_a_panic() {
-    arbtest(|u| {
+    check(800, |u| {
         let original = fs::read_to_string(directory().join("many-mistakes.hoist.toml"));
         let mut content = original.expect("the file exists").into_bytes();
         for _ in 0..u.int_in_range(0..=8)? {
--- a/tests/holding_safety.rs
+++ b/tests/holding_safety.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use primrosehoist_property::check;
 use rand::RngExt;
 use simulation::World;
 
@@ -86,13 +87,12 @@
 
 #[test]
 fn at_most_one_daemon_sends_under_arbitrary_faults() {
-    for daemons in [2, 3, 5] {
-        arbtest::arbtest(|u| {
+    for (daemons, runs) in [(2, 450), (3, 300), (5, 150)] {
+        check(runs, |u| {
             let seed = u.arbitrary()?;
             run(seed, daemons);
             Ok(())
-        })
-        .budget_ms(4000);
+        });
     }
 }
 
--- a/tests/limit_growth.rs
+++ b/tests/limit_growth.rs
@@ -3,11 +3,11 @@
 
 use std::time::Duration;
 
-use arbtest::arbitrary::Unstructured;
-use arbtest::arbtest;
 use primrosehoist::state::limit::{
     COMPLETIONS_TO_WARM, EVIDENCE_TTL, Failure, IDLE_MAX, Limit, REPORT_TTL,
 };
+use primrosehoist_property::arbitrary::{self, Unstructured};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 const COLD: u32 = 2;
@@ -45,7 +45,7 @@
 
 #[test]
 fn limit_never_exceeds_the_capacity() {
-    arbtest(|u| {
+    check(22_000, |u| {
         let mut now = Instant::now();
         let mut limit = Limit::new(COLD, WARM);
         let mut model = Model {
@@ -59,8 +59,7 @@
             assert!(model.silently_cold || limit.current(now) <= model.capacity());
         }
         Ok(())
-    })
-    .budget_ms(2_000);
+    });
 }
 
 fn step(
@@ -68,7 +67,7 @@
     limit: &mut Limit,
     model: &mut Model,
     now: Instant,
-) -> arbtest::arbitrary::Result<()> {
+) -> arbitrary::Result<()> {
     match u.int_in_range(0..=19)? {
         0 => {
             model.completions = 0;
@@ -109,7 +108,7 @@
 
 #[test]
 fn time_alone_never_raises_the_limit() {
-    arbtest(|u| {
+    check(7_000, |u| {
         let now = Instant::now();
         let mut limit = Limit::new(COLD, WARM);
         for _ in 0..u.int_in_range(0..=100)? {
@@ -118,8 +117,7 @@
         let later = now + Duration::from_millis(u.int_in_range(0..=120_000)?);
         assert!(limit.current(later) <= limit.current(now));
         Ok(())
-    })
-    .budget_ms(500);
+    });
 }
 
 #[test]
--- a/tests/occupancy_view.rs
+++ b/tests/occupancy_view.rs
@@ -15,6 +15,7 @@
 use primrosehoist::state::occupancy::{Key, LatencyClass, Load, Occupancy, REPORT_TTL, Work};
 use primrosehoist::state::rate;
 use primrosehoist::state::versions::{Revision, Versions};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 fn load(latency_class: Option<LatencyClass>, prefill_ms: f32, memory_tokens: u32) -> Load {
@@ -28,7 +29,7 @@
 
 #[test]
 fn no_load_is_left_after_all_requests_end() {
-    arbtest::arbtest(|u| {
+    check(12_000, |u| {
         let mut occupancy = Occupancy::default();
         let upstream: Arc<str> = Arc::from("u");
         let mut open = Vec::new();
@@ -69,8 +70,7 @@
         assert_eq!(occupancy.work(&upstream).running(), 0);
         assert!(occupancy.work(&upstream).prefill_ms < 0.5);
         Ok(())
-    })
-    .budget_ms(800);
+    });
 }
 
 #[test]
@@ -286,7 +286,7 @@
         .configuration
         .expect("the configuration is included");
     assert_eq!(configuration.text(), Ok(text));
-    arbtest::arbtest(|u| {
+    check(9_000, |u| {
         let bytes = u.choose(&messages)?;
         for original in [bytes, &whole] {
             let mut damaged = original.clone();
@@ -304,8 +304,7 @@
             }
         }
         Ok(())
-    })
-    .budget_ms(800);
+    });
 }
 
 #[test]
--- a/tests/openai_scan.rs
+++ b/tests/openai_scan.rs
@@ -1,10 +1,10 @@
 //! Parsing of completion requests, and the bodies of error responses.
 
-use arbtest::arbtest;
 use primrosehoist::protocol::openai::{
     ANSWER_TOKENS_DEFAULT, Error, ErrorBody, Rejection, Request, prompt_tokens,
 };
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist_property::check;
 
 fn parse(body: &str) -> Result<Request, Error> {
     Request::try_from(body.as_bytes())
@@ -71,7 +71,7 @@
 
 #[test]
 fn errors_do_not_quote_the_body() {
-    arbtest(|u| {
+    check(1_500, |u| {
         let secret = format!("s{:016x}", u.arbitrary::<u64>()?);
         for body in [
             format!(r#"{{"model":"m","prompt":"{secret}"#),
@@ -87,7 +87,7 @@
 
 #[test]
 fn arbitrary_bytes_never_panic() {
-    arbtest(|u| {
+    check(900, |u| {
         let bytes: Vec<u8> = u.arbitrary()?;
         let _request = Request::try_from(bytes.as_slice());
         let _rejection = Rejection::read(429, &bytes);
--- a/tests/peer_link.rs
+++ b/tests/peer_link.rs
@@ -13,6 +13,7 @@
 use primrosehoist::transport::peer::{
     Body, Client, Direction, Error, Identity, Responder, Server, handshake::Error as HandshakeError,
 };
+use primrosehoist_property::check;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -254,7 +255,7 @@
 
 #[test]
 fn arbitrary_bytes_that_decode_to_a_request_round_trip() {
-    arbtest::arbtest(|u| {
+    check(950, |u| {
         let bytes: Vec<u8> = u.arbitrary()?;
         if let Ok(request) = codec::decode::<Request>(&bytes) {
             let encoded = codec::encode(&request).unwrap();
--- a/tests/permit_rules.rs
+++ b/tests/permit_rules.rs
@@ -4,12 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbtest::{arbitrary, arbtest};
 use primrosehoist::coordination::peers::Peers;
 use primrosehoist::coordination::permit::{Ledger, Permit, rate};
 use primrosehoist::coordination::watchers;
 use primrosehoist::state::occupancy::Key;
 use primrosehoist::state::rate::{Limit, Notice, Record, Report};
+use primrosehoist_property::{arbitrary, check};
 use tokio::time::Instant;
 
 const WINDOW: Duration = Duration::from_secs(4);
@@ -89,7 +89,7 @@
 
 #[test]
 fn permits_of_a_divided_fleet_keep_to_the_limit() {
-    arbtest(check_fleet).budget_ms(3000);
+    check(20_000, check_fleet);
 }
 
 #[test]
--- a/tests/placement_choice.rs
+++ b/tests/placement_choice.rs
@@ -1,7 +1,5 @@
 //! Tests of which upstreams are chosen for a request and which are never chosen.
 
-use arbtest::arbitrary::Unstructured;
-use arbtest::arbtest;
 use primrosehoist::state::fleet::{Fleet, Lifecycle, Upstream};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::name;
@@ -9,6 +7,8 @@
     LONG_TOKENS, Policy, Refusal, Request, choose, choose_group, choose_group_by_capacity,
 };
 use primrosehoist::state::view::{Advert, Daemon, Holder, Member, View};
+use primrosehoist_property::arbitrary::{self, Unstructured};
+use primrosehoist_property::check;
 
 const MEMORY: u64 = 500_000;
 const POLICIES: [Policy; 3] = [Policy::RoundRobin, Policy::LeastLoad, Policy::LongConfined];
@@ -145,7 +145,7 @@
     }
 }
 
-fn random_cluster(u: &mut Unstructured<'_>) -> arbtest::arbitrary::Result<Cluster> {
+fn random_cluster(u: &mut Unstructured<'_>) -> arbitrary::Result<Cluster> {
     let mut cluster = Cluster::new();
     for index in 1..=6 {
         let raw = format!("u{index}");
@@ -198,7 +198,7 @@
 
 #[test]
 fn choices_follow_the_rules_and_refusals_are_justified() {
-    arbtest(|u| {
+    check(14_000, |u| {
         let cluster = random_cluster(u)?;
         let mut request = request(u.int_in_range(0..=MEMORY)?);
         request.suspect = u.ratio(1, 4)?;
@@ -235,8 +235,7 @@
             }
         }
         Ok(())
-    })
-    .budget_ms(1_000);
+    });
 }
 
 #[test]
@@ -260,7 +259,7 @@
 
 #[test]
 fn a_group_holds_the_request_in_equal_parts() {
-    arbtest(|u| {
+    check(5_500, |u| {
         let cluster = random_cluster(u)?;
         let request = request(u.int_in_range(0..=3 * MEMORY)?);
         let Ok(names) = choose_group(&cluster.fleet, &cluster.view, &request) else {
@@ -273,8 +272,7 @@
             assert!(cluster.view.holders[raw].advert.memory_free >= part);
         }
         Ok(())
-    })
-    .budget_ms(500);
+    });
 }
 
 #[test]
--- a/tests/plan_difference.rs
+++ b/tests/plan_difference.rs
@@ -1,11 +1,11 @@
 //! Applying a plan turns the current fleet into the desired one and changes nothing else.
 
-use arbtest::arbitrary::{Result, Unstructured};
-use arbtest::arbtest;
 use primrosehoist::state::change::{Change, Entry};
 use primrosehoist::state::fleet::{Fleet, Kind, Lifecycle, Service, Upstream, Workspace};
 use primrosehoist::state::name;
 use primrosehoist::state::plan::plan;
+use primrosehoist_property::arbitrary::{Result, Unstructured};
+use primrosehoist_property::check;
 
 fn half(south: bool) -> name::Half {
     let half = if south { "south" } else { "north" };
@@ -87,7 +87,7 @@
 
 #[test]
 fn applying_a_plan_yields_the_desired_fleet() {
-    arbtest(|u| {
+    check(1_500, |u| {
         let mut current = fleet(u)?;
         let desired = fleet(u)?;
         let entries = plan(&current, &desired);
@@ -103,7 +103,7 @@
 
 #[test]
 fn a_plan_preserves_state_set_by_other_commands() {
-    arbtest(|u| {
+    check(1_500, |u| {
         let mut current = fleet(u)?;
         let desired = fleet(u)?;
         let zone = name::Zone::try_from("zone-a").expect("the name is valid");
--- a/tests/poison_ledger.rs
+++ b/tests/poison_ledger.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use arbtest::arbtest;
 use primrosehoist::coordination::poison::{
     Ledger, PENDING_MAX, REMOTE_RECORD_DELAY, REPORT_AGE_MAX, REPORTS_MAX, Report, SUSPECTS_MAX,
     SUSPICION_AGE_MAX, Standing,
 };
 use primrosehoist::state::fleet::Fleet;
+use primrosehoist_property::{arbitrary, check};
 use tokio::time::Instant;
 
 fn fingerprints(list: &[&str]) -> Vec<String> {
@@ -57,7 +57,7 @@
 
 #[test]
 fn request_is_quarantined_only_if_it_crashes_an_upstream_alone() {
-    arbtest(|u| {
+    check(7_000, |u| {
         let mut now = Instant::now();
         let mut ledger = Ledger::default();
         for _ in 0..50 {
@@ -65,14 +65,13 @@
             let count = u.int_in_range(0..=3)?;
             let running: Vec<String> = (0..count)
                 .map(|_| Ok(u.int_in_range(0..=5)?.to_string()))
-                .collect::<arbtest::arbitrary::Result<_>>()?;
+                .collect::<arbitrary::Result<_>>()?;
             let suspected = running.iter().all(|name| ledger.is_suspect(name, now));
             let found = ledger.upstream_crashed(&running, now);
             assert_eq!(found.is_some(), running.len() == 1 && suspected);
         }
         Ok(())
-    })
-    .budget_ms(500);
+    });
 }
 
 #[test]
--- a/tests/queue_fairness.rs
+++ b/tests/queue_fairness.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use arbtest::arbtest;
 use primrosehoist::state::name;
 use primrosehoist::state::queue::{Item, PENALTY_MAX, Queue, Ticket};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 fn item(ticket: Ticket, workspace: &str, weight: u32, prompt_tokens: u64, now: Instant) -> Item {
@@ -27,7 +27,7 @@
 
 #[test]
 fn workspaces_share_by_weight() {
-    arbtest(|u| {
+    check(2_500, |u| {
         let now = Instant::now();
         let mut queue = Queue::default();
         let (heavy, light) = (u.int_in_range(1..=8)?, u.int_in_range(1..=8)?);
@@ -54,8 +54,7 @@
         let bound = item_max / f64::from(heavy) + item_max / f64::from(light);
         assert!((a - b).abs() <= bound, "{a} {b}");
         Ok(())
-    })
-    .budget_ms(1_000);
+    });
 }
 
 #[test]
@@ -115,7 +114,7 @@
 
 #[test]
 fn every_item_is_removed_exactly_once() {
-    arbtest(|u| {
+    check(3_500, |u| {
         let mut now = Instant::now();
         let mut queue = Queue::default();
         let mut queued: BTreeMap<Ticket, u64> = BTreeMap::new();
@@ -148,6 +147,5 @@
         queue.expire(now + Duration::from_secs(20));
         assert!(queue.is_empty());
         Ok(())
-    })
-    .budget_ms(1_000);
+    });
 }
--- a/tests/reconcile_plan.rs
+++ b/tests/reconcile_plan.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use arbtest::arbitrary::{Result, Unstructured};
-use arbtest::arbtest;
 use primrosehoist::coordination::reconcile::{
     Abandoned, Allocation, Context, Listing, Plan, RECLAIM_GRACE, Resource, Stream, plan,
 };
+use primrosehoist_property::arbitrary::{Result, Unstructured};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 /// The fencing token of the holder under test.
@@ -213,7 +213,7 @@
 
 #[test]
 fn exactly_the_abandoned_resources_are_released() {
-    arbtest(|u| {
+    check(1_500, |u| {
         let listing = arbitrary_listing(u)?;
         let start = Instant::now();
         let (first, late) = plan_from(start, &listing, RECLAIM_GRACE);
--- a/tests/replica_rules.rs
+++ b/tests/replica_rules.rs
@@ -4,6 +4,7 @@
 use primrosehoist::state::change::{Change, Entry};
 use primrosehoist::state::fleet::Version;
 use primrosehoist::state::name;
+use primrosehoist_property::check;
 
 fn change(version: Version) -> Change {
     let zone = name::Zone::try_from(format!("zone-{version}")).unwrap();
@@ -23,7 +24,7 @@
 
 #[test]
 fn changes_apply_once_and_in_order() {
-    arbtest::arbtest(|u| {
+    check(650, |u| {
         let mut replica = Replica::default();
         let mut source = Replica::default();
         source.apply(&changes(1..=40));
--- a/tests/request_machine.rs
+++ b/tests/request_machine.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use arbtest::arbitrary::{self, Unstructured};
-use arbtest::arbtest;
 use primrosehoist::coordination::request::{Action, Event, RESUME_GRACE, Request, State};
 use primrosehoist::protocol::outcome::{Failure, Outcome, Reason};
+use primrosehoist_property::arbitrary::{self, Unstructured};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 const TIME_LIMIT: Duration = Duration::from_secs(60);
@@ -190,7 +190,7 @@
 
 #[test]
 fn outcomes_hold_for_random_event_sequences() {
-    arbtest(|u| {
+    check(1_500, |u| {
         let start = Instant::now();
         let repeatable = u.arbitrary()?;
         let mut request = request(start, repeatable);
--- a/tests/retry_decisions.rs
+++ b/tests/retry_decisions.rs
@@ -1,13 +1,13 @@
 //! Tests which retries draw on the budget, and the delay before a stream is resumed.
 
-use arbtest::arbtest;
 use primrosehoist::coordination::retry::{RESUME_DELAY_MAX, Reach, may_retry, resume_delay};
 use primrosehoist::state::budget::{Budget, SAVED_MAX};
+use primrosehoist_property::check;
 use tokio::time::Instant;
 
 #[test]
 fn resume_delay_is_bounded() {
-    arbtest(|u| {
+    check(1_500, |u| {
         assert!(resume_delay(u.arbitrary()?) <= RESUME_DELAY_MAX);
         Ok(())
     });
--- a/tests/roster_notices.rs
+++ b/tests/roster_notices.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arbtest::{arbitrary, arbtest};
 use primrosehoist::state::map::{Map, Set};
 use primrosehoist::state::occupancy::Key;
 use primrosehoist::state::rate::{Limit, Notice};
 use primrosehoist::state::roster::{Phase, Roster, Upstream};
+use primrosehoist_property::{arbitrary, check};
 use tokio::time::Instant;
 
 fn upstream(id: &str, started_ms: u64) -> Upstream {
@@ -239,5 +239,5 @@
 
 #[test]
 fn only_what_the_current_process_said_closes_an_upstream() {
-    arbtest(check_history).budget_ms(2000);
+    check(26_000, check_history);
 }
--- a/tests/sse_parser.rs
+++ b/tests/sse_parser.rs
@@ -1,8 +1,8 @@
 //! The parser of server-sent events and the check of their sequence.
 
-use arbtest::arbitrary::Unstructured;
-use arbtest::arbtest;
 use primrosehoist::protocol::sse::{DONE, EVENT_BYTES_MAX, Error, Event, Parser, Sequence, Step};
+use primrosehoist_property::arbitrary::{self, Unstructured};
+use primrosehoist_property::check;
 
 fn chunk(attempt: &str, index: u64, last: bool) -> String {
     let finish = if last { "\"length\"" } else { "null" };
@@ -31,10 +31,7 @@
     Ok((events, parser.is_partial()))
 }
 
-fn pieces<'a>(
-    u: &mut Unstructured<'_>,
-    mut bytes: &'a [u8],
-) -> arbtest::arbitrary::Result<Vec<&'a [u8]>> {
+fn pieces<'a>(u: &mut Unstructured<'_>, mut bytes: &'a [u8]) -> arbitrary::Result<Vec<&'a [u8]>> {
     let mut pieces = Vec::new();
     while !bytes.is_empty() {
         let length = if u.is_empty() {
@@ -66,7 +63,7 @@
 
 #[test]
 fn events_do_not_depend_on_chunk_boundaries() {
-    arbtest(|u| {
+    check(900, |u| {
         let text = answer("a-1", u.int_in_range(1..=6)?).replace('\n', u.choose(&["\n", "\r\n"])?);
         let whole = parse(&[text.as_bytes()]);
         let cut = parse(&pieces(u, text.as_bytes())?);
@@ -86,7 +83,7 @@
 
 #[test]
 fn a_truncated_answer_is_never_complete() {
-    arbtest(|u| {
+    check(2_000, |u| {
         let text = answer("a-1", u.int_in_range(1..=4)?);
         let cut = u.int_in_range(0..=text.len() - 1)?;
         let (events, partial) = parse(&[&text.as_bytes()[..cut]]).expect("a prefix is valid");
@@ -104,7 +101,7 @@
 
 #[test]
 fn arbitrary_bytes_are_rejected_or_skipped_without_a_panic() {
-    arbtest(|u| {
+    check(1_500, |u| {
         let bytes: Vec<u8> = u.arbitrary()?;
         let cut = pieces(u, &bytes)?;
         if let Ok((events, _)) = parse(&cut) {
--- a/tests/turn_rules.rs
+++ b/tests/turn_rules.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeSet;
 
-use arbtest::arbtest;
 use primrosehoist::coordination::turn::Round;
+use primrosehoist_property::check;
 
 fn round(ranks: &[u8]) -> Round<u8, u8> {
     let mut round = Round::default();
@@ -70,7 +70,7 @@
 
 #[test]
 fn no_request_overtakes_another_and_each_round_reaches_all() {
-    arbtest(|random| {
+    check(1_500, |random| {
         let mut round = Round::default();
         let mut notified = BTreeSet::new();
         let mut waiting = BTreeSet::new();
