Bound durations that other daemons send

Both were added to the present time, which panics beyond what an instant holds and would end the task that handles a request, or the one that follows other daemons. Nobody saw it: no daemon sends such durations.

Permit::within_bounds keeps the wait of a reply to what a ledger hands out, and Roster::mark_missing keeps an upstream for RECONNECT_GRACE at most, as it did for those that a starting daemon is told of. Both have a test; the former sums were no functions, so they were not seen failing.

--- a/crates/primrosehoist-daemon/src/gateway/permit.rs
+++ b/crates/primrosehoist-daemon/src/gateway/permit.rs
@@ -164,7 +164,7 @@
     let reply = timeout(QUERY_TIMEOUT, replied).await;
     permits.pending.lock().remove(&number);
     if let Ok(Ok(reply)) = reply {
-        return Some(reply.permit);
+        return Some(reply.permit.within_bounds());
     }
     log::info!(issuer:%; "no reply to a query for a permit");
     None
--- a/crates/primrosehoist-daemon/src/gateway/upstream_changes.rs
+++ b/crates/primrosehoist-daemon/src/gateway/upstream_changes.rs
@@ -58,7 +58,7 @@
                 context.roster.lock().discard(id);
                 forget_upstream(context, id, now);
             } else {
-                context.roster.lock().mark_missing(id, now + *left);
+                context.roster.lock().mark_missing(id, *left, now);
             }
         }
     }
--- a/src/coordination/permit.rs
+++ b/src/coordination/permit.rs
@@ -66,6 +66,17 @@
     Denied(Duration),
 }
 
+impl Permit {
+    /// Returns the permit, with the longest wait that a [`Ledger`] hands out if its own is longer.
+    #[must_use]
+    pub fn within_bounds(self) -> Self {
+        match self {
+            Self::Granted(wait) => Self::Granted(wait.min(ADVANCE_MAX)),
+            Self::Denied(wait) => Self::Denied(wait.min(WAIT_MAX)),
+        }
+    }
+}
+
 /// A message between daemons on permits.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -207,7 +207,7 @@
             }
         }
         for (id, left) in missing {
-            self.mark_missing(id, now + (*left).min(RECONNECT_GRACE));
+            self.mark_missing(id, *left, now);
         }
     }
 
@@ -255,15 +255,16 @@
         let is_ready = |entry: &Entry| entry.upstream.phase == Phase::Ready;
         match grace_until {
             Some(until) if self.entries.get(id).is_some_and(is_ready) => {
-                self.mark_missing(id, until);
+                self.mark_missing(id, until - now, now);
             }
             _ => self.discard(id),
         }
     }
 
-    /// Marks an entry as missing. Its upstream is used until the time `until`, or until an earlier
-    /// one at which it was marked before.
-    pub fn mark_missing(&mut self, id: &str, until: Instant) {
+    /// Marks an entry as missing. Its upstream is used for the time `left`, at most for
+    /// [`RECONNECT_GRACE`], or until an earlier time at which it was marked before.
+    pub fn mark_missing(&mut self, id: &str, left: Duration, now: Instant) {
+        let until = now + left.min(RECONNECT_GRACE);
         if let Some(entry) = self.entries.get_mut(id) {
             let missing_until = entry.missing_until.get_or_insert(until);
             *missing_until = until.min(*missing_until);
--- a/tests/permit_rules.rs
+++ b/tests/permit_rules.rs
@@ -244,3 +244,16 @@
     let known = Record::after_report(known, &report(Some(2.0), u32::MAX), after(1000));
     assert_eq!(limit_of(known), None, "an age before the start");
 }
+
+#[test]
+fn waits_in_replies_of_other_daemons_are_bounded() {
+    for permit in [
+        Permit::Granted(Duration::MAX),
+        Permit::Denied(Duration::MAX),
+    ] {
+        let (Permit::Granted(wait) | Permit::Denied(wait)) = permit.within_bounds();
+        assert!(wait <= Duration::from_secs(60), "{permit:?}");
+    }
+    let allowed = Permit::Granted(Duration::from_millis(400));
+    assert_eq!(allowed.within_bounds(), allowed);
+}
--- a/tests/roster_rules.rs
+++ b/tests/roster_rules.rs
@@ -187,6 +187,17 @@
     }
 }
 
+#[test]
+fn missing_entries_of_other_daemons_end_with_the_grace_period() {
+    let now = Instant::now();
+    let mut roster = Roster::default();
+    roster.replace(vec![upstream("a", "z")], false, now);
+    roster.mark_missing("a", Duration::MAX, now);
+    let end = now + RECONNECT_GRACE;
+    assert_eq!(ids(&roster, end - Duration::from_millis(1)), ["a"]);
+    assert_eq!(roster.expire(end), [Arc::from("a")]);
+}
+
 #[test]
 fn an_upstream_that_has_left_does_not_come_back_with_the_state_of_a_daemon_that_misses_it() {
     let now = Instant::now();
