Seed the connections that send copies in tests

Four tests of copies of answers drew what an upstream or another daemon does from a generator without a seed, although what a run of all tests plays is to be seeded. Each connection now has a generator whose seed follows from its number; PRIMROSEHOIST_SEED draws others by hand (copies_beside_cuts takes it from its own seed). Which call meets which connection still depends on the schedule. No check or bound is changed.

--- a/crates/primrosehoist-tests/tests/copies_at_any_time.rs
+++ b/crates/primrosehoist-tests/tests/copies_at_any_time.rs
@@ -1,4 +1,6 @@
 //! Tests that a call that must run once does so, while upstreams send any answer twice at any time.
+//!
+//! `PRIMROSEHOIST_SEED` sets the seed.
 
 mod common;
 
@@ -8,9 +10,11 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use common::calls::setting;
 use common::platform::{Deployment, Request, send};
 use common::scripted::{refusal, success};
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use serde_json::json;
 
 const CALLERS: usize = 16;
@@ -36,12 +40,12 @@
     id.lines().next().map(str::to_owned)
 }
 
-fn serve(mut connection: TcpStream, shared: &Mutex<Shared>) {
+fn serve(mut connection: TcpStream, mut rng: StdRng, shared: &Mutex<Shared>) {
     let _nodelay = connection.set_nodelay(true);
     let mut late = String::new();
     while let Some(id) = read_id(&mut connection) {
         let mut shared_now = shared.lock().unwrap_or_else(PoisonError::into_inner);
-        let refuses = rand::rng().random_bool(0.3);
+        let refuses = rng.random_bool(0.3);
         let mut bytes = std::mem::take(&mut late);
         shared_now.copies.1 += usize::from(!bytes.is_empty());
         let answer = if refuses {
@@ -51,15 +55,15 @@
             success(&id) + "Content-Length: 4\r\n\r\ndone"
         };
         drop(shared_now);
-        std::thread::sleep(Duration::from_micros(rand::rng().random_range(0..8000)));
+        std::thread::sleep(Duration::from_micros(rng.random_range(0..8000)));
         bytes += &answer;
         // The copy of a success may be a refusal as well.
-        let copy = if rand::rng().random_bool(0.5) {
+        let copy = if rng.random_bool(0.5) {
             refusal(&id)
         } else {
             answer
         };
-        let when = rand::rng().random_range(0..10);
+        let when = rng.random_range(0..10);
         if when == 0 {
             bytes += &copy;
         }
@@ -67,7 +71,7 @@
             return;
         }
         if when == 1 {
-            std::thread::sleep(Duration::from_micros(rand::rng().random_range(0..3000)));
+            std::thread::sleep(Duration::from_micros(rng.random_range(0..3000)));
             let _copied = connection.write_all(copy.as_bytes());
         }
         if when < 2 {
@@ -88,6 +92,7 @@
         deployment.delete("servers", &runner.id);
     }
     let shared = Arc::new(Mutex::new(Shared::default()));
+    let seed = setting("PRIMROSEHOIST_SEED", 1);
     for number in 0..3 {
         let listener = TcpListener::bind("127.0.0.1:0").expect("binds");
         let address = listener.local_addr().expect("has an address").to_string();
@@ -95,9 +100,10 @@
         deployment.put("servers", &format!("upstream-{number}"), &entry);
         let shared = Arc::clone(&shared);
         std::thread::spawn(move || {
-            for connection in listener.incoming().flatten() {
+            for (connection, count) in listener.incoming().flatten().zip(0..) {
+                let rng = StdRng::seed_from_u64(seed << 32 | number << 24 | count);
                 let shared = Arc::clone(&shared);
-                std::thread::spawn(move || serve(connection, &shared));
+                std::thread::spawn(move || serve(connection, rng, &shared));
             }
         });
     }
--- a/crates/primrosehoist-tests/tests/copies_beside_cuts.rs
+++ b/crates/primrosehoist-tests/tests/copies_beside_cuts.rs
@@ -94,9 +94,8 @@
     }
 }
 
-fn serve(mut connection: TcpStream, shared: &Mutex<Shared>) -> Option<()> {
+fn serve(mut connection: TcpStream, mut rng: StdRng, shared: &Mutex<Shared>) -> Option<()> {
     let _nodelay = connection.set_nodelay(true);
-    let mut rng = rand::rng();
     let mut late = String::new();
     let mut refused: Vec<String> = Vec::new();
     while let Some((id, length)) = read_head(&mut connection) {
@@ -154,13 +153,14 @@
 }
 
 /// Starts an upstream at `address`.
-fn start(address: &str, shared: &Arc<Mutex<Shared>>) {
+fn start(seed: u64, address: &str, shared: &Arc<Mutex<Shared>>) {
     let listener = TcpListener::bind(address).expect("binds");
     let shared = Arc::clone(shared);
     std::thread::spawn(move || {
-        for connection in listener.incoming().flatten() {
+        for (connection, count) in listener.incoming().flatten().zip(0..) {
+            let rng = StdRng::seed_from_u64(seed << 24 | count);
             let shared = Arc::clone(&shared);
-            std::thread::spawn(move || serve(connection, &shared));
+            std::thread::spawn(move || serve(connection, rng, &shared));
         }
     });
 }
@@ -277,7 +277,7 @@
             for id in ["upstream", "successor"] {
                 deployment.put("servers", &format!("{id}-{number}"), &entry);
             }
-            start(&address, &shared);
+            start(seed << 8 | number as u64, &address, &shared);
             address
         })
         .collect();
--- a/crates/primrosehoist-tests/tests/copies_on_hops.rs
+++ b/crates/primrosehoist-tests/tests/copies_on_hops.rs
@@ -1,5 +1,7 @@
 //! Tests that a daemon that is cut off from all upstreams believes what another daemon says of a request
 //! only for the sending that it answers. The test answers in the name of the other daemon.
+//!
+//! `PRIMROSEHOIST_SEED` sets the seed.
 
 mod common;
 
@@ -10,12 +12,14 @@
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
+use common::calls::setting;
 use common::links::{Links, Mode};
 use common::platform::{Request, send, wait_until};
 use common::scripted::success;
 use http::HeaderMap;
 use primrosehoist::protocol::handover::{self, Outcome};
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 const CALLERS: usize = 12;
 const DURATION: Duration = Duration::from_secs(6);
@@ -102,9 +106,8 @@
 }
 
 /// Answers sendings of requests, and sends answers twice.
-fn serve(mut connection: TcpStream, shared: &Mutex<Shared>) -> Option<()> {
+fn serve(mut connection: TcpStream, mut rng: StdRng, shared: &Mutex<Shared>) -> Option<()> {
     let _nodelay = connection.set_nodelay(true);
-    let mut rng = rand::rng();
     let mut late = String::new();
     while let Some((id, sending)) = read_request(&mut connection) {
         let outcome = match rng.random_range(0..20) {
@@ -174,10 +177,12 @@
     let listener = TcpListener::bind((other.as_str(), OTHER_PORT + 1)).expect("binds");
     let shared = Arc::new(Mutex::new(Shared::default()));
     let shared_here = Arc::clone(&shared);
+    let seed = setting("PRIMROSEHOIST_SEED", 1);
     std::thread::spawn(move || {
-        for connection in listener.incoming().flatten() {
+        for (connection, count) in listener.incoming().flatten().zip(0..) {
+            let rng = StdRng::seed_from_u64(seed << 32 | count);
             let shared = Arc::clone(&shared_here);
-            std::thread::spawn(move || serve(connection, &shared));
+            std::thread::spawn(move || serve(connection, rng, &shared));
         }
     });
     deployment.start_daemon(0);
--- a/tests/leftover_bytes.rs
+++ b/tests/leftover_bytes.rs
@@ -11,7 +11,8 @@
 use primrosehoist::transport::http::body::discard;
 use primrosehoist::transport::http::upstream::{Gate, Pool};
 use primrosehoist::transport::http::{BoxError, Payload};
-use rand::RngExt;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
@@ -111,17 +112,15 @@
     let read: Arc<Mutex<HashSet<String>>> = Arc::default();
     let received = Arc::clone(&read);
     tokio::spawn(async move {
+        let mut seeds = 0..;
         while let Ok((mut stream, _)) = listener.accept().await {
             let received = Arc::clone(&received);
+            let mut rng = StdRng::seed_from_u64(seeds.next().expect("is endless"));
             tokio::spawn(async move {
                 let _nodelay = stream.set_nodelay(true);
                 while let Some(id) = read_id(&mut stream).await {
                     received.lock().expect("not poisoned").insert(id.clone());
-                    let status = if rand::rng().random_bool(0.2) {
-                        503
-                    } else {
-                        200
-                    };
+                    let status = if rng.random_bool(0.2) { 503 } else { 200 };
                     if stream
                         .write_all(answer(status, &id).as_bytes())
                         .await
@@ -129,8 +128,8 @@
                     {
                         return;
                     }
-                    if rand::rng().random_bool(0.3) {
-                        for _ in 0..rand::rng().random_range(0..3000) {
+                    if rng.random_bool(0.3) {
+                        for _ in 0..rng.random_range(0..3000) {
                             std::hint::spin_loop();
                         }
                         let _copied = stream.write_all(answer(503, &id).as_bytes()).await;
