Let a request use free capacity when it would be refused otherwise

Callers saw 503 (`full`) although capacity was free, and the log named a shortage that there was none: at the end of its time in the queue, a request that polled and found capacity had to leave it to those ahead of it, as at any other poll, and was then refused. One that was woken when another had taken its turn was refused without a look.

Found by reading. Whether a request looks, and whether it uses what it finds, is now decided in coordination::turn::Look; with the rule as it was, request_about_to_be_refused_uses_what_is_free fails, and the other tests of Look pass.

When its time is over, a request that has waited looks and uses what it finds, so that a refusal always follows a look that found nothing. Those ahead of it still have time to wait. One that arrives when its time is over already looks only if it has a turn, as before. Whether the time is over is read once, before the look: a request cannot leave capacity to others and be refused in the same pass. Selections are otherwise as before. turn_rules and takeover pass.

--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -6,6 +6,7 @@
 use primrosehoist::coordination::assign::{self, Candidate, Choice};
 use primrosehoist::coordination::peers::Scope;
 use primrosehoist::coordination::permit;
+use primrosehoist::coordination::turn::Look;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::occupancy::Load;
 use primrosehoist::state::partition::Partitions;
@@ -134,7 +135,7 @@
     let mut turn_at = Instant::now();
     let mut polls = false;
     let mut refusal = Refusal::Full;
-    let mut is_logged = false;
+    let mut is_new = true;
     let turn_wait_max = TURN_WAIT_MAX.min(queue_time_max.mul_f64(TURN_WAIT_SHARE));
     let was_cut_off = context.is_cut_off();
     loop {
@@ -152,15 +153,20 @@
             resumes,
             is_wide: Instant::now() >= wide_at,
         };
-        let has_turn = queued.has_turn();
-        if has_turn || polls {
-            // What a poll finds has become free unnoticed, so that those ahead go first.
-            let may_use =
-                (has_turn && (!polls || queued.is_first())) || turn_at.elapsed() >= turn_wait_max;
+        let is_over = Instant::now() >= give_up_at;
+        let look = Look {
+            has_turn: queued.has_turn(),
+            is_first: queued.is_first(),
+            polls,
+            has_waited: turn_at.elapsed() >= turn_wait_max,
+            // One that arrives too late has not waited, and does not overtake those that do.
+            is_last: is_over && !is_new,
+        };
+        if look.is_due() {
             match try_select(context, job, excluded, &waiting) {
-                Ok(_selection) if !may_use => {
+                Ok(_selection) if !look.may_use() => {
                     // Otherwise a round is under way.
-                    if has_turn {
+                    if look.has_turn {
                         queued.restart_round();
                     }
                 }
@@ -180,7 +186,7 @@
                     if waiting.is_wide {
                         wide_at = Instant::now() + WIDE_INTERVAL;
                     }
-                    if has_turn {
+                    if look.has_turn {
                         turn_at = Instant::now();
                     }
                     if refusal == Refusal::NoUpstream
@@ -195,14 +201,14 @@
                 }
             }
         }
-        if Instant::now() >= give_up_at {
+        if is_over {
             if refusal == Refusal::Full {
                 log_shortage(context, job, excluded, &waiting);
             }
             return Err(refusal);
         }
-        if !is_logged {
-            is_logged = true;
+        if is_new {
+            is_new = false;
             log_queued(job, overdue);
         }
         polls = !queued.woken().await;
--- a/src/coordination/turn.rs
+++ b/src/coordination/turn.rs
@@ -16,6 +16,39 @@
     passed: Option<R>,
 }
 
+/// What decides whether a request that waits looks for capacity, and whether it uses what it finds.
+#[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "they are independent of each other"
+)]
+pub struct Look {
+    /// Whether all requests ahead of it have had their turn in this round.
+    pub has_turn: bool,
+    /// Whether no request is ahead of it.
+    pub is_first: bool,
+    /// Whether it woke up by itself. What it finds then has become free unnoticed.
+    pub polls: bool,
+    /// Whether it has left capacity to those ahead of it for as long as it may.
+    pub has_waited: bool,
+    /// Whether its time to wait is over, so that it is refused unless it uses what it finds.
+    pub is_last: bool,
+}
+
+impl Look {
+    /// Returns whether the request looks for capacity at all.
+    pub fn is_due(self) -> bool {
+        self.has_turn || self.polls || self.is_last
+    }
+
+    /// Returns whether the request uses the capacity that it finds, rather than leave it to those
+    /// ahead of it.
+    pub fn may_use(self) -> bool {
+        let at_turn = self.has_turn && (!self.polls || self.is_first);
+        at_turn || self.has_waited || self.is_last
+    }
+}
+
 impl<R, H> Default for Round<R, H> {
     fn default() -> Self {
         Self {
--- a/tests/turn_rules.rs
+++ b/tests/turn_rules.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use primrosehoist::coordination::turn::Round;
+use primrosehoist::coordination::turn::{Look, Round};
 use primrosehoist_property::check;
 
 fn round(ranks: &[u8]) -> Round<u8, u8> {
@@ -68,6 +68,54 @@
     assert!(round.is_empty());
 }
 
+/// A look for capacity by a request that was notified at its turn.
+const AT_TURN: Look = Look {
+    has_turn: true,
+    is_first: false,
+    polls: false,
+    has_waited: false,
+    is_last: false,
+};
+
+#[test]
+fn request_uses_what_it_finds_at_its_turn() {
+    assert!(AT_TURN.is_due() && AT_TURN.may_use());
+    let woken_early = Look {
+        has_turn: false,
+        ..AT_TURN
+    };
+    assert!(!woken_early.is_due());
+}
+
+#[test]
+fn request_that_polls_leaves_what_it_finds_to_those_ahead_of_it() {
+    let poll = Look {
+        polls: true,
+        ..AT_TURN
+    };
+    for has_turn in [false, true] {
+        let poll = Look { has_turn, ..poll };
+        assert!(poll.is_due() && !poll.may_use());
+        let has_waited = true;
+        assert!(Look { has_waited, ..poll }.may_use());
+    }
+    let is_first = true;
+    assert!(Look { is_first, ..poll }.may_use());
+}
+
+#[test]
+fn request_about_to_be_refused_uses_what_is_free() {
+    for (has_turn, polls) in [(false, false), (false, true), (true, false), (true, true)] {
+        let last = Look {
+            has_turn,
+            polls,
+            is_last: true,
+            ..AT_TURN
+        };
+        assert!(last.is_due() && last.may_use(), "{last:?}");
+    }
+}
+
 #[test]
 fn no_request_overtakes_another_and_each_round_reaches_all() {
     check(1_500, |random| {
