Rank overdue requests behind all others, whatever their priority

A request that missed its latency objective was served before others that could still meet theirs, if its priority was better by more than 1,000: being overdue added 1,000 to the priority, which operators choose freely. Near the largest number the addition overflowed. In debug builds the caller then got no answer; in release builds the sum would wrap to a low number (by reading).

request_of_the_lowest_priority_is_served_beyond_its_objective failed with `attempt to add with overflow` in the daemon's log, and passes now.

The rank is a struct (coordination::turn::Rank) whose first field is whether the request is overdue, so that the order holds for all priorities and nothing is added. For priorities that differ by less than 1,000 the order is as before. turn_rules and takeover pass.

--- a/crates/primrosehoist-daemon/src/gateway/queue.rs
+++ b/crates/primrosehoist-daemon/src/gateway/queue.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use primrosehoist::coordination::turn::Round;
+use primrosehoist::coordination::turn::{Rank, Round};
 use primrosehoist::state::map::Map;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
@@ -14,10 +14,6 @@
 /// passage of time also free capacity, without a wake-up.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// The order of the queue: by priority, requests of other daemons last, then by the time of the latency
-/// objective, then by arrival.
-type Rank = (u64, bool, Instant, u64);
-
 /// A priority queue of waiting requests.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
@@ -38,17 +34,22 @@
 }
 
 impl Queue {
-    /// Inserts a request for `service` with `priority`, ahead of those of the same priority that are
-    /// due later or, if it is not, `handed_over` by other daemons.
+    /// Inserts a request for `service`, which may be `overdue`, in the order of [`Rank`].
     pub(crate) fn insert(
         &self,
         service: &Arc<str>,
+        overdue: bool,
         priority: u64,
         handed_over: bool,
         due: Instant,
     ) -> Entry<'_> {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        let rank = (priority, handed_over, due, number);
+        let rank = Rank {
+            overdue,
+            priority,
+            handed_over,
+            due,
+            number: self.next_number.fetch_add(1, Ordering::Relaxed),
+        };
         let notify = Arc::new(Notify::new());
         let mut lines = self.lines.lock();
         let line = lines.entry(Arc::clone(service)).or_default();
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -40,10 +40,6 @@
 /// are ignored as outdated. Each daemon gossips twice a second at least.
 const CONTACT_AGE_MAX: Duration = Duration::from_millis(1500);
 
-/// Added to the priority of a request that missed its latency objective, so that requests that
-/// can still meet theirs go first.
-const OVERDUE_RANK_OFFSET: u64 = 1000;
-
 /// The share of the remaining time that a request may spend in the queue. The rest is left for a
 /// retry by the client.
 const QUEUE_TIME_SHARE: f64 = 0.5;
@@ -119,15 +115,11 @@
     // A client that has received part of its response soon gives up on the rest, so a resumed
     // request is never ranked as overdue.
     let mut overdue = !resumes && Instant::now() >= job.due();
-    let rank = |overdue| match (resumes, overdue) {
-        (true, _) => 0,
-        (false, false) => job.priority,
-        (false, true) => job.priority + OVERDUE_RANK_OFFSET,
-    };
+    let priority = if resumes { 0 } else { job.priority };
     let enqueue = |overdue| {
         let (service, handed_over) = (&job.service.name, job.entry.is_some());
         let queue = &context.queue;
-        queue.insert(service, rank(overdue), handed_over, job.due())
+        queue.insert(service, overdue, priority, handed_over, job.due())
     };
     let mut queued = enqueue(overdue);
     let mut needs_jitter = false;
--- a/crates/primrosehoist-tests/tests/takeover.rs
+++ b/crates/primrosehoist-tests/tests/takeover.rs
@@ -512,6 +512,38 @@
     assert!(!log.contains("no capacity in time"), "one was given up");
 }
 
+#[test]
+fn request_of_the_lowest_priority_is_served_beyond_its_objective() {
+    let deployment = Deployment::ready(2);
+    let mut lowest = configuration(2);
+    lowest["Tenants"][0]["Priority"] = Value::from(u64::MAX);
+    lowest["Routes"][0]["TimeoutMs"] = Value::from(60_000);
+    deployment.configure(&lowest);
+    std::thread::sleep(Duration::from_millis(900));
+    let handover = handover::Request {
+        remaining: Duration::from_secs(60),
+        ..handover()
+    };
+    let streams: Vec<TcpStream> = (0..HANDOVERS_MAX)
+        .map(|_| {
+            let mut request = Request::stream(100, 1000);
+            request.headers[0].1 = "60000".to_owned();
+            start(&deployment, &request, &headers(&handover))
+        })
+        .collect();
+    let own = Request::stream(100, 4);
+    let mut own_stream = start_request(&deployment.daemons[0].ingress, &own);
+    wait_until("the request is queued", || {
+        !logged(&deployment.logged(0, &own.id), "queued").is_empty()
+    });
+    // Its objective is 0.4 s.
+    std::thread::sleep(Duration::from_millis(800));
+    drop(streams);
+    let response = receive(&mut own_stream);
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(response.events(), event_ids(4));
+}
+
 #[test]
 fn burst_of_connections_to_a_paused_daemon_is_not_dropped() {
     let deployment = Deployment::ready(2);
--- a/src/coordination/turn.rs
+++ b/src/coordination/turn.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
+use tokio::time::Instant;
+
 /// The requests that wait, each with a handle by which it is notified, and a round of turns.
 #[derive(Debug)]
 pub struct Round<R, H> {
@@ -16,6 +18,21 @@
     passed: Option<R>,
 }
 
+/// The place of a request in the queue. The order of the fields is that of the queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Whether it missed its latency objective. Those that can still meet theirs go first.
+    pub overdue: bool,
+    /// The priority; 0 is the highest.
+    pub priority: u64,
+    /// Whether another daemon handed it over.
+    pub handed_over: bool,
+    /// When it misses its latency objective.
+    pub due: Instant,
+    /// The number of its arrival.
+    pub number: u64,
+}
+
 /// What decides whether a request that waits looks for capacity, and whether it uses what it finds.
 #[derive(Debug, Clone, Copy)]
 #[expect(
--- a/tests/turn_rules.rs
+++ b/tests/turn_rules.rs
@@ -1,9 +1,11 @@
 //! Tests in which order requests that wait for capacity may look for it.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
-use primrosehoist::coordination::turn::{Look, Round};
+use primrosehoist::coordination::turn::{Look, Rank, Round};
 use primrosehoist_property::check;
+use tokio::time::Instant;
 
 fn round(ranks: &[u8]) -> Round<u8, u8> {
     let mut round = Round::default();
@@ -26,6 +28,27 @@
     assert!(round.has_turn(9));
 }
 
+#[test]
+fn overdue_request_goes_behind_all_that_can_still_meet_their_objective() {
+    let overdue = Rank {
+        overdue: true,
+        priority: 1,
+        handed_over: false,
+        due: Instant::now(),
+        number: 0,
+    };
+    for priority in [0, 1, 1_500, u64::MAX] {
+        let timely = Rank {
+            overdue: false,
+            priority,
+            handed_over: true,
+            due: overdue.due + Duration::from_secs(1),
+            number: 1,
+        };
+        assert!(timely < overdue, "{timely:?}");
+    }
+}
+
 #[test]
 fn request_that_wakes_up_by_itself_does_not_overtake_one_ahead_of_it() {
     let mut round = round(&[2, 5]);
