Count no crash while a host may be cut off itself

Callers saw 503 (crashes_upstreams) for sound prompts, also at hosts that were not cut off: prompts that share a part were running when the links of four hosts were reset 150 ms apart.

Cause: a lost answer and a refused connection counted as a crash of the upstream until a probe had shown that the host is cut off, and other daemons were told. A host that has just probed, since another one became cut off, does not probe for a second. Three such crashes, 100 ms apart, quarantine the part.

Why it works: an upstream counts as crashed only if another one can be connected to, or there are fewer than two others, as for a probe. The time of the crash is that of the refusal, so that crashes that are one still count as one.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -313,12 +313,8 @@
             return Failure::Unsent;
         }
         self.record(upstream, Observation::Unreachable);
-        if !handed && self.context.is_cut_off() {
-            return Failure::Unsent;
-        }
         if !handed {
-            let mut crashes = self.context.crashes.lock();
-            crashes.upstream_down(&upstream.id, Instant::now());
+            self.suspect_down(upstream);
             return Failure::Unsent;
         }
         self.suspect_crash(upstream, false);
--- a/crates/primrosehoist-daemon/src/gateway/observation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/observation.rs
@@ -8,7 +8,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{Attempts, CONNECT_TIMEOUT};
-use super::job;
+use super::{job, reach};
 
 impl Attempts {
     /// Records that the connection broke after the request was sent, so that the request may have
@@ -31,15 +31,31 @@
             let (context, upstream) = (Arc::clone(&self.context), Arc::clone(upstream));
             tokio::spawn(async move {
                 let refuses = refuses_connections(upstream.address, CONNECT_TIMEOUT).await;
-                if refuses && !context.is_cut_off() {
+                let refused_at = Instant::now();
+                if refuses && reach::may_be_down(&context, &upstream.id).await {
                     log::info!(upstream = upstream.id.as_ref(); "upstream refuses connections");
                     let mut crashes = context.crashes.lock();
-                    crashes.upstream_down(&upstream.id, Instant::now());
+                    crashes.upstream_down(&upstream.id, refused_at);
                 }
             });
         }
     }
 
+    /// Records that `upstream` could not be connected to, so that its suspects may have crashed it.
+    pub(crate) fn suspect_down(&self, upstream: &Arc<Upstream>) {
+        if !self.context.crashes.lock().has_suspects(&upstream.id) {
+            return;
+        }
+        let (context, upstream) = (Arc::clone(&self.context), Arc::clone(upstream));
+        let failed_at = Instant::now();
+        tokio::spawn(async move {
+            if reach::may_be_down(&context, &upstream.id).await {
+                let mut crashes = context.crashes.lock();
+                crashes.upstream_down(&upstream.id, failed_at);
+            }
+        });
+    }
+
     /// Records that an upstream has survived the start of an answer, so that no part of the prompt
     /// crashes upstreams.
     pub(crate) fn absolve_parts(&self) {
--- a/crates/primrosehoist-daemon/src/gateway/reach.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reach.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use primrosehoist::state::reach::{self, Change};
+use primrosehoist::state::reach::{self, Change, PROBED_MIN};
 use primrosehoist::state::roster::Upstream;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::context::Context;
 
@@ -17,6 +17,10 @@
 /// ends before the kernel retransmits a lost SYN after a second.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// How long after an upstream is found down others are connected to. The links of a host do not all
+/// break at the same moment.
+const SPREAD_DELAY: Duration = Duration::from_millis(50);
+
 /// An attempt that waits for what an upstream sends. Dropping it ends the wait.
 pub(crate) struct Waiting {
     context: Arc<Context>,
@@ -101,6 +105,22 @@
     reached.into_iter().filter(|reached| *reached).count()
 }
 
+/// Returns whether a failure to connect to `upstream` may be its own: others can be connected to, or are
+/// too few to tell.
+pub(crate) async fn may_be_down(context: &Context, upstream: &str) -> bool {
+    sleep(SPREAD_DELAY).await;
+    if context.is_cut_off() {
+        return false;
+    }
+    let (first, others) = targets(context, Instant::now());
+    let is_other = |target: &Arc<Upstream>| target.id.as_ref() != upstream;
+    let first: Vec<_> = first.into_iter().filter(is_other).collect();
+    let others: Vec<_> = others.into_iter().filter(is_other).collect();
+    first.len() + others.len() < PROBED_MIN
+        || connect(context, &first).await > 0
+        || connect(context, &others).await > 0
+}
+
 async fn probe(context: &Context) {
     let (mut targets, others) = targets(context, Instant::now());
     let mut reached = connect(context, &targets).await;
--- a/crates/primrosehoist-tests/tests/cut_off_cases.rs
+++ b/crates/primrosehoist-tests/tests/cut_off_cases.rs
@@ -424,3 +424,52 @@
     drop(first);
     assert_eq!(statuses, [200; 8]);
 }
+
+/// Returns a prompt with the parts `shared` and one of its own.
+fn prompt(number: usize, shared: &str) -> Request {
+    let mut request = Request::stream(5000, 8);
+    request.body = format!("prompt {number}").into_bytes();
+    let parts = format!("{shared}:100,{number:08x}:100");
+    request.headers.push(("X-Prompt-Prefix", parts));
+    "2500".clone_into(&mut request.headers[0].1);
+    request
+}
+
+/// Guards against prompts that are refused as if they crashed upstreams, although only the links of
+/// hosts broke, one host after the other.
+#[test]
+fn part_of_prompts_that_run_during_cuts_is_not_quarantined() {
+    let zones = ["zone-a", "zone-a", "zone-a", "zone-a", "zone-b"];
+    let (deployment, links) = Links::deployment(&zones);
+    deployment.set_fault_on_all("hang", 24);
+    let cut = 0..4;
+    let sent: Vec<TcpStream> = (0..48)
+        .map(|number| {
+            let address = &deployment.daemons[number % cut.len()].ingress;
+            start_request(address, &prompt(number, "0000cafe"))
+        })
+        .collect();
+    sleep(Duration::from_millis(300));
+    for daemon in cut {
+        // The links of a host break at one moment, so that no new connection is made after a reset.
+        links.set(daemon, Mode::Refuse);
+        links.set(daemon, Mode::Reset);
+        // Longer than the time within which crashes count as one.
+        sleep(Duration::from_millis(150));
+    }
+    for number in 48..58 {
+        let address = &deployment.daemons[number % zones.len()].ingress;
+        send(address, &prompt(number, "0000cafe"));
+    }
+    drop(sent);
+    let count = |message: &str| -> Vec<usize> {
+        let daemons = 0..zones.len();
+        let counts = daemons.map(|daemon| log(&deployment, daemon).matches(message).count());
+        counts.collect()
+    };
+    let refused = count("crashes_upstreams");
+    // Each counts as a crash of the prompts that ran there.
+    let crashes = count("upstream refuses connections");
+    println!("refused {refused:?}, crashes {crashes:?}");
+    assert_eq!((refused, crashes), (vec![0; 5], vec![0; 5]));
+}
--- a/src/state/crash.rs
+++ b/src/state/crash.rs
@@ -157,6 +157,12 @@
         is_first
     }
 
+    /// Returns whether `upstream` has suspects.
+    pub fn has_suspects(&self, upstream: &str) -> bool {
+        let mut suspects = self.suspects.iter();
+        suspects.any(|suspect| suspect.upstream.as_ref() == upstream)
+    }
+
     /// Records that `upstream` is down, and a crash for each of its recent suspects.
     pub fn upstream_down(&mut self, upstream: &str, now: Instant) {
         let (down, others) = std::mem::take(&mut self.suspects)
--- a/src/state/reach.rs
+++ b/src/state/reach.rs
@@ -45,7 +45,7 @@
 
 /// Upstreams that must be probed in vain before the host is considered cut off. A single one may
 /// have crashed.
-const PROBED_MIN: usize = 2;
+pub const PROBED_MIN: usize = 2;
 
 /// A change of whether the host is cut off.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
