Claim the addresses of deployments in tests

Two test programs whose process ids are equal modulo 200 used the same loopback addresses: the second store and its daemons did not start, and both programs sent to the same processes. So did a program after another one that was killed and left its processes behind. Deployments now bind a port of their network for as long as they live, and skip networks that are claimed or whose store already listens. They also use other numbers than fleets do.

--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -2,7 +2,7 @@
 
 use std::fs;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -14,6 +14,13 @@
 static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
 static REQUESTS: AtomicU32 = AtomicU32::new(1);
 
+/// The second numbers of the addresses of deployments, above those of [`super::Fleet`].
+const FIRST_NETWORK: u32 = 130;
+const NETWORKS: u32 = 100;
+
+/// The port that is bound while a network is in use.
+const CLAIM_PORT: u16 = 7099;
+
 /// The value of the `Host` header.
 pub const HOST: &str = "rope.example";
 /// The key of the workspace `rope`.
@@ -238,6 +245,8 @@
     pub runners: Vec<Runner>,
     pub directory: PathBuf,
     _store: Process,
+    // Dropped after the process of the store.
+    _claim: UdpSocket,
 }
 
 impl Deployment {
@@ -272,7 +281,7 @@
         let own = std::process::id();
         let directory = std::env::temp_dir().join(format!("primrosehoist-users-{own}-{number}"));
         fs::create_dir_all(&directory).expect("failed to create the directory");
-        let network = format!("127.{}.{number}", 10 + own % 200);
+        let (network, claim) = claim_network(own, number);
         let store = format!("{network}.1:7100");
         let second_store = format!("{network}.1:7101");
         let arguments = to_strings(&["store", "--listen", &store, "--also", &second_store]);
@@ -286,6 +295,7 @@
             runners: Vec::new(),
             directory,
             _store: process,
+            _claim: claim,
         };
         for (index, zone) in ["zone-a", "zone-a", "zone-b"].into_iter().enumerate() {
             deployment.runners.push(Runner {
@@ -492,6 +502,23 @@
     }
 }
 
+/// Returns the first three numbers of addresses that no other deployment on this machine uses, and a
+/// socket that keeps them from others.
+///
+/// Other test programs run at the same time, and those that were killed leave processes behind.
+fn claim_network(own: u32, number: u8) -> (String, UdpSocket) {
+    let networks = (0..NETWORKS).map(|step| {
+        let second = FIRST_NETWORK + (own + step) % NETWORKS;
+        format!("127.{second}.{number}")
+    });
+    let mut claimed = networks.filter_map(|network| {
+        let claim = UdpSocket::bind(format!("{network}.250:{CLAIM_PORT}")).ok()?;
+        let is_free = TcpStream::connect(format!("{network}.1:7100")).is_err();
+        is_free.then_some((network, claim))
+    });
+    claimed.next().expect("no network is free")
+}
+
 impl Drop for Deployment {
     fn drop(&mut self) {
         if std::thread::panicking() {
