Explain what readers of the hop and the queue stumbled over

Comments only: what counts as an attempt, which connections to the store are kept, what an answer of a daemon that is cut off becomes, and how a request that is placed passes its turn on.

--- a/crates/primrosehoist-daemon/src/gateway/answer.rs
+++ b/crates/primrosehoist-daemon/src/gateway/answer.rs
@@ -48,7 +48,7 @@
     /// The request did not run and will not run.
     NotRun(&'static str),
     /// This daemon, to which the request was handed, is cut off itself. The request did not run here,
-    /// and another daemon may take it.
+    /// and another daemon may take it: the answer is [`Outcome::Busy`].
     CutOff,
     /// The request may have run.
     Uncertain(&'static str),
--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -60,7 +60,7 @@
     pub(crate) job: Arc<Job>,
     failover: Failover,
     excluded: Set<Arc<str>>,
-    /// The number of attempts made so far.
+    /// The number of attempts made so far, and of daemons that the request was handed to.
     pub(crate) count: u32,
     /// The last error response of an upstream.
     reported: Option<BufferedResponse>,
--- a/crates/primrosehoist-daemon/src/gateway/handover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/handover.rs
@@ -136,6 +136,7 @@
             error;
             "no response from daemon"
         );
+        // Only what was handed over may have run there.
         match (handed, is_expired) {
             (true, true) => Handed::Ended(Unanswered::Expired(true)),
             (true, false) => Handed::Ended(Unanswered::Uncertain("peer")),
--- a/crates/primrosehoist-daemon/src/gateway/selection.rs
+++ b/crates/primrosehoist-daemon/src/gateway/selection.rs
@@ -162,6 +162,7 @@
                         queued.restart_round();
                     }
                 }
+                // Dropping its entry in the queue passes its turn on.
                 Ok(selection) if !needs_jitter => return Ok(selection.place(context, job)),
                 Ok(_selection) => {
                     // It must not hold up those behind it meanwhile.
--- a/src/transport/platform/endpoint.rs
+++ b/src/transport/platform/endpoint.rs
@@ -74,7 +74,7 @@
             let (head, body) = response.into_parts();
             let response = read(operation, body).await?;
             check_status(operation, &head)?;
-            // A refusal may come twice, so its connection is closed.
+            // A refusal may come twice, so only the connection of a success is kept.
             self.pool.put_idle(connection);
             Ok((head.headers, response))
         };
