Write the last log lines of the platform's daemon before it ends

What operators saw: nothing. A start that met a held port ended with exit 1 and an empty log in 5 of 6 cases, a settings file that was not whole with exit 2 and an empty log, and each shutdown lacked its last line. Cause: the log is written by a thread of its own, and main returned before that thread had written what was queued. Change: the running log is a value whose drop waits until the queue is written, for a second at most, since nobody may be reading it. A panic is a line of the log of both daemons too, with its place; it went to standard error only.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -62,8 +62,8 @@
 use self::reload::Reload;
 use self::store_sync::Feed;
 use crate::clock::unix_ms;
-use crate::log_queue;
 use crate::metrics::Metrics;
+use crate::{log_queue, logging};
 
 /// The maximum number of headers in a request.
 const HEADERS_MAX: usize = 100;
@@ -144,10 +144,14 @@
 
 /// Runs the daemon with the platform's settings file and returns the exit code.
 pub(crate) fn run(options: &Options) -> ExitCode {
-    if let Err(error) = log_queue::start(options.log_level) {
-        eprintln!("primrosehoistd: logging: {error}");
-        return ExitCode::FAILURE;
-    }
+    let _log = match log_queue::start(options.log_level) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("primrosehoistd: logging: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    logging::report_panics();
     let settings = match Settings::load(&settings::path()) {
         Ok(settings) => settings,
         Err(error) => {
--- a/crates/primrosehoist-daemon/src/log_queue.rs
+++ b/crates/primrosehoist-daemon/src/log_queue.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
-use std::time::SystemTime;
+use std::time::{Duration, Instant, SystemTime};
 
-use crossbeam::channel::Receiver;
+use crossbeam::channel::{Receiver, Sender};
 use log::{LevelFilter, SetLoggerError};
 use quick_error::quick_error;
 
@@ -25,6 +25,9 @@
 /// The size above which no more queued lines are added to a write, in bytes.
 const WRITE_BYTES: usize = 32 * 1024;
 
+/// How long the end of the process waits until the queued lines are written. Nobody may be reading them.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// An error that prevents logging from starting.
     #[derive(Debug)]
@@ -36,6 +39,28 @@
     }
 }
 
+/// What the writer thread receives.
+enum Entry {
+    Line(String),
+    /// Requests a message on the channel once all entries before are written.
+    Flush(Sender<()>),
+}
+
+/// The running log. Dropping it waits until the queued lines are written, or for a second.
+#[derive(Debug)]
+pub(crate) struct Log(Sender<Entry>);
+
+impl Drop for Log {
+    fn drop(&mut self) {
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
+        let (written, flushed) = crossbeam::channel::bounded(1);
+        let sent = self.0.send_deadline(Entry::Flush(written), deadline);
+        if sent.is_err() || flushed.recv_deadline(deadline).is_err() {
+            eprintln!("primrosehoistd: the last lines of the log were not written");
+        }
+    }
+}
+
 /// The lines that wait to be written.
 #[derive(Debug, Default)]
 struct Backlog {
@@ -69,13 +94,15 @@
 /// Installs a logger that writes records of `level` and above as JSON lines to standard output.
 ///
 /// Logging never blocks: a dedicated thread writes the lines. If it cannot keep up, lines are
-/// dropped, and a later line reports how many.
+/// dropped, and a later line reports how many. The end of the returned value waits for the lines
+/// before it.
 ///
 /// # Errors
 ///
 /// Fails if a logger is already installed or the thread cannot be started.
-pub(crate) fn start(level: LevelFilter) -> Result<(), Error> {
-    let (lines, queued) = crossbeam::channel::bounded::<String>(QUEUE_LINES);
+pub(crate) fn start(level: LevelFilter) -> Result<Log, Error> {
+    let (lines, queued) = crossbeam::channel::bounded(QUEUE_LINES);
+    let log = Log(lines.clone());
     let backlog = Arc::new(Backlog::default());
     let writer_backlog = Arc::clone(&backlog);
     thread::Builder::new()
@@ -85,7 +112,7 @@
     let output = fern::Output::call(move |record| {
         let line = logging::line(SystemTime::now(), record.args(), record);
         let bytes = line.len();
-        if backlog.add(bytes) && lines.try_send(line).is_err() {
+        if backlog.add(bytes) && lines.try_send(Entry::Line(line)).is_err() {
             backlog.drop_line(bytes);
         }
     });
@@ -95,23 +122,29 @@
         .level_for("hyper", level.min(LevelFilter::Warn))
         .chain(output)
         .apply()
-        .map_err(Error::Installed)
+        .map_err(Error::Installed)?;
+    Ok(log)
 }
 
 /// Writes `queued` lines until all senders are dropped, batching the lines that are available.
-fn write_lines<W>(queued: &Receiver<String>, backlog: &Backlog, output: &mut W)
+fn write_lines<W>(queued: &Receiver<Entry>, backlog: &Backlog, output: &mut W)
 where
     W: Write,
 {
     while let Ok(first) = queued.recv() {
-        let mut bytes = first.len();
-        let mut batch = first;
-        batch.push('\n');
-        while let Ok(line) = queued.try_recv() {
-            bytes += line.len();
-            batch.push_str(&line);
-            batch.push('\n');
-            if batch.len() > WRITE_BYTES {
+        let mut bytes = 0;
+        let mut batch = String::new();
+        let mut flushed = None;
+        for entry in std::iter::once(first).chain(queued.try_iter()) {
+            match entry {
+                Entry::Line(line) => {
+                    bytes += line.len();
+                    batch.push_str(&line);
+                    batch.push('\n');
+                }
+                Entry::Flush(written) => flushed = Some(written),
+            }
+            if flushed.is_some() || batch.len() > WRITE_BYTES {
                 break;
             }
         }
@@ -125,6 +158,10 @@
         let _result = output
             .write_all(batch.as_bytes())
             .and_then(|()| output.flush());
+        if let Some(written) = flushed {
+            // The receiver is gone if the process has waited long enough.
+            let _result = written.try_send(());
+        }
     }
 }
 
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -60,6 +60,7 @@
         eprintln!("primrosehoistd: logging: {error}");
         return ExitCode::FAILURE;
     }
+    logging::report_panics();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -224,10 +224,25 @@
     pub readiness: String,
     pub metrics: String,
     pub log: PathBuf,
-    settings: PathBuf,
+    pub settings: PathBuf,
     pub process: Option<Process>,
 }
 
+impl Daemon {
+    /// Starts the process, without waiting until it listens.
+    pub fn spawn(&mut self) {
+        let variables = [("PRIMROSEHOIST_NODE_FILE", self.settings.as_path())];
+        let arguments = to_strings(&["platform"]);
+        let process = Process::start_with("primrosehoistd", &arguments, &self.log, &variables);
+        self.process = Some(process);
+    }
+
+    /// Returns what the daemon has logged.
+    pub fn logged(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
 /// A runner.
 pub struct Runner {
     pub id: String,
@@ -344,7 +359,8 @@
         deployment
     }
 
-    fn prepare_daemon(&self, zone: &str, store: &str) -> Daemon {
+    /// Writes the settings of another daemon, which reaches the store at `store`.
+    pub fn prepare_daemon(&self, zone: &str, store: &str) -> Daemon {
         let index = self.daemons.len();
         let ip = format!("{}.{}", self.network, 40 + index);
         let settings = self.directory.join(format!("daemon-{index}.toml"));
@@ -379,14 +395,7 @@
 
     pub fn start_daemon(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
-        let variables = [("PRIMROSEHOIST_NODE_FILE", daemon.settings.as_path())];
-        let process = Process::start_with(
-            "primrosehoistd",
-            &to_strings(&["platform"]),
-            &daemon.log,
-            &variables,
-        );
-        daemon.process = Some(process);
+        daemon.spawn();
         wait_until_listening(&daemon.ingress);
     }
 
--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -76,7 +76,8 @@
         }
     }
 
-    fn signal(&self, signal: &str) {
+    /// Sends a signal by its name, such as `HUP`.
+    pub fn signal(&self, signal: &str) {
         let status = Command::new("kill")
             .arg(format!("-{signal}"))
             .arg(self.child.id().to_string())
