--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -75,3 +75,146 @@
         assert!(log.contains("\"shutdown finished\""), "{log}");
     }
 }
+
+/// A former process that shuts down, or the local port of a connection, holds a port for a time.
+#[test]
+fn start_waits_for_a_port_that_is_held() {
+    let mut deployment = prepared(5);
+    let mut held: Vec<TcpListener> = Vec::new();
+    for (index, port) in [8227, 8220, 7340, 7341].into_iter().enumerate() {
+        let address = format!("{}.{}:{port}", deployment.network, 40 + index);
+        held.push(TcpListener::bind(address).expect("the port is free"));
+    }
+    let gossip = UdpSocket::bind(format!("{}.44:7340", deployment.network));
+    let gossip = gossip.expect("the port is free");
+    for daemon in &mut deployment.daemons {
+        daemon.spawn();
+    }
+    for index in 0..5 {
+        assert!(
+            lives(&mut deployment, index),
+            "{}",
+            deployment.daemons[index].logged()
+        );
+        let log = deployment.daemons[index].logged();
+        assert!(
+            log.contains("startup is waiting") && log.contains("in use"),
+            "{log}"
+        );
+        // A port that listens before the others would accept clients whom nobody serves.
+        if index > 0 {
+            assert_eq!(readiness(&deployment.daemons[index].ingress), 0);
+        }
+    }
+    drop((held, gossip));
+    for index in 0..5 {
+        serves(&deployment, index);
+    }
+}
+
+#[test]
+fn daemon_serves_while_its_metrics_port_is_held() {
+    let mut deployment = prepared(1);
+    let metrics = deployment.daemons[0].metrics.clone();
+    let held = TcpListener::bind(&metrics).expect("the port is free");
+    deployment.daemons[0].spawn();
+    wait_until("the port is reported", || {
+        deployment.daemons[0].logged().contains("in use")
+    });
+    serves(&deployment, 0);
+    drop(held);
+    wait_until("the metrics are served", || readiness(&metrics) == 200);
+    let rendered = call(&metrics, "GET", "/metrics", "").body;
+    assert!(String::from_utf8_lossy(&rendered).contains("primrosehoist_config_version 1"));
+}
+
+#[test]
+fn start_waits_for_settings_that_are_not_whole() {
+    let mut deployment = prepared(3);
+    let settings: Vec<String> = deployment
+        .daemons
+        .iter()
+        .map(|daemon| fs::read_to_string(&daemon.settings).expect("the settings are readable"))
+        .collect();
+    fs::remove_file(&deployment.daemons[0].settings).expect("the file is removed");
+    fs::write(&deployment.daemons[1].settings, "").expect("the file is written");
+    fs::write(&deployment.daemons[2].settings, &settings[2][..200]).expect("the file is written");
+    for daemon in &mut deployment.daemons {
+        daemon.spawn();
+    }
+    for index in 0..3 {
+        assert!(
+            lives(&mut deployment, index),
+            "{}",
+            deployment.daemons[index].logged()
+        );
+        let log = deployment.daemons[index].logged();
+        assert!(log.contains("startup is waiting"), "{log}");
+        fs::write(&deployment.daemons[index].settings, &settings[index]).expect("it is written");
+    }
+    for index in 0..3 {
+        serves(&deployment, index);
+    }
+}
+
+#[test]
+fn start_that_waits_can_be_terminated() {
+    let mut deployment = prepared(2);
+    fs::remove_file(&deployment.daemons[0].settings).expect("the file is removed");
+    let address = deployment.daemons[1].ingress.clone();
+    let _held = TcpListener::bind(address).expect("the port is free");
+    for index in 0..2 {
+        deployment.daemons[index].spawn();
+        wait_until("the start is waiting", || {
+            deployment.daemons[index]
+                .logged()
+                .contains("startup is waiting")
+        });
+        assert_eq!(terminate(&mut deployment, index), 0);
+        let log = deployment.daemons[index].logged();
+        assert!(log.contains("terminated during startup"), "{log}");
+    }
+}
+
+/// The settings file is a pipe, so that the daemon is known to run and not to have read it yet.
+#[test]
+fn signal_before_the_settings_are_read_does_not_kill() {
+    let mut deployment = prepared(3);
+    for (index, signal) in ["HUP", "TERM", "INT"].into_iter().enumerate() {
+        let daemon = &mut deployment.daemons[index];
+        let settings = daemon.settings.clone();
+        let regular = settings.with_extension("regular");
+        fs::rename(&settings, &regular).expect("the file is renamed");
+        let made = Command::new("mkfifo").arg(&settings).status();
+        assert!(made.expect("mkfifo runs").success());
+        daemon.spawn();
+        let mut pipe = File::options().write(true).open(&settings);
+        let pipe = pipe.as_mut().expect("the daemon opens the pipe");
+        daemon.process.as_ref().expect("it runs").signal(signal);
+        assert!(
+            lives(&mut deployment, index),
+            "SIG{signal} killed the daemon"
+        );
+        let content = fs::read(&regular).expect("the settings are readable");
+        fs::rename(&regular, &settings).expect("the pipe is replaced");
+        pipe.write_all(&content).expect("the settings are written");
+    }
+    serves(&deployment, 0);
+    for index in 1..3 {
+        let process = deployment.daemons[index].process.as_mut();
+        let status = process.expect("it was started").wait(SHUTDOWN_MAX);
+        assert_eq!(status.and_then(|status| status.code()), Some(0));
+    }
+}
+
+#[test]
+fn interrupt_shuts_down_as_terminate_does() {
+    let mut deployment = prepared(1);
+    deployment.start_daemon(0);
+    serves(&deployment, 0);
+    let process = deployment.daemons[0].process.as_mut().expect("it runs");
+    process.signal("INT");
+    let status = process.wait(SHUTDOWN_MAX).expect("the daemon ends");
+    assert!(status.success(), "{status}");
+    assert!(deployment.daemons[0].logged().contains("\"SIGINT\""));
+}
