Shut down on SIGINT on the platform, and ignore SIGHUP elsewhere

What callers saw: connections that broke. Cause: each daemon had a list of signals of its own, and neither list was whole; for the rest the default action ends the process. Change: one module with the signals of both daemons. SIGINT is handled as SIGTERM is. The daemon with its own settings file logs that it ignores SIGHUP. The line of a shutdown's start names its cause, that of its end what cut it short.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -54,7 +54,6 @@
 use primrosehoist_platform::settings::{self, Settings};
 use quick_error::quick_error;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -63,6 +62,7 @@
 use self::store_sync::Feed;
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
+use crate::signals::{self, Cause, Signals};
 use crate::{log_queue, logging};
 
 /// The maximum number of headers in a request.
@@ -236,8 +236,9 @@
         started_ms = context.started_ms;
         "daemon started"
     );
-    await_termination(&context).await?;
-    shut_down(&context, &stop, serving).await;
+    let signals = Signals::install().map_err(Error::Signal)?;
+    let cause = run_until_stopped(&context, signals).await;
+    shut_down(&context, cause, &stop, serving).await;
     Ok(())
 }
 
@@ -331,16 +332,16 @@
     response
 }
 
-/// Waits for the termination signal. Meanwhile, reloads the settings on `SIGHUP` and when their
-/// file changes.
-async fn await_termination(context: &Context) -> Result<(), Error> {
-    let mut terminate = signal(SignalKind::terminate()).map_err(Error::Signal)?;
-    let mut hang_up = signal(SignalKind::hangup()).map_err(Error::Signal)?;
+/// Waits for a signal to stop and returns it. Meanwhile, reloads the settings on `SIGHUP` and when
+/// their file changes.
+async fn run_until_stopped(context: &Context, mut signals: Signals) -> Cause {
     let mut reload = Reload::new(&context.settings);
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = hang_up.recv() => reload.run(context, "signal"),
+            request = signals.next() => match request {
+                signals::Request::Stop(cause) => return cause,
+                signals::Request::Reload => reload.run(context, "signal"),
+            },
             () = sleep(SETTINGS_POLL_INTERVAL) => reload.run(context, "look"),
         }
     }
@@ -349,6 +350,7 @@
 /// Shuts down gracefully: fails the readiness check, then finishes the requests in progress.
 async fn shut_down(
     context: &Context,
+    cause: Cause,
     stop: &watch::Sender<bool>,
     serving: tokio::task::JoinHandle<()>,
 ) {
@@ -361,7 +363,7 @@
             .shutdown_grace
             .saturating_sub(GRACE_MARGIN);
     let in_progress = || context.in_progress.load(Ordering::Acquire);
-    log::info!(in_progress = in_progress(); "shutdown started");
+    log::info!(in_progress = in_progress(), cause = cause.name(); "shutdown started");
     sleep(DEREGISTRATION_DELAY).await;
     context.closing.store(true, Ordering::Release);
     log::info!(in_progress = in_progress(); "new requests are refused");
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -20,6 +20,7 @@
 mod service;
 mod settings;
 mod shutdown;
+mod signals;
 
 use std::process::ExitCode;
 
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -19,6 +19,7 @@
 use crate::scrape::Scrape;
 use crate::settings::{self, Settings};
 use crate::shutdown::{self, End};
+use crate::signals::Signals;
 use crate::{admin, caller, claims, links, logging};
 
 /// The largest number of headers in one request.
@@ -51,6 +52,8 @@
         }
         /// The listener for other daemons cannot be opened.
         Links(source: peer::Error) { from() display("listen for daemons: {}", source) }
+        /// A signal handler cannot be installed.
+        Signal(source: io::Error) { display("signals: {}", source) }
     }
 }
 
@@ -103,7 +106,8 @@
     let admin = admin::serve(Arc::clone(&context), operators, admin_limits(), stopped);
     tokio::spawn(admin);
     log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
-    Ok(shutdown::run(&context, &stop, serving).await)
+    let signals = Signals::install().map_err(Error::Signal)?;
+    Ok(shutdown::run(&context, signals, &stop, serving).await)
 }
 
 fn serve_callers(
--- a/crates/primrosehoist-daemon/src/shutdown.rs
+++ b/crates/primrosehoist-daemon/src/shutdown.rs
@@ -3,7 +3,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
@@ -11,6 +10,7 @@
 use crate::admin::Context;
 use crate::cluster::Cluster;
 use crate::node::Node;
+use crate::signals::{Cause, Request, Signals};
 
 /// The time beyond the longest request timeout, for the last bytes of responses.
 const RESPONSE_GRACE: Duration = Duration::from_secs(5);
@@ -38,32 +38,41 @@
 /// a caller is closed.
 pub(crate) async fn run(
     context: &Context,
+    mut signals: Signals,
     stop: &watch::Sender<bool>,
     serving: JoinHandle<()>,
 ) -> End {
-    let mut terminate = listen(SignalKind::terminate());
-    let mut interrupt = listen(SignalKind::interrupt());
     let mut drain = context.drain.subscribe();
     let node = &context.node;
-    tokio::select! {
-        () = next(&mut terminate) => {}
-        () = next(&mut interrupt) => {}
-        _ = drain.wait_for(|drain| *drain) => {}
-    }
+    let cause = tokio::select! {
+        cause = stop_requested(&mut signals) => cause,
+        _ = drain.wait_for(|drain| *drain) => Cause::Drain,
+    };
     node.draining.store(true, Ordering::Release);
     let in_progress = node.progress.count();
-    log::info!(in_progress; "shutdown began");
+    log::info!(in_progress, cause = cause.name(); "shutdown began");
     let limit = max_request_timeout(node) + RESPONSE_GRACE;
-    let end = tokio::select! {
-        () = finish(context, stop, serving) => End::Finished,
-        () = next(&mut terminate) => End::Forced,
-        () = next(&mut interrupt) => End::Forced,
-        () = sleep(limit) => End::Forced,
+    let (end, cut_by) = tokio::select! {
+        () = finish(context, stop, serving) => (End::Finished, "nothing"),
+        cause = signals.stop() => (End::Forced, cause.name()),
+        () = sleep(limit) => (End::Forced, "time limit"),
     };
-    log::info!(in_progress = node.progress.count(); "shutdown ended");
+    log::info!(in_progress = node.progress.count(), cut_by; "shutdown ended");
     end
 }
 
+/// Waits for a signal to stop.
+async fn stop_requested(signals: &mut Signals) -> Cause {
+    loop {
+        match signals.next().await {
+            Request::Stop(cause) => return cause,
+            Request::Reload => {
+                log::warn!("SIGHUP ignored: the settings are read at the start only");
+            }
+        }
+    }
+}
+
 async fn finish(context: &Context, stop: &watch::Sender<bool>, serving: JoinHandle<()>) {
     context.node.progress.wait_idle().await;
     wait_for_release(&context.cluster).await;
@@ -90,18 +99,3 @@
     let timeouts = fleet.services.values().map(|service| service.timeout_ms);
     Duration::from_millis(timeouts.max().unwrap_or_default())
 }
-
-fn listen(kind: SignalKind) -> Option<Signal> {
-    signal(kind)
-        .inspect_err(|error| log::error!("cannot listen for a signal: {error}"))
-        .ok()
-}
-
-async fn next(signal: &mut Option<Signal>) {
-    match signal {
-        Some(signal) => {
-            signal.recv().await;
-        }
-        None => std::future::pending().await,
-    }
-}
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -125,7 +125,9 @@
     drop(held);
     wait_until("the metrics are served", || readiness(&metrics) == 200);
     let rendered = call(&metrics, "GET", "/metrics", "").body;
-    assert!(String::from_utf8_lossy(&rendered).contains("primrosehoist_config_version 1"));
+    let rendered = String::from_utf8_lossy(&rendered);
+    let version = "primrosehoist_config_version{otel_scope_name=\"primrosehoist\"} 1";
+    assert!(rendered.contains(version), "{rendered}");
 }
 
 #[test]
@@ -142,15 +144,12 @@
     for daemon in &mut deployment.daemons {
         daemon.spawn();
     }
-    for index in 0..3 {
-        assert!(
-            lives(&mut deployment, index),
-            "{}",
-            deployment.daemons[index].logged()
-        );
-        let log = deployment.daemons[index].logged();
-        assert!(log.contains("startup is waiting"), "{log}");
-        fs::write(&deployment.daemons[index].settings, &settings[index]).expect("it is written");
+    for (index, content) in settings.iter().enumerate() {
+        let alive = lives(&mut deployment, index);
+        let daemon = &deployment.daemons[index];
+        let log = daemon.logged();
+        assert!(alive && log.contains("startup is waiting"), "{log}");
+        fs::write(&daemon.settings, content).expect("the file is written");
     }
     for index in 0..3 {
         serves(&deployment, index);
