Wait at the start for ports and settings instead of ending

What callers saw: a daemon that was gone, and gone again after each start by the platform. A start ended with exit 1 if one of six ports was held, for example by the former process that still shut down (its ports are free up to GraceS later) or by the metrics port of another process, and with exit 2 if the settings file was missing or not yet whole. Cause: the start opened its sockets one after the other and gave up at the first failure, as it did at the first read of the settings, while a reload ignores a file that is not whole. It reserves all ports before it listens on any, so that no client is accepted whom nobody serves. The metrics port is opened beside, since clients are served without it. The daemon with its own settings waits for its ports, too; its settings are its operator's, so that a mistake there still ends it with the reason on standard error.

--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -5,7 +5,6 @@
 //! messages late instead of dropping them. What is sent to whom, and when, is decided by
 //! [`primrosehoist::coordination::gossip`].
 
-use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,15 +45,6 @@
 type RecentFn<'a> = &'a dyn Fn() -> Map<Key, u32>;
 type ZoneFn<'a> = &'a dyn Fn(Key) -> Option<Arc<str>>;
 
-/// Binds the socket for messages.
-///
-/// # Errors
-///
-/// Returns an error if the socket cannot be bound.
-pub(crate) async fn bind(address: IpAddr, port: u16) -> io::Result<UdpSocket> {
-    UdpSocket::bind(SocketAddr::new(address, port)).await
-}
-
 /// Returns what this daemon tells of itself.
 fn info(context: &Context, roster: &Roster, now: Instant) -> Info {
     let crashes = context.crashes.lock();
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -50,10 +50,9 @@
 use primrosehoist::state::memory::{Connections, Memory};
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::server::{self, Limits};
-use primrosehoist::transport::socket;
 use primrosehoist_platform::settings::{self, Settings};
 use quick_error::quick_error;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -63,6 +62,7 @@
 use crate::clock::unix_ms;
 use crate::metrics::Metrics;
 use crate::signals::{self, Cause, Signals};
+use crate::startup::{self, Port};
 use crate::{log_queue, logging};
 
 /// The maximum number of headers in a request.
@@ -122,17 +122,26 @@
     /// An error during startup.
     #[derive(Debug)]
     enum Error {
+        /// The runtime cannot be started.
+        Runtime(source: io::Error) { display("runtime: {}", source) }
         /// The metrics cannot be initialized.
         Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
-        /// A socket cannot be bound.
-        Listen(address: SocketAddr, source: io::Error) {
-            display("listen on {}: {}", address, source)
-        }
         /// A signal handler cannot be installed.
         Signal(source: io::Error) { display("signals: {}", source) }
     }
 }
 
+quick_error! {
+    /// Why a daemon waits before it starts.
+    #[derive(Debug)]
+    enum Unprepared {
+        /// The settings cannot be used.
+        Settings(source: settings::Error) { from() display("{}", source) }
+        /// A port cannot be opened.
+        Port(source: startup::Error) { from() display("{}", source) }
+    }
+}
+
 /// The command-line options that complement the platform's settings.
 #[derive(Debug, Clone)]
 pub(crate) struct Options {
@@ -142,6 +151,35 @@
     pub(crate) log_level: LevelFilter,
 }
 
+/// The ports without which a daemon does not start.
+#[derive(Debug)]
+struct Ports {
+    clients: TcpListener,
+    readiness: TcpListener,
+    peer_state: TcpListener,
+    handovers: TcpListener,
+    gossip: UdpSocket,
+}
+
+impl Ports {
+    fn open(settings: &Settings) -> Result<Self, startup::Error> {
+        let link = SocketAddr::new(settings.address, settings.link_ports.0);
+        let handover = SocketAddr::new(settings.address, takeover::port(settings));
+        let clients = Port::reserve(settings.ingress)?;
+        let readiness = Port::reserve(settings.readiness)?;
+        let peer_state = Port::reserve(link)?;
+        let handovers = Port::reserve(handover)?;
+        let gossip = startup::bind_udp(link)?;
+        Ok(Self {
+            clients: clients.listen()?,
+            readiness: readiness.listen()?,
+            peer_state: peer_state.listen()?,
+            handovers: handovers.listen()?,
+            gossip,
+        })
+    }
+}
+
 /// Runs the daemon with the platform's settings file and returns the exit code.
 pub(crate) fn run(options: &Options) -> ExitCode {
     let _log = match log_queue::start(options.log_level) {
@@ -152,27 +190,7 @@
         }
     };
     logging::report_panics();
-    let settings = match Settings::load(&settings::path()) {
-        Ok(settings) => settings,
-        Err(error) => {
-            log::error!(error:%; "invalid settings");
-            return ExitCode::from(crate::command::EXIT_USAGE);
-        }
-    };
-    // The process gets one core or less, so more threads would only add context switches.
-    let runtime = match tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            log::error!(error:%; "failed to start the runtime");
-            return ExitCode::FAILURE;
-        }
-    };
-    let served = runtime.block_on(serve(settings, options));
-    runtime.shutdown_background();
-    match served {
+    match start(options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(error:%; "startup failed");
@@ -181,19 +199,31 @@
     }
 }
 
-async fn serve(settings: Settings, options: &Options) -> Result<(), Error> {
+fn start(options: &Options) -> Result<(), Error> {
+    // The process gets one core or less, so more threads would only add context switches.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Runtime)?;
+    let served = runtime.block_on(async {
+        let (settings, ports) = startup::wait_for(prepare).await;
+        serve(settings, ports, options).await
+    });
+    runtime.shutdown_background();
+    served
+}
+
+/// Loads the settings and opens the ports that they name.
+fn prepare() -> Result<(Settings, Ports), Unprepared> {
+    let settings = Settings::load(&settings::path())?;
+    let ports = Ports::open(&settings)?;
+    Ok((settings, ports))
+}
+
+async fn serve(settings: Settings, ports: Ports, options: &Options) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
-    let clients = listen(settings.ingress)?;
-    let readiness = listen(settings.readiness)?;
-    let port = settings.link_ports.0;
-    let peer_state = listen(SocketAddr::new(settings.address, port))?;
-    let handovers = listen(SocketAddr::new(settings.address, takeover::port(settings)))?;
-    let metrics = listen(SocketAddr::new(settings.address, options.metrics_port))?;
-    let socket = gossip::bind(settings.address, port)
-        .await
-        .map_err(|source| Error::Listen(SocketAddr::new(settings.address, port), source))?;
-    let socket = Arc::new(socket);
+    let socket = Arc::new(ports.gossip);
     context.permits.set_socket(&socket);
     for feed in [Feed::Configuration, Feed::Upstreams, Feed::Evacuations] {
         tokio::spawn(store_sync::follow(Arc::clone(&context), feed));
@@ -208,25 +238,29 @@
     tokio::spawn(pause::watch(Arc::clone(&context)));
     tokio::spawn(reach::watch(Arc::clone(&context)));
     let (stop, stopped) = watch::channel(false);
-    let serve_port = |listener, connections, respond: Respond| {
-        tokio::spawn(serve_internal(
-            Arc::clone(&context),
-            listener,
-            connections,
-            stopped.clone(),
-            respond,
-        ));
-    };
     let internal = connections(settings).internal;
-    serve_port(readiness, internal, readiness_response);
-    serve_port(
-        peer_state,
+    tokio::spawn(serve_internal(
+        Arc::clone(&context),
+        ports.readiness,
+        internal,
+        stopped.clone(),
+        readiness_response,
+    ));
+    tokio::spawn(serve_internal(
+        Arc::clone(&context),
+        ports.peer_state,
         internal.min(PEER_STATE_CONNECTIONS_MAX),
+        stopped.clone(),
         peer_sync::respond,
-    );
-    serve_port(metrics, internal, metrics_response);
-    let clients = serve_clients(Arc::clone(&context), clients, stopped.clone());
-    let handovers = takeover::serve(Arc::clone(&context), handovers, stopped);
+    ));
+    let metrics = SocketAddr::new(settings.address, options.metrics_port);
+    tokio::spawn(serve_metrics(
+        Arc::clone(&context),
+        metrics,
+        stopped.clone(),
+    ));
+    let clients = serve_clients(Arc::clone(&context), ports.clients, stopped.clone());
+    let handovers = takeover::serve(Arc::clone(&context), ports.handovers, stopped);
     let serving = tokio::spawn(async {
         tokio::join!(clients, handovers);
     });
@@ -242,8 +276,12 @@
     Ok(())
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    socket::listen(address).map_err(|source| Error::Listen(address, source))
+/// Serves the metrics as soon as their port can be opened. The daemon serves clients without it.
+async fn serve_metrics(context: Arc<Context>, address: SocketAddr, stopped: watch::Receiver<bool>) {
+    let open = || Port::reserve(address).and_then(Port::listen);
+    let listener = startup::wait_for(open).await;
+    let connections = connections(&context.settings).internal;
+    serve_internal(context, listener, connections, stopped, metrics_response).await;
 }
 
 fn serve_clients(
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -4,7 +4,8 @@
 
 use primrosehoist::protocol::wire::Request;
 use primrosehoist::state::view::Member;
-use primrosehoist::transport::peer::{Body, Error, Identity, Responder, Server};
+use primrosehoist::transport::peer::{Body, Identity, Responder, Server};
+use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 use crate::cluster::{Cluster, Hooks};
@@ -20,18 +21,13 @@
     _server: Server,
 }
 
-/// Starts the cluster tasks and listens for other daemons.
-///
-/// # Errors
-///
-/// Fails if the peer port cannot be listened on.
-pub(crate) async fn start(node: &Arc<Node>, settings: &Settings) -> Result<Links, Error> {
+/// Starts the cluster tasks and serves other daemons on `listener`.
+pub(crate) fn start(node: &Arc<Node>, settings: &Settings, listener: TcpListener) -> Links {
     let cluster = cluster(node, settings);
     let identity = Identity {
         partition: node.peers.partition().clone(),
         ..Identity::new(node.host.clone(), &node.secret)
     };
-    let address = settings.listen.peer.to_string();
     let handler = {
         let node = Arc::clone(node);
         let cluster = Arc::clone(&cluster);
@@ -41,14 +37,14 @@
             answer(node, cluster, request, body, responder)
         }
     };
-    let server = Server::bind(&address, identity, handler).await?;
+    let server = Server::start(listener, settings.listen.peer, identity, handler);
     cluster.start();
     tokio::spawn(holder::reconcile::run(Arc::clone(node)));
     poison::start(node);
-    Ok(Links {
+    Links {
         cluster,
         _server: server,
-    })
+    }
 }
 
 fn cluster(node: &Arc<Node>, settings: &Settings) -> Arc<Cluster> {
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -21,6 +21,7 @@
 mod settings;
 mod shutdown;
 mod signals;
+mod startup;
 
 use std::process::ExitCode;
 
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -1,15 +1,12 @@
 //! Runs the daemon from start to shutdown.
 
 use std::io;
-use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
 
 use opentelemetry_sdk::error::OTelSdkError;
 use primrosehoist::transport::http::server::{self, Limits};
-use primrosehoist::transport::peer;
-use primrosehoist::transport::socket;
 use quick_error::quick_error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -17,9 +14,10 @@
 use crate::admin::Context;
 use crate::node::Node;
 use crate::scrape::Scrape;
-use crate::settings::{self, Settings};
+use crate::settings::{self, Listen, Settings};
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
+use crate::startup::{self, Port};
 use crate::{admin, caller, claims, links, logging};
 
 /// The largest number of headers in one request.
@@ -46,17 +44,32 @@
         Secret(source: settings::Error) { from() display("{}", source) }
         /// The instruments cannot be set up.
         Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
-        /// A listener cannot be opened.
-        Listen(address: SocketAddr, source: io::Error) {
-            display("listen on {}: {}", address, source)
-        }
-        /// The listener for other daemons cannot be opened.
-        Links(source: peer::Error) { from() display("listen for daemons: {}", source) }
         /// A signal handler cannot be installed.
         Signal(source: io::Error) { display("signals: {}", source) }
     }
 }
 
+/// The ports of the daemon.
+#[derive(Debug)]
+struct Ports {
+    callers: TcpListener,
+    operators: TcpListener,
+    daemons: TcpListener,
+}
+
+impl Ports {
+    fn open(listen: &Listen) -> Result<Self, startup::Error> {
+        let callers = Port::reserve(listen.caller)?;
+        let operators = Port::reserve(listen.admin)?;
+        let daemons = Port::reserve(listen.peer)?;
+        Ok(Self {
+            callers: callers.listen()?,
+            operators: operators.listen()?,
+            daemons: daemons.listen()?,
+        })
+    }
+}
+
 /// Runs the daemon; returns the exit code of the process.
 pub(crate) fn run(settings: Settings) -> ExitCode {
     if let Err(error) = logging::start(settings.log.level) {
@@ -90,12 +103,16 @@
 async fn serve(settings: Settings) -> Result<End, Error> {
     let secret = settings.secret()?;
     let node = Arc::new(Node::new(&settings, &secret)?);
-    let callers = listen(settings.listen.caller)?;
-    let operators = listen(settings.listen.admin)?;
-    let links = links::start(&node, &settings).await?;
+    let ports = startup::wait_for(|| Ports::open(&settings.listen)).await;
+    let links = links::start(&node, &settings, ports.daemons);
     tokio::spawn(claims::sweep(Arc::clone(&node)));
     let (stop, stopped) = watch::channel(false);
-    let serving = tokio::spawn(serve_callers(&node, &settings, callers, stopped.clone()));
+    let serving = tokio::spawn(serve_callers(
+        &node,
+        &settings,
+        ports.callers,
+        stopped.clone(),
+    ));
     let context = Arc::new(Context {
         node: Arc::clone(&node),
         cluster: Arc::clone(&links.cluster),
@@ -103,7 +120,12 @@
         scrape: Scrape::default(),
         allow_cuts: settings.mechanisms.allow_cuts,
     });
-    let admin = admin::serve(Arc::clone(&context), operators, admin_limits(), stopped);
+    let admin = admin::serve(
+        Arc::clone(&context),
+        ports.operators,
+        admin_limits(),
+        stopped,
+    );
     tokio::spawn(admin);
     log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
     let signals = Signals::install().map_err(Error::Signal)?;
@@ -149,7 +171,3 @@
         write_timeout: ADMIN_TIMEOUT,
     }
 }
-
-fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    socket::listen(address).map_err(|source| Error::Listen(address, source))
-}
--- a/src/transport/peer/server.rs
+++ b/src/transport/peer/server.rs
@@ -38,7 +38,7 @@
 }
 
 impl Server {
-    /// Listens on `address` and runs `handler` for each exchange of an authenticated peer.
+    /// Listens on `address` and serves it as [`Server::start`] does.
     ///
     /// # Errors
     ///
@@ -54,11 +54,26 @@
         };
         let listener = TcpListener::bind(address).await.map_err(bind_error)?;
         let address = listener.local_addr().map_err(bind_error)?;
+        Ok(Self::start(listener, address, identity, handler))
+    }
+
+    /// Serves `listener`, which listens on `address`, and runs `handler` for each exchange of an
+    /// authenticated peer.
+    pub fn start<F, R>(
+        listener: TcpListener,
+        address: SocketAddr,
+        identity: Identity,
+        handler: F,
+    ) -> Self
+    where
+        F: Fn(wire::Request, Body, Responder) -> R + Send + Sync + 'static,
+        R: Future<Output = ()> + Send + 'static,
+    {
         let accept_task = tokio::spawn(accept(listener, identity, Arc::new(handler)));
-        Ok(Self {
+        Self {
             address,
             accept_task,
-        })
+        }
     }
 
     /// Returns the listening address.
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -26,18 +26,27 @@
 /// clients try again after a second.
 const ACCEPT_QUEUE: u32 = 1024;
 
-/// Listens on `address`, with an accept queue for a burst of connections.
+/// Reserves `address` for a listener. Until it listens, connections are refused.
 ///
 /// # Errors
 ///
 /// Returns an error if the operating system rejects the address.
-pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+pub fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4(),
         SocketAddr::V6(_) => TcpSocket::new_v6(),
     }?;
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Listens on a bound socket, with an accept queue for a burst of connections.
+///
+/// # Errors
+///
+/// Returns an error if another socket listens on its address.
+pub fn listen(socket: TcpSocket) -> io::Result<TcpListener> {
     socket.listen(ACCEPT_QUEUE)
 }
 
