Install the signal handlers before a start does anything else

Cause: the handlers were installed last, after the settings, the sockets and the tasks; until then the default action ends the process. Change: both daemons install them first. A start that waits can be told to end and exits with 0; what arrives during the start is handled once the daemon runs. Evidence: signal_before_the_settings_are_read_does_not_kill and start_that_waits_can_be_terminated failed and pass. The time from the exec to the handlers, which is the loader's and the runtime's, remains and cannot be closed from inside the process.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -206,8 +206,18 @@
         .build()
         .map_err(Error::Runtime)?;
     let served = runtime.block_on(async {
-        let (settings, ports) = startup::wait_for(prepare).await;
-        serve(settings, ports, options).await
+        let mut signals = Signals::install().map_err(Error::Signal)?;
+        let prepared = tokio::select! {
+            cause = signals.stop() => {
+                log::info!(cause = cause.name(); "terminated during startup");
+                None
+            }
+            prepared = startup::wait_for(prepare) => Some(prepared),
+        };
+        match prepared {
+            Some((settings, ports)) => serve(settings, ports, options, signals).await,
+            None => Ok(()),
+        }
     });
     runtime.shutdown_background();
     served
@@ -220,7 +230,12 @@
     Ok((settings, ports))
 }
 
-async fn serve(settings: Settings, ports: Ports, options: &Options) -> Result<(), Error> {
+async fn serve(
+    settings: Settings,
+    ports: Ports,
+    options: &Options,
+    signals: Signals,
+) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
     let socket = Arc::new(ports.gossip);
@@ -270,7 +285,6 @@
         started_ms = context.started_ms;
         "daemon started"
     );
-    let signals = Signals::install().map_err(Error::Signal)?;
     let cause = run_until_stopped(&context, signals).await;
     shut_down(&context, cause, &stop, serving).await;
     Ok(())
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -101,9 +101,16 @@
 }
 
 async fn serve(settings: Settings) -> Result<End, Error> {
+    let mut signals = Signals::install().map_err(Error::Signal)?;
     let secret = settings.secret()?;
     let node = Arc::new(Node::new(&settings, &secret)?);
-    let ports = startup::wait_for(|| Ports::open(&settings.listen)).await;
+    let ports = tokio::select! {
+        cause = signals.stop() => {
+            log::info!(cause = cause.name(); "terminated during startup");
+            return Ok(End::Finished);
+        }
+        ports = startup::wait_for(|| Ports::open(&settings.listen)) => ports,
+    };
     let links = links::start(&node, &settings, ports.daemons);
     tokio::spawn(claims::sweep(Arc::clone(&node)));
     let (stop, stopped) = watch::channel(false);
@@ -128,7 +135,6 @@
     );
     tokio::spawn(admin);
     log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
-    let signals = Signals::install().map_err(Error::Signal)?;
     Ok(shutdown::run(&context, signals, &stop, serving).await)
 }
 
