Give the lines of panics a module of their own

The linter rejects the tests of the daemon since: they include the module of the log without the function that it got there. The function stands in panics.rs now and is otherwise as it was. Measured: clippy over all targets of the daemon passes.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -63,7 +63,7 @@
 use crate::metrics::Metrics;
 use crate::signals::{self, Cause, Signals};
 use crate::startup::{self, Port};
-use crate::{log_queue, logging};
+use crate::{log_queue, panics};
 
 /// The maximum number of headers in a request.
 const HEADERS_MAX: usize = 100;
@@ -189,7 +189,7 @@
             return ExitCode::FAILURE;
         }
     };
-    logging::report_panics();
+    panics::report();
     match start(options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/crates/primrosehoist-daemon/src/logging.rs
+++ b/crates/primrosehoist-daemon/src/logging.rs
@@ -5,7 +5,6 @@
 
 use std::fmt;
 use std::io;
-use std::panic;
 use std::time::SystemTime;
 
 use log::kv::{self, Key, Value, VisitSource};
@@ -36,25 +35,6 @@
         .apply()
 }
 
-/// Logs each panic, before the text that Rust writes to standard error.
-pub(crate) fn report_panics() {
-    let print = panic::take_hook();
-    panic::set_hook(Box::new(move |panic| {
-        let location = panic.location().map(ToString::to_string);
-        let payload = panic.payload();
-        let reason = payload
-            .downcast_ref::<&str>()
-            .copied()
-            .or_else(|| payload.downcast_ref::<String>().map(String::as_str));
-        log::error!(
-            location = location.as_deref().unwrap_or("unknown"),
-            reason = reason.unwrap_or("unknown");
-            "panic"
-        );
-        print(panic);
-    }));
-}
-
 /// Formats a record as one line of JSON, without a line terminator. Long texts of values are cut.
 pub(crate) fn line(time: SystemTime, message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let mut fields = Fields(Map::new());
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -14,6 +14,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod panics;
 mod poison;
 mod progress;
 mod scrape;
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -18,7 +18,7 @@
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
 use crate::startup::{self, Port};
-use crate::{admin, caller, claims, links, logging};
+use crate::{admin, caller, claims, links, logging, panics};
 
 /// The largest number of headers in one request.
 const HEADERS_MAX: usize = 64;
@@ -76,7 +76,7 @@
         eprintln!("primrosehoistd: logging: {error}");
         return ExitCode::FAILURE;
     }
-    logging::report_panics();
+    panics::report();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
