Start long-lived tasks again after a panic

What callers would see: a daemon that goes on with what it knew, for example with the configuration of the moment at which the task that follows it died. No such panic is known; that nothing would tell of it is what the search for the ends of processes found. Cause: the tasks were spawned and not watched. The runtime contains a panic in its task, and the process lives without it. Both daemons use it for all tasks that run as long as the process.

--- a/crates/primrosehoist-daemon/src/cluster/mod.rs
+++ b/crates/primrosehoist-daemon/src/cluster/mod.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 
 use crate::node::Node;
+use crate::tasks::Supervisor;
 
 /// Callbacks from the cluster tasks to the rest of the daemon.
 pub(crate) struct Hooks {
@@ -90,13 +91,17 @@
 
     /// Starts the tasks. They run until the process ends.
     pub(crate) fn start(self: &Arc<Self>) {
-        tokio::spawn(heartbeat::run(Arc::clone(self)));
-        tokio::spawn(hosts::run(Arc::clone(self)));
-        tokio::spawn(configuration::poll(Arc::clone(self)));
-        tokio::spawn(configuration::watch(Arc::clone(self)));
-        tokio::spawn(configuration::follow_peers(Arc::clone(self)));
-        tokio::spawn(holding::read(Arc::clone(self)));
-        tokio::spawn(holding::decide(Arc::clone(self)));
+        let tasks = Supervisor::new(self, self.node.metrics.task_restarts());
+        tasks.spawn("heartbeat", heartbeat::run);
+        tasks.spawn("follow hosts", hosts::run);
+        tasks.spawn("poll the configuration", configuration::poll);
+        tasks.spawn("watch the configuration", configuration::watch);
+        tasks.spawn(
+            "follow the configuration of peers",
+            configuration::follow_peers,
+        );
+        tasks.spawn("read holdings", holding::read);
+        tasks.spawn("decide on holdings", holding::decide);
     }
 
     /// Returns the reply to a request of the authenticated daemon `peer`; `None` for a dispatch,
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -63,6 +63,7 @@
 use crate::metrics::Metrics;
 use crate::signals::{self, Cause, Signals};
 use crate::startup::{self, Port};
+use crate::tasks::Supervisor;
 use crate::{log_queue, panics};
 
 /// The maximum number of headers in a request.
@@ -240,18 +241,7 @@
     let settings = &context.settings;
     let socket = Arc::new(ports.gossip);
     context.permits.set_socket(&socket);
-    for feed in [Feed::Configuration, Feed::Upstreams, Feed::Evacuations] {
-        tokio::spawn(store_sync::follow(Arc::clone(&context), feed));
-    }
-    tokio::spawn(registration::join(Arc::clone(&context)));
-    tokio::spawn(store_ping::ping(Arc::clone(&context)));
-    tokio::spawn(gossip::send(Arc::clone(&context), Arc::clone(&socket)));
-    tokio::spawn(gossip::query(Arc::clone(&context), Arc::clone(&socket)));
-    tokio::spawn(gossip::receive(Arc::clone(&context), socket));
-    tokio::spawn(gossip::refresh(Arc::clone(&context)));
-    tokio::spawn(peer_sync::catch_up(Arc::clone(&context)));
-    tokio::spawn(pause::watch(Arc::clone(&context)));
-    tokio::spawn(reach::watch(Arc::clone(&context)));
+    spawn_tasks(&context, &socket);
     let (stop, stopped) = watch::channel(false);
     let internal = connections(settings).internal;
     tokio::spawn(serve_internal(
@@ -290,6 +280,38 @@
     Ok(())
 }
 
+/// Spawns the tasks that keep what this daemon knows up to date, for as long as the process runs.
+fn spawn_tasks(context: &Arc<Context>, socket: &Arc<UdpSocket>) {
+    let tasks = Supervisor::new(context, context.metrics.task_restarts());
+    tasks.spawn("follow the configuration", |context| {
+        store_sync::follow(context, Feed::Configuration)
+    });
+    tasks.spawn("follow upstreams", |context| {
+        store_sync::follow(context, Feed::Upstreams)
+    });
+    tasks.spawn("follow evacuations", |context| {
+        store_sync::follow(context, Feed::Evacuations)
+    });
+    tasks.spawn("register", registration::join);
+    tasks.spawn("ping the store", store_ping::ping);
+    tasks.spawn("refresh gossip", gossip::refresh);
+    tasks.spawn("catch up with peers", peer_sync::catch_up);
+    tasks.spawn("detect pauses", pause::watch);
+    tasks.spawn("detect cuts", reach::watch);
+    let sending = Arc::clone(socket);
+    tasks.spawn("send gossip", move |context| {
+        gossip::send(context, Arc::clone(&sending))
+    });
+    let querying = Arc::clone(socket);
+    tasks.spawn("query peers", move |context| {
+        gossip::query(context, Arc::clone(&querying))
+    });
+    let receiving = Arc::clone(socket);
+    tasks.spawn("receive gossip", move |context| {
+        gossip::receive(context, Arc::clone(&receiving))
+    });
+}
+
 /// Serves the metrics as soon as their port can be opened. The daemon serves clients without it.
 async fn serve_metrics(context: Arc<Context>, address: SocketAddr, stopped: watch::Receiver<bool>) {
     let open = || Port::reserve(address).and_then(Port::listen);
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -8,11 +8,13 @@
 use tokio::net::TcpListener;
 use tokio::time::Instant;
 
+use crate::claims;
 use crate::cluster::{Cluster, Hooks};
 use crate::holder;
 use crate::node::Node;
 use crate::poison;
 use crate::settings::Settings;
+use crate::tasks::Supervisor;
 
 /// The running connections to other daemons and the platform.
 pub(crate) struct Links {
@@ -39,8 +41,10 @@
     };
     let server = Server::start(listener, settings.listen.peer, identity, handler);
     cluster.start();
-    tokio::spawn(holder::reconcile::run(Arc::clone(node)));
-    poison::start(node);
+    let tasks = Supervisor::new(node, node.metrics.task_restarts());
+    tasks.spawn("reconcile engines", holder::reconcile::run);
+    tasks.spawn("sweep claims", claims::sweep);
+    poison::start(&tasks, node);
     Links {
         cluster,
         _server: server,
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -23,6 +23,7 @@
 mod shutdown;
 mod signals;
 mod startup;
+mod tasks;
 
 use std::process::ExitCode;
 
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -38,6 +38,7 @@
     refused_over_share: Counter<u64>,
     handovers_taken: Counter<u64>,
     rejected: Counter<u64>,
+    task_restarts: Counter<u64>,
     /// The connections that had to make room for others, on all ports.
     connections_closed: Arc<AtomicU64>,
     version: Gauge<u64>,
@@ -124,6 +125,11 @@
                 "primrosehoist_rejected",
                 "Requests that were not admitted",
             ),
+            task_restarts: counter(
+                &meter,
+                "primrosehoist_task_restarts",
+                "Long-lived tasks started again after a panic",
+            ),
             connections_closed,
             version: meter
                 .u64_gauge("primrosehoist_config_version")
@@ -245,6 +251,11 @@
         Arc::clone(&self.connections_closed)
     }
 
+    /// Returns the counter of tasks that were started again after a panic.
+    pub(crate) fn task_restarts(&self) -> Counter<u64> {
+        self.task_restarts.clone()
+    }
+
     /// Records the configuration version in force.
     pub(crate) fn version(&self, version: Version) {
         self.version.record(version, &[]);
--- a/crates/primrosehoist-daemon/src/poison/mod.rs
+++ b/crates/primrosehoist-daemon/src/poison/mod.rs
@@ -8,7 +8,7 @@
 mod running;
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use primrosehoist::coordination::poison::{Ledger, Standing};
 use primrosehoist::protocol::wire;
@@ -19,6 +19,7 @@
 pub(crate) use self::running::{Running, check_upstream};
 
 use crate::node::Node;
+use crate::tasks::Supervisor;
 
 /// The suspects and quarantines that this daemon knows.
 #[derive(Debug)]
@@ -126,10 +127,10 @@
 }
 
 /// Starts the tasks that report to other daemons and record quarantines.
-pub(crate) fn start(node: &Arc<Node>) {
+pub(crate) fn start(tasks: &Supervisor<Node>, node: &Node) {
     if node.poison.enabled {
-        tokio::spawn(gossip::run(Arc::clone(node)));
-        tokio::spawn(record::run(Arc::clone(node)));
+        tasks.spawn("report quarantines", gossip::run);
+        tasks.spawn("record quarantines", record::run);
     }
 }
 
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -18,7 +18,7 @@
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
 use crate::startup::{self, Port};
-use crate::{admin, caller, claims, links, logging, panics};
+use crate::{admin, caller, links, logging, panics};
 
 /// The largest number of headers in one request.
 const HEADERS_MAX: usize = 64;
@@ -112,7 +112,6 @@
         ports = startup::wait_for(|| Ports::open(&settings.listen)) => ports,
     };
     let links = links::start(&node, &settings, ports.daemons);
-    tokio::spawn(claims::sweep(Arc::clone(&node)));
     let (stop, stopped) = watch::channel(false);
     let serving = tokio::spawn(serve_callers(
         &node,
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -190,6 +190,7 @@
     metrics.cut_off(true);
     metrics.refused_over_share();
     metrics.rejected("no_route");
+    metrics.task_restarts().add(1, &[]);
     metrics
         .connections_closed()
         .fetch_add(4, std::sync::atomic::Ordering::Relaxed);
@@ -219,6 +220,7 @@
         ("primrosehoist_gossip_messages_total{", "3"),
         ("primrosehoist_permits_total{", "1"),
         ("primrosehoist_refused_over_share_total", "1"),
+        ("primrosehoist_task_restarts_total", "1"),
         ("primrosehoist_handovers_taken_total{outcome=\"busy\"", "1"),
         ("primrosehoist_config_version{", "7"),
     ];
