Tell the memory of the process in metrics and near its limit

What operators saw: nothing tells a process that the platform killed for its memory from one that it killed for another reason. Cause: the daemon did not know its own memory. Change: primrosehoist_resident_bytes and primrosehoist_resident_peak_bytes of both daemons; on the platform, a line when the memory passes 80% of MemoryMb and one when it is below 70% again, looked at once a second. The reason of a kill is then the last such line. Evidence: the figures are read and rendered in metrics_are_rendered_by_name_and_label.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod handover;
 mod ingress;
 mod job;
+mod memory;
 mod observation;
 mod pause;
 mod peer_sync;
@@ -298,6 +299,7 @@
     tasks.spawn("catch up with peers", peer_sync::catch_up);
     tasks.spawn("detect pauses", pause::watch);
     tasks.spawn("detect cuts", reach::watch);
+    tasks.spawn("watch the memory", memory::watch);
     let sending = Arc::clone(socket);
     tasks.spawn("send gossip", move |context| {
         gossip::send(context, Arc::clone(&sending))
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -17,6 +17,7 @@
 mod panics;
 mod poison;
 mod progress;
+mod resident;
 mod scrape;
 mod service;
 mod settings;
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -12,6 +12,8 @@
 use primrosehoist::state::fleet::Version;
 use prometheus::{Registry, TextEncoder};
 
+use crate::resident::Resident;
+
 /// The histogram bucket bounds for durations, in seconds.
 const BUCKET_BOUNDS_S: &[f64] = &[
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0,
@@ -43,6 +45,8 @@
     connections_closed: Arc<AtomicU64>,
     version: Gauge<u64>,
     cut_off: Gauge<u64>,
+    resident: Gauge<u64>,
+    resident_peak: Gauge<u64>,
 }
 
 impl Metrics {
@@ -139,6 +143,12 @@
                 .u64_gauge("primrosehoist_cut_off")
                 .with_description("Whether the host is cut off from all upstreams")
                 .build(),
+            resident: bytes_gauge(&meter, "primrosehoist_resident", "Memory of the process"),
+            resident_peak: bytes_gauge(
+                &meter,
+                "primrosehoist_resident_peak",
+                "The most memory that the process took",
+            ),
             _provider: provider,
         })
     }
@@ -266,6 +276,12 @@
         self.cut_off.record(u64::from(cut_off), &[]);
     }
 
+    /// Records the memory of the process.
+    pub(crate) fn resident(&self, resident: Resident) {
+        self.resident.record(resident.now, &[]);
+        self.resident_peak.record(resident.peak, &[]);
+    }
+
     /// Returns all metrics in the Prometheus text format.
     ///
     /// # Errors
@@ -283,6 +299,14 @@
         .build()
 }
 
+fn bytes_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter
+        .u64_gauge(name)
+        .with_unit("By")
+        .with_description(description)
+        .build()
+}
+
 fn duration_histogram(
     meter: &Meter,
     name: &'static str,
--- a/crates/primrosehoist-daemon/src/scrape.rs
+++ b/crates/primrosehoist-daemon/src/scrape.rs
@@ -8,6 +8,7 @@
 
 use crate::cluster::Cluster;
 use crate::node::Node;
+use crate::resident::Resident;
 
 /// The totals already added to the metrics, to add only the difference at the next scrape.
 #[derive(Debug, Default)]
@@ -40,6 +41,10 @@
     fn update(&self, node: &Node, cluster: &Cluster) {
         let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
         node.metrics.version(node.fleet.load().version);
+        match Resident::read() {
+            Ok(resident) => node.metrics.resident(resident),
+            Err(error) => log::warn!("memory of the process is not known: {error}"),
+        }
         for call in Call::iter() {
             let total = cluster.platform_calls().get(call);
             let added = advance(&mut totals.calls[call as usize], total);
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -4,6 +4,8 @@
 mod logging;
 #[path = "../src/metrics.rs"]
 mod metrics;
+#[path = "../src/resident.rs"]
+mod resident;
 #[path = "../src/settings.rs"]
 mod settings;
 
@@ -191,6 +193,12 @@
     metrics.refused_over_share();
     metrics.rejected("no_route");
     metrics.task_restarts().add(1, &[]);
+    let own = resident::Resident::read().expect("the memory of this process is known");
+    assert!(own.now <= own.peak && own.now > 1 << 20, "{own:?}");
+    metrics.resident(resident::Resident {
+        now: 4096,
+        peak: 8192,
+    });
     metrics
         .connections_closed()
         .fetch_add(4, std::sync::atomic::Ordering::Relaxed);
@@ -221,6 +229,8 @@
         ("primrosehoist_permits_total{", "1"),
         ("primrosehoist_refused_over_share_total", "1"),
         ("primrosehoist_task_restarts_total", "1"),
+        ("primrosehoist_resident_bytes{", "4096"),
+        ("primrosehoist_resident_peak_bytes{", "8192"),
         ("primrosehoist_handovers_taken_total{outcome=\"busy\"", "1"),
         ("primrosehoist_config_version{", "7"),
     ];
