End a daemon whose server ended, instead of serving nothing

What callers would see: a port that refuses connections on a host whose process lives, for as long as nobody looks. Cause: the accept loops were spawned and not watched. If one panicked, its listener closed and the rest went on. Change: both daemons shut down as on SIGTERM when a server ends before a shutdown, log `server ended` as the cause, and exit with 1, so that the platform starts them again. There is no test, since nothing makes an accept loop of the product panic.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -55,6 +55,7 @@
 use quick_error::quick_error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use self::context::Context;
@@ -121,7 +122,7 @@
 type Respond = fn(&Context, &str, &str) -> Response<Payload>;
 
 quick_error! {
-    /// An error during startup.
+    /// An error that ends the daemon.
     #[derive(Debug)]
     enum Error {
         /// The runtime cannot be started.
@@ -130,6 +131,8 @@
         Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
         /// A signal handler cannot be installed.
         Signal(source: io::Error) { display("signals: {}", source) }
+        /// A server ended before the shutdown.
+        Server { display("a server ended") }
     }
 }
 
@@ -195,7 +198,11 @@
     match start(options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            log::error!(error:%; "startup failed");
+            let message = match error {
+                Error::Server => "daemon failed",
+                _ => "startup failed",
+            };
+            log::error!(error:%; "{message}");
             ExitCode::FAILURE
         }
     }
@@ -245,14 +252,15 @@
     spawn_tasks(&context, &socket);
     let (stop, stopped) = watch::channel(false);
     let internal = connections(settings).internal;
-    tokio::spawn(serve_internal(
+    let mut servers = JoinSet::new();
+    servers.spawn(serve_internal(
         Arc::clone(&context),
         ports.readiness,
         internal,
         stopped.clone(),
         readiness_response,
     ));
-    tokio::spawn(serve_internal(
+    servers.spawn(serve_internal(
         Arc::clone(&context),
         ports.peer_state,
         internal.min(PEER_STATE_CONNECTIONS_MAX),
@@ -260,14 +268,14 @@
         peer_sync::respond,
     ));
     let metrics = SocketAddr::new(settings.address, options.metrics_port);
-    tokio::spawn(serve_metrics(
+    servers.spawn(serve_metrics(
         Arc::clone(&context),
         metrics,
         stopped.clone(),
     ));
     let clients = serve_clients(Arc::clone(&context), ports.clients, stopped.clone());
     let handovers = takeover::serve(Arc::clone(&context), ports.handovers, stopped);
-    let serving = tokio::spawn(async {
+    let mut serving = tokio::spawn(async {
         tokio::join!(clients, handovers);
     });
     log::info!(
@@ -276,9 +284,16 @@
         started_ms = context.started_ms;
         "daemon started"
     );
-    let cause = run_until_stopped(&context, signals).await;
+    let cause = tokio::select! {
+        cause = run_until_stopped(&context, signals) => cause,
+        _panicked = &mut serving => Cause::Server,
+        Some(_panicked) = servers.join_next() => Cause::Server,
+    };
     shut_down(&context, cause, &stop, serving).await;
-    Ok(())
+    match cause {
+        Cause::Server => Err(Error::Server),
+        Cause::Terminate | Cause::Interrupt | Cause::Drain => Ok(()),
+    }
 }
 
 /// Spawns the tasks that keep what this daemon knows up to date, for as long as the process runs.
@@ -450,6 +465,6 @@
         }
     }
     stop.send_replace(true);
-    let finished = tokio::time::timeout_at(end, serving).await.is_ok();
+    let finished = serving.is_finished() || tokio::time::timeout_at(end, serving).await.is_ok();
     log::info!(in_progress = in_progress(), finished; "shutdown finished");
 }
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -20,7 +20,7 @@
 pub(crate) struct Links {
     pub(crate) cluster: Arc<Cluster>,
     /// Stops listening when dropped.
-    _server: Server,
+    pub(crate) server: Server,
 }
 
 /// Starts the cluster tasks and serves other daemons on `listener`.
@@ -45,10 +45,7 @@
     tasks.spawn("reconcile engines", holder::reconcile::run);
     tasks.spawn("sweep claims", claims::sweep);
     poison::start(&tasks, node);
-    Links {
-        cluster,
-        _server: server,
-    }
+    Links { cluster, server }
 }
 
 fn cluster(node: &Arc<Node>, settings: &Settings) -> Arc<Cluster> {
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -111,7 +111,7 @@
         }
         ports = startup::wait_for(|| Ports::open(&settings.listen)) => ports,
     };
-    let links = links::start(&node, &settings, ports.daemons);
+    let mut links = links::start(&node, &settings, ports.daemons);
     let (stop, stopped) = watch::channel(false);
     let serving = tokio::spawn(serve_callers(
         &node,
@@ -132,9 +132,15 @@
         admin_limits(),
         stopped,
     );
-    tokio::spawn(admin);
+    let mut admin = tokio::spawn(admin);
     log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
-    Ok(shutdown::run(&context, signals, &stop, serving).await)
+    let failed = async {
+        tokio::select! {
+            _panicked = &mut admin => {}
+            () = links.server.ended() => {}
+        }
+    };
+    Ok(shutdown::run(&context, signals, &stop, serving, failed).await)
 }
 
 fn serve_callers(
--- a/crates/primrosehoist-daemon/src/shutdown.rs
+++ b/crates/primrosehoist-daemon/src/shutdown.rs
@@ -27,7 +27,7 @@
 pub(crate) enum End {
     /// All requests finished.
     Finished,
-    /// A second signal or the time limit ended the shutdown before it was complete.
+    /// A second signal or the time limit ended the shutdown before it was complete, or a server ended.
     Forced,
 }
 
@@ -35,18 +35,21 @@
 /// returns.
 ///
 /// `stop` makes the servers stop accepting connections; `serving` ends when the last connection of
-/// a caller is closed.
+/// a caller is closed, and `failed` when a server ended before.
 pub(crate) async fn run(
     context: &Context,
     mut signals: Signals,
     stop: &watch::Sender<bool>,
-    serving: JoinHandle<()>,
+    mut serving: JoinHandle<()>,
+    failed: impl Future<Output = ()>,
 ) -> End {
     let mut drain = context.drain.subscribe();
     let node = &context.node;
     let cause = tokio::select! {
         cause = stop_requested(&mut signals) => cause,
         _ = drain.wait_for(|drain| *drain) => Cause::Drain,
+        _panicked = &mut serving => Cause::Server,
+        () = failed => Cause::Server,
     };
     node.draining.store(true, Ordering::Release);
     let in_progress = node.progress.count();
@@ -58,7 +61,10 @@
         () = sleep(limit) => (End::Forced, "time limit"),
     };
     log::info!(in_progress = node.progress.count(), cut_by; "shutdown ended");
-    end
+    match cause {
+        Cause::Server => End::Forced,
+        Cause::Terminate | Cause::Interrupt | Cause::Drain => end,
+    }
 }
 
 /// Waits for a signal to stop.
@@ -77,7 +83,9 @@
     context.node.progress.wait_idle().await;
     wait_for_release(&context.cluster).await;
     stop.send_replace(true);
-    if let Err(error) = serving.await {
+    if !serving.is_finished()
+        && let Err(error) = serving.await
+    {
         log::error!("caller server failed: {error}");
     }
     // A request with a slow body may have been counted only after the first wait.
--- a/crates/primrosehoist-daemon/src/signals.rs
+++ b/crates/primrosehoist-daemon/src/signals.rs
@@ -26,6 +26,9 @@
     /// An operator's request to drain.
     #[strum(serialize = "drain")]
     Drain,
+    /// A server ended, which none does before a shutdown unless it panics.
+    #[strum(serialize = "server ended")]
+    Server,
 }
 
 impl Cause {
--- a/src/transport/peer/server.rs
+++ b/src/transport/peer/server.rs
@@ -80,6 +80,11 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Waits until no more connections are accepted, which happens only if the server panics.
+    pub async fn ended(&mut self) {
+        let _panicked = (&mut self.accept_task).await;
+    }
 }
 
 impl Drop for Server {
