--- a/crates/primrosehoist-daemon/src/command.rs
+++ b/crates/primrosehoist-daemon/src/command.rs
@@ -36,8 +36,8 @@
 
 exit codes:
   0  the daemon shut down after all requests finished, or the check passed
-  1  the daemon could not start, or shut down before all requests finished
-  2  the command line or the settings are invalid
+  1  the daemon could not start, a server of it ended, or it shut down before all requests finished
+  2  the command line or the settings are invalid; on the platform it waits for valid settings
 ";
 
 quick_error! {
