Log that connections cannot be accepted

What operators saw: nothing, while a daemon without descriptors accepted nobody on any of its ports; found by a review. Cause: the accept loops of both servers retried each 50 ms and dropped the error. Change: a line with the port, the error and the number of failures, at most every 10 s for each port.

--- a/src/transport/http/server.rs
+++ b/src/transport/http/server.rs
@@ -23,7 +23,7 @@
 use crate::transport::http::places::Places;
 use crate::transport::http::read_timeout::{Activity, Timeout as ReadTimeout, TrackedBody};
 use crate::transport::http::write_timeout::Timeout as WriteTimeout;
-use crate::transport::socket;
+use crate::transport::socket::{self, Refusals};
 
 /// How long a stopping server waits for the first request on a connection, so that a request sent
 /// before the stop can arrive despite the network delay.
@@ -130,6 +130,7 @@
         });
     };
     let local_port = listener.local_addr().map_or(0, |address| address.port());
+    let mut refusals = Refusals::new(local_port);
     let mut logged_at: Option<Instant> = None;
     let mut closed = 0;
     loop {
@@ -152,7 +153,10 @@
                     tokio::task::yield_now().await;
                 }
             }
-            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+            Err(error) => {
+                refusals.report(&error);
+                sleep(ACCEPT_RETRY_DELAY).await;
+            }
         }
     }
     drain(listener, serve_one).await;
--- a/src/transport/peer/server.rs
+++ b/src/transport/peer/server.rs
@@ -20,6 +20,7 @@
     CONNECTION_WINDOW_BYTES, Error, Identity, STREAM_WINDOW_BYTES, STREAMS_MAX, handshake,
     keepalive,
 };
+use crate::transport::socket::Refusals;
 
 /// The maximum number of concurrent handshakes.
 const HANDSHAKES_MAX: usize = 128;
@@ -156,11 +157,17 @@
     R: Future<Output = ()> + Send + 'static,
 {
     let handshakes = Arc::new(Semaphore::new(HANDSHAKES_MAX));
+    let port = listener.local_addr().map_or(0, |address| address.port());
+    let mut refusals = Refusals::new(port);
     loop {
         let permit = Arc::clone(&handshakes).acquire_owned().await;
-        let Ok((stream, remote)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+        let (stream, remote) = match listener.accept().await {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                refusals.report(&error);
+                tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            }
         };
         let identity = identity.clone();
         let handler = Arc::clone(&handler);
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -10,6 +10,7 @@
 
 use socket2::{SockFilter, SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::Instant;
 
 /// Idle time before the first keep-alive probe, and the interval between probes. One second is the
 /// smallest value that the options accept.
@@ -26,6 +27,9 @@
 /// clients try again after a second.
 const ACCEPT_QUEUE: u32 = 1024;
 
+/// The interval between log lines about connections that cannot be accepted.
+const REFUSAL_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Reserves `address` for a listener. Until it listens, connections are refused.
 ///
 /// # Errors
@@ -50,6 +54,38 @@
     socket.listen(ACCEPT_QUEUE)
 }
 
+/// Logs that connections cannot be accepted, which nothing else shows: their clients wait.
+#[derive(Debug)]
+pub struct Refusals {
+    port: u16,
+    count: u64,
+    logged_at: Option<Instant>,
+}
+
+impl Refusals {
+    /// Creates the log of the listener on `port`.
+    pub fn new(port: u16) -> Self {
+        Self {
+            port,
+            count: 0,
+            logged_at: None,
+        }
+    }
+
+    /// Records a failure to accept a connection; logs it if none was logged for a while.
+    pub fn report(&mut self, error: &io::Error) {
+        self.count += 1;
+        if self
+            .logged_at
+            .is_none_or(|at| at.elapsed() >= REFUSAL_LOG_INTERVAL)
+        {
+            log::warn!(port = self.port, failures = self.count, error:%; "cannot accept connections");
+            self.logged_at = Some(Instant::now());
+            self.count = 0;
+        }
+    }
+}
+
 /// Disables Nagle's algorithm on `stream` and makes it fail a few seconds after its peer stops
 /// responding.
 ///
