Do not panic when standard error cannot be written

What callers would see: a daemon with its own settings that breaks off requests, and ends at SIGHUP, once its terminal or the reader of its standard error is gone. Found by a review. Cause: the log's output to standard error panics if a write fails, in whichever task logs. Change: lines that cannot be written are dropped, as on the platform. The tests wait for the line of the log before they look whether a start lives, open the pipe without blocking, and hold the link port by an outgoing connection too.

--- a/crates/primrosehoist-daemon/src/logging.rs
+++ b/crates/primrosehoist-daemon/src/logging.rs
@@ -4,7 +4,7 @@
 //! Prompt text and API keys are never logged.
 
 use std::fmt;
-use std::io;
+use std::io::{self, Write};
 use std::time::SystemTime;
 
 use log::kv::{self, Key, Value, VisitSource};
@@ -23,15 +23,16 @@
 ///
 /// Fails if a logger is already installed.
 pub(crate) fn start(level: LevelFilter) -> Result<(), SetLoggerError> {
+    // An output of `fern` panics if it cannot write, for example after a terminal was closed.
+    let output = fern::Output::call(|record| {
+        let line = line(SystemTime::now(), record.args(), record);
+        let _result = writeln!(io::stderr().lock(), "{line}");
+    });
     fern::Dispatch::new()
         .level(level)
         .level_for("h2", level.min(LevelFilter::Warn))
         .level_for("hyper", level.min(LevelFilter::Warn))
-        .format(|out, message, record| {
-            let line = line(SystemTime::now(), message, record);
-            out.finish(format_args!("{line}"));
-        })
-        .chain(io::stderr())
+        .chain(output)
         .apply()
 }
 
--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -602,9 +602,24 @@
 pub fn wait_until<F>(what: &str, condition: F)
 where
     F: Fn() -> bool,
+{
+    wait_for(what, || condition().then_some(()));
+}
+
+/// Waits until `attempt` returns a value, and returns it.
+///
+/// # Panics
+///
+/// Panics after 20 seconds.
+pub fn wait_for<T, F>(what: &str, attempt: F) -> T
+where
+    F: Fn() -> Option<T>,
 {
     let deadline = Instant::now() + Duration::from_secs(20);
-    while !condition() {
+    loop {
+        if let Some(value) = attempt() {
+            return value;
+        }
         assert!(Instant::now() < deadline, "timed out waiting until {what}");
         std::thread::sleep(Duration::from_millis(20));
     }
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -5,12 +5,17 @@
 
 use std::fs::{self, File};
 use std::io::Write;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::fs::OpenOptionsExt;
 use std::os::unix::process::ExitStatusExt;
-use std::process::Command;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
-use common::platform::{Deployment, Request, call, configuration, readiness, send, wait_until};
+use common::platform::{
+    Deployment, Request, call, configuration, readiness, send, wait_for, wait_until,
+};
+use common::process::Process;
+use socket2::{Domain, Socket, Type};
 
 /// How long a port is held, or a settings file incomplete, in these tests.
 const OBSTACLE_TIME: Duration = Duration::from_millis(700);
@@ -18,6 +23,23 @@
 /// The longest time in which a daemon without requests ends after SIGTERM.
 const SHUTDOWN_MAX: Duration = Duration::from_secs(10);
 
+/// The flag of `open` that it does not block, on all platforms of the daemon.
+const O_NONBLOCK: i32 = 0o4000;
+
+/// Returns a connection to `address` from the local address `from`.
+fn connect_from(from: &str, address: &str) -> TcpStream {
+    let [from, address] =
+        [from, address].map(|text| text.parse::<SocketAddr>().expect("an address"));
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.bind(&from.into()).expect("the port is free");
+    socket.connect(&address.into()).expect("the store listens");
+    // Without a reset, the operating system keeps the port for a minute after the end.
+    socket
+        .set_linger(Some(Duration::ZERO))
+        .expect("the option is set");
+    socket.into()
+}
+
 /// Starts a deployment with a configuration and `daemons` daemons that do not run yet.
 fn prepared(daemons: usize) -> Deployment {
     let mut deployment = Deployment::without_daemons();
@@ -79,7 +101,7 @@
 /// A former process that shuts down, or the local port of a connection, holds a port for a time.
 #[test]
 fn start_waits_for_a_port_that_is_held() {
-    let mut deployment = prepared(5);
+    let mut deployment = prepared(6);
     let mut held: Vec<TcpListener> = Vec::new();
     for (index, port) in [8227, 8220, 7340, 7341].into_iter().enumerate() {
         let address = format!("{}.{}:{port}", deployment.network, 40 + index);
@@ -87,27 +109,28 @@
     }
     let gossip = UdpSocket::bind(format!("{}.44:7340", deployment.network));
     let gossip = gossip.expect("the port is free");
+    let connection = connect_from(
+        &format!("{}.45:7340", deployment.network),
+        &deployment.store,
+    );
     for daemon in &mut deployment.daemons {
         daemon.spawn();
     }
-    for index in 0..5 {
-        assert!(
-            lives(&mut deployment, index),
-            "{}",
-            deployment.daemons[index].logged()
-        );
-        let log = deployment.daemons[index].logged();
-        assert!(
-            log.contains("startup is waiting") && log.contains("in use"),
-            "{log}"
-        );
+    for index in 0..6 {
+        let waits_for_port =
+            |log: &str| log.contains("startup is waiting") && log.contains("in use");
+        wait_until("the start waits", || {
+            waits_for_port(&deployment.daemons[index].logged())
+        });
+        let alive = lives(&mut deployment, index);
+        assert!(alive, "{}", deployment.daemons[index].logged());
         // A port that listens before the others would accept clients whom nobody serves.
         if index > 0 {
             assert_eq!(readiness(&deployment.daemons[index].ingress), 0);
         }
     }
-    drop((held, gossip));
-    for index in 0..5 {
+    drop((held, gossip, connection));
+    for index in 0..6 {
         serves(&deployment, index);
     }
 }
@@ -145,10 +168,15 @@
         daemon.spawn();
     }
     for (index, content) in settings.iter().enumerate() {
+        wait_until("the start waits", || {
+            deployment.daemons[index]
+                .logged()
+                .contains("startup is waiting")
+        });
         let alive = lives(&mut deployment, index);
         let daemon = &deployment.daemons[index];
         let log = daemon.logged();
-        assert!(alive && log.contains("startup is waiting"), "{log}");
+        assert!(alive, "{log}");
         fs::write(&daemon.settings, content).expect("the file is written");
     }
     for index in 0..3 {
@@ -187,8 +215,14 @@
         let made = Command::new("mkfifo").arg(&settings).status();
         assert!(made.expect("mkfifo runs").success());
         daemon.spawn();
-        let mut pipe = File::options().write(true).open(&settings);
-        let pipe = pipe.as_mut().expect("the daemon opens the pipe");
+        // A pipe without a reader cannot be opened for writing without blocking.
+        let open = || {
+            File::options()
+                .write(true)
+                .custom_flags(O_NONBLOCK)
+                .open(&settings)
+        };
+        let mut pipe = wait_for("the daemon reads the settings", || open().ok());
         daemon.process.as_ref().expect("it runs").signal(signal);
         assert!(
             lives(&mut deployment, index),
@@ -217,3 +251,88 @@
     assert!(status.success(), "{status}");
     assert!(deployment.daemons[0].logged().contains("\"SIGINT\""));
 }
+
+/// Sets the largest number of descriptors of a process.
+fn limit_descriptors(process: u32, limit: &str) {
+    let status = Command::new("prlimit")
+        .args([
+            "--pid",
+            &process.to_string(),
+            &format!("--nofile={limit}:4096"),
+        ])
+        .status();
+    assert!(status.expect("prlimit runs").success());
+}
+
+#[test]
+fn lack_of_descriptors_is_in_the_log_and_passes() {
+    let mut deployment = prepared(1);
+    deployment.start_daemon(0);
+    serves(&deployment, 0);
+    let daemon = &deployment.daemons[0];
+    let process = daemon.process.as_ref().expect("it runs").id();
+    limit_descriptors(process, "4");
+    let waiting = TcpStream::connect(&daemon.ingress).expect("the kernel accepts it");
+    wait_until("the failure is logged", || {
+        daemon.logged().contains("cannot accept connections")
+    });
+    limit_descriptors(process, "4096");
+    drop(waiting);
+    serves(&deployment, 0);
+}
+
+/// The daemon with its own settings, without its platform.
+#[test]
+fn other_daemon_survives_a_held_port_a_hang_up_and_a_closed_standard_error() {
+    let deployment = Deployment::without_daemons();
+    let address = |port: u16| format!("{}.90:{port}", deployment.network);
+    let secret = deployment.directory.join("secret");
+    fs::write(&secret, "sixteen bytes or more").expect("the file is written");
+    let settings = deployment.directory.join("other.toml");
+    let text = format!(
+        "host = \"a1\"\nzone = \"zone-a\"\nsecret_file = \"{}\"\n[listen]\ncaller = \"{}\"\n\
+         peer = \"{}\"\nadmin = \"{}\"\n[platform]\naddress = \"{}\"\n",
+        secret.display(),
+        address(7100),
+        address(7200),
+        address(7300),
+        address(7000),
+    );
+    fs::write(&settings, text).expect("the file is written");
+    let held = TcpListener::bind(address(7200)).expect("the port is free");
+    let log = deployment.directory.join("other.log");
+    let arguments = ["--settings".to_owned(), settings.display().to_string()];
+    let mut process = Process::start("primrosehoistd", &arguments, &log);
+    let logged = |text: &str| fs::read_to_string(&log).is_ok_and(|log| log.contains(text));
+    wait_until("the start waits", || logged("startup is waiting"));
+    drop(held);
+    wait_until("the daemon listens", || {
+        TcpStream::connect(address(7100)).is_ok()
+    });
+    process.reload();
+    wait_until("the signal is logged", || logged("SIGHUP ignored"));
+    process.terminate();
+    assert_eq!(
+        process.wait(SHUTDOWN_MAX).and_then(|status| status.code()),
+        Some(0)
+    );
+
+    // All lines of a second one go to a pipe that nobody reads any more.
+    let mut child = Command::new(common::process::program("primrosehoistd"))
+        .args(&arguments)
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    drop(child.stderr.take());
+    wait_until("the daemon listens", || {
+        TcpStream::connect(address(7100)).is_ok()
+    });
+    let id = child.id().to_string();
+    for signal in ["-HUP", "-TERM"] {
+        let sent = Command::new("kill").args([signal, &id]).status();
+        assert!(sent.expect("kill runs").success());
+        std::thread::sleep(OBSTACLE_TIME);
+    }
+    let status = child.wait().expect("the daemon ends");
+    assert_eq!(status.code(), Some(0), "{status}");
+}
