--- a/crates/primrosehoist-daemon/src/cluster/mod.rs
+++ b/crates/primrosehoist-daemon/src/cluster/mod.rs
@@ -93,15 +93,12 @@
     pub(crate) fn start(self: &Arc<Self>) {
         let tasks = Supervisor::new(self, self.node.metrics.task_restarts());
         tasks.spawn("heartbeat", heartbeat::run);
-        tasks.spawn("follow hosts", hosts::run);
-        tasks.spawn("poll the configuration", configuration::poll);
-        tasks.spawn("watch the configuration", configuration::watch);
-        tasks.spawn(
-            "follow the configuration of peers",
-            configuration::follow_peers,
-        );
-        tasks.spawn("read holdings", holding::read);
-        tasks.spawn("decide on holdings", holding::decide);
+        tasks.spawn("follow_hosts", hosts::run);
+        tasks.spawn("poll_configuration", configuration::poll);
+        tasks.spawn("watch_configuration", configuration::watch);
+        tasks.spawn("follow_configuration_peers", configuration::follow_peers);
+        tasks.spawn("read_holdings", holding::read);
+        tasks.spawn("decide_holdings", holding::decide);
     }
 
     /// Returns the reply to a request of the authenticated daemon `peer`; `None` for a dispatch,
--- a/crates/primrosehoist-daemon/src/gateway/memory.rs
+++ b/crates/primrosehoist-daemon/src/gateway/memory.rs
@@ -9,10 +9,10 @@
 use super::context::Context;
 use crate::resident::Resident;
 
-/// The interval between two looks.
+/// The interval between two readings.
 const INTERVAL: Duration = Duration::from_secs(1);
 
-/// The share of the limit from which on the log tells of the memory.
+/// The share of the limit from which on the memory is logged as high.
 const HIGH_SHARE: f64 = 0.8;
 
 /// The share of the limit below which the memory counts as normal again.
@@ -25,6 +25,7 @@
 pub(crate) async fn watch(context: Arc<Context>) {
     let limit = context.settings.memory_mb.saturating_mul(BYTES_PER_MB);
     let mut is_high = false;
+    let mut is_unknown = false;
     loop {
         match Resident::read() {
             Ok(resident) => {
@@ -39,10 +40,11 @@
                     is_high = false;
                 }
             }
-            Err(error) => {
+            Err(error) if !is_unknown => {
                 log::warn!(error:%; "memory of the process is not known");
-                return;
+                is_unknown = true;
             }
+            Err(_) => {}
         }
         sleep(INTERVAL).await;
     }
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -55,7 +55,6 @@
 use quick_error::quick_error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
-use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
 use self::context::Context;
@@ -132,14 +131,14 @@
         /// A signal handler cannot be installed.
         Signal(source: io::Error) { display("signals: {}", source) }
         /// A server ended before the shutdown.
-        Server { display("a server ended") }
+        Server(clients: &'static str) { display("the server of {} ended", clients) }
     }
 }
 
 quick_error! {
     /// Why a daemon waits before it starts.
     #[derive(Debug)]
-    enum Unprepared {
+    enum Obstacle {
         /// The settings cannot be used.
         Settings(source: settings::Error) { from() display("{}", source) }
         /// A port cannot be opened.
@@ -194,12 +193,12 @@
             return ExitCode::FAILURE;
         }
     };
-    panics::report();
+    panics::install_hook();
     match start(options) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let message = match error {
-                Error::Server => "daemon failed",
+                Error::Server(_) => "daemon failed",
                 _ => "startup failed",
             };
             log::error!(error:%; "{message}");
@@ -217,7 +216,7 @@
     let served = runtime.block_on(async {
         let mut signals = Signals::install().map_err(Error::Signal)?;
         let prepared = tokio::select! {
-            cause = signals.stop() => {
+            cause = signals.wait_for_stop() => {
                 log::info!(cause = cause.name(); "terminated during startup");
                 None
             }
@@ -233,7 +232,7 @@
 }
 
 /// Loads the settings and opens the ports that they name.
-fn prepare() -> Result<(Settings, Ports), Unprepared> {
+fn prepare() -> Result<(Settings, Ports), Obstacle> {
     let settings = Settings::load(&settings::path())?;
     let ports = Ports::open(&settings)?;
     Ok((settings, ports))
@@ -249,31 +248,30 @@
     let settings = &context.settings;
     let socket = Arc::new(ports.gossip);
     context.permits.set_socket(&socket);
-    spawn_tasks(&context, &socket);
+    let tasks = Supervisor::new(&context, context.metrics.task_restarts());
+    spawn_tasks(&tasks, &socket);
     let (stop, stopped) = watch::channel(false);
     let internal = connections(settings).internal;
-    let mut servers = JoinSet::new();
-    servers.spawn(serve_internal(
+    let mut readiness = tokio::spawn(serve_internal(
         Arc::clone(&context),
         ports.readiness,
         internal,
         stopped.clone(),
         readiness_response,
     ));
-    servers.spawn(serve_internal(
+    let mut peer_state = tokio::spawn(serve_internal(
         Arc::clone(&context),
         ports.peer_state,
         internal.min(PEER_STATE_CONNECTIONS_MAX),
         stopped.clone(),
         peer_sync::respond,
     ));
-    let metrics = SocketAddr::new(settings.address, options.metrics_port);
-    servers.spawn(serve_metrics(
-        Arc::clone(&context),
-        metrics,
-        stopped.clone(),
-    ));
     let clients = serve_clients(Arc::clone(&context), ports.clients, stopped.clone());
+    let metrics = SocketAddr::new(settings.address, options.metrics_port);
+    let metrics_stopped = stopped.clone();
+    tasks.spawn("serve_metrics", move |context| {
+        serve_metrics(context, metrics, metrics_stopped.clone())
+    });
     let handovers = takeover::serve(Arc::clone(&context), ports.handovers, stopped);
     let mut serving = tokio::spawn(async {
         tokio::join!(clients, handovers);
@@ -284,47 +282,44 @@
         started_ms = context.started_ms;
         "daemon started"
     );
-    let cause = tokio::select! {
-        cause = run_until_stopped(&context, signals) => cause,
-        _panicked = &mut serving => Cause::Server,
-        Some(_panicked) = servers.join_next() => Cause::Server,
+    let (cause, result) = tokio::select! {
+        cause = run_until_stopped(&context, signals) => (cause, Ok(())),
+        _ended = &mut serving => (Cause::Server, Err(Error::Server("clients and daemons"))),
+        _ended = &mut readiness => (Cause::Server, Err(Error::Server("readiness checks"))),
+        _ended = &mut peer_state => (Cause::Server, Err(Error::Server("platform state"))),
     };
     shut_down(&context, cause, &stop, serving).await;
-    match cause {
-        Cause::Server => Err(Error::Server),
-        Cause::Terminate | Cause::Interrupt | Cause::Drain => Ok(()),
-    }
+    result
 }
 
 /// Spawns the tasks that keep what this daemon knows up to date, for as long as the process runs.
-fn spawn_tasks(context: &Arc<Context>, socket: &Arc<UdpSocket>) {
-    let tasks = Supervisor::new(context, context.metrics.task_restarts());
-    tasks.spawn("follow the configuration", |context| {
+fn spawn_tasks(tasks: &Supervisor<Context>, socket: &Arc<UdpSocket>) {
+    tasks.spawn("follow_configuration", |context| {
         store_sync::follow(context, Feed::Configuration)
     });
-    tasks.spawn("follow upstreams", |context| {
+    tasks.spawn("follow_upstreams", |context| {
         store_sync::follow(context, Feed::Upstreams)
     });
-    tasks.spawn("follow evacuations", |context| {
+    tasks.spawn("follow_evacuations", |context| {
         store_sync::follow(context, Feed::Evacuations)
     });
     tasks.spawn("register", registration::join);
-    tasks.spawn("ping the store", store_ping::ping);
-    tasks.spawn("refresh gossip", gossip::refresh);
-    tasks.spawn("catch up with peers", peer_sync::catch_up);
-    tasks.spawn("detect pauses", pause::watch);
-    tasks.spawn("detect cuts", reach::watch);
-    tasks.spawn("watch the memory", memory::watch);
+    tasks.spawn("ping_store", store_ping::ping);
+    tasks.spawn("refresh_gossip", gossip::refresh);
+    tasks.spawn("catch_up", peer_sync::catch_up);
+    tasks.spawn("detect_pauses", pause::watch);
+    tasks.spawn("detect_cuts", reach::watch);
+    tasks.spawn("watch_memory", memory::watch);
     let sending = Arc::clone(socket);
-    tasks.spawn("send gossip", move |context| {
+    tasks.spawn("send_gossip", move |context| {
         gossip::send(context, Arc::clone(&sending))
     });
     let querying = Arc::clone(socket);
-    tasks.spawn("query peers", move |context| {
+    tasks.spawn("query_peers", move |context| {
         gossip::query(context, Arc::clone(&querying))
     });
     let receiving = Arc::clone(socket);
-    tasks.spawn("receive gossip", move |context| {
+    tasks.spawn("receive_gossip", move |context| {
         gossip::receive(context, Arc::clone(&receiving))
     });
 }
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -42,8 +42,8 @@
     let server = Server::start(listener, settings.listen.peer, identity, handler);
     cluster.start();
     let tasks = Supervisor::new(node, node.metrics.task_restarts());
-    tasks.spawn("reconcile engines", holder::reconcile::run);
-    tasks.spawn("sweep claims", claims::sweep);
+    tasks.spawn("reconcile_engines", holder::reconcile::run);
+    tasks.spawn("sweep_claims", claims::sweep);
     poison::start(&tasks, node);
     Links { cluster, server }
 }
--- a/crates/primrosehoist-daemon/src/log_queue.rs
+++ b/crates/primrosehoist-daemon/src/log_queue.rs
@@ -25,8 +25,9 @@
 /// The size above which no more queued lines are added to a write, in bytes.
 const WRITE_BYTES: usize = 32 * 1024;
 
-/// How long the end of the process waits until the queued lines are written. Nobody may be reading them.
-const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long the end of the process waits until the queued lines are written. Nobody may be reading them,
+/// and a shutdown may have used all of its time but a margin that is longer than this.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
 
 quick_error! {
     /// An error that prevents logging from starting.
@@ -46,7 +47,7 @@
     Flush(Sender<()>),
 }
 
-/// The running log. Dropping it waits until the queued lines are written, or for a second.
+/// The running log. Dropping it waits until the queued lines are written, or for [`FLUSH_TIMEOUT`].
 #[derive(Debug)]
 pub(crate) struct Log(Sender<Entry>);
 
@@ -54,9 +55,13 @@
     fn drop(&mut self) {
         let deadline = Instant::now() + FLUSH_TIMEOUT;
         let (written, flushed) = crossbeam::channel::bounded(1);
-        let sent = self.0.send_deadline(Entry::Flush(written), deadline);
-        if sent.is_err() || flushed.recv_deadline(deadline).is_err() {
-            eprintln!("primrosehoistd: the last lines of the log were not written");
+        // Lines that nobody reads cannot be reported anywhere.
+        if self
+            .0
+            .send_deadline(Entry::Flush(written), deadline)
+            .is_ok()
+        {
+            let _result = flushed.recv_deadline(deadline);
         }
     }
 }
--- a/crates/primrosehoist-daemon/src/panics.rs
+++ b/crates/primrosehoist-daemon/src/panics.rs
@@ -2,10 +2,10 @@
 
 use std::panic;
 
-/// Logs each panic, before the text that Rust writes to standard error.
-pub(crate) fn report() {
-    let print = panic::take_hook();
-    panic::set_hook(Box::new(move |panic| {
+/// Makes each panic a line of the log, in place of the text on standard error, which blocks if nobody
+/// reads it.
+pub(crate) fn install_hook() {
+    panic::set_hook(Box::new(|panic| {
         let location = panic.location().map(ToString::to_string);
         let payload = panic.payload();
         let reason = payload
@@ -17,6 +17,5 @@
             reason = reason.unwrap_or("unknown");
             "panic"
         );
-        print(panic);
     }));
 }
--- a/crates/primrosehoist-daemon/src/poison/mod.rs
+++ b/crates/primrosehoist-daemon/src/poison/mod.rs
@@ -129,8 +129,8 @@
 /// Starts the tasks that report to other daemons and record quarantines.
 pub(crate) fn start(tasks: &Supervisor<Node>, node: &Node) {
     if node.poison.enabled {
-        tasks.spawn("report quarantines", gossip::run);
-        tasks.spawn("record quarantines", record::run);
+        tasks.spawn("report_quarantines", gossip::run);
+        tasks.spawn("record_quarantines", record::run);
     }
 }
 
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -76,7 +76,7 @@
         eprintln!("primrosehoistd: logging: {error}");
         return ExitCode::FAILURE;
     }
-    panics::report();
+    panics::install_hook();
     let runtime = match tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()
@@ -105,7 +105,7 @@
     let secret = settings.secret()?;
     let node = Arc::new(Node::new(&settings, &secret)?);
     let ports = tokio::select! {
-        cause = signals.stop() => {
+        cause = signals.wait_for_stop() => {
             log::info!(cause = cause.name(); "terminated during startup");
             return Ok(End::Finished);
         }
@@ -136,7 +136,7 @@
     log::info!(host = node.host.as_str(), zone = node.zone.as_str(); "daemon started");
     let failed = async {
         tokio::select! {
-            _panicked = &mut admin => {}
+            _ended = &mut admin => {}
             () = links.server.ended() => {}
         }
     };
--- a/crates/primrosehoist-daemon/src/shutdown.rs
+++ b/crates/primrosehoist-daemon/src/shutdown.rs
@@ -48,7 +48,7 @@
     let cause = tokio::select! {
         cause = stop_requested(&mut signals) => cause,
         _ = drain.wait_for(|drain| *drain) => Cause::Drain,
-        _panicked = &mut serving => Cause::Server,
+        _ended = &mut serving => Cause::Server,
         () = failed => Cause::Server,
     };
     node.draining.store(true, Ordering::Release);
@@ -57,7 +57,7 @@
     let limit = max_request_timeout(node) + RESPONSE_GRACE;
     let (end, cut_by) = tokio::select! {
         () = finish(context, stop, serving) => (End::Finished, "nothing"),
-        cause = signals.stop() => (End::Forced, cause.name()),
+        cause = signals.wait_for_stop() => (End::Forced, cause.name()),
         () = sleep(limit) => (End::Forced, "time limit"),
     };
     log::info!(in_progress = node.progress.count(), cut_by; "shutdown ended");
--- a/crates/primrosehoist-daemon/src/signals.rs
+++ b/crates/primrosehoist-daemon/src/signals.rs
@@ -76,7 +76,7 @@
 
     /// Waits for a signal to shut down. Those to reload are dropped, for times at which nothing is
     /// loaded that could be outdated.
-    pub(crate) async fn stop(&mut self) -> Cause {
+    pub(crate) async fn wait_for_stop(&mut self) -> Cause {
         loop {
             if let Request::Stop(cause) = self.next().await {
                 return cause;
--- a/crates/primrosehoist-daemon/src/tasks.rs
+++ b/crates/primrosehoist-daemon/src/tasks.rs
@@ -52,9 +52,14 @@
             loop {
                 let started = Instant::now();
                 let ended = tokio::spawn(run(Arc::clone(&shared))).await;
-                if !ended.is_err_and(|error| error.is_panic()) {
-                    // It has nothing more to do, or the process ends.
-                    return;
+                match ended {
+                    Err(error) if error.is_panic() => {}
+                    Ok(()) => {
+                        log::info!(task; "task ended");
+                        return;
+                    }
+                    // The process ends.
+                    Err(_cancelled) => return,
                 }
                 if started.elapsed() >= STABLE_TIME {
                     panics = 0;
