--- a/crates/primrosehoist-cli/tests/support/mod.rs
+++ b/crates/primrosehoist-cli/tests/support/mod.rs
@@ -213,10 +213,16 @@
     pub err: String,
 }
 
+/// Returns a command that runs the tool with `arguments`.
+pub fn command(arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_primrosehoist"));
+    command.args(arguments);
+    command
+}
+
 /// Runs the tool with `arguments`, and `input` on standard input.
 pub fn run_with(arguments: &[&str], input: &str) -> Run {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_primrosehoist"))
-        .args(arguments)
+    let mut child = command(arguments)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/crates/primrosehoist-cli/tests/tool.rs
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -2,8 +2,15 @@
 
 mod support;
 
+use std::process::{Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
 use serde_json::{Value, json};
-use support::{Fake, Fault, Run, change_path, repository, run, run_with};
+use support::{Fake, Fault, Run, change_path, command, repository, run, run_with};
+
+/// The maximum time that a test waits for a condition.
+const TIMEOUT: Duration = Duration::from_secs(20);
 
 const SNAPSHOT: &str = "/apis/primrosehoist/v1/snapshots/current";
 
@@ -21,6 +28,16 @@
     run(&[command, &options, more].concat())
 }
 
+/// Returns a command that publishes the example.
+fn publish_command(platform: &Fake, more: &[&str]) -> Command {
+    let directory = repository("examples/fleet").display().to_string();
+    let address = platform.address.to_string();
+    let mut publish = command(&["publish", &directory, "--platform", &address]);
+    publish.args(["--author", "amy", "--reason", "test"]);
+    publish.args(more);
+    publish
+}
+
 fn publish(platform: &Fake, more: &[&str]) -> Run {
     let directory = repository("examples/fleet").display().to_string();
     change(platform, &["publish", &directory], more)
@@ -404,3 +421,80 @@
     assert_eq!(run_with(&["key", "digest"], "key-audit\n").out, expected);
     assert_eq!(run_with(&["key", "digest"], "\n").code, 1);
 }
+
+#[test]
+fn closed_outputs_keep_the_exit_code() {
+    let platform = Fake::start();
+    let invalid = repository("examples/bad").display().to_string();
+    let cases = [
+        (command(&["--help"]), 0),
+        (command(&["--version"]), 0),
+        (command(&["frob"]), 2),
+        (command(&["check", &invalid]), 3),
+        (command(&["check", &invalid, "--output", "json"]), 3),
+        (publish_command(&platform, &["--wait", "0s"]), 0),
+    ];
+    for (mut command, code) in cases {
+        let (reader, writer) = std::io::pipe().expect("there are pipes");
+        drop(reader);
+        let errors = writer.try_clone().expect("pipes can be cloned");
+        let status = command.stdout(writer).stderr(errors).status();
+        let status = status.expect("the tool starts");
+        assert_eq!(status.code(), Some(code), "{command:?}");
+    }
+}
+
+#[test]
+fn a_result_that_cannot_be_printed_is_an_error_that_names_the_change() {
+    let full = || std::fs::File::create("/dev/full").expect("it can be opened");
+    let help = command(&["--help"]).stdout(full()).output();
+    let help = help.expect("the tool starts");
+    assert_eq!(help.status.code(), Some(1), "{help:?}");
+    let platform = Fake::start();
+    let publish = publish_command(&platform, &["--wait", "0s"])
+        .stdout(full())
+        .output();
+    let publish = publish.expect("the tool starts");
+    assert_eq!(publish.status.code(), Some(1), "{publish:?}");
+    let error = String::from_utf8_lossy(&publish.stderr);
+    assert!(error.contains("version 1 was accepted"), "{error}");
+}
+
+/// Interrupts a publish when `until` is true and returns what it wrote to standard error.
+fn interrupt_publish(platform: &Fake, more: &[&str], until: impl Fn() -> bool) -> String {
+    let mut publish = publish_command(platform, more);
+    let child = publish.stderr(Stdio::piped()).spawn();
+    let child = child.expect("the tool starts");
+    let started = Instant::now();
+    while !until() {
+        assert!(started.elapsed() < TIMEOUT, "timed out");
+        thread::sleep(Duration::from_millis(10));
+    }
+    let sent = Command::new("kill")
+        .args(["-INT", &child.id().to_string()])
+        .status();
+    assert!(sent.expect("kill starts").success());
+    let output = child.wait_with_output().expect("it can be waited for");
+    assert!(!output.status.success(), "{output:?}");
+    String::from_utf8(output.stderr).expect("it prints text")
+}
+
+#[test]
+fn an_interrupted_publish_says_that_the_result_is_unknown() {
+    let platform = Fake::start();
+    platform.inject(&[Fault::LoseRequest; 100]);
+    let error = interrupt_publish(&platform, &["--wait", "0s"], || platform.creates() > 0);
+    assert!(error.contains("writing version 1 with nonce"), "{error}");
+    assert!(error.contains("primrosehoist audit --since 0"), "{error}");
+}
+
+#[test]
+fn an_interrupted_wait_says_that_the_change_was_accepted() {
+    let secret = Secret::new("interrupted");
+    let platform = Fake::start();
+    let daemon = daemon("a1", 0, &json!([]));
+    let address = daemon.address.to_string();
+    let more = ["--secret-file", secret.path(), "--daemons", &address];
+    let error = interrupt_publish(&platform, &more, || !daemon.authorization().is_empty());
+    assert!(error.contains("version 1 was accepted"), "{error}");
+}
--- a/crates/primrosehoist-standin/tests/support/mod.rs
+++ b/crates/primrosehoist-standin/tests/support/mod.rs
@@ -24,7 +24,7 @@
 const PROCESSES: u32 = 220;
 
 /// Returns an unused loopback address.
-fn free_address() -> String {
+pub fn free_address() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let first = PORT_FIRST + std::process::id() % PROCESSES * PORTS_PER_PROCESS;
     loop {
@@ -109,16 +109,32 @@
     /// Starts a stand-in on a free port and waits until it listens.
     pub fn start(kind: &str, options: &[&str]) -> Standin {
         let address = free_address();
-        let child = command(&[kind, "--listen", &address])
-            .args(options)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the program starts");
-        let standin = Standin { child, address };
+        let mut command = command(&[kind, "--listen", &address]);
+        let standin = Standin::spawn(command.args(options).stdout(Stdio::null()), address);
         standin.wait_up();
         standin
     }
 
+    /// Starts a stand-in that listens on `address` sooner or later.
+    pub fn spawn(command: &mut Command, address: String) -> Standin {
+        let child = command.spawn().expect("the program starts");
+        Standin { child, address }
+    }
+
+    /// Returns whether the program still runs.
+    pub fn is_running(&mut self) -> bool {
+        self.try_wait().is_none()
+    }
+
+    /// Waits for the program to exit.
+    pub fn wait(&mut self) -> ExitStatus {
+        wait_for("the end", || self.try_wait())
+    }
+
+    fn try_wait(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("it can be waited for")
+    }
+
     /// Waits until the stand-in accepts connections.
     pub fn wait_up(&self) {
         wait_for("a listener", || TcpStream::connect(&self.address).ok());
@@ -126,12 +142,15 @@
 
     /// Sends a signal, given as an option of `kill`, and waits for the program to exit.
     pub fn stop(&mut self, signal: &str) -> ExitStatus {
+        self.signal(signal);
+        self.wait()
+    }
+
+    /// Sends a signal, given as an option of `kill`.
+    pub fn signal(&self, signal: &str) {
         let id = self.child.id().to_string();
         let sent = Command::new("kill").args([signal, &id]).status();
         assert!(sent.expect("kill starts").success());
-        wait_for("the end", || {
-            self.child.try_wait().expect("it can be waited for")
-        })
     }
 
     /// Sends a request and returns the connection.
