Keep the exit code when standard output or error is closed

What operators saw: a panic and exit 101 from `primrosehoist ... | head -1`, from a publish whose change was accepted, and from stand-ins that wrote a line of the log after the reader of their standard error had left; a server ended or never listened by that. Cause: print, println and eprintln panic if they cannot write, and so does the logger's output for standard error. Change: what a reader no longer waits for is dropped, and the exit code is that of the command. Other failures, such as a full disk, are an error; for a change that was accepted it names the version. Failures of standard error are ignored, since there is no other place for them. A load writes its report to the file before it prints it.

--- a/crates/primrosehoist-cli/src/error.rs
+++ b/crates/primrosehoist-cli/src/error.rs
@@ -49,6 +49,15 @@
             display("cannot write JSON: {}", error)
             source(error)
         }
+        /// Standard output cannot be written to.
+        Print(error: io::Error) {
+            display("cannot write the result: {}", error)
+            source(error)
+        }
+        /// A change was accepted, and the result cannot be printed.
+        Unprinted(version: Version, cause: Box<Error>) {
+            display("version {} was accepted, but {}", version, cause)
+        }
         /// What the command is about does not exist.
         Unknown(what: &'static str) {
             display("{}", what)
--- a/crates/primrosehoist-cli/src/main.rs
+++ b/crates/primrosehoist-cli/src/main.rs
@@ -30,7 +30,7 @@
     let exit = match run(Args::from_env()) {
         Ok(exit) => exit,
         Err(error) => {
-            eprintln!("primrosehoist: {error}");
+            output::tell(&error);
             error.exit()
         }
     };
@@ -40,11 +40,11 @@
 fn run(mut args: Args) -> Result<Exit, Error> {
     let command = args.subcommand()?;
     if args.flag("--help") {
-        println!("{}", help::text(&command)?);
+        output::write(format_args!("{}\n", help::text(&command)?))?;
         return Ok(Exit::Done);
     }
     if args.flag("--version") {
-        println!("primrosehoist {}", env!("CARGO_PKG_VERSION"));
+        output::write(concat!("primrosehoist ", env!("CARGO_PKG_VERSION"), "\n"))?;
         return Ok(Exit::Done);
     }
     match command.as_str() {
--- a/crates/primrosehoist-cli/src/output.rs
+++ b/crates/primrosehoist-cli/src/output.rs
@@ -1,6 +1,7 @@
 //! Output formats and exit codes.
 
 use std::fmt;
+use std::io::{self, ErrorKind, Write};
 
 use serde::Serialize;
 use strum::EnumString;
@@ -35,21 +36,45 @@
     NotInForce = 5,
 }
 
+/// Writes to standard output. Text that its reader did not wait for, as in `| head -1`, is dropped.
+///
+/// # Errors
+///
+/// Fails if standard output cannot be written to for another reason.
+pub(crate) fn write<T>(text: T) -> Result<(), Error>
+where
+    T: fmt::Display,
+{
+    let mut output = io::stdout().lock();
+    match write!(output, "{text}").and_then(|()| output.flush()) {
+        Err(error) if error.kind() != ErrorKind::BrokenPipe => Err(Error::Print(error)),
+        _ => Ok(()),
+    }
+}
+
+/// Writes a line for the operator to standard error.
+pub(crate) fn tell<T>(message: T)
+where
+    T: fmt::Display,
+{
+    // Nobody reads it if this fails. The exit code still tells the result.
+    let _written = writeln!(io::stderr().lock(), "primrosehoist: {message}");
+}
+
 /// Prints a result to standard output.
 ///
 /// # Errors
 ///
-/// Fails if the result cannot be encoded as JSON.
+/// Fails if the result cannot be encoded as JSON or written.
 pub(crate) fn print<T>(format: Format, result: &T) -> Result<(), Error>
 where
     T: Serialize + fmt::Display,
 {
     match format {
-        Format::Text => print!("{result}"),
+        Format::Text => write(result),
         Format::Json => {
             let json = serde_json::to_string_pretty(result).map_err(Error::Encode)?;
-            println!("{json}");
+            write(format_args!("{json}\n"))
         }
     }
-    Ok(())
 }
--- a/crates/primrosehoist-cli/src/publish.rs
+++ b/crates/primrosehoist-cli/src/publish.rs
@@ -14,7 +14,7 @@
 use crate::args::Args;
 use crate::check;
 use crate::error::Error;
-use crate::output::{Exit, Format, print};
+use crate::output::{Exit, Format, print, tell};
 use crate::store::Store;
 use crate::submit::{Submission, submit};
 use crate::wait::{Rollout, listed_daemons, wait};
@@ -166,7 +166,13 @@
         if let (Some(admin), false) = (&admin, self.wait.is_zero()) {
             report.rollout = Some(self.wait_for(admin, report.version));
         }
-        print(self.format, &report)?;
+        print(self.format, &report).map_err(|error| {
+            if report.changed {
+                Error::Unprinted(report.version, Box::new(error))
+            } else {
+                error
+            }
+        })?;
         match &report.rollout {
             Some(rollout) if !rollout.is_complete() => Ok(Exit::NotInForce),
             _ => Ok(Exit::Done),
@@ -179,11 +185,11 @@
         if daemons.is_empty() {
             match listed_daemons(&self.store) {
                 Ok(listed) => daemons = listed,
-                Err(error) => eprintln!("primrosehoist: cannot list the daemons: {error}"),
+                Err(error) => tell(format_args!("cannot list the daemons: {error}")),
             }
         }
         if daemons.is_empty() {
-            eprintln!("primrosehoist: no daemons are known; pass their addresses with --daemons");
+            tell("no daemons are known; pass their addresses with --daemons");
             return Rollout::default();
         }
         wait(admin, &daemons, version, self.wait)
--- a/crates/primrosehoist-cli/src/submit.rs
+++ b/crates/primrosehoist-cli/src/submit.rs
@@ -8,6 +8,7 @@
 
 use crate::backoff::Backoff;
 use crate::error::Error;
+use crate::output::tell;
 use crate::store::{Creation, Store};
 
 /// The number of changes between two snapshots.
@@ -52,7 +53,7 @@
         let mut snapshot = fleet.clone();
         snapshot.apply(&change);
         if let Err(error) = store.write_snapshot(&snapshot) {
-            eprintln!("primrosehoist: the snapshot was not written: {error}");
+            tell(format_args!("the snapshot was not written: {error}"));
         }
     }
     Ok(change.version)
--- a/crates/primrosehoist-standin/src/command.rs
+++ b/crates/primrosehoist-standin/src/command.rs
@@ -8,7 +8,7 @@
 use pico_args::Arguments;
 use quick_error::quick_error;
 
-use crate::logging;
+use crate::{logging, output};
 
 /// The exit code for invalid arguments.
 const EXIT_USAGE: u8 = 2;
@@ -189,14 +189,14 @@
 
 /// Prints the text or the error of a result and returns the exit code.
 pub(crate) fn finish(result: Result<Outcome, Error>) -> ExitCode {
-    match result {
-        Ok(Outcome::Print(text)) => {
-            print!("{text}");
-            ExitCode::SUCCESS
-        }
-        Ok(Outcome::Done) => ExitCode::SUCCESS,
+    let finished = result.and_then(|outcome| match outcome {
+        Outcome::Print(text) => output::print(text).map_err(|error| Error::Run("printing", error)),
+        Outcome::Done => Ok(()),
+    });
+    match finished {
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("primrosehoist-standin: {error}");
+            output::tell(format_args!("primrosehoist-standin: {error}"));
             error.exit_code()
         }
     }
--- a/crates/primrosehoist-standin/src/load/mod.rs
+++ b/crates/primrosehoist-standin/src/load/mod.rs
@@ -19,7 +19,7 @@
 
 use crate::caller::answer::Answer;
 use crate::command::{self, Addresses, Error};
-use crate::reply;
+use crate::{output, reply};
 use arrival::{Arrival, Arrivals, Work};
 use mix::Mix;
 use progress::Progress;
@@ -168,9 +168,8 @@
     summary.seed = options.seed;
     summary.scale = options.scale;
     summary.duration_s = options.duration.as_secs_f64();
-    print!("{summary}");
-    match &options.json {
-        Some(path) => fs::write(path, serde_json::to_vec_pretty(&summary)?),
-        None => Ok(()),
+    if let Some(path) = &options.json {
+        fs::write(path, serde_json::to_vec_pretty(&summary)?)?;
     }
+    output::print(summary)
 }
--- a/crates/primrosehoist-standin/src/load/progress.rs
+++ b/crates/primrosehoist-standin/src/load/progress.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::load::tally::Tally;
+use crate::output;
 
 /// A status line that is overwritten with every update; hidden if stderr is not a terminal.
 #[derive(Debug)]
@@ -43,7 +44,7 @@
     /// Terminates the line.
     pub(crate) fn end(self) {
         if self.is_shown {
-            eprintln!();
+            output::tell("");
         }
     }
 }
--- a/crates/primrosehoist-standin/src/logging.rs
+++ b/crates/primrosehoist-standin/src/logging.rs
@@ -6,6 +6,7 @@
 use serde_json::json;
 
 use crate::command::Error;
+use crate::output::Errors;
 
 /// Starts logging messages of `level` and above.
 ///
@@ -25,7 +26,7 @@
             });
             out.finish(format_args!("{line}"));
         })
-        .chain(io::stderr())
+        .chain(Box::new(Errors) as Box<dyn io::Write + Send>)
         .apply()
         .map_err(|error| Error::Run("starting the logger", io::Error::other(error)))
 }
--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod load;
 mod logging;
+mod output;
 mod platform;
 mod published;
 mod reply;
--- a/crates/primrosehoist-standin/src/report/mod.rs
+++ b/crates/primrosehoist-standin/src/report/mod.rs
@@ -75,7 +75,7 @@
 ///
 /// Fails if a plot cannot be written.
 pub(crate) async fn run(options: Options) -> io::Result<()> {
-    table::print(&options.reports);
+    table::print(&options.reports)?;
     let Some(out) = options.out else {
         return Ok(());
     };
--- a/crates/primrosehoist-standin/src/report/table.rs
+++ b/crates/primrosehoist-standin/src/report/table.rs
@@ -1,12 +1,20 @@
 //! The printed tables.
 
+use std::io::{self, Write};
+
 use crate::load::summary::Workspace;
+use crate::output::Output;
 use crate::report::Report;
 
 /// Prints one row per report, then tables by prompt length, workspace and phase.
-pub(crate) fn print(reports: &[Report]) {
+///
+/// # Errors
+///
+/// Fails if standard output cannot be written to.
+pub(crate) fn print(reports: &[Report]) -> io::Result<()> {
     let base = reports[0].summary.short_first_token_ms;
-    println!(
+    writeln!(
+        Output,
         "{:<24} {:>8} {:>8} {:>8} {:>7} {:>6} {:>10} {:>10} {:>9} {:>9} {:>11}",
         "report",
         "offered",
@@ -19,10 +27,11 @@
         "p50 ratio",
         "p95 ratio",
         "tokens/s"
-    );
+    )?;
     for Report { name, summary } in reports {
         let times = summary.short_first_token_ms;
-        println!(
+        writeln!(
+            Output,
             "{name:<24} {:>8} {:>8} {:>8} {:>7} {:>6} {:>10.2} {:>10.2} {:>9.3} {:>9.3} {:>11.0}",
             summary.counts.offered,
             summary.counts.complete,
@@ -34,54 +43,63 @@
             times.p50 / base.p50,
             times.p95 / base.p95,
             summary.goodput_tokens_per_s
-        );
+        )?;
     }
-    print_classes(reports);
-    print_workspaces(reports);
-    print_phases(reports);
+    print_classes(reports)?;
+    print_workspaces(reports)?;
+    print_phases(reports)
 }
 
-fn print_classes(reports: &[Report]) {
-    println!("\nfirst token, p50 / p95 in ms");
-    print!("{:<24}", "report");
+fn print_classes(reports: &[Report]) -> io::Result<()> {
+    writeln!(Output, "\nfirst token, p50 / p95 in ms")?;
+    write!(Output, "{:<24}", "report")?;
     for class in &reports[0].summary.classes {
-        print!(" {:>17}", class.name);
+        write!(Output, " {:>17}", class.name)?;
     }
-    println!();
+    writeln!(Output)?;
     for Report { name, summary } in reports {
-        print!("{name:<24}");
+        write!(Output, "{name:<24}")?;
         for class in &summary.classes {
             let times = class.first_token_ms;
             let text = match times.count {
                 0 => "-".to_owned(),
                 _ => format!("{:.1} / {:.1}", times.p50, times.p95),
             };
-            print!(" {text:>17}");
+            write!(Output, " {text:>17}")?;
         }
-        println!();
+        writeln!(Output)?;
     }
+    Ok(())
 }
 
-fn print_workspaces(reports: &[Report]) {
-    println!("\ncompleted share of the tokens offered, by workspace");
+fn print_workspaces(reports: &[Report]) -> io::Result<()> {
+    writeln!(
+        Output,
+        "\ncompleted share of the tokens offered, by workspace"
+    )?;
     for Report { name, summary } in reports {
         let shares = summary
             .workspaces
             .iter()
             .map(completed_share)
             .collect::<Vec<_>>();
-        println!("{name:<24} {}", shares.join("  "));
+        writeln!(Output, "{name:<24} {}", shares.join("  "))?;
     }
+    Ok(())
 }
 
-fn print_phases(reports: &[Report]) {
+fn print_phases(reports: &[Report]) -> io::Result<()> {
     let marked = |report: &&Report| !report.summary.marks.is_empty();
     for Report { name, summary } in reports.iter().filter(marked) {
-        println!("\n{name}: phases, short prompts, ratio to the first phase");
+        writeln!(
+            Output,
+            "\n{name}: phases, short prompts, ratio to the first phase"
+        )?;
         let base = summary.phases[0].short_first_token_ms;
         for phase in &summary.phases {
             let times = phase.short_first_token_ms;
-            println!(
+            writeln!(
+                Output,
                 "{:<28} refused {:>4} failed {:>4} lost {:>4}  p50 {:>7.1}  p95 {:>7.1}  ratio {:>6.3} {:>6.3}",
                 phase.label,
                 phase.counts.refused,
@@ -91,9 +109,10 @@
                 times.p95,
                 times.p50 / base.p50,
                 times.p95 / base.p95
-            );
+            )?;
         }
     }
+    Ok(())
 }
 
 fn completed_share(workspace: &Workspace) -> String {
--- a/crates/primrosehoist-standin/src/send/mod.rs
+++ b/crates/primrosehoist-standin/src/send/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::caller::answer::Answer;
 use crate::command::{self, Addresses, Error};
+use crate::output;
 use plan::{Action, Plan, Step};
 use verdict::Verdict;
 
@@ -95,18 +96,18 @@
 /// Fails if any result differs from the plan, or a stand-in cannot be reached.
 pub(crate) async fn run(options: Options) -> io::Result<()> {
     let mut sent = Vec::new();
-    table::print_head();
+    table::print_head()?;
     let steps = options.plan.steps.iter();
     for (index, step) in steps.enumerate() {
         let address = options.callers[index % options.callers.len()];
         let done = send(&options, step, address, index).await;
-        table::print_row(&done, address);
+        table::print_row(&done, address)?;
         sent.push(done);
     }
     let mut verdict = Verdict::of_answers(&sent);
     verdict.count_engines(&options.engines, &sent).await?;
     verdict.count_services(&options.services, &sent).await?;
-    println!("{verdict}");
+    output::print(format_args!("{verdict}\n"))?;
     if verdict.matches_plan() {
         Ok(())
     } else {
--- a/crates/primrosehoist-standin/src/send/table.rs
+++ b/crates/primrosehoist-standin/src/send/table.rs
@@ -1,21 +1,33 @@
 //! The printed table.
 
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::output::Output;
 use crate::send::Sent;
 use crate::send::plan::Action;
 
 /// Prints the column headers.
-pub(crate) fn print_head() {
-    println!(
+///
+/// # Errors
+///
+/// Fails if standard output cannot be written to.
+pub(crate) fn print_head() -> io::Result<()> {
+    writeln!(
+        Output,
         "{:<21} {:<12} {:>9} {:>14} {:>10}  outcome",
         "daemon", "asked", "tokens", "first token ms", "total ms"
-    );
+    )?;
+    Ok(())
 }
 
 /// Prints the row of one request.
-pub(crate) fn print_row(sent: &Sent<'_>, address: SocketAddr) {
+///
+/// # Errors
+///
+/// Fails if standard output cannot be written to.
+pub(crate) fn print_row(sent: &Sent<'_>, address: SocketAddr) -> io::Result<()> {
     let target = match &sent.step.action {
         Action::Prompt(prompt) => &prompt.model,
         Action::Call(call) => &call.service,
@@ -29,10 +41,12 @@
     } else {
         format!("  (expected {})", sent.step.expect)
     };
-    println!(
+    writeln!(
+        Output,
         "{:<21} {target:<12} {tokens:>9} {first:>14} {total:>10}  {outcome}{note}",
         address.to_string()
-    );
+    )?;
+    Ok(())
 }
 
 fn milliseconds(duration: Duration) -> String {
--- a/crates/primrosehoist-standin/tests/ends.rs
+++ b/crates/primrosehoist-standin/tests/ends.rs
@@ -147,7 +147,7 @@
         "X-Prompt-Prefix: p6:10,p7:20",
     ];
     // The runner ends in the middle of the response.
-    drop(runner.send("POST", "/v1/chat", &headers, ""));
+    let _partial = runner.try_call("POST", "/v1/chat", &headers, "");
     assert_eq!(Some(1), runner.wait().code());
     let log = log();
     assert!(log.contains("p7"), "{log}");
