Handle signals of stand-ins from the start, and wait for their address

What operators saw: stand-ins that ended without a reason: on SIGHUP at any time (50 of 50 starts of a service and a runner, 0 to 50 ms after the start), on SIGTERM and SIGINT soon after the start (39 of 40 within 1 ms); or at once with exit 1 if the former process still held the address. Nothing said which signal had ended one. Cause: the handlers were installed with the listener, after logger, options and the command's own setup, and there was none for SIGHUP; bind was tried once. Change: a server installs its handlers before it reads its options. It logs the signal that ends it, ignores SIGHUP with a line, as the daemon with its own settings does, and waits for an address until it is free: each new error is logged at once, the same one every 10 s, also after an outage. An address that is not permitted still ends it. load, report and send have no handlers: an interrupted one has no result and must not exit with 0, so that the help text says it now. The time until the handlers, which is that of exec, loader and runtime, remains.

--- a/crates/primrosehoist-standin/src/command.rs
+++ b/crates/primrosehoist-standin/src/command.rs
@@ -7,7 +7,9 @@
 
 use pico_args::Arguments;
 use quick_error::quick_error;
+use tokio::runtime::{Builder, Runtime};
 
+use crate::signals::Signals;
 use crate::{logging, output};
 
 /// The exit code for invalid arguments.
@@ -160,10 +162,50 @@
     if let Some(printed) = help_or_version(&mut arguments, help) {
         return finish(Ok(printed));
     }
-    finish(start(arguments, parse, serve))
+    let ended = runtime().and_then(|runtime| start(runtime, arguments, parse, serve));
+    finish(ended)
+}
+
+/// Does as [`run`] does, for a server that runs until SIGTERM or SIGINT.
+pub(crate) fn serve<Options, Parse, Serve, Running>(
+    mut arguments: Arguments,
+    help: &str,
+    parse: Parse,
+    serve: Serve,
+) -> ExitCode
+where
+    Parse: FnOnce(&mut Arguments) -> Result<Options, Error>,
+    Serve: FnOnce(Options) -> Running,
+    Running: Future<Output = io::Result<()>>,
+{
+    if let Some(printed) = help_or_version(&mut arguments, help) {
+        return finish(Ok(printed));
+    }
+    let ended = runtime().and_then(|runtime| {
+        let signals = Signals::install(&runtime);
+        let mut signals = signals.map_err(|error| Error::Run("handling signals", error))?;
+        start(runtime, arguments, parse, |options| async move {
+            tokio::select! {
+                signal = signals.end() => {
+                    log::warn!("ended by {signal}");
+                    Ok(())
+                }
+                served = serve(options) => served,
+            }
+        })
+    });
+    finish(ended)
+}
+
+fn runtime() -> Result<Runtime, Error> {
+    Builder::new_multi_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Error::Run("starting the runtime", error))
 }
 
 fn start<Options, Parse, Serve, Running>(
+    runtime: Runtime,
     mut arguments: Arguments,
     parse: Parse,
     serve: Serve,
@@ -177,10 +219,6 @@
     let options = parse(&mut arguments)?;
     reject_rest(arguments)?;
     logging::start(level)?;
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-        .map_err(|error| Error::Run("starting the runtime", error))?;
     let ended = runtime.block_on(serve(options));
     runtime.shutdown_background();
     ended.map_err(|error| Error::Run("running", error))?;
--- a/crates/primrosehoist-standin/src/engine/mod.rs
+++ b/crates/primrosehoist-standin/src/engine/mod.rs
@@ -85,11 +85,11 @@
     }
 }
 
-/// Serves requests until SIGTERM or SIGINT.
+/// Serves requests.
 ///
 /// # Errors
 ///
-/// Fails if the address cannot be bound.
+/// Fails as [`listener::serve`] does.
 pub(crate) async fn serve(settings: settings::Settings) -> io::Result<()> {
     let settings = Arc::new(settings);
     let (outages, receiver) = mpsc::unbounded_channel();
--- a/crates/primrosehoist-standin/src/listener.rs
+++ b/crates/primrosehoist-standin/src/listener.rs
@@ -1,4 +1,4 @@
-//! A TCP listener that stops on a signal and can simulate outages.
+//! A TCP listener that waits for its address and can simulate outages.
 
 use std::io;
 use std::net::SocketAddr;
@@ -8,16 +8,18 @@
 use http::Request;
 use hyper::body::Incoming;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::connection;
 use crate::reply::Answer;
 
-/// The interval between attempts to bind the address again.
-const REBIND_PERIOD: Duration = Duration::from_millis(20);
+/// The interval between attempts to bind the address.
+const BIND_PERIOD: Duration = Duration::from_millis(20);
+
+/// The interval between log lines with the same error.
+const REPORT_PERIOD: Duration = Duration::from_secs(10);
 
 /// A request to close the listener and all connections and to listen again later.
 #[derive(Debug)]
@@ -26,37 +28,11 @@
     pub(crate) duration: Duration,
 }
 
-enum Event {
-    Signal,
-    Outage(Outage),
-}
-
-struct Signals {
-    terminate: Signal,
-    interrupt: Signal,
-}
-
-impl Signals {
-    fn new() -> io::Result<Signals> {
-        Ok(Signals {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn next(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
-    }
-}
-
-/// Serves connections on `address` until SIGTERM or SIGINT.
+/// Serves connections on `address`, for which it waits.
 ///
 /// # Errors
 ///
-/// Fails if the signal handlers cannot be installed or the address cannot be bound at the start.
+/// Fails if the address is not permitted.
 pub(crate) async fn serve<Handler, Handling>(
     address: SocketAddr,
     handler: Handler,
@@ -66,48 +42,51 @@
     Handler: Fn(Request<Incoming>) -> Handling + Send + Sync + 'static,
     Handling: Future<Output = Answer> + Send + 'static,
 {
-    let mut signals = Signals::new()?;
     let handler = Arc::new(handler);
-    let mut listener = TcpListener::bind(address).await?;
-    log::info!("listening on {address}");
     loop {
-        let event = accept(listener, &handler, &mut signals, &mut outages).await;
-        let Event::Outage(outage) = event else {
-            return Ok(());
-        };
-        tokio::select! {
-            () = signals.next() => return Ok(()),
-            () = time::sleep(outage.duration) => {}
-        }
-        listener = rebind(address).await;
+        let listener = bind(address).await?;
+        let outage = accept(listener, &handler, &mut outages).await;
+        time::sleep(outage.duration).await;
     }
 }
 
-async fn rebind(address: SocketAddr) -> TcpListener {
+/// Binds the address, which a former process may hold for a while.
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let mut reported: Option<(io::ErrorKind, Instant)> = None;
     loop {
-        match TcpListener::bind(address).await {
-            Ok(listener) => return listener,
-            Err(error) => log::warn!("binding {address} again: {error}"),
+        let error = match TcpListener::bind(address).await {
+            Ok(listener) => {
+                log::info!("listening on {address}");
+                return Ok(listener);
+            }
+            Err(error) => error,
+        };
+        let kind = error.kind();
+        if kind == io::ErrorKind::PermissionDenied {
+            let reason = format!("listening on {address}: {error}");
+            return Err(io::Error::new(kind, reason));
+        }
+        if reported.is_none_or(|(last, at)| last != kind || at.elapsed() >= REPORT_PERIOD) {
+            log::warn!("waiting to listen on {address}: {error}");
+            reported = Some((kind, Instant::now()));
         }
-        time::sleep(REBIND_PERIOD).await;
+        time::sleep(BIND_PERIOD).await;
     }
 }
 
 async fn accept<Handler, Handling>(
     listener: TcpListener,
     handler: &Arc<Handler>,
-    signals: &mut Signals,
     outages: &mut mpsc::UnboundedReceiver<Outage>,
-) -> Event
+) -> Outage
 where
     Handler: Fn(Request<Incoming>) -> Handling + Send + Sync + 'static,
     Handling: Future<Output = Answer> + Send + 'static,
 {
     let mut connections = JoinSet::new();
-    let event = loop {
+    let outage = loop {
         tokio::select! {
-            () = signals.next() => break Event::Signal,
-            Some(outage) = outages.recv() => break Event::Outage(outage),
+            Some(outage) = outages.recv() => break outage,
             Some(_) = connections.join_next(), if !connections.is_empty() => {}
             accepted = listener.accept() => match accepted {
                 Ok((socket, _)) => {
@@ -119,5 +98,5 @@
     };
     drop(listener);
     connections.shutdown().await;
-    event
+    outage
 }
--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -16,6 +16,7 @@
 mod report;
 mod send;
 mod service;
+mod signals;
 
 use std::process::ExitCode;
 
@@ -40,7 +41,9 @@
   --help     prints this text, or that of a command
   --version  prints the version
 
-Exit codes: 0 done or ended by a signal, 1 failed while running, 2 invalid arguments.
+Exit codes: 0 done, or a server ended by SIGTERM or SIGINT; 1 failed while running, 2 invalid
+arguments. Servers log which signal ended them, wait for an address that is in use, and ignore SIGHUP.
+load, report and send end by any signal without a result.
 ";
 
 fn main() -> ExitCode {
@@ -54,21 +57,21 @@
 
 fn dispatch(name: &str, arguments: pico_args::Arguments) -> ExitCode {
     match name {
-        "platform" => command::run(
+        "platform" => command::serve(
             arguments,
             platform::HELP,
             platform::options,
             platform::serve,
         ),
-        "engine" => command::run(arguments, engine::HELP, engine::options, engine::serve),
-        "service" => command::run(arguments, service::HELP, service::options, service::serve),
-        "store" => command::run(
+        "engine" => command::serve(arguments, engine::HELP, engine::options, engine::serve),
+        "service" => command::serve(arguments, service::HELP, service::options, service::serve),
+        "store" => command::serve(
             arguments,
             published::store::HELP,
             published::store::options,
             published::store::serve,
         ),
-        "runner" => command::run(
+        "runner" => command::serve(
             arguments,
             published::runner::HELP,
             published::runner::options,
--- a/crates/primrosehoist-standin/src/platform/mod.rs
+++ b/crates/primrosehoist-standin/src/platform/mod.rs
@@ -98,11 +98,11 @@
     serde_json::from_slice(&text).map_err(|error| failed(error.to_string()))
 }
 
-/// Serves requests until SIGTERM or SIGINT.
+/// Serves requests.
 ///
 /// # Errors
 ///
-/// Fails if the address cannot be bound.
+/// Fails as [`listener::serve`] does.
 pub(crate) async fn serve(options: Options) -> io::Result<()> {
     let platform = Arc::new(Platform {
         state: Mutex::new(State {
--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -150,11 +150,11 @@
     state: Mutex<State>,
 }
 
-/// Serves until SIGTERM or SIGINT.
+/// Serves requests.
 ///
 /// # Errors
 ///
-/// Returns an error if the address cannot be listened on.
+/// Fails as [`listener::serve`] does.
 pub(crate) async fn serve(options: Options) -> io::Result<()> {
     let runner = Arc::new(Runner {
         id: options.id,
--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -128,11 +128,11 @@
     changed: Notify,
 }
 
-/// Serves until SIGTERM or SIGINT.
+/// Serves requests.
 ///
 /// # Errors
 ///
-/// Returns an error if an address cannot be listened on.
+/// Fails as [`listener::serve`] does.
 pub(crate) async fn serve(options: Options) -> io::Result<()> {
     let store = Arc::new(Store {
         page: options.page,
--- a/crates/primrosehoist-standin/src/service.rs
+++ b/crates/primrosehoist-standin/src/service.rs
@@ -100,11 +100,11 @@
     })
 }
 
-/// Serves requests until SIGTERM or SIGINT.
+/// Serves requests.
 ///
 /// # Errors
 ///
-/// Fails if the address cannot be bound.
+/// Fails as [`listener::serve`] does.
 pub(crate) async fn serve(options: Options) -> io::Result<()> {
     let service = Arc::new(Service {
         delay: options.delay,
--- a/crates/primrosehoist-standin/tests/ends.rs
+++ b/crates/primrosehoist-standin/tests/ends.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Read;
+use std::io::{BufRead, BufReader, Read};
 use std::net::{TcpListener, TcpStream};
 use std::process::{Command, Stdio};
 use std::thread;
@@ -80,11 +80,15 @@
     let mut command = command(&["service", "--listen", &address]);
     let mut waiting = Standin::spawn(command.stderr(writer), address);
     drop(command);
+    let mut log = BufReader::new(log);
+    let mut line = String::new();
+    log.read_line(&mut line).expect("it writes text");
+    assert!(line.contains("in use"), "{line}");
     thread::sleep(LOOK);
     assert_eq!(Some(0), waiting.stop("-TERM").code());
-    let log = std::io::read_to_string(log).expect("it writes text");
-    assert_eq!(1, log.matches("in use").count(), "{log}");
-    assert!(log.contains("ended by SIGTERM"), "{log}");
+    let rest = std::io::read_to_string(log).expect("it writes text");
+    assert!(rest.contains("ended by SIGTERM"), "{rest}");
+    assert_eq!(1, rest.lines().count(), "{rest}");
 }
 
 #[test]
