Wait after a connection that a stand-in could not accept

What operators saw: a stand-in without free descriptors that used a core and wrote 13,080 lines of its log in half a second (10 connections at a limit of 14 descriptors). Cause: the accept was tried again at once. Change: it is tried again after 100 ms.

--- a/crates/primrosehoist-standin/src/listener.rs
+++ b/crates/primrosehoist-standin/src/listener.rs
@@ -18,6 +18,9 @@
 /// The interval between attempts to bind the address.
 const BIND_PERIOD: Duration = Duration::from_millis(20);
 
+/// The delay after a connection that could not be accepted.
+const ACCEPT_DELAY: Duration = Duration::from_millis(100);
+
 /// The interval between log lines with the same error.
 const REPORT_PERIOD: Duration = Duration::from_secs(10);
 
@@ -92,7 +95,11 @@
                 Ok((socket, _)) => {
                     connections.spawn(connection::serve(socket, Arc::clone(handler)));
                 }
-                Err(error) => log::warn!("accepting a connection: {error}"),
+                Err(error) => {
+                    log::warn!("accepting a connection: {error}");
+                    // Without a delay, a lack of descriptors would be met again at once.
+                    time::sleep(ACCEPT_DELAY).await;
+                }
             },
         }
     };
