Log which part of a prompt ended a runner

What operators saw: a runner that exited with 1 and an empty log. Cause: the exit on request of a test, by a deadly part, logged nothing. Change: it logs the part before it ends. Evidence: a_runner_says_which_part_ended_it failed and passes.

--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -262,16 +262,15 @@
         reply::header(headers, "x-expect-instance").is_none_or(|id| *id == self.id)
     }
 
-    /// Returns whether the request has the part that ends this process.
-    fn is_deadly(&self, headers: &HeaderMap) -> bool {
+    /// Returns the part that ends this process, if the request has it.
+    fn deadly_part(&self, headers: &HeaderMap) -> Option<String> {
         let parts = reply::header(headers, "x-prompt-prefix");
         let deadly = self.lock().deadly_part.clone();
-        let (Some(parts), Some(deadly)) = (parts, deadly) else {
-            return false;
-        };
-        parts
+        let (parts, deadly) = (parts?, deadly?);
+        let is_deadly = parts
             .split(',')
-            .any(|part| part.split(':').next() == Some(&deadly))
+            .any(|part| part.split(':').next() == Some(&deadly));
+        is_deadly.then_some(deadly)
     }
 
     fn inject_faults(&self, content: &[u8]) -> Response<Payload> {
@@ -371,10 +370,11 @@
         let last = reply::header(headers, "last-event-id");
         let last = last.and_then(|last| last.parse().ok()).unwrap_or(0_u64);
         let guard = StreamGuard::new(Arc::clone(self));
-        if self.is_deadly(headers) {
+        if let Some(part) = self.deadly_part(headers) {
             let delay = self.event_interval;
             tokio::spawn(async move {
                 time::sleep(delay).await;
+                log::error!("ending with code 1: a prompt has the deadly part {part:?}");
                 std::process::exit(1);
             });
             let silence = stream::pending();
