Tell operators how far an interrupted change was

What operators saw: nothing on the terminal of a publish that they interrupted, or that was killed; whether the change was accepted was not said. Cause: the tool prints its result at its end only. Change: before the first attempt, standard error gets the version, its nonce and the command that tells whether it was accepted; before the wait, that it was accepted. This holds for every signal, SIGKILL included, and needs no handler. It concerns all commands that change the configuration. Evidence: an_interrupted_publish_says_that_the_result_is_unknown and an_interrupted_wait_says_that_the_change_was_accepted failed and pass.

--- a/crates/primrosehoist-cli/src/publish.rs
+++ b/crates/primrosehoist-cli/src/publish.rs
@@ -164,6 +164,12 @@
             report.version = submit(&self.store, &fleet, &self.submission, entries)?;
         }
         if let (Some(admin), false) = (&admin, self.wait.is_zero()) {
+            if report.changed {
+                tell(format_args!(
+                    "version {} was accepted; waiting until it is in force",
+                    report.version
+                ));
+            }
             report.rollout = Some(self.wait_for(admin, report.version));
         }
         print(self.format, &report).map_err(|error| {
--- a/crates/primrosehoist-cli/src/submit.rs
+++ b/crates/primrosehoist-cli/src/submit.rs
@@ -48,6 +48,12 @@
         nonce: format!("{:032x}", rand::random::<u128>()),
         entries,
     };
+    // A command that is interrupted cannot say any more what became of the change.
+    tell(format_args!(
+        "writing version {} with nonce {}; if this is interrupted, `primrosehoist audit --since {}` tells \
+         whether it was accepted",
+        change.version, change.nonce, fleet.version
+    ));
     write(store, &change, submission.settle_timeout)?;
     if change.version.is_multiple_of(SNAPSHOT_CHANGES) {
         let mut snapshot = fleet.clone();
