--- a/crates/primrosehoist-cli/src/submit.rs
+++ b/crates/primrosehoist-cli/src/submit.rs
@@ -8,6 +8,7 @@
 
 use crate::backoff::Backoff;
 use crate::error::Error;
+use crate::output::tell;
 use crate::store::{Creation, Store};
 
 /// The number of changes between two snapshots.
@@ -47,12 +48,18 @@
         nonce: format!("{:032x}", rand::random::<u128>()),
         entries,
     };
+    // A command that is interrupted cannot say any more what became of the change.
+    tell(format_args!(
+        "writing version {} with nonce {}; if this is interrupted, `primrosehoist audit --since {}` tells \
+         whether it was accepted",
+        change.version, change.nonce, fleet.version
+    ));
     write(store, &change, submission.settle_timeout)?;
     if change.version.is_multiple_of(SNAPSHOT_CHANGES) {
         let mut snapshot = fleet.clone();
         snapshot.apply(&change);
         if let Err(error) = store.write_snapshot(&snapshot) {
-            eprintln!("primrosehoist: the snapshot was not written: {error}");
+            tell(format_args!("the snapshot was not written: {error}"));
         }
     }
     Ok(change.version)
