Keep the exit code of the daemon's help and usage errors with closed outputs

Cause: print and eprintln panic if nobody reads. Change: what cannot be written is dropped. The metric of a cut host is right after a restart of its task.

--- a/crates/primrosehoist-daemon/src/gateway/reach.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reach.rs
@@ -72,7 +72,7 @@
 
 /// Probes upstreams whenever this host may be cut off from them, for as long as the process runs.
 pub(crate) async fn watch(context: Arc<Context>) {
-    context.metrics.cut_off(false);
+    context.metrics.cut_off(context.is_cut_off());
     loop {
         let due = context.reach.lock().probe_due(Instant::now());
         let is_due = async {
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -26,6 +26,7 @@
 mod startup;
 mod tasks;
 
+use std::io::{self, Write};
 use std::process::ExitCode;
 
 use crate::command::Command;
@@ -33,14 +34,16 @@
 fn main() -> ExitCode {
     match command::read(std::env::args_os().skip(1).collect()) {
         Ok(Command::Print(text)) => {
-            print!("{text}");
+            // A reader that left, as in `| head -1`, is no failure.
+            let _result = write!(io::stdout().lock(), "{text}");
             ExitCode::SUCCESS
         }
         Ok(Command::Check) => ExitCode::SUCCESS,
         Ok(Command::Gateway(options)) => gateway::run(&options),
         Ok(Command::Run(settings)) => service::run(*settings),
         Err(error) => {
-            eprintln!("primrosehoistd: {error}");
+            // The exit code tells it too if nobody reads standard error.
+            let _result = writeln!(io::stderr().lock(), "primrosehoistd: {error}");
             ExitCode::from(command::EXIT_USAGE)
         }
     }
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -336,3 +336,18 @@
     let status = child.wait().expect("the daemon ends");
     assert_eq!(status.code(), Some(0), "{status}");
 }
+
+#[test]
+fn closed_outputs_keep_the_exit_code() {
+    for (argument, code) in [("--help", 0), ("frob", 2)] {
+        let (reader, writer) = std::io::pipe().expect("there are pipes");
+        drop(reader);
+        let errors = writer.try_clone().expect("pipes can be cloned");
+        let status = Command::new(common::process::program("primrosehoistd"))
+            .arg(argument)
+            .stdout(writer)
+            .stderr(errors)
+            .status();
+        assert_eq!(status.expect("the daemon starts").code(), Some(code));
+    }
+}
