--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -95,6 +95,41 @@
         self.child.id()
     }
 
+    /// Returns the exit status if the program has exited.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.try_wait();
+        status.expect("the program can be waited for")
+    }
+
+    /// Returns whether the program handles SIGHUP, SIGINT and SIGTERM.
+    pub fn handles_signals(&self) -> bool {
+        // The lowest bit stands for signal 1.
+        const HANDLED: u64 = 1 << 14 | 0b11;
+        let caught = self.status_line("SigCgt:");
+        let caught = caught.and_then(|set| u64::from_str_radix(&set, 16).ok());
+        caught.is_some_and(|caught| caught & HANDLED == HANDLED)
+    }
+
+    /// Returns the largest resident memory that the program has had, in KiB.
+    pub fn peak_memory_kib(&self) -> Option<u64> {
+        let line = self.status_line("VmHWM:")?;
+        line.trim_end_matches(" kB").parse().ok()
+    }
+
+    /// Returns for how long the main thread of the program has run on a processor.
+    pub fn processor_time(&self) -> Duration {
+        let path = format!("/proc/{}/schedstat", self.id());
+        let text = std::fs::read_to_string(path).unwrap_or_default();
+        let spent_ns = text.split(' ').next().and_then(|field| field.parse().ok());
+        Duration::from_nanos(spent_ns.unwrap_or(0))
+    }
+
+    fn status_line(&self, name: &str) -> Option<String> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.id())).ok()?;
+        let mut lines = text.lines().filter_map(|line| line.strip_prefix(name));
+        lines.next().map(|value| value.trim().to_owned())
+    }
+
     /// Kills the program immediately.
     pub fn kill(&mut self) {
         self.child.kill().expect("the program is killed");
