Wait up to 3 s for the last lines of the log

What the operator sees: a log that lacks its end. A shutdown that used all its time and whose log nobody reads may be killed meanwhile, when all requests have ended.

--- a/crates/primrosehoist-daemon/src/log_queue.rs
+++ b/crates/primrosehoist-daemon/src/log_queue.rs
@@ -26,8 +26,8 @@
 const WRITE_BYTES: usize = 32 * 1024;
 
 /// How long the end of the process waits until the queued lines are written. Nobody may be reading them,
-/// and a shutdown may have used all of its time but a margin that is longer than this.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(250);
+/// but the thread that writes them may also get no processor for a time.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
 
 quick_error! {
     /// An error that prevents logging from starting.
