Enlarge the table of descriptors before a thread is started

What callers saw: a host that answers nobody. Readiness checks fail meanwhile, which looks like a process that is gone. Cause: the kernel enlarges a full table of descriptors when the next one is opened. In a process with several threads it waits for an RCU grace period, and our second thread writes the log. /proc/PID/wchan said synchronize_rcu_normal at 256, 512 and 1,024 descriptors only; a small program shows 16 to 43 ms with two threads, and nothing with one, or if the table is enlarged before. Change: both daemons raise the soft limit on descriptors up to 8,192 or the hard one and copy a descriptor to its end, before any thread runs. The daemon on the platform divides the smaller of MaxFds and the limit, since with a lower limit its ports accepted nobody.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -65,7 +65,7 @@
 use crate::signals::{self, Cause, Signals};
 use crate::startup::{self, Port};
 use crate::tasks::Supervisor;
-use crate::{log_queue, panics};
+use crate::{descriptors, log_queue, panics};
 
 /// The maximum number of headers in a request.
 const HEADERS_MAX: usize = 100;
@@ -186,6 +186,7 @@
 
 /// Runs the daemon with the platform's settings file and returns the exit code.
 pub(crate) fn run(options: &Options) -> ExitCode {
+    let descriptors = descriptors::reserve();
     let _log = match log_queue::start(options.log_level) {
         Ok(log) => log,
         Err(error) => {
@@ -194,7 +195,7 @@
         }
     };
     panics::install_hook();
-    match start(options) {
+    match start(options, descriptors) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let message = match error {
@@ -207,7 +208,7 @@
     }
 }
 
-fn start(options: &Options) -> Result<(), Error> {
+fn start(options: &Options, descriptors: usize) -> Result<(), Error> {
     // The process gets one core or less, so more threads would only add context switches.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -223,7 +224,14 @@
             prepared = startup::wait_for(prepare) => Some(prepared),
         };
         match prepared {
-            Some((settings, ports)) => serve(settings, ports, options, signals).await,
+            Some((settings, ports)) => {
+                let reload = Reload::new(&settings);
+                let settings = Settings {
+                    fds_max: settings.fds_max.min(descriptors),
+                    ..settings
+                };
+                serve(settings, ports, options, signals, reload).await
+            }
             None => Ok(()),
         }
     });
@@ -243,6 +251,7 @@
     ports: Ports,
     options: &Options,
     signals: Signals,
+    reload: Reload,
 ) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
@@ -283,7 +292,7 @@
         "daemon started"
     );
     let (cause, result) = tokio::select! {
-        cause = run_until_stopped(&context, signals) => (cause, Ok(())),
+        cause = run_until_stopped(&context, signals, reload) => (cause, Ok(())),
         _ended = &mut serving => (Cause::Server, Err(Error::Server("clients and daemons"))),
         _ended = &mut readiness => (Cause::Server, Err(Error::Server("readiness checks"))),
         _ended = &mut peer_state => (Cause::Server, Err(Error::Server("platform state"))),
@@ -420,8 +429,7 @@
 
 /// Waits for a signal to stop and returns it. Meanwhile, reloads the settings on `SIGHUP` and when
 /// their file changes.
-async fn run_until_stopped(context: &Context, mut signals: Signals) -> Cause {
-    let mut reload = Reload::new(&context.settings);
+async fn run_until_stopped(context: &Context, mut signals: Signals, mut reload: Reload) -> Cause {
     loop {
         tokio::select! {
             request = signals.next() => match request {
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod cluster;
 mod command;
+mod descriptors;
 mod dispatch;
 mod gateway;
 mod holder;
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -18,7 +18,7 @@
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
 use crate::startup::{self, Port};
-use crate::{admin, caller, links, logging, panics};
+use crate::{admin, caller, descriptors, links, logging, panics};
 
 /// The largest number of headers in one request.
 const HEADERS_MAX: usize = 64;
@@ -72,6 +72,7 @@
 
 /// Runs the daemon; returns the exit code of the process.
 pub(crate) fn run(settings: Settings) -> ExitCode {
+    descriptors::reserve();
     if let Err(error) = logging::start(settings.log.level) {
         eprintln!("primrosehoistd: logging: {error}");
         return ExitCode::FAILURE;
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -281,6 +281,30 @@
     serves(&deployment, 0);
 }
 
+/// The kernel stops a thread for seconds, on a busy host, when the table of a process with several threads
+/// grows.
+#[test]
+fn descriptor_table_does_not_grow_while_the_daemon_runs() {
+    let mut deployment = prepared(1);
+    deployment.start_daemon(0);
+    serves(&deployment, 0);
+    let daemon = &deployment.daemons[0];
+    let process = daemon.process.as_ref().expect("it runs").id();
+    let table_size = || {
+        let status = fs::read_to_string(format!("/proc/{process}/status"));
+        let status = status.expect("the process runs");
+        let size = status.lines().find_map(|line| line.strip_prefix("FDSize:"));
+        size.expect("the size is known").trim().to_owned()
+    };
+    let before = table_size();
+    let connections: Vec<_> = (0..300)
+        .map(|_| TcpStream::connect(&daemon.ingress).expect("the daemon listens"))
+        .collect();
+    serves(&deployment, 0);
+    assert_eq!(table_size(), before);
+    drop(connections);
+}
+
 /// The daemon with its own settings, without its platform.
 #[test]
 fn other_daemon_survives_a_held_port_a_hang_up_and_a_closed_standard_error() {
