Let a start listen on ports from which the former process was connected

What callers saw: nobody of ours; the operators' processes that did not start are suspected. A host whose listening ports lie among those that the operating system gives to connections (a widened range, or ports that a harness draws there) starts after up to a minute: the port of a connection that the former process made and closed first is held for that time.

Cause: connections were made from ports without SO_REUSEADDR, so that neither they nor what is left of them allow a listener on the port.

Change: connections to upstreams, the platform and other daemons are made from a port that is bound with the option. If no port can be bound, since bound sockets do not share ports, the kernel chooses one as before. Connections that others made from a port of this host still hold it.

--- a/src/transport/http/upstream.rs
+++ b/src/transport/http/upstream.rs
@@ -20,7 +20,7 @@
 use rustix::io::Errno;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
@@ -75,7 +75,7 @@
 
 /// Returns whether a new connection to `address` is refused, because no process listens there.
 pub async fn refuses_connections(address: SocketAddr, connect_timeout: Duration) -> bool {
-    let connected = timeout(connect_timeout, TcpStream::connect(address)).await;
+    let connected = timeout(connect_timeout, socket::connect(address, None)).await;
     let is_refusal = |error: &io::Error| error.kind() == io::ErrorKind::ConnectionRefused;
     matches!(connected, Ok(Err(error)) if is_refusal(&error))
 }
@@ -547,21 +547,9 @@
         idle.pop_if(|connection| connection.is_reusable(idle_max, now))
     }
 
-    async fn connect_stream(&self) -> io::Result<TcpStream> {
-        let Some(source) = self.source else {
-            return TcpStream::connect(self.address).await;
-        };
-        let socket = match source {
-            IpAddr::V4(_) => TcpSocket::new_v4()?,
-            IpAddr::V6(_) => TcpSocket::new_v6()?,
-        };
-        socket.bind(SocketAddr::new(source, 0))?;
-        socket.connect(self.address).await
-    }
-
     async fn connect(&self, connect_timeout: Duration) -> Result<Connection, Error> {
         let failed = |source| Error::Connect(self.address, source);
-        let stream = timeout(connect_timeout, self.connect_stream())
+        let stream = timeout(connect_timeout, socket::connect(self.address, self.source))
             .await
             .map_err(|_source| failed(io::ErrorKind::TimedOut.into()))?
             .map_err(failed)?;
--- a/src/transport/peer/client.rs
+++ b/src/transport/peer/client.rs
@@ -8,7 +8,6 @@
 use bytes::Bytes;
 use h2::client::SendRequest;
 use rand::RngExt;
-use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::time::Instant;
 
@@ -23,6 +22,7 @@
     CONNECT_TIMEOUT, CONNECTION_WINDOW_BYTES, Error, Identity, STREAM_WINDOW_BYTES, STREAMS_MAX,
     frames, handshake, keepalive,
 };
+use crate::transport::socket;
 
 /// The upper bound of the random backoff after the first failure. Doubles with each failure.
 const BACKOFF_BASE: Duration = Duration::from_millis(50);
@@ -220,7 +220,7 @@
         peer: address.to_owned(),
         cause,
     };
-    let mut stream = TcpStream::connect(address).await.map_err(connect_error)?;
+    let mut stream = socket::connect_to(address).await.map_err(connect_error)?;
     stream.set_nodelay(true).map_err(connect_error)?;
     let peer = handshake::connect(&mut stream, &identity.host, &identity.secret)
         .await
--- a/src/transport/platform/connection.rs
+++ b/src/transport/platform/connection.rs
@@ -8,7 +8,6 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 
 use crate::transport::socket;
 
@@ -91,7 +90,7 @@
     }
 
     async fn connect(&self) -> Result<Connection, String> {
-        let stream = TcpStream::connect(self.address.as_ref())
+        let stream = socket::connect_to(&self.address)
             .await
             .map_err(|cause| cause.to_string())?;
         socket::configure(&stream).map_err(|cause| cause.to_string())?;
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -1,15 +1,16 @@
-//! TCP socket options that detect an unresponsive peer, and the accept queues of listeners.
+//! TCP socket options that detect an unresponsive peer, the ports of connections, and the accept queues of
+//! listeners.
 //!
 //! A host that lost power or is behind a partition sends no reset, so a connection to it would stay
 //! open for as long as the operating system retransmits. Keep-alive probes detect this on an idle
 //! connection, and the user timeout while sent bytes are unacknowledged.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockFilter, SockRef, TcpKeepalive};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream, lookup_host};
 use tokio::time::Instant;
 
 /// Idle time before the first keep-alive probe, and the interval between probes. One second is the
@@ -36,12 +37,59 @@
 ///
 /// Returns an error if the operating system rejects the address.
 pub fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = reusable(address.ip())?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+/// Connects to `address` from `source`, or from the address that the route there selects.
+///
+/// The operating system holds the port of a closed connection for a minute. As the port may be one that the
+/// next process of this host listens on, the connection is made so that it does not prevent that.
+///
+/// # Errors
+///
+/// Returns an error if the connection cannot be made.
+pub async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let any = match address {
+        SocketAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
+        SocketAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
+    };
+    let socket = reusable(address.ip())?;
+    match socket.bind(SocketAddr::new(source.unwrap_or(any), 0)) {
+        // A port can be shared by connections to different addresses, but not by bound sockets.
+        Err(error) if error.kind() == io::ErrorKind::AddrInUse && source.is_none() => {
+            log::debug!(address:%; "no port can be bound; connecting from any");
+        }
+        bound => bound?,
+    }
+    socket.connect(address).await
+}
+
+/// Connects as [`connect`] does to the first of the addresses of `host`, a name or an address with a port,
+/// that accepts.
+///
+/// # Errors
+///
+/// Returns an error if no address is known, or the last one if no connection can be made.
+pub async fn connect_to(host: &str) -> io::Result<TcpStream> {
+    let mut last = io::Error::from(io::ErrorKind::AddrNotAvailable);
+    for address in lookup_host(host).await? {
+        match connect(address, None).await {
+            Ok(stream) => return Ok(stream),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
+/// Creates a socket that may be bound to a port of closed connections.
+fn reusable(address: IpAddr) -> io::Result<TcpSocket> {
     let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
     }?;
     socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
     Ok(socket)
 }
 
