Count what engines run without an overflow

What callers saw: with checks of overflows, each request for the service ends in a panic, its connection without an answer; without them, engines that run latency-sensitive requests count as free for long prompts.

Cause: the counts of requests on an engine come from other daemons, up to 2^32, and were added in 32 bits to find the protected engines.

Change: they are added in 64 bits, in which the counts of 2^31 engines fit.

--- a/src/coordination/assign/scarcity.rs
+++ b/src/coordination/assign/scarcity.rs
@@ -115,11 +115,12 @@
 /// as many as are needed to hold all of these.
 pub(super) fn protected(candidates: &[Candidate], engine: &Engine) -> Vec<bool> {
     let sensitive = |candidate: &Candidate| {
-        candidate.work.count(LatencyClass::Strict) + candidate.work.count(LatencyClass::Moderate)
+        let count = |class| u64::from(candidate.work.count(class));
+        count(LatencyClass::Strict) + count(LatencyClass::Moderate)
     };
-    let total: u32 = candidates.iter().map(sensitive).sum();
+    let total: u64 = candidates.iter().map(sensitive).sum();
     let slots = (engine.slots as f64 * PROTECTED_UTILIZATION).max(1.0);
-    let count = (f64::from(total) / slots).ceil() as usize;
+    let count = (total as f64 / slots).ceil() as usize;
     let mut order: Vec<usize> = (0..candidates.len()).collect();
     // The sort is stable, so ties keep the order that all daemons share.
     order.sort_by_key(|index| std::cmp::Reverse(sensitive(&candidates[*index])));
--- a/tests/assign_choice.rs
+++ b/tests/assign_choice.rs
@@ -484,3 +484,36 @@
 fn prompts_wait_in_a_small_fleet() {
     assert_eq!(refused(&demand(300_000), 16, 16), 0);
 }
+
+#[test]
+fn load_that_another_daemon_reports_does_not_overflow_a_choice() {
+    let counts = [0, 1, u32::MAX];
+    let amounts = [0.0, 1.0, f32::MAX];
+    check(2000, |random| {
+        let mut work = || -> primrosehoist_property::arbitrary::Result<Work> {
+            Ok(Work {
+                counts: [
+                    *random.choose(&counts)?,
+                    *random.choose(&counts)?,
+                    *random.choose(&counts)?,
+                ],
+                weights: [*random.choose(&amounts)?; 3],
+                prefill_ms: *random.choose(&amounts)?,
+                memory_tokens: *random.choose(&counts)?,
+                recent_requests: 0,
+            })
+        };
+        let candidates = [
+            candidate(0, work()?),
+            candidate(1, work()?),
+            candidate(2, work()?),
+        ];
+        let demand = demand(*random.choose(&[0, 5000, 210_000, u64::MAX])?);
+        let (engine, partitions) = (engine(), Partitions::default());
+        assign::place(&candidates, &demand, &engine, &partitions);
+        assign::shortage(&candidates, &demand, &engine, &partitions);
+        let _overload = assign::overload(&candidates, &demand, &engine, &partitions, 0.5);
+        assign::least_loaded(&candidates);
+        Ok(())
+    });
+}
