Count what an engine lists without an overflow

What callers saw: with checks of overflows, an engine that lists sizes near 2^64 ends the task that reconciles it, and its holder sends it nothing more; without them, its memory counts as free.

Cause: the tokens that an engine lists were added unchecked, to each other and to those of the requests in flight.

Change: the sums stay at the largest number, so that such an engine has no free memory.

Evidence: the two new tests of reconcile_plan and admission_rules fail before with "attempt to add with overflow" and pass now, with all others of these two files.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -382,7 +382,8 @@
     }
 
     fn memory_free(&self) -> u64 {
-        let used = self.memory_used(|_| true) + self.foreign.memory_tokens;
+        let used = self.memory_used(|_| true);
+        let used = used.saturating_add(self.foreign.memory_tokens);
         self.memory_tokens.saturating_sub(used)
     }
 
--- a/src/coordination/reconcile.rs
+++ b/src/coordination/reconcile.rs
@@ -122,8 +122,9 @@
     let superseded = is_superseded(listing, context.epoch);
     let foreign = |id: &str| !(context.is_own)(id);
     for stream in listing.streams.iter().filter(|s| foreign(&s.id)) {
-        plan.foreign.requests += 1;
-        plan.foreign.memory_tokens += stream.prompt_tokens + stream.tokens_out;
+        plan.foreign.requests = plan.foreign.requests.saturating_add(1);
+        plan.add_memory(stream.prompt_tokens);
+        plan.add_memory(stream.tokens_out);
         if superseded || stream.connected {
             continue;
         }
@@ -149,7 +150,7 @@
         if !foreign(&allocation.id) {
             continue;
         }
-        plan.foreign.memory_tokens += allocation.tokens;
+        plan.add_memory(allocation.tokens);
         if !superseded && !(context.may_act)(&allocation.holder) {
             plan.abandon(resource, RECLAIM_GRACE, context, abandoned);
         }
@@ -158,6 +159,11 @@
 }
 
 impl Plan {
+    fn add_memory(&mut self, tokens: u64) {
+        let memory_tokens = &mut self.foreign.memory_tokens;
+        *memory_tokens = memory_tokens.saturating_add(tokens);
+    }
+
     fn abandon(
         &mut self,
         resource: Resource,
--- a/tests/admission_rules/main.rs
+++ b/tests/admission_rules/main.rs
@@ -61,6 +61,19 @@
     assert_eq!(scheduler.admit(now), [1]);
 }
 
+#[test]
+fn work_of_an_impossible_size_does_not_overflow_the_memory() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(2);
+    assert_eq!(scheduler.offer(item(1, 1_000, now), now), Verdict::Send);
+    scheduler.set_foreign(Foreign {
+        requests: 1,
+        memory_tokens: u64::MAX,
+    });
+    assert_eq!(scheduler.offer(item(2, 1_000, now), now), Verdict::Queued);
+    assert_eq!(scheduler.advert(now).memory_free, 0);
+}
+
 #[test]
 fn a_resumed_stream_is_counted_without_admission() {
     let now = Instant::now();
--- a/tests/reconcile_plan.rs
+++ b/tests/reconcile_plan.rs
@@ -245,3 +245,22 @@
         Ok(())
     });
 }
+
+#[test]
+fn listing_with_impossible_sizes_does_not_end_the_reconciliation() {
+    let huge = Stream {
+        prompt_tokens: u64::MAX,
+        ..stream("x", 4, u64::MAX, true)
+    };
+    let kept = Allocation {
+        tokens: u64::MAX,
+        ..allocation("y", "alive", 4)
+    };
+    let listing = Listing {
+        streams: vec![huge],
+        reservations: vec![kept.clone()],
+        exports: vec![kept],
+    };
+    let (plan, _later) = plan_twice(&listing, RECLAIM_GRACE);
+    assert_eq!(plan.foreign.memory_tokens, u64::MAX);
+}
