Bound the shares of memory and descriptors

What callers saw: with checks of overflows, a daemon whose settings name no real limit on its memory ends at its start; without them, its budgets are those of some other limit.

Cause: the limits of the settings were multiplied unchecked.

Change: the products stay at the largest number.

Evidence: limits_without_bound_do_not_overflow_the_shares fails before with "attempt to multiply with overflow", in each of the two lines, and passes now with all of crowd_rules.

--- a/src/state/memory.rs
+++ b/src/state/memory.rs
@@ -29,7 +29,8 @@
     /// Returns the shares of a daemon that may take `memory_mb` megabytes. An eighth of what the
     /// process leaves is for nobody.
     pub fn of(memory_mb: u64) -> Self {
-        let shared = memory_mb.saturating_sub(PROCESS_MB).max(SHARED_MB_MIN) * BYTES_PER_MB;
+        let shared_mb = memory_mb.saturating_sub(PROCESS_MB).max(SHARED_MB_MIN);
+        let shared = shared_mb.saturating_mul(BYTES_PER_MB);
         Self {
             connections: shared / 4,
             bodies: shared / 2,
@@ -56,7 +57,7 @@
         let shared = fds_max.saturating_sub(FILE_FDS);
         let share = |part: usize, largest: usize| part.max(CONNECTIONS_MIN).min(largest);
         Self {
-            clients: share(shared * 5 / 8, largest.clients),
+            clients: share(shared.saturating_mul(5) / 8, largest.clients),
             handovers: share(shared / 5, largest.handovers),
             internal: share(shared / 32, largest.internal),
         }
--- a/tests/crowd_rules.rs
+++ b/tests/crowd_rules.rs
@@ -113,3 +113,15 @@
     }
     assert_eq!(Connections::of(65_536, &LARGEST), LARGEST);
 }
+
+#[test]
+fn limits_without_bound_do_not_overflow_the_shares() {
+    let largest = Connections {
+        clients: 2500,
+        handovers: 512,
+        internal: 64,
+    };
+    let memory = Memory::of(u64::MAX);
+    assert!(memory.bodies > Memory::of(260).bodies, "{memory:?}");
+    assert_eq!(Connections::of(usize::MAX, &largest), largest);
+}
