Serve clients while a port for other daemons is held

What callers saw: a host that starts while one of its ports for other daemons is held, such as by what is left of somebody's connection, accepts nobody until the port is free, up to a minute, although the ports for clients are free.

Cause: a start reserved all ports at once, those that clients do not need among them.

Change: a start waits for the ports for clients, readiness checks and operators only. Those for platform state, requests handed over and gossip, and the peer port of the daemon with its own settings, are opened in the background as soon as they are free, each with its own `startup is waiting`, at most every 10 s for one error. Until then no gossip is sent or received, and a query for a permit counts as unanswered.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -31,7 +31,8 @@
 use primrosehoist_platform::settings::Settings;
 use primrosehoist_platform::store::Freshness;
 use primrosehoist_platform::{header, store};
-use tokio::sync::{Notify, Semaphore, watch};
+use tokio::net::UdpSocket;
+use tokio::sync::{Notify, OnceCell, Semaphore, watch};
 use tokio::time::Instant;
 
 use super::gossip;
@@ -75,6 +76,8 @@
     pub(crate) occupancy: Mutex<Occupancy>,
     /// This daemon's shares of fleet-wide limits.
     pub(crate) allowance: Mutex<Allowance>,
+    /// The socket for gossip, once its port is bound.
+    pub(crate) gossip: OnceCell<UdpSocket>,
     /// The permits for requests to upstreams that name a limit.
     pub(crate) permits: Permits,
     /// Recent failures of upstreams.
@@ -175,6 +178,7 @@
                 Arc::clone(&settings.host),
                 settings.bounds.clone(),
             )),
+            gossip: OnceCell::new(),
             permits: Permits::default(),
             health: Mutex::default(),
             partitions: Mutex::default(),
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -16,7 +16,6 @@
 use primrosehoist::state::map::Map;
 use primrosehoist::state::occupancy::Key;
 use primrosehoist::state::roster::Roster;
-use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::Context;
@@ -24,6 +23,7 @@
 use super::registration;
 use super::share;
 use super::upstream_changes;
+use crate::startup;
 
 /// The longest time between two messages in a small fleet.
 const MESSAGE_INTERVAL_MAX: Duration = Duration::from_millis(250);
@@ -95,7 +95,7 @@
 }
 
 /// Sends messages soon after each change and periodically, for as long as the process runs.
-pub(crate) async fn send(context: Arc<Context>, socket: Arc<UdpSocket>) {
+pub(crate) async fn send(context: Arc<Context>) {
     let mut generation = None;
     loop {
         let spacing = context.exchange.lock().peers.spacing();
@@ -121,16 +121,16 @@
         });
         if let Some((near, far)) = loads.split_last() {
             for outgoing in far {
-                transmit(&context, &socket, outgoing).await;
+                transmit(&context, outgoing).await;
             }
             let uses = match &near.datagram {
                 Datagram::State(_) => share::report(&context, now),
                 _ => None,
             };
-            transmit_with(&context, &socket, near, uses.as_ref()).await;
+            transmit_with(&context, near, uses.as_ref()).await;
         }
         for outgoing in &updates {
-            transmit(&context, &socket, outgoing).await;
+            transmit(&context, outgoing).await;
         }
         sleep(MESSAGE_INTERVAL_MIN).await;
     }
@@ -150,17 +150,16 @@
     }
 }
 
-pub(super) async fn transmit(context: &Context, socket: &UdpSocket, outgoing: &Outgoing) {
-    transmit_with(context, socket, outgoing, None).await;
+pub(super) async fn transmit(context: &Context, outgoing: &Outgoing) {
+    transmit_with(context, outgoing, None).await;
 }
 
-/// Sends a message with the `uses` of engines by workspace, if there are some.
-async fn transmit_with(
-    context: &Context,
-    socket: &UdpSocket,
-    outgoing: &Outgoing,
-    uses: Option<&Report>,
-) {
+/// Sends a message with the `uses` of engines by workspace, if there are some. Until the port is bound,
+/// messages are dropped.
+async fn transmit_with(context: &Context, outgoing: &Outgoing, uses: Option<&Report>) {
+    let Some(socket) = context.gossip.get() else {
+        return;
+    };
     let bytes = match gossip::encode_message(&outgoing.datagram, uses) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -182,7 +181,7 @@
 }
 
 /// Queries the summaries of other zones for as long as the process runs.
-pub(crate) async fn query(context: Arc<Context>, socket: Arc<UdpSocket>) {
+pub(crate) async fn query(context: Arc<Context>) {
     loop {
         let now = Instant::now();
         let random = rand::random::<f64>();
@@ -195,13 +194,17 @@
             sleep(QUERY_CHECK_INTERVAL).await;
             continue;
         };
-        transmit(&context, &socket, &query).await;
+        transmit(&context, &query).await;
         sleep(QUERY_INTERVAL).await;
     }
 }
 
-/// Receives and applies messages for as long as the process runs.
-pub(crate) async fn receive(context: Arc<Context>, socket: Arc<UdpSocket>) {
+/// Receives and applies messages for as long as the process runs, once the port can be bound.
+pub(crate) async fn receive(context: Arc<Context>) {
+    let settings = &context.settings;
+    let address = SocketAddr::new(settings.address, settings.link_ports.0);
+    let bind = || startup::wait_for(move || startup::bind_udp(address));
+    let socket = context.gossip.get_or_init(bind).await;
     let mut buffer = vec![0; DATAGRAM_BYTES_MAX];
     loop {
         let (length, sender) = match socket.recv_from(&mut buffer).await {
@@ -220,7 +223,7 @@
                         targets: vec![sender.ip()],
                         datagram: reply,
                     };
-                    transmit(&context, &socket, &reply).await;
+                    transmit(&context, &reply).await;
                 }
             }
             Err(error) => log::warn!(sender:%, error:%; "invalid gossip dropped"),
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 use primrosehoist::transport::http::server::{self, Limits};
 use primrosehoist_platform::settings::{self, Settings};
 use quick_error::quick_error;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep};
 
@@ -155,31 +155,20 @@
     pub(crate) log_level: LevelFilter,
 }
 
-/// The ports without which a daemon does not start.
+/// The ports without which a daemon does not start. It serves clients without the others.
 #[derive(Debug)]
 struct Ports {
     clients: TcpListener,
     readiness: TcpListener,
-    peer_state: TcpListener,
-    handovers: TcpListener,
-    gossip: UdpSocket,
 }
 
 impl Ports {
     fn open(settings: &Settings) -> Result<Self, startup::Error> {
-        let link = SocketAddr::new(settings.address, settings.link_ports.0);
-        let handover = SocketAddr::new(settings.address, takeover::port(settings));
         let clients = Port::reserve(settings.ingress)?;
         let readiness = Port::reserve(settings.readiness)?;
-        let peer_state = Port::reserve(link)?;
-        let handovers = Port::reserve(handover)?;
-        let gossip = startup::bind_udp(link)?;
         Ok(Self {
             clients: clients.listen()?,
             readiness: readiness.listen()?,
-            peer_state: peer_state.listen()?,
-            handovers: handovers.listen()?,
-            gossip,
         })
     }
 }
@@ -255,10 +244,8 @@
 ) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
-    let socket = Arc::new(ports.gossip);
-    context.permits.set_socket(&socket);
     let tasks = Supervisor::new(&context, context.metrics.task_restarts());
-    spawn_tasks(&tasks, &socket);
+    spawn_tasks(&tasks);
     let (stop, stopped) = watch::channel(false);
     let internal = connections(settings).internal;
     let mut readiness = tokio::spawn(serve_internal(
@@ -268,20 +255,32 @@
         stopped.clone(),
         readiness_response,
     ));
-    let mut peer_state = tokio::spawn(serve_internal(
-        Arc::clone(&context),
-        ports.peer_state,
-        internal.min(PEER_STATE_CONNECTIONS_MAX),
+    let mut peer_state = tokio::spawn(serve_when_free(
+        SocketAddr::new(settings.address, settings.link_ports.0),
         stopped.clone(),
-        peer_sync::respond,
+        {
+            let (context, stopped) = (Arc::clone(&context), stopped.clone());
+            let connections = internal.min(PEER_STATE_CONNECTIONS_MAX);
+            move |port| serve_internal(context, port, connections, stopped, peer_sync::respond)
+        },
     ));
     let clients = serve_clients(Arc::clone(&context), ports.clients, stopped.clone());
     let metrics = SocketAddr::new(settings.address, options.metrics_port);
     let metrics_stopped = stopped.clone();
     tasks.spawn("serve_metrics", move |context| {
-        serve_metrics(context, metrics, metrics_stopped.clone())
+        let stopped = metrics_stopped.clone();
+        serve_when_free(metrics, stopped.clone(), move |port| {
+            serve_internal(context, port, internal, stopped, metrics_response)
+        })
     });
-    let handovers = takeover::serve(Arc::clone(&context), ports.handovers, stopped);
+    let handovers = serve_when_free(
+        SocketAddr::new(settings.address, takeover::port(settings)),
+        stopped.clone(),
+        {
+            let context = Arc::clone(&context);
+            move |port| takeover::serve(context, port, stopped)
+        },
+    );
     let mut serving = tokio::spawn(async {
         tokio::join!(clients, handovers);
     });
@@ -302,7 +301,7 @@
 }
 
 /// Spawns the tasks that keep what this daemon knows up to date, for as long as the process runs.
-fn spawn_tasks(tasks: &Supervisor<Context>, socket: &Arc<UdpSocket>) {
+fn spawn_tasks(tasks: &Supervisor<Context>) {
     tasks.spawn("follow_configuration", |context| {
         store_sync::follow(context, Feed::Configuration)
     });
@@ -319,26 +318,24 @@
     tasks.spawn("detect_pauses", pause::watch);
     tasks.spawn("detect_cuts", reach::watch);
     tasks.spawn("watch_memory", memory::watch);
-    let sending = Arc::clone(socket);
-    tasks.spawn("send_gossip", move |context| {
-        gossip::send(context, Arc::clone(&sending))
-    });
-    let querying = Arc::clone(socket);
-    tasks.spawn("query_peers", move |context| {
-        gossip::query(context, Arc::clone(&querying))
-    });
-    let receiving = Arc::clone(socket);
-    tasks.spawn("receive_gossip", move |context| {
-        gossip::receive(context, Arc::clone(&receiving))
-    });
+    tasks.spawn("send_gossip", gossip::send);
+    tasks.spawn("query_peers", gossip::query);
+    tasks.spawn("receive_gossip", gossip::receive);
 }
 
-/// Serves the metrics as soon as their port can be opened. The daemon serves clients without it.
-async fn serve_metrics(context: Arc<Context>, address: SocketAddr, stopped: watch::Receiver<bool>) {
+/// Serves a port with `serve` as soon as it can be opened, unless `stopped` becomes true before.
+async fn serve_when_free<S, R>(address: SocketAddr, mut stopped: watch::Receiver<bool>, serve: S)
+where
+    S: FnOnce(TcpListener) -> R,
+    R: Future<Output = ()>,
+{
     let open = || Port::reserve(address).and_then(Port::listen);
-    let listener = startup::wait_for(open).await;
-    let connections = connections(&context.settings).internal;
-    serve_internal(context, listener, connections, stopped, metrics_response).await;
+    let listener = tokio::select! {
+        biased;
+        listener = startup::wait_for(open) => listener,
+        _stopped = stopped.wait_for(|stopped| *stopped) => return,
+    };
+    serve(listener).await;
 }
 
 fn serve_clients(
--- a/crates/primrosehoist-daemon/src/gateway/permit.rs
+++ b/crates/primrosehoist-daemon/src/gateway/permit.rs
@@ -5,7 +5,6 @@
 
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use parking_lot::Mutex;
@@ -15,7 +14,6 @@
 use primrosehoist::state::occupancy::Key;
 use primrosehoist::state::rate;
 use primrosehoist::state::roster::Upstream;
-use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep_until, timeout};
 
@@ -37,15 +35,9 @@
     /// The queries without a reply, by number.
     pending: Mutex<Map<u64, oneshot::Sender<Reply>>>,
     queries: AtomicU64,
-    socket: OnceLock<Arc<UdpSocket>>,
 }
 
 impl Permits {
-    /// Sets the socket for queries, once.
-    pub(crate) fn set_socket(&self, socket: &Arc<UdpSocket>) {
-        self.socket.get_or_init(|| Arc::clone(socket));
-    }
-
     /// Returns the number of a new query, and the receiver of its reply.
     fn expect_reply(&self) -> (u64, oneshot::Receiver<Reply>) {
         let number = self.queries.fetch_add(1, Ordering::Relaxed);
@@ -145,8 +137,8 @@
     limit: rate::Report,
     patience: Duration,
 ) -> Option<Permit> {
+    context.gossip.get()?;
     let permits = &context.permits;
-    let socket = permits.socket.get()?;
     let (number, receiver) = permits.expect_reply();
     let message = Message::Query(Query {
         number,
@@ -158,7 +150,7 @@
         datagram: Datagram::Permit(message),
     };
     let replied = async {
-        gossip::transmit(context, socket, &outgoing).await;
+        gossip::transmit(context, &outgoing).await;
         receiver.await
     };
     let reply = timeout(QUERY_TIMEOUT, replied).await;
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -5,7 +5,7 @@
 use primrosehoist::protocol::wire::Request;
 use primrosehoist::state::view::Member;
 use primrosehoist::transport::peer::{Body, Identity, Responder, Server};
-use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
 use crate::claims;
@@ -14,17 +14,18 @@
 use crate::node::Node;
 use crate::poison;
 use crate::settings::Settings;
+use crate::startup::{self, Port};
 use crate::tasks::Supervisor;
 
 /// The running connections to other daemons and the platform.
 pub(crate) struct Links {
     pub(crate) cluster: Arc<Cluster>,
-    /// Stops listening when dropped.
-    pub(crate) server: Server,
+    /// Ends if the server of other daemons does.
+    pub(crate) serving: JoinHandle<()>,
 }
 
-/// Starts the cluster tasks and serves other daemons on `listener`.
-pub(crate) fn start(node: &Arc<Node>, settings: &Settings, listener: TcpListener) -> Links {
+/// Starts the cluster tasks, and serves other daemons as soon as their port can be opened.
+pub(crate) fn start(node: &Arc<Node>, settings: &Settings) -> Links {
     let cluster = cluster(node, settings);
     let identity = Identity {
         partition: node.peers.partition().clone(),
@@ -39,13 +40,19 @@
             answer(node, cluster, request, body, responder)
         }
     };
-    let server = Server::start(listener, settings.listen.peer, identity, handler);
+    let address = settings.listen.peer;
+    let serving = tokio::spawn(async move {
+        let open = || Port::reserve(address).and_then(Port::listen);
+        let listener = startup::wait_for(open).await;
+        let mut server = Server::start(listener, address, identity, handler);
+        server.ended().await;
+    });
     cluster.start();
     let tasks = Supervisor::new(node, node.metrics.task_restarts());
     tasks.spawn("reconcile_engines", holder::reconcile::run);
     tasks.spawn("sweep_claims", claims::sweep);
     poison::start(&tasks, node);
-    Links { cluster, server }
+    Links { cluster, serving }
 }
 
 fn cluster(node: &Arc<Node>, settings: &Settings) -> Arc<Cluster> {
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -49,23 +49,20 @@
     }
 }
 
-/// The ports of the daemon.
+/// The ports without which the daemon does not start. It serves callers without that of other daemons.
 #[derive(Debug)]
 struct Ports {
     callers: TcpListener,
     operators: TcpListener,
-    daemons: TcpListener,
 }
 
 impl Ports {
     fn open(listen: &Listen) -> Result<Self, startup::Error> {
         let callers = Port::reserve(listen.caller)?;
         let operators = Port::reserve(listen.admin)?;
-        let daemons = Port::reserve(listen.peer)?;
         Ok(Self {
             callers: callers.listen()?,
             operators: operators.listen()?,
-            daemons: daemons.listen()?,
         })
     }
 }
@@ -112,7 +109,7 @@
         }
         ports = startup::wait_for(|| Ports::open(&settings.listen)) => ports,
     };
-    let mut links = links::start(&node, &settings, ports.daemons);
+    let mut links = links::start(&node, &settings);
     let (stop, stopped) = watch::channel(false);
     let serving = tokio::spawn(serve_callers(
         &node,
@@ -138,7 +135,7 @@
     let failed = async {
         tokio::select! {
             _ended = &mut admin => {}
-            () = links.server.ended() => {}
+            _ended = &mut links.serving => {}
         }
     };
     Ok(shutdown::run(&context, signals, &stop, serving, failed).await)
