--- a/crates/primrosehoist-standin/src/listener.rs
+++ b/crates/primrosehoist-standin/src/listener.rs
@@ -54,7 +54,11 @@
 }
 
 /// Binds the address, which a former process may hold for a while.
-async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+///
+/// # Errors
+///
+/// Fails if the address is not permitted.
+pub(crate) async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let mut reported: Option<(io::ErrorKind, Instant)> = None;
     loop {
         let error = match TcpListener::bind(address).await {
--- a/crates/primrosehoist-standin/tests/command_line.rs
+++ b/crates/primrosehoist-standin/tests/command_line.rs
@@ -6,12 +6,15 @@
 
 #[test]
 fn arguments_determine_exit_codes() {
-    let cases: [(&[&str], i32, &str); 12] = [
+    let cases: [(&[&str], i32, &str); 15] = [
         (&["--help"], 0, "Usage"),
         (&["--version"], 0, "primrosehoist-standin "),
         (&["platform", "--help"], 0, "--history"),
         (&["engine", "--help"], 0, "--cold-requests"),
         (&["service", "--version"], 0, "primrosehoist-standin "),
+        (&["day", "--help"], 0, "--other-daemon"),
+        (&["day", "--seed", "1"], 2, "--daemon"),
+        (&["day", "--seconds", "39"], 2, "at least 40"),
         (&[], 2, "command is missing"),
         (&["frob"], 2, "unknown command"),
         (&["service"], 2, "--listen"),
