Bound the limit on request heads that the configuration sets

What callers saw: nothing of ours. With a configuration that sets no real limit on heads, the first connection of another daemon ends the process with exit code 1 (with checks of overflows).

Cause: the limit was added to the size of the headers between daemons unchecked, in the task that accepts connections.

Change: a head has at most 1 MiB, as with the daemon's own settings, whatever the configuration allows.

Evidence: configuration_without_a_limit_on_heads_does_not_end_the_daemon fails before (the connection is closed without an answer, and the log has the panic) and passes now, with the other 11 tests of process_ends.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -90,7 +90,10 @@
 const PEER_STATE_CONNECTIONS_MAX: usize = 12;
 
 /// The smallest limit on the request head that the HTTP library accepts, in bytes.
-const HEAD_BYTES_MIN: usize = 8192;
+const HEAD_BYTES_MIN: u64 = 8192;
+
+/// The largest limit on the request head, whatever the configuration allows, in bytes.
+const HEAD_BYTES_MAX: u64 = 1 << 20;
 
 /// The default timeout for receiving a request head.
 const HEAD_TIMEOUT_DEFAULT: Duration = Duration::from_secs(3);
@@ -365,7 +368,9 @@
         closed: context.metrics.connections_closed(),
         headers: HEADERS_MAX,
         head_bytes: configured.map_or(HEAD_BYTES_DEFAULT, |limits| {
-            (limits.header_bytes_max as usize).max(HEAD_BYTES_MIN)
+            limits
+                .header_bytes_max
+                .clamp(HEAD_BYTES_MIN, HEAD_BYTES_MAX) as usize
         }),
         head_timeout: configured.map_or(HEAD_TIMEOUT_DEFAULT, |limits| limits.header_timeout),
         idle_timeout: configured.map_or(IDLE_TIMEOUT_DEFAULT, |limits| limits.idle_timeout),
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -287,6 +287,20 @@
     assert!(deployment.daemons[0].logged().contains("\"SIGINT\""));
 }
 
+#[test]
+fn configuration_without_a_limit_on_heads_does_not_end_the_daemon() {
+    let mut deployment = prepared(1);
+    let mut spec = configuration(2);
+    spec["Limits"]["MaxHeaderBytes"] = u64::MAX.into();
+    deployment.configure(&spec);
+    deployment.start_daemon(0);
+    serves(&deployment, 0);
+    let handovers = format!("{}.40:7341", deployment.network);
+    assert_eq!(call(&handovers, "GET", "/look/1", "").status, 403);
+    assert!(lives(&mut deployment, 0));
+    serves(&deployment, 0);
+}
+
 /// Sets the largest number of descriptors of a process.
 fn limit_descriptors(process: u32, limit: &str) {
     let status = Command::new("prlimit")
