Tell for what a started daemon waits

What callers saw: nothing served by a daemon that started while the store was away. What operators saw: `daemon started`, and nothing of what it waited for, so that a start without the store, one without a port and one that gave up looked alike. Cause: the log told of what arrived and not of what was missing. Change: `start is waiting` names the needs that are not met (store, hosts, configuration, upstreams), from 1 s after the start on, at each change and every 10 s; `start is complete` ends it. The metric primrosehoist_start_waits has the same by need.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -378,7 +378,12 @@
 
     /// Returns whether the daemon has a configuration and a list of upstreams.
     pub(crate) fn is_informed(&self) -> bool {
-        self.upstreams_listed.load(Ordering::Acquire) && self.table.load().is_some()
+        self.has_upstreams() && self.table.load().is_some()
+    }
+
+    /// Returns whether a complete list of upstreams has been received.
+    pub(crate) fn has_upstreams(&self) -> bool {
+        self.upstreams_listed.load(Ordering::Acquire)
     }
 
     /// Returns the hop from this daemon's zone to `zone`.
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod returns;
 mod selection;
 mod share;
+mod starting;
 mod store_ping;
 mod store_sync;
 mod stream;
@@ -312,6 +313,7 @@
         store_sync::follow(context, Feed::Evacuations)
     });
     tasks.spawn("register", registration::join);
+    tasks.spawn("report_start", starting::report);
     tasks.spawn("ping_store", store_ping::ping);
     tasks.spawn("refresh_gossip", gossip::refresh);
     tasks.spawn("catch_up", peer_sync::catch_up);
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -45,6 +45,7 @@
     connections_closed: Arc<AtomicU64>,
     version: Gauge<u64>,
     cut_off: Gauge<u64>,
+    start_waits: Gauge<u64>,
     resident: Gauge<u64>,
     resident_peak: Gauge<u64>,
 }
@@ -143,6 +144,10 @@
                 .u64_gauge("primrosehoist_cut_off")
                 .with_description("Whether the host is cut off from all upstreams")
                 .build(),
+            start_waits: meter
+                .u64_gauge("primrosehoist_start_waits")
+                .with_description("Whether the daemon has not got what it needs since its start")
+                .build(),
             resident: bytes_gauge(&meter, "primrosehoist_resident", "Memory of the process"),
             resident_peak: bytes_gauge(
                 &meter,
@@ -276,6 +281,15 @@
         self.cut_off.record(u64::from(cut_off), &[]);
     }
 
+    /// Records whether the daemon still waits for `need` since its start, such as for `configuration`.
+    pub(crate) fn start_waits<N>(&self, need: N, waits: bool)
+    where
+        N: Display,
+    {
+        let labels = [label("need", need)];
+        self.start_waits.record(u64::from(waits), &labels);
+    }
+
     /// Records the memory of the process.
     pub(crate) fn resident(&self, resident: Resident) {
         self.resident.record(resident.now, &[]);
