Give the store stand-in rates, outages by schedule and entries that expire

Runs of real processes met a store without limits: calls were never refused for their rate, an outage lasted until a test ended it, and the entry of a runner that had died stayed. All are off by default.

The options are new, so there is no run of the tests on the former stand-in.

--- a/crates/primrosehoist-standin/src/main.rs
+++ b/crates/primrosehoist-standin/src/main.rs
@@ -12,6 +12,7 @@
 mod output;
 mod platform;
 mod published;
+mod rate;
 mod reply;
 mod report;
 mod send;
--- a/crates/primrosehoist-standin/src/platform/fault.rs
+++ b/crates/primrosehoist-standin/src/platform/fault.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use tokio::time::Instant;
 
+use crate::rate::Bucket;
+
 /// The active faults, or an update of them in which absent keys leave faults unchanged.
 #[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -62,26 +64,6 @@
     }
 }
 
-/// A token bucket with a capacity of one second of its rate.
-#[derive(Debug, Default)]
-struct Bucket {
-    used: f64,
-    at: Option<Instant>,
-}
-
-impl Bucket {
-    fn take(&mut self, rate_per_s: u32, now: Instant) -> bool {
-        let elapsed = self.at.map_or(Duration::ZERO, |at| now.duration_since(at));
-        self.at = Some(now);
-        self.used = (self.used - elapsed.as_secs_f64() * f64::from(rate_per_s)).max(0.0);
-        let allowed = self.used + 1.0 <= f64::from(rate_per_s);
-        if allowed {
-            self.used += 1.0;
-        }
-        allowed
-    }
-}
-
 /// The rate limiters for reads and writes.
 #[derive(Debug, Default)]
 pub(crate) struct Rates {
@@ -98,6 +80,6 @@
         } else {
             &mut self.reads
         };
-        rate_per_s == 0 || bucket.take(rate_per_s, now)
+        bucket.take(rate_per_s, now)
     }
 }
--- a/crates/primrosehoist-standin/src/published/mod.rs
+++ b/crates/primrosehoist-standin/src/published/mod.rs
@@ -1,4 +1,5 @@
 //! Models of the users' platform with its published API: the object store and a runner.
 
+pub(crate) mod fault;
 pub(crate) mod runner;
 pub(crate) mod store;
--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -1,5 +1,5 @@
-//! A model of the object store: paged lists, watches, conditional writes, a bounded history and
-//! fault injection.
+//! A model of the object store: paged lists, watches, conditional writes, a bounded history, rates,
+//! registrations that expire, and fault injection.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -10,13 +10,15 @@
 use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use pico_args::Arguments;
-use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, mpsc};
-use tokio::time;
+use tokio::task::AbortHandle;
+use tokio::time::{self, Instant};
 
 use crate::command::{self, Error};
 use crate::listener;
+use crate::published::fault::{Faults, Mode, OUTAGES_MAX, Outage};
+use crate::rate::Bucket;
 use crate::reply::{self, Answer, Closed};
 
 /// The help text of the subcommand.
@@ -29,15 +31,22 @@
   --listen ADDRESS  address and port to listen on
   --also ADDRESS    second address of the same store, to which faults can be limited
   --page N          objects per page of a list [default: 3]
+  --writes-per-s N  writing calls per second, beyond which calls get 429; 0 is no limit [default: 0]
+  --reads-per-s N   reading calls per second, beyond which calls get 429; 0 is no limit [default: 0]
+  --expire-ms N     time without a write after which an entry of servers is removed; 0 is never
+                    [default: 0]
   --log LEVEL       off, error, warn, info, debug or trace [default: warn]
   --help            prints this text
   --version         prints the version
 
-POST /standin/faults sets {\"mode\":\"none|busy|silent\",\"also_only\":bool,\"lose_writes\":bool,
-\"lose_watches\":bool,\"list_delay_ms\":N}: busy responds 429, silent never responds, also_only limits the
-mode to the second address, lose_writes performs writes but closes the connection without a response,
-lose_watches never responds to the watches that arrive, and list_delay_ms holds back each page of a list
-after it was read.
+POST /standin/faults sets {\"mode\":\"none|busy|unavailable|reset|silent\",\"also_only\":bool,
+\"lose_writes\":bool,\"lose_watches\":bool,\"list_delay_ms\":N,\"slow_ms\":N}: busy responds 429, unavailable
+responds 503, reset closes the connection, silent never responds, also_only limits the mode to the second
+address, lose_writes performs writes but closes the connection without a response, lose_watches never
+responds to the watches that arrive, list_delay_ms holds back each page of a list after it was read, and
+slow_ms is the time that each call takes.
+POST /standin/outages plays [{\"after_ms\":N,\"for_ms\":N,\"faults\":{...}}, ...] one after the other; with the
+mode closed, both addresses refuse connections. It replaces a schedule that is still played.
 POST /standin/forget drops the history. POST /standin/copy keeps a copy of the store, and
 POST /standin/restore goes back to it: what was written since is gone, and Store-Era rises by one.
 GET /standin/counts returns the number of calls.
@@ -55,12 +64,27 @@
 /// The longest wait of a watch, in milliseconds.
 const WAIT_MAX_MS: u64 = 30_000;
 
+/// The kind of the entries that expire.
+const EXPIRING_KIND: &str = "servers";
+
+/// The number of checks for entries that expire within the time after which they do.
+const EXPIRY_CHECKS: u32 = 8;
+
 /// The options of the subcommand.
 #[derive(Debug)]
 pub(crate) struct Options {
     listen: SocketAddr,
     also: SocketAddr,
     page: usize,
+    limits: Limits,
+}
+
+/// The limits of the store.
+#[derive(Debug, Clone, Copy)]
+struct Limits {
+    writes_per_s: u32,
+    reads_per_s: u32,
+    expiry: Option<Duration>,
 }
 
 /// Reads the options of the subcommand.
@@ -69,32 +93,19 @@
 ///
 /// Returns an error if an option is missing or invalid.
 pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
+    let expire_ms = command::value(arguments, "--expire-ms", 0)?;
     Ok(Options {
+        limits: Limits {
+            writes_per_s: command::value(arguments, "--writes-per-s", 0)?,
+            reads_per_s: command::value(arguments, "--reads-per-s", 0)?,
+            expiry: (expire_ms > 0).then_some(Duration::from_millis(expire_ms)),
+        },
         listen: command::listen(arguments)?,
         also: command::required(arguments, "--also")?,
         page: command::value(arguments, "--page", 3)?,
     })
 }
 
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
-#[serde(rename_all = "lowercase")]
-enum Mode {
-    #[default]
-    None,
-    Busy,
-    Silent,
-}
-
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-struct Faults {
-    mode: Mode,
-    also_only: bool,
-    lose_writes: bool,
-    lose_watches: bool,
-    list_delay_ms: u64,
-}
-
 #[derive(Debug, Clone)]
 struct Change {
     revision: u64,
@@ -111,6 +122,28 @@
     oldest: u64,
 }
 
+impl Content {
+    /// Applies a change and adds it to the history.
+    fn apply(&mut self, key: (String, String), revision: u64, object: &Value, deleted: bool) {
+        let kind = key.0.clone();
+        if deleted {
+            self.objects.remove(&key);
+        } else {
+            self.objects.insert(key, object.clone());
+        }
+        self.history.push_back(Change {
+            revision,
+            kind,
+            event: json!({"Object": object, "Deleted": deleted}),
+        });
+        if self.history.len() > HISTORY_MAX
+            && let Some(dropped) = self.history.pop_front()
+        {
+            self.oldest = dropped.revision + 1;
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct State {
     content: Content,
@@ -119,11 +152,22 @@
     era: u64,
     faults: Faults,
     calls: u64,
+    /// The calls that got status 429 because of a rate.
+    rate_refused: u64,
+    writes: Bucket,
+    reads: Bucket,
+    /// When each entry that may expire was last written.
+    written: BTreeMap<String, Instant>,
+    /// The schedule that is played.
+    schedule: Option<AbortHandle>,
 }
 
 #[derive(Debug)]
 struct Store {
     page: usize,
+    limits: Limits,
+    /// Close the listeners for a time.
+    listeners: [mpsc::UnboundedSender<listener::Outage>; 2],
     state: Mutex<State>,
     changed: Notify,
 }
@@ -134,8 +178,12 @@
 ///
 /// Fails as [`listener::serve`] does.
 pub(crate) async fn serve(options: Options) -> io::Result<()> {
+    let (first, first_receiver) = mpsc::unbounded_channel();
+    let (second, second_receiver) = mpsc::unbounded_channel();
     let store = Arc::new(Store {
         page: options.page,
+        limits: options.limits,
+        listeners: [first, second],
         state: Mutex::new(State {
             content: Content {
                 revision: 1,
@@ -145,25 +193,56 @@
         }),
         changed: Notify::new(),
     });
-    let listen = |address, is_second_address: bool| {
+    if let Some(expiry) = options.limits.expiry {
+        tokio::spawn(expire(Arc::clone(&store), expiry));
+    }
+    let listen = |address, is_second_address: bool, receiver| {
         let store = Arc::clone(&store);
-        let (outages, receiver) = mpsc::unbounded_channel();
-        let handler = move |request| {
-            let _outages = &outages;
-            handle(Arc::clone(&store), request, is_second_address)
-        };
+        let handler = move |request| handle(Arc::clone(&store), request, is_second_address);
         listener::serve(address, handler, receiver)
     };
-    tokio::try_join!(listen(options.listen, false), listen(options.also, true))?;
+    tokio::try_join!(
+        listen(options.listen, false, first_receiver),
+        listen(options.also, true, second_receiver)
+    )?;
     Ok(())
 }
 
+/// Removes the entries that were not written for `expiry`, forever.
+async fn expire(store: Arc<Store>, expiry: Duration) {
+    let mut interval = time::interval(expiry / EXPIRY_CHECKS);
+    loop {
+        interval.tick().await;
+        store.remove_expired(expiry);
+    }
+}
+
+/// Plays outages one after the other.
+async fn play(store: Arc<Store>, outages: Vec<Outage>) {
+    for outage in outages {
+        if outage.after_ms > 0 {
+            store.lock().faults = Faults::default();
+            time::sleep(Duration::from_millis(outage.after_ms)).await;
+        }
+        let duration = Duration::from_millis(outage.for_ms);
+        if outage.faults.mode == Mode::Closed {
+            for listener in &store.listeners {
+                // The listeners last as long as the process.
+                let _ended = listener.send(listener::Outage { duration }).is_err();
+            }
+        }
+        store.lock().faults = outage.faults;
+        time::sleep(duration).await;
+    }
+    store.lock().faults = Faults::default();
+}
+
 async fn handle(store: Arc<Store>, request: Request<Incoming>, is_second_address: bool) -> Answer {
     let reply = answer(&store, request, is_second_address).await?;
     Ok(store.with_era(reply))
 }
 
-async fn answer(store: &Store, request: Request<Incoming>, is_second_address: bool) -> Answer {
+async fn answer(store: &Arc<Store>, request: Request<Incoming>, is_second_address: bool) -> Answer {
     let (parts, body) = request.into_parts();
     let content = match reply::read(body, BODY_LIMIT_BYTES).await {
         Ok(content) => content,
@@ -180,33 +259,51 @@
         state.faults
     };
     let applies = !faults.also_only || is_second_address;
+    let refuse = |status| Ok(reply::json(status, &json!({})));
     match faults.mode {
-        Mode::Busy if applies => {
-            return Ok(reply::json(StatusCode::TOO_MANY_REQUESTS, &json!({})));
-        }
+        Mode::Busy if applies => return refuse(StatusCode::TOO_MANY_REQUESTS),
+        Mode::Unavailable if applies => return refuse(StatusCode::SERVICE_UNAVAILABLE),
+        Mode::Reset if applies => return Err(Closed::Now),
         Mode::Silent if applies => return std::future::pending().await,
         _ => {}
     }
+    if !store.takes(&parts.method, &query) {
+        return refuse(StatusCode::TOO_MANY_REQUESTS);
+    }
+    time::sleep(faults.half_delay()).await;
+    let reply = perform(store, &parts.method, &path, &query, &content, faults).await;
+    time::sleep(faults.half_delay()).await;
+    reply
+}
+
+async fn perform(
+    store: &Store,
+    method: &Method,
+    path: &str,
+    query: &str,
+    content: &[u8],
+    faults: Faults,
+) -> Answer {
     let Some(object) = path.strip_prefix(PREFIX) else {
         return Ok(reply::json(StatusCode::NOT_FOUND, &json!({})));
     };
     let (kind, name) = object.split_once('/').unwrap_or((object, ""));
-    if parts.method == Method::GET {
-        let watched = parameter(&query, "Watch");
+    if method == Method::GET {
+        let watched = parameter(query, "Watch");
         if watched.is_some() && faults.lose_watches {
             return std::future::pending().await;
         }
         return Ok(match watched {
-            Some(revision) => store.watch(kind, &revision, &query).await,
+            Some(revision) => store.watch(kind, &revision, query).await,
             None if name.is_empty() => {
-                let page = store.list(kind, &query);
+                let page = store.list(kind, query);
                 time::sleep(Duration::from_millis(faults.list_delay_ms)).await;
                 page
             }
             None => store.get(kind, name),
         });
     }
-    let reply = store.write(&parts.method, kind, name, &content, &query);
+    let reply = store.write(method, kind, name, content, query);
     if faults.lose_writes {
         return Err(Closed::Now);
     }
@@ -227,13 +324,69 @@
         reply
     }
 
-    fn control(&self, command: &str, content: &[u8]) -> Reply {
+    /// Returns whether a call is within the rates. Reads that may be stale do not count.
+    fn takes(&self, method: &Method, query: &str) -> bool {
+        let (is_read, now) = (method == Method::GET, Instant::now());
+        if is_read && parameter(query, "AllowStale").is_some_and(|stale| stale == "1") {
+            return true;
+        }
+        let mut state = self.lock();
+        let is_taken = if is_read {
+            state.reads.take(self.limits.reads_per_s, now)
+        } else {
+            state.writes.take(self.limits.writes_per_s, now)
+        };
+        state.rate_refused += u64::from(!is_taken);
+        is_taken
+    }
+
+    /// Removes the entries that were not written for `expiry`.
+    fn remove_expired(&self, expiry: Duration) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        let State {
+            content, written, ..
+        } = &mut *state;
+        let kept = content.objects.keys();
+        let names = kept.filter(|(kind, _)| kind == EXPIRING_KIND);
+        let expired: Vec<_> = names
+            .filter(|(_, name)| {
+                // An entry of a restored copy counts as written when it is first seen.
+                let at = *written.entry(name.clone()).or_insert(now);
+                now.duration_since(at) >= expiry
+            })
+            .cloned()
+            .collect();
+        let is_changed = !expired.is_empty();
+        for key in expired {
+            written.remove(&key.1);
+            let object = content.objects.get(&key).cloned().unwrap_or_default();
+            content.revision += 1;
+            let revision = content.revision;
+            content.apply(key, revision, &object, true);
+        }
+        drop(state);
+        if is_changed {
+            self.changed.notify_waiters();
+        }
+    }
+
+    fn control(self: &Arc<Self>, command: &str, content: &[u8]) -> Reply {
         let mut state = self.lock();
         match command {
             "faults" => match serde_json::from_slice(content) {
                 Ok(faults) => state.faults = faults,
                 Err(_) => return reply::json(StatusCode::BAD_REQUEST, &json!({})),
             },
+            "outages" => match serde_json::from_slice::<Vec<Outage>>(content) {
+                Ok(outages) if outages.len() <= OUTAGES_MAX => {
+                    let played = tokio::spawn(play(Arc::clone(self), outages));
+                    if let Some(former) = state.schedule.replace(played.abort_handle()) {
+                        former.abort();
+                    }
+                }
+                _ => return reply::json(StatusCode::BAD_REQUEST, &json!({})),
+            },
             "forget" => {
                 state.content.history.clear();
                 state.content.oldest = state.content.revision + 1;
@@ -244,7 +397,10 @@
                 state.content = state.copy.clone();
                 state.era += 1;
             }
-            "counts" => return reply::json(StatusCode::OK, &json!({"calls": state.calls})),
+            "counts" => {
+                let counts = json!({"calls": state.calls, "rate_refused": state.rate_refused});
+                return reply::json(StatusCode::OK, &counts);
+            }
             _ => return reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
         drop(state);
@@ -362,21 +518,10 @@
             "Spec": spec,
             "Status": null,
         });
-        if deleted {
-            state.content.objects.remove(&key);
-        } else {
-            state.content.objects.insert(key, object.clone());
-        }
-        state.content.history.push_back(Change {
-            revision,
-            kind: kind.to_owned(),
-            event: json!({"Object": object, "Deleted": deleted}),
-        });
-        if state.content.history.len() > HISTORY_MAX
-            && let Some(dropped) = state.content.history.pop_front()
-        {
-            state.content.oldest = dropped.revision + 1;
+        if kind == EXPIRING_KIND && !deleted {
+            state.written.insert(name, Instant::now());
         }
+        state.content.apply(key, revision, &object, deleted);
         drop(state);
         self.changed.notify_waiters();
         reply::json(StatusCode::OK, &object)
--- /dev/null
+++ b/crates/primrosehoist-standin/tests/store.rs
@@ -0,0 +1,75 @@
+//! Tests of the stand-in for the object store: rates, outages and entries that expire.
+
+mod support;
+
+use serde_json::json;
+use support::{Standin, free_address, wait_for};
+
+const SERVERS: &str = "/primrosehoist/objects/servers";
+
+fn start(options: &[&str]) -> Standin {
+    let also = free_address();
+    Standin::start("store", &[&["--also", &also], options].concat())
+}
+
+fn register(store: &Standin, name: &str) -> u16 {
+    let object = json!({"Metadata": {"Name": name}, "Spec": {}}).to_string();
+    store.post(SERVERS, &[], &object)
+}
+
+#[test]
+fn calls_over_the_rates_are_refused() {
+    let store = start(&["--writes-per-s", "2", "--reads-per-s", "2"]);
+    for (method, path) in [("POST", SERVERS), ("GET", SERVERS)] {
+        let statuses = [0; 4].map(|_| store.call(method, path, &[], "{}").status);
+        assert!(
+            statuses.contains(&429) && statuses[0] != 429,
+            "{statuses:?}"
+        );
+    }
+    let stale = format!("{SERVERS}?AllowStale=1");
+    assert_eq!(
+        [200; 4],
+        [0; 4].map(|_| store.call("GET", &stale, &[], "").status)
+    );
+    assert!(store.counts()["rate_refused"].as_u64() >= Some(2));
+}
+
+#[test]
+fn outages_are_played_one_after_the_other() {
+    let store = start(&[]);
+    let outage = |mode| json!({"after_ms": 0, "for_ms": 300, "faults": {"mode": mode}});
+    let outages = ["unavailable", "busy", "reset", "closed"].map(outage);
+    assert_eq!(
+        200,
+        store.post("/standin/outages", &[], &json!(outages).to_string())
+    );
+    let mut seen: Vec<Option<u16>> = Vec::new();
+    wait_for("the end of the outages", || {
+        let status = store
+            .try_call("GET", SERVERS, &[], "")
+            .map(|reply| reply.status);
+        if seen.last() != Some(&status) {
+            seen.push(status);
+        }
+        (seen.len() > 1 && status == Some(200)).then_some(())
+    });
+    seen.retain(|status| *status != Some(200));
+    // A call that is reset and one that is refused look the same here.
+    assert_eq!(vec![Some(503), Some(429), None], seen);
+}
+
+#[test]
+fn entries_without_writes_expire() {
+    let store = start(&["--expire-ms", "400"]);
+    assert_eq!(200, register(&store, "a"));
+    let list = store.call("GET", SERVERS, &[], "").json();
+    assert_eq!("a", list["Items"][0]["Metadata"]["Name"]);
+    let watch = format!("{SERVERS}?Watch={}&WaitMs=5000", list["StoreRevision"]);
+    let events = store.call("GET", &watch, &[], "").json()["events"].clone();
+    assert_eq!(true, events[0]["Deleted"]);
+    assert_eq!(
+        json!([]),
+        store.call("GET", SERVERS, &[], "").json()["Items"]
+    );
+}
