Let the runner stand-in register itself, queue and leave

Runs of real processes needed a test to write the entries of runners, and runners took any number of requests. All are off by default.

--- a/crates/primrosehoist-standin/src/published/mod.rs
+++ b/crates/primrosehoist-standin/src/published/mod.rs
@@ -1,5 +1,7 @@
 //! Models of the users' platform with its published API: the object store and a runner.
 
 pub(crate) mod fault;
+mod queue;
+mod registration;
 pub(crate) mod runner;
 pub(crate) mod store;
--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -1,5 +1,5 @@
-//! A model of a runner: streamed and plain responses with receipts, reservations and fault
-//! injection.
+//! A model of a runner: streamed and plain responses with receipts, slots, a queue, reservations, its entry
+//! in the store and fault injection.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -16,11 +16,13 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use sha2::{Digest, Sha256};
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, OwnedSemaphorePermit, mpsc};
 use tokio::time;
 
 use crate::command::{self, Error};
 use crate::listener;
+use crate::published::queue::Queue;
+use crate::published::registration::Entry;
 use crate::reply::{self, Answer, Closed, Payload};
 
 /// The help text of the subcommand.
@@ -34,6 +36,13 @@
   --id ID           the id of the runner
   --event-ms N      time between two events of a stream [default: 10]
   --memory N        size of the memory in tokens [default: 450000]
+  --slots N         requests served at once; 0 is no limit [default: 0]
+  --queue N         requests that wait for a slot; others get 503 [default: 4]
+  --store ADDRESS   registers in the store at this address
+  --service NAME    service of the entry in the store [default: model]
+  --zone NAME       availability zone of the entry [default: zone-a]
+  --heartbeat-ms N  interval between two writes of the entry [default: 1200]
+  --drain-ms N      time to serve after the store accepted that the runner leaves [default: 2000]
   --log LEVEL       off, error, warn, info, debug or trace [default: warn]
   --help            prints this text
   --version         prints the version
@@ -46,6 +55,8 @@
 encoding), refuse_order (refuses a reservation).
 POST /standin/deadly with the id of a part of prompts makes the process exit when it begins to answer
 a stream whose X-Prompt-Prefix has that part.
+POST /standin/leave makes a runner with --store report that it drains, serve for the drain time, remove its
+entry and exit with code 0. SIGTERM ends it at once, and its entry stays.
 GET /standin/counts returns the requests that ran and the counts of streams and reservations.
 ";
 
@@ -55,6 +66,15 @@
 /// The number of tokens in an event of a stream.
 const EVENT_TOKENS: u64 = 10;
 
+/// The number of requests that wait for a slot by default.
+const QUEUE_DEFAULT: usize = 4;
+
+/// The number of slots in the entry of a runner without a limit.
+const SLOTS_UNLIMITED: usize = 16;
+
+/// The time that a request waits for a slot if its client names no deadline.
+const QUEUE_TIME_MAX: Duration = Duration::from_secs(30);
+
 /// The interval between the bytes of a trickling stream.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -63,6 +83,7 @@
 
 const ATTEMPT_ID: HeaderName = HeaderName::from_static("x-attempt-id");
 const RECEIPT: HeaderName = HeaderName::from_static("x-response-seal");
+const LOAD: HeaderName = HeaderName::from_static("x-server-load");
 
 /// The options of the subcommand.
 #[derive(Debug)]
@@ -71,6 +92,8 @@
     id: String,
     event_interval: Duration,
     memory_tokens: u64,
+    queue: Option<Queue>,
+    entry: Option<Entry>,
 }
 
 /// Reads the options of the subcommand.
@@ -79,9 +102,29 @@
 ///
 /// Returns an error if an option is missing or invalid.
 pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
+    let listen = command::listen(arguments)?;
+    let id: String = command::required(arguments, "--id")?;
+    let slots = command::value(arguments, "--slots", 0)?;
+    let waiting_max = command::value(arguments, "--queue", QUEUE_DEFAULT)?;
+    let mut entry = Entry {
+        store: listen,
+        id: id.clone(),
+        address: listen,
+        service: command::value(arguments, "--service", "model".to_owned())?,
+        zone: command::value(arguments, "--zone", "zone-a".to_owned())?,
+        slots: if slots > 0 { slots } else { SLOTS_UNLIMITED },
+        heartbeat: Duration::from_millis(command::value(arguments, "--heartbeat-ms", 1200)?),
+        drain: Duration::from_millis(command::value(arguments, "--drain-ms", 2000)?),
+    };
+    let store = command::optional(arguments, "--store")?;
     Ok(Options {
-        listen: command::listen(arguments)?,
-        id: command::required(arguments, "--id")?,
+        listen,
+        id,
+        queue: (slots > 0).then(|| Queue::new(slots, waiting_max)),
+        entry: store.map(|store| {
+            entry.store = store;
+            entry
+        }),
         event_interval: Duration::from_millis(command::value(arguments, "--event-ms", 10)?),
         memory_tokens: command::value(arguments, "--memory", 450_000)?,
     })
@@ -140,6 +183,7 @@
     running: u64,
     /// The number of streams whose client disconnected before their end.
     abandoned: u64,
+    is_leaving: bool,
 }
 
 #[derive(Debug)]
@@ -147,6 +191,8 @@
     id: String,
     event_interval: Duration,
     memory_tokens: u64,
+    queue: Option<Queue>,
+    leaving: Notify,
     state: Mutex<State>,
 }
 
@@ -160,11 +206,21 @@
         id: options.id,
         event_interval: options.event_interval,
         memory_tokens: options.memory_tokens,
+        queue: options.queue,
+        leaving: Notify::new(),
         state: Mutex::new(State::default()),
     });
     let (_outages, receiver) = mpsc::unbounded_channel();
-    let handler = move |request| handle(Arc::clone(&runner), request);
-    listener::serve(options.listen, handler, receiver).await
+    let served = Arc::clone(&runner);
+    let handler = move |request| handle(Arc::clone(&served), request);
+    let serving = listener::serve(options.listen, handler, receiver);
+    let Some(entry) = options.entry else {
+        return serving.await;
+    };
+    tokio::select! {
+        result = serving => result,
+        () = entry.maintain(&runner.leaving) => Ok(()),
+    }
 }
 
 async fn handle(runner: Arc<Runner>, request: Request<Incoming>) -> Answer {
@@ -179,6 +235,11 @@
             runner.lock().deadly_part = Some(String::from_utf8_lossy(&content).into_owned());
             return Ok(reply::json(StatusCode::OK, &json!({})));
         }
+        "/standin/leave" => {
+            runner.lock().is_leaving = true;
+            runner.leaving.notify_one();
+            return Ok(reply::json(StatusCode::OK, &json!({})));
+        }
         "/standin/counts" => return Ok(runner.counts()),
         "/primrosehoist/order" => return Ok(runner.handle_reservation(&parts.headers, &content)),
         _ => {}
@@ -198,6 +259,13 @@
     if fault == Some(Fault::Reject) {
         return refuse(StatusCode::SERVICE_UNAVAILABLE);
     }
+    let slot = match &runner.queue {
+        Some(queue) => match queue.enter(patience(&parts.headers)).await {
+            Some(slot) => Some(slot),
+            None => return refuse(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        None => None,
+    };
     runner.record(&id, &parts, &content);
     if fault == Some(Fault::Hang) {
         std::future::pending::<()>().await;
@@ -206,7 +274,7 @@
         return Err(Closed::Now);
     }
     let mut response = match reply::header(&parts.headers, "x-token-usage") {
-        Some(usage) => runner.stream(&id, &usage, &parts.headers, fault),
+        Some(usage) => runner.stream(&id, &usage, &parts.headers, fault, slot),
         None => plain_response(&parts, &content),
     };
     if fault == Some(Fault::Fail) {
@@ -218,6 +286,7 @@
         &id
     };
     insert_receipt(&mut response, echoed_id, &runner.id);
+    runner.insert_state(&mut response);
     if fault == Some(Fault::Encoded) {
         let gzip = HeaderValue::from_static("gzip");
         response
@@ -227,6 +296,15 @@
     Ok(response)
 }
 
+/// Returns how long a request waits for a slot.
+fn patience(headers: &HeaderMap) -> Duration {
+    let deadline = reply::header(headers, "x-deadline-ms");
+    let deadline_ms = deadline.and_then(|text| text.parse().ok());
+    deadline_ms.map_or(QUEUE_TIME_MAX, |ms| {
+        Duration::from_millis(ms).min(QUEUE_TIME_MAX)
+    })
+}
+
 /// Adds the id of the request and a receipt.
 fn insert_receipt(response: &mut Response<Payload>, id: &str, runner: &str) {
     insert_header(response, ATTEMPT_ID, id);
@@ -258,6 +336,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Adds the load of a runner with slots, and that a runner that leaves closes its connections.
+    fn insert_state(&self, response: &mut Response<Payload>) {
+        if let Some(queue) = &self.queue {
+            insert_header(response, LOAD, &queue.load());
+        }
+        if self.lock().is_leaving {
+            insert_header(response, http::header::CONNECTION, "close");
+        }
+    }
+
     fn matches_expected_id(&self, headers: &HeaderMap) -> bool {
         reply::header(headers, "x-expect-instance").is_none_or(|id| *id == self.id)
     }
@@ -361,6 +449,7 @@
         usage: &str,
         headers: &HeaderMap,
         fault: Option<Fault>,
+        slot: Option<OwnedSemaphorePermit>,
     ) -> Response<Payload> {
         let tokens = usage
             .split(',')
@@ -369,7 +458,7 @@
         let events: u64 = tokens.unwrap_or(EVENT_TOKENS) / EVENT_TOKENS;
         let last = reply::header(headers, "last-event-id");
         let last = last.and_then(|last| last.parse().ok()).unwrap_or(0_u64);
-        let guard = StreamGuard::new(Arc::clone(self));
+        let guard = StreamGuard::new(Arc::clone(self), slot);
         if let Some(part) = self.deadly_part(headers) {
             let delay = self.event_interval;
             tokio::spawn(async move {
@@ -422,14 +511,16 @@
 struct StreamGuard {
     runner: Arc<Runner>,
     finished: bool,
+    _slot: Option<OwnedSemaphorePermit>,
 }
 
 impl StreamGuard {
-    fn new(runner: Arc<Runner>) -> Self {
+    fn new(runner: Arc<Runner>, slot: Option<OwnedSemaphorePermit>) -> Self {
         runner.lock().running += 1;
         Self {
             runner,
             finished: false,
+            _slot: slot,
         }
     }
 
--- a/crates/primrosehoist-standin/tests/store.rs
+++ b/crates/primrosehoist-standin/tests/store.rs
@@ -1,4 +1,5 @@
-//! Tests of the stand-in for the object store: rates, outages and entries that expire.
+//! Tests of the stand-ins for the object store and its runners: rates, outages, entries that expire, slots
+//! and runners that leave.
 
 mod support;
 
@@ -73,3 +74,68 @@
         store.call("GET", SERVERS, &[], "").json()["Items"]
     );
 }
+
+#[test]
+fn runner_registers_beats_and_leaves() {
+    let store = start(&["--expire-ms", "400"]);
+    let options = [
+        "--id",
+        "r1",
+        "--store",
+        &store.address,
+        "--heartbeat-ms",
+        "100",
+        "--drain-ms",
+        "300",
+    ];
+    let mut runner = Standin::start("runner", &options);
+    let entry = format!("{SERVERS}/r1");
+    let state = || store.call("GET", &entry, &[], "").json()["Spec"]["State"].clone();
+    wait_for("several heartbeats", || {
+        let spec = store.call("GET", &entry, &[], "").json()["Spec"].clone();
+        (spec["Sequence"].as_u64() > Some(6)).then_some(())
+    });
+    assert_eq!("ready", state());
+    assert_eq!(200, runner.post("/standin/leave", &[], ""));
+    wait_for("the announcement", || (state() == "draining").then_some(()));
+    let reply = runner.call("GET", "/a", &["X-Attempt-Id: a1"], "");
+    assert!(
+        reply.status == 200 && reply.head.contains("connection: close"),
+        "{}",
+        reply.head
+    );
+    assert_eq!(Some(0), runner.wait().code());
+    assert_eq!(404, store.call("GET", &entry, &[], "").status);
+}
+
+#[test]
+fn runner_refuses_what_exceeds_its_slots_and_queue() {
+    let runner = Standin::start("runner", &["--id", "r1", "--slots", "1", "--queue", "1"]);
+    let headers = |id: &str| {
+        [
+            format!("X-Attempt-Id: {id}"),
+            "X-Token-Usage: 1,400".to_owned(),
+        ]
+    };
+    let mut streams = ["a1", "a2"].map(|id| {
+        let headers = headers(id);
+        runner.send("POST", "/ask", &[&headers[0], &headers[1]], "")
+    });
+    wait_for("a full queue", || {
+        let reply = runner.call("GET", "/a", &["X-Attempt-Id: a3", "X-Deadline-Ms: 1"], "");
+        (reply.status == 503 && reply.head.contains("x-not-executed")).then_some(())
+    });
+    let replies = streams
+        .each_mut()
+        .map(|stream| support::receive(stream).expect("it is served"));
+    assert!(
+        replies
+            .iter()
+            .all(|reply| reply.status == 200 && reply.whole)
+    );
+    assert!(
+        replies[1].head.contains("x-server-load: 1,0,1"),
+        "{}",
+        replies[1].head
+    );
+}
