--- a/crates/primrosehoist-standin/src/lib.rs
+++ b/crates/primrosehoist-standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod output;
 mod platform;
 mod published;
+mod rate;
 mod reply;
 mod report;
 mod send;
