Let a start wait for threads and descriptors that are refused

What callers saw: a host that starts while the operating system refuses a thread or a descriptor for a moment ends with exit 1 within milliseconds, and again whenever it is started. For a refused thread, and with its own settings also for a refused descriptor, the reason is on standard error only, without a time.

Cause: a start took the first refusal as final: the thread of the log, the runtime, the handlers of signals. The runtime panics for some of its descriptors and threads.

Change: each of them is tried again every 50 ms, as held ports are, and logged as `startup is waiting` with the reason, at most every 10 s for one reason. Descriptors and threads are tried out before the runtime is built, so that it does not panic. Until the thread of the log runs, the waiting start writes the lines itself if that does not block.

Not covered: memory refused to the allocator still aborts the process. Signals that arrive while a start waits for threads or descriptors still end it, since their handlers need the runtime. RLIMIT_NPROC does not bind root, so the tests refuse threads by the address space that their stacks need; a limit on the tasks of a cgroup was not tried.

--- a/crates/primrosehoist-daemon/src/descriptors.rs
+++ b/crates/primrosehoist-daemon/src/descriptors.rs
@@ -1,6 +1,7 @@
 //! The limit on the descriptors of the process, and the kernel's table of them.
 
 use std::io;
+use std::os::unix::net::UnixStream;
 
 use rustix::io::fcntl_dupfd_cloexec;
 use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
@@ -8,6 +9,19 @@
 /// The most descriptors that a daemon makes use of.
 const DESCRIPTORS_MAX: u64 = 8192;
 
+/// More pairs of descriptors than a runtime opens when it is built. It panics if there are too few.
+const START_PAIRS: usize = 8;
+
+/// Checks that the process can open as many descriptors as a start needs.
+///
+/// # Errors
+///
+/// Returns the error of the operating system if it cannot.
+pub(crate) fn probe() -> io::Result<()> {
+    let pairs = (0..START_PAIRS).map(|_| UnixStream::pair());
+    pairs.collect::<io::Result<Vec<_>>>().map(drop)
+}
+
 /// Raises the limit on the descriptors of the process as far as it is allowed and useful, and makes the
 /// kernel's table of them as large. Returns the limit.
 ///
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -36,7 +36,6 @@
 mod takeover;
 mod upstream_changes;
 
-use std::io;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -66,7 +65,7 @@
 use crate::signals::{self, Cause, Signals};
 use crate::startup::{self, Port};
 use crate::tasks::Supervisor;
-use crate::{descriptors, log_queue, panics};
+use crate::{descriptors, log_queue, panics, runtime};
 
 /// The maximum number of headers in a request.
 const HEADERS_MAX: usize = 100;
@@ -128,12 +127,8 @@
     /// An error that ends the daemon.
     #[derive(Debug)]
     enum Error {
-        /// The runtime cannot be started.
-        Runtime(source: io::Error) { display("runtime: {}", source) }
         /// The metrics cannot be initialized.
         Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
-        /// A signal handler cannot be installed.
-        Signal(source: io::Error) { display("signals: {}", source) }
         /// A server ended before the shutdown.
         Server(clients: &'static str) { display("the server of {} ended", clients) }
     }
@@ -180,7 +175,7 @@
 /// Runs the daemon with the platform's settings file and returns the exit code.
 pub(crate) fn run(options: &Options) -> ExitCode {
     let descriptors = descriptors::reserve();
-    let _log = match log_queue::start(options.log_level) {
+    let log = match log_queue::install(options.log_level) {
         Ok(log) => log,
         Err(error) => {
             eprintln!("primrosehoistd: logging: {error}");
@@ -188,12 +183,13 @@
         }
     };
     panics::install_hook();
+    log.start_writer();
     match start(options, descriptors) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let message = match error {
                 Error::Server(_) => "daemon failed",
-                _ => "startup failed",
+                Error::Metrics(_) => "startup failed",
             };
             log::error!(error:%; "{message}");
             ExitCode::FAILURE
@@ -203,12 +199,9 @@
 
 fn start(options: &Options, descriptors: usize) -> Result<(), Error> {
     // The process gets one core or less, so more threads would only add context switches.
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(Error::Runtime)?;
+    let runtime = runtime::single();
     let served = runtime.block_on(async {
-        let mut signals = Signals::install().map_err(Error::Signal)?;
+        let mut signals = startup::wait_for(Signals::install).await;
         let prepared = tokio::select! {
             cause = signals.wait_for_stop() => {
                 log::info!(cause = cause.name(); "terminated during startup");
--- a/crates/primrosehoist-daemon/src/log_queue.rs
+++ b/crates/primrosehoist-daemon/src/log_queue.rs
@@ -4,6 +4,7 @@
 //! and counted, so that a full pipe costs log lines and never blocks a request.
 
 use std::io::{self, Write};
+use std::os::fd::AsFd;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::thread;
@@ -11,9 +12,9 @@
 
 use crossbeam::channel::{Receiver, Sender};
 use log::{LevelFilter, SetLoggerError};
-use quick_error::quick_error;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
-use crate::logging;
+use crate::{logging, startup};
 
 /// The capacity of the queue in lines.
 const QUEUE_LINES: usize = 4096;
@@ -29,18 +30,8 @@
 /// but the thread that writes them may also get no processor for a time.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
 
-quick_error! {
-    /// An error that prevents logging from starting.
-    #[derive(Debug)]
-    pub enum Error {
-        /// A logger is already installed.
-        Installed(source: SetLoggerError) { display("{}", source) }
-        /// The writer thread cannot be started.
-        Thread(source: io::Error) { display("cannot start the log writer thread: {}", source) }
-    }
-}
-
 /// What the writer thread receives.
+#[derive(Debug)]
 enum Entry {
     Line(String),
     /// Requests a message on the channel once all entries before are written.
@@ -49,7 +40,44 @@
 
 /// The running log. Dropping it waits until the queued lines are written, or for [`FLUSH_TIMEOUT`].
 #[derive(Debug)]
-pub(crate) struct Log(Sender<Entry>);
+pub(crate) struct Log {
+    entries: Sender<Entry>,
+    writer: Writer,
+}
+
+impl Log {
+    /// Starts the thread that writes the lines, as soon as the operating system grants one.
+    pub(crate) fn start_writer(&self) {
+        let start = || {
+            let writer = self.writer.clone();
+            thread::Builder::new()
+                .name("log".to_owned())
+                .spawn(move || writer.run(&mut io::stdout().lock()))
+                .map_err(|error| format!("start the thread of the log: {error}"))
+        };
+        let _detached = startup::block_for(start, || self.write_queued());
+    }
+
+    /// Writes the lines queued so far if they can be written at once, for times without the thread.
+    fn write_queued(&self) {
+        let output = io::stdout();
+        while !self.writer.queued.is_empty() && accepts_bytes(&output) {
+            let Ok(first) = self.writer.queued.try_recv() else {
+                return;
+            };
+            self.writer.write(first, &mut output.lock());
+        }
+    }
+}
+
+/// Returns whether some kilobytes can be written to `output` without blocking.
+fn accepts_bytes<O>(output: &O) -> bool
+where
+    O: AsFd,
+{
+    let mut polled = [PollFd::new(output, PollFlags::OUT)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
 
 impl Drop for Log {
     fn drop(&mut self) {
@@ -57,7 +85,7 @@
         let (written, flushed) = crossbeam::channel::bounded(1);
         // Lines that nobody reads cannot be reported anywhere.
         if self
-            .0
+            .entries
             .send_deadline(Entry::Flush(written), deadline)
             .is_ok()
         {
@@ -96,24 +124,25 @@
     }
 }
 
-/// Installs a logger that writes records of `level` and above as JSON lines to standard output.
+/// Installs a logger that queues records of `level` and above as JSON lines for standard output. They are
+/// written once [`Log::start_writer`] has started the thread that does so.
 ///
-/// Logging never blocks: a dedicated thread writes the lines. If it cannot keep up, lines are
-/// dropped, and a later line reports how many. The end of the returned value waits for the lines
-/// before it.
+/// Logging never blocks. If the thread cannot keep up, lines are dropped, and a later line reports how
+/// many. The end of the returned value waits for the lines before it.
 ///
 /// # Errors
 ///
-/// Fails if a logger is already installed or the thread cannot be started.
-pub(crate) fn start(level: LevelFilter) -> Result<Log, Error> {
+/// Fails if a logger is already installed.
+pub(crate) fn install(level: LevelFilter) -> Result<Log, SetLoggerError> {
     let (lines, queued) = crossbeam::channel::bounded(QUEUE_LINES);
-    let log = Log(lines.clone());
     let backlog = Arc::new(Backlog::default());
-    let writer_backlog = Arc::clone(&backlog);
-    thread::Builder::new()
-        .name("log".to_owned())
-        .spawn(move || write_lines(&queued, &writer_backlog, &mut io::stdout().lock()))
-        .map_err(Error::Thread)?;
+    let log = Log {
+        entries: lines.clone(),
+        writer: Writer {
+            queued,
+            backlog: Arc::clone(&backlog),
+        },
+    };
     let output = fern::Output::call(move |record| {
         let line = logging::line(SystemTime::now(), record.args(), record);
         let bytes = line.len();
@@ -126,21 +155,37 @@
         .level_for("h2", level.min(LevelFilter::Warn))
         .level_for("hyper", level.min(LevelFilter::Warn))
         .chain(output)
-        .apply()
-        .map_err(Error::Installed)?;
+        .apply()?;
     Ok(log)
 }
 
-/// Writes `queued` lines until all senders are dropped, batching the lines that are available.
-fn write_lines<W>(queued: &Receiver<Entry>, backlog: &Backlog, output: &mut W)
-where
-    W: Write,
-{
-    while let Ok(first) = queued.recv() {
+/// Writes the queued lines.
+#[derive(Debug, Clone)]
+struct Writer {
+    queued: Receiver<Entry>,
+    backlog: Arc<Backlog>,
+}
+
+impl Writer {
+    /// Writes lines until all senders are dropped.
+    fn run<W>(&self, output: &mut W)
+    where
+        W: Write,
+    {
+        while let Ok(first) = self.queued.recv() {
+            self.write(first, output);
+        }
+    }
+
+    /// Writes `first` with the entries after it that are available.
+    fn write<W>(&self, first: Entry, output: &mut W)
+    where
+        W: Write,
+    {
         let mut bytes = 0;
         let mut batch = String::new();
         let mut flushed = None;
-        for entry in std::iter::once(first).chain(queued.try_iter()) {
+        for entry in std::iter::once(first).chain(self.queued.try_iter()) {
             match entry {
                 Entry::Line(line) => {
                     bytes += line.len();
@@ -153,8 +198,8 @@
                 break;
             }
         }
-        backlog.remove(bytes);
-        let lines = backlog.dropped.swap(0, Ordering::Relaxed);
+        self.backlog.remove(bytes);
+        let lines = self.backlog.dropped.swap(0, Ordering::Relaxed);
         if lines > 0 {
             batch.push_str(&dropped_line(SystemTime::now(), lines));
             batch.push('\n');
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -19,6 +19,7 @@
 mod poison;
 mod progress;
 mod resident;
+mod runtime;
 mod scrape;
 mod service;
 mod settings;
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -1,6 +1,5 @@
 //! Runs the daemon from start to shutdown.
 
-use std::io;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,7 +17,7 @@
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
 use crate::startup::{self, Port};
-use crate::{admin, caller, descriptors, links, logging, panics};
+use crate::{admin, caller, descriptors, links, logging, panics, runtime};
 
 /// The largest number of headers in one request.
 const HEADERS_MAX: usize = 64;
@@ -44,8 +43,6 @@
         Secret(source: settings::Error) { from() display("{}", source) }
         /// The instruments cannot be set up.
         Metrics(source: OTelSdkError) { from() display("metrics: {}", source) }
-        /// A signal handler cannot be installed.
-        Signal(source: io::Error) { display("signals: {}", source) }
     }
 }
 
@@ -75,16 +72,7 @@
         return ExitCode::FAILURE;
     }
     panics::install_hook();
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()
-    {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("primrosehoistd: runtime: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
+    let runtime = runtime::parallel();
     let result = runtime.block_on(serve(settings));
     // The remaining tasks have no work to finish.
     runtime.shutdown_background();
@@ -99,7 +87,7 @@
 }
 
 async fn serve(settings: Settings) -> Result<End, Error> {
-    let mut signals = Signals::install().map_err(Error::Signal)?;
+    let mut signals = startup::wait_for(Signals::install).await;
     let secret = settings.secret()?;
     let node = Arc::new(Node::new(&settings, &secret)?);
     let ports = tokio::select! {
--- a/crates/primrosehoist-tests/tests/common/mod.rs
+++ b/crates/primrosehoist-tests/tests/common/mod.rs
@@ -8,6 +8,7 @@
 pub mod history;
 pub mod links;
 pub mod load;
+pub mod other;
 pub mod platform;
 pub mod process;
 pub mod scripted;
--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -611,9 +611,9 @@
 /// # Panics
 ///
 /// Panics after 20 seconds.
-pub fn wait_for<T, F>(what: &str, attempt: F) -> T
+pub fn wait_for<T, F>(what: &str, mut attempt: F) -> T
 where
-    F: Fn() -> Option<T>,
+    F: FnMut() -> Option<T>,
 {
     let deadline = Instant::now() + Duration::from_secs(20);
     loop {
--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -54,13 +54,37 @@
         arguments: &[String],
         log: &Path,
         variables: &[(&str, &Path)],
+    ) -> Self {
+        let program = Command::new(started_program(name));
+        Self::start_command(program, name, arguments, log, variables)
+    }
+
+    /// Starts `name` as [`Process::start_with`] does, with the limits that the options of `prlimit` set.
+    pub fn start_limited(
+        limits: &[&str],
+        name: &'static str,
+        arguments: &[String],
+        log: &Path,
+        variables: &[(&str, &Path)],
+    ) -> Self {
+        let mut program = Command::new("prlimit");
+        program.args(limits).arg(started_program(name));
+        Self::start_command(program, name, arguments, log, variables)
+    }
+
+    fn start_command(
+        mut program: Command,
+        name: &'static str,
+        arguments: &[String],
+        log: &Path,
+        variables: &[(&str, &Path)],
     ) -> Self {
         let file = File::options()
             .create(true)
             .append(true)
             .open(log)
             .expect("the log file opens");
-        let child = Command::new(started_program(name))
+        let child = program
             .args(arguments)
             .envs(variables.iter().copied())
             .stdin(Stdio::null())
@@ -90,6 +114,15 @@
         );
     }
 
+    /// Sets a limit of the process by an option of `prlimit`, such as `--nofile=4:4096`.
+    pub fn limit(&self, limit: &str) {
+        let process = self.id().to_string();
+        let status = Command::new("prlimit")
+            .args(["--pid", &process, limit])
+            .status();
+        assert!(status.expect("prlimit runs").success(), "{limit}");
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -301,31 +301,19 @@
     serves(&deployment, 0);
 }
 
-/// Sets the largest number of descriptors of a process.
-fn limit_descriptors(process: u32, limit: &str) {
-    let status = Command::new("prlimit")
-        .args([
-            "--pid",
-            &process.to_string(),
-            &format!("--nofile={limit}:4096"),
-        ])
-        .status();
-    assert!(status.expect("prlimit runs").success());
-}
-
 #[test]
 fn lack_of_descriptors_is_in_the_log_and_passes() {
     let mut deployment = prepared(1);
     deployment.start_daemon(0);
     serves(&deployment, 0);
     let daemon = &deployment.daemons[0];
-    let process = daemon.process.as_ref().expect("it runs").id();
-    limit_descriptors(process, "4");
+    let process = daemon.process.as_ref().expect("it runs");
+    process.limit("--nofile=4:4096");
     let waiting = TcpStream::connect(&daemon.ingress).expect("the kernel accepts it");
     wait_until("the failure is logged", || {
         daemon.logged().contains("cannot accept connections")
     });
-    limit_descriptors(process, "4096");
+    process.limit("--nofile=4096:4096");
     drop(waiting);
     serves(&deployment, 0);
 }
@@ -359,19 +347,7 @@
 fn other_daemon_survives_a_held_port_a_hang_up_and_a_closed_standard_error() {
     let deployment = Deployment::without_daemons();
     let address = |port: u16| format!("{}.90:{port}", deployment.network);
-    let secret = deployment.directory.join("secret");
-    fs::write(&secret, "sixteen bytes or more").expect("the file is written");
-    let settings = deployment.directory.join("other.toml");
-    let text = format!(
-        "host = \"a1\"\nzone = \"zone-a\"\nsecret_file = \"{}\"\n[listen]\ncaller = \"{}\"\n\
-         peer = \"{}\"\nadmin = \"{}\"\n[platform]\naddress = \"{}\"\n",
-        secret.display(),
-        address(7100),
-        address(7200),
-        address(7300),
-        address(7000),
-    );
-    fs::write(&settings, text).expect("the file is written");
+    let (settings, _callers) = deployment.other_daemon(90);
     let held = TcpListener::bind(address(7200)).expect("the port is free");
     let log = deployment.directory.join("other.log");
     let arguments = ["--settings".to_owned(), settings.display().to_string()];
