Serve and end in time although nobody reads the log

What callers saw: with its log in a pipe whose reader has stopped, the daemon with its own settings answers nobody any more; the daemon of the users' platform serves, but waits 3 s for its last lines at the end, also where its grace is over before, and is killed.

Cause: the first wrote standard error in the task that logs, with the lock of the stream held, and so did its panics. The second did not count the wait for the last lines to the grace.

Change: both daemons log through the bounded queue, one to standard output, one to standard error, so that a panic or any other line never blocks. The wait for the last lines ends 0.3 s before the grace does. Lines whose write fails, such as to a full pipe that does not block, are counted with those that are dropped. logging::start is gone, and with it the one line of a unit test that called it; the tests with real processes start both loggers.

Not tested: a panic while the pipe is full, since nothing in a real daemon panics on demand.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -61,6 +61,7 @@
 use self::reload::Reload;
 use self::store_sync::Feed;
 use crate::clock::unix_ms;
+use crate::log_queue::{Log, Stream};
 use crate::metrics::Metrics;
 use crate::signals::{self, Cause, Signals};
 use crate::startup::{self, Port};
@@ -111,6 +112,9 @@
 /// The margin between the end of the shutdown and the platform's kill signal.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// How long the last log lines may take after the end of the shutdown, as a part of [`GRACE_MARGIN`].
+const FLUSH_TIME: Duration = Duration::from_millis(100);
+
 /// How long before the end of the shutdown requests whose answer has not begun are answered.
 const EXPIRY_MARGIN: Duration = Duration::from_millis(300);
 
@@ -175,7 +179,7 @@
 /// Runs the daemon with the platform's settings file and returns the exit code.
 pub(crate) fn run(options: &Options) -> ExitCode {
     let descriptors = descriptors::reserve();
-    let log = match log_queue::install(options.log_level) {
+    let log = match log_queue::install(options.log_level, Stream::Output) {
         Ok(log) => log,
         Err(error) => {
             eprintln!("primrosehoistd: logging: {error}");
@@ -184,7 +188,7 @@
     };
     panics::install_hook();
     log.start_writer();
-    match start(options, descriptors) {
+    match start(options, descriptors, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             let message = match error {
@@ -197,7 +201,7 @@
     }
 }
 
-fn start(options: &Options, descriptors: usize) -> Result<(), Error> {
+fn start(options: &Options, descriptors: usize, log: &Log) -> Result<(), Error> {
     // The process gets one core or less, so more threads would only add context switches.
     let runtime = runtime::single();
     let served = runtime.block_on(async {
@@ -216,7 +220,7 @@
                     fds_max: settings.fds_max.min(descriptors),
                     ..settings
                 };
-                serve(settings, ports, options, signals, reload).await
+                serve(settings, ports, options, signals, reload, log).await
             }
             None => Ok(()),
         }
@@ -238,6 +242,7 @@
     options: &Options,
     signals: Signals,
     reload: Reload,
+    log: &Log,
 ) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
@@ -293,7 +298,8 @@
         _ended = &mut readiness => (Cause::Server, Err(Error::Server("readiness checks"))),
         _ended = &mut peer_state => (Cause::Server, Err(Error::Server("platform state"))),
     };
-    shut_down(&context, cause, &stop, serving).await;
+    let end = shut_down(&context, cause, &stop, serving).await;
+    log.limit((end + FLUSH_TIME).into_std());
     result
 }
 
@@ -438,13 +444,14 @@
     }
 }
 
-/// Shuts down gracefully: fails the readiness check, then finishes the requests in progress.
+/// Shuts down gracefully: fails the readiness check, then finishes the requests in progress. Returns when
+/// all had to be finished.
 async fn shut_down(
     context: &Context,
     cause: Cause,
     stop: &watch::Sender<bool>,
     serving: tokio::task::JoinHandle<()>,
-) {
+) -> Instant {
     context.draining.store(true, Ordering::Release);
     let started = Instant::now();
     let end = started
@@ -467,4 +474,5 @@
     stop.send_replace(true);
     let finished = serving.is_finished() || tokio::time::timeout_at(end, serving).await.is_ok();
     log::info!(in_progress = in_progress(), finished; "shutdown finished");
+    end
 }
--- a/crates/primrosehoist-daemon/src/log_queue.rs
+++ b/crates/primrosehoist-daemon/src/log_queue.rs
@@ -1,8 +1,9 @@
-//! Non-blocking logging to standard output.
+//! Non-blocking logging to standard output or standard error.
 //!
 //! A dedicated thread writes lines from a bounded queue. If it cannot keep up, lines are dropped
 //! and counted, so that a full pipe costs log lines and never blocks a request.
 
+use std::cell::Cell;
 use std::io::{self, Write};
 use std::os::fd::AsFd;
 use std::sync::Arc;
@@ -30,6 +31,48 @@
 /// but the thread that writes them may also get no processor for a time.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Where a daemon writes its log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stream {
+    /// Standard output.
+    Output,
+    /// Standard error.
+    Errors,
+}
+
+impl Stream {
+    fn write(self, bytes: &[u8]) -> io::Result<()> {
+        match self {
+            Self::Output => write(&mut io::stdout().lock(), bytes),
+            Self::Errors => write(&mut io::stderr().lock(), bytes),
+        }
+    }
+
+    /// Returns whether some kilobytes can be written without blocking.
+    fn accepts_bytes(self) -> bool {
+        match self {
+            Self::Output => accepts_bytes(&io::stdout()),
+            Self::Errors => accepts_bytes(&io::stderr()),
+        }
+    }
+}
+
+fn write<W>(output: &mut W, bytes: &[u8]) -> io::Result<()>
+where
+    W: Write,
+{
+    output.write_all(bytes)?;
+    output.flush()
+}
+
+fn accepts_bytes<O>(output: &O) -> bool
+where
+    O: AsFd,
+{
+    let mut polled = [PollFd::new(output, PollFlags::OUT)];
+    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+}
+
 /// What the writer thread receives.
 #[derive(Debug)]
 enum Entry {
@@ -38,11 +81,13 @@
     Flush(Sender<()>),
 }
 
-/// The running log. Dropping it waits until the queued lines are written, or for [`FLUSH_TIMEOUT`].
+/// The running log. Dropping it waits until the queued lines are written, for at most [`FLUSH_TIMEOUT`].
 #[derive(Debug)]
 pub(crate) struct Log {
     entries: Sender<Entry>,
     writer: Writer,
+    /// When the process must end, if that is known.
+    end: Cell<Option<Instant>>,
 }
 
 impl Log {
@@ -52,7 +97,7 @@
             let writer = self.writer.clone();
             thread::Builder::new()
                 .name("log".to_owned())
-                .spawn(move || writer.run(&mut io::stdout().lock()))
+                .spawn(move || writer.run())
                 .map_err(|error| format!("start the thread of the log: {error}"))
         };
         let _detached = startup::block_for(start, || self.write_queued());
@@ -60,28 +105,24 @@
 
     /// Writes the lines queued so far if they can be written at once, for times without the thread.
     fn write_queued(&self) {
-        let output = io::stdout();
-        while !self.writer.queued.is_empty() && accepts_bytes(&output) {
+        while self.writer.stream.accepts_bytes() {
             let Ok(first) = self.writer.queued.try_recv() else {
                 return;
             };
-            self.writer.write(first, &mut output.lock());
+            self.writer.write(first);
         }
     }
-}
 
-/// Returns whether some kilobytes can be written to `output` without blocking.
-fn accepts_bytes<O>(output: &O) -> bool
-where
-    O: AsFd,
-{
-    let mut polled = [PollFd::new(output, PollFlags::OUT)];
-    poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+    /// Makes the end of the log wait no longer than until `end`.
+    pub(crate) fn limit(&self, end: Instant) {
+        self.end.set(Some(end));
+    }
 }
 
 impl Drop for Log {
     fn drop(&mut self) {
         let deadline = Instant::now() + FLUSH_TIMEOUT;
+        let deadline = self.end.get().map_or(deadline, |end| end.min(deadline));
         let (written, flushed) = crossbeam::channel::bounded(1);
         // Lines that nobody reads cannot be reported anywhere.
         if self
@@ -124,8 +165,8 @@
     }
 }
 
-/// Installs a logger that queues records of `level` and above as JSON lines for standard output. They are
-/// written once [`Log::start_writer`] has started the thread that does so.
+/// Installs a logger that queues records of `level` and above as JSON lines for `stream`. They are written
+/// once [`Log::start_writer`] has started the thread that does so.
 ///
 /// Logging never blocks. If the thread cannot keep up, lines are dropped, and a later line reports how
 /// many. The end of the returned value waits for the lines before it.
@@ -133,7 +174,7 @@
 /// # Errors
 ///
 /// Fails if a logger is already installed.
-pub(crate) fn install(level: LevelFilter) -> Result<Log, SetLoggerError> {
+pub(crate) fn install(level: LevelFilter, stream: Stream) -> Result<Log, SetLoggerError> {
     let (lines, queued) = crossbeam::channel::bounded(QUEUE_LINES);
     let backlog = Arc::new(Backlog::default());
     let log = Log {
@@ -141,7 +182,9 @@
         writer: Writer {
             queued,
             backlog: Arc::clone(&backlog),
+            stream,
         },
+        end: Cell::new(None),
     };
     let output = fern::Output::call(move |record| {
         let line = logging::line(SystemTime::now(), record.args(), record);
@@ -164,31 +207,28 @@
 struct Writer {
     queued: Receiver<Entry>,
     backlog: Arc<Backlog>,
+    stream: Stream,
 }
 
 impl Writer {
     /// Writes lines until all senders are dropped.
-    fn run<W>(&self, output: &mut W)
-    where
-        W: Write,
-    {
+    fn run(&self) {
         while let Ok(first) = self.queued.recv() {
-            self.write(first, output);
+            self.write(first);
         }
     }
 
     /// Writes `first` with the entries after it that are available.
-    fn write<W>(&self, first: Entry, output: &mut W)
-    where
-        W: Write,
-    {
+    fn write(&self, first: Entry) {
         let mut bytes = 0;
+        let mut lines = 0;
         let mut batch = String::new();
         let mut flushed = None;
         for entry in std::iter::once(first).chain(self.queued.try_iter()) {
             match entry {
                 Entry::Line(line) => {
                     bytes += line.len();
+                    lines += 1;
                     batch.push_str(&line);
                     batch.push('\n');
                 }
@@ -199,15 +239,16 @@
             }
         }
         self.backlog.remove(bytes);
-        let lines = self.backlog.dropped.swap(0, Ordering::Relaxed);
-        if lines > 0 {
-            batch.push_str(&dropped_line(SystemTime::now(), lines));
+        let dropped = self.backlog.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            batch.push_str(&dropped_line(SystemTime::now(), dropped));
             batch.push('\n');
         }
-        // A failure to write the log cannot be reported anywhere.
-        let _result = output
-            .write_all(batch.as_bytes())
-            .and_then(|()| output.flush());
+        // A failure cannot be reported now, so its lines are counted with those that are dropped.
+        if self.stream.write(batch.as_bytes()).is_err() {
+            let lost = lines + dropped;
+            self.backlog.dropped.fetch_add(lost, Ordering::Relaxed);
+        }
         if let Some(written) = flushed {
             // The receiver is gone if the process has waited long enough.
             let _result = written.try_send(());
--- a/crates/primrosehoist-daemon/src/logging.rs
+++ b/crates/primrosehoist-daemon/src/logging.rs
@@ -4,11 +4,10 @@
 //! Prompt text and API keys are never logged.
 
 use std::fmt;
-use std::io::{self, Write};
 use std::time::SystemTime;
 
+use log::Record;
 use log::kv::{self, Key, Value, VisitSource};
-use log::{LevelFilter, Record, SetLoggerError};
 use serde_json::Map;
 
 /// The longest text of a value in a line, in bytes. Paths and ids come from clients.
@@ -17,25 +16,6 @@
 /// Follows a text that was cut.
 const ELLIPSIS: &str = "...";
 
-/// Installs a logger that writes records of `level` and above as JSON lines to standard error.
-///
-/// # Errors
-///
-/// Fails if a logger is already installed.
-pub(crate) fn start(level: LevelFilter) -> Result<(), SetLoggerError> {
-    // An output of `fern` panics if it cannot write, for example after a terminal was closed.
-    let output = fern::Output::call(|record| {
-        let line = line(SystemTime::now(), record.args(), record);
-        let _result = writeln!(io::stderr().lock(), "{line}");
-    });
-    fern::Dispatch::new()
-        .level(level)
-        .level_for("h2", level.min(LevelFilter::Warn))
-        .level_for("hyper", level.min(LevelFilter::Warn))
-        .chain(output)
-        .apply()
-}
-
 /// Formats a record as one line of JSON, without a line terminator. Long texts of values are cut.
 pub(crate) fn line(time: SystemTime, message: &fmt::Arguments<'_>, record: &Record<'_>) -> String {
     let mut fields = Fields(Map::new());
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -11,13 +11,14 @@
 use tokio::sync::watch;
 
 use crate::admin::Context;
+use crate::log_queue::Stream;
 use crate::node::Node;
 use crate::scrape::Scrape;
 use crate::settings::{self, Listen, Settings};
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
 use crate::startup::{self, Port};
-use crate::{admin, caller, descriptors, links, logging, panics, runtime};
+use crate::{admin, caller, descriptors, links, log_queue, panics, runtime};
 
 /// The largest number of headers in one request.
 const HEADERS_MAX: usize = 64;
@@ -67,11 +68,15 @@
 /// Runs the daemon; returns the exit code of the process.
 pub(crate) fn run(settings: Settings) -> ExitCode {
     descriptors::reserve();
-    if let Err(error) = logging::start(settings.log.level) {
-        eprintln!("primrosehoistd: logging: {error}");
-        return ExitCode::FAILURE;
-    }
+    let log = match log_queue::install(settings.log.level, Stream::Errors) {
+        Ok(log) => log,
+        Err(error) => {
+            eprintln!("primrosehoistd: logging: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     panics::install_hook();
+    log.start_writer();
     let runtime = runtime::parallel();
     let result = runtime.block_on(serve(settings));
     // The remaining tasks have no work to finish.
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -169,7 +169,6 @@
         let path = cut["path"].as_str().expect("a text");
         assert!(path.len() <= 512 && path.ends_with("..."), "{path}");
     }
-    logging::start(log::LevelFilter::Off).expect("no logger is installed yet");
 }
 
 #[test]
--- a/crates/primrosehoist-tests/tests/common/process.rs
+++ b/crates/primrosehoist-tests/tests/common/process.rs
@@ -1,6 +1,7 @@
 //! A program under test, which is killed when it is dropped.
 
 use std::fs::File;
+use std::io::PipeReader;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -84,12 +85,30 @@
             .append(true)
             .open(log)
             .expect("the log file opens");
+        let output = file.try_clone().expect("the log file is shared");
+        program.args(arguments).envs(variables.iter().copied());
+        Self::spawn(program.stdout(output).stderr(file), name)
+    }
+
+    /// Starts `name`; all its output goes to the pipe that is returned.
+    pub fn start_piped(
+        name: &'static str,
+        arguments: &[String],
+        variables: &[(&str, &Path)],
+    ) -> (Self, PipeReader) {
+        let (reader, writer) = std::io::pipe().expect("there are pipes");
+        let output = writer.try_clone().expect("the pipe is shared");
+        let mut program = Command::new(started_program(name));
+        program.args(arguments).envs(variables.iter().copied());
+        (
+            Self::spawn(program.stdout(output).stderr(writer), name),
+            reader,
+        )
+    }
+
+    fn spawn(program: &mut Command, name: &'static str) -> Self {
         let child = program
-            .args(arguments)
-            .envs(variables.iter().copied())
             .stdin(Stdio::null())
-            .stdout(file.try_clone().expect("the log file is shared"))
-            .stderr(file)
             .spawn()
             .unwrap_or_else(|error| {
                 panic!("{name} does not start (build the bins first): {error}")
