Register once in each era of the store

What callers saw: nothing of ours; more writes to a store in trouble, and a daemon that knows the others only when all answers of the store come.

Cause: after a write without an answer, the daemon wrote again and again without a look at whether its entry is there. And an era that another daemon told, or that the response before a stale one told, was not kept: as long as the lists were of an earlier era, the daemon registered again, each time with a write.

Change: a daemon reads the list before each write, and writes only if its entry is missing, or if the list is of an earlier era than it knows of and it has not written since. It waits for an era after all that it knew.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -258,6 +258,11 @@
         });
     }
 
+    /// Returns the latest era of the store that this daemon knows of.
+    pub(crate) fn store_era(&self) -> u64 {
+        *self.store_era.borrow()
+    }
+
     /// Records a revision of the store that a response has told, as recent as `freshness` says.
     pub(crate) fn record_revision(&self, revision: Revision, freshness: Freshness) {
         self.record_era(revision.era);
--- a/crates/primrosehoist-daemon/src/gateway/registration.rs
+++ b/crates/primrosehoist-daemon/src/gateway/registration.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosehoist::state::versions::Revision;
 use primrosehoist_platform::daemon;
 use primrosehoist_platform::object::Object;
+use primrosehoist_platform::store::Freshness;
 use tokio::time::{Instant, sleep};
 
 use super::context::Context;
@@ -33,35 +35,44 @@
     }
 }
 
-/// Registers this daemon and lists the others; returns the era of the store.
+/// Registers this daemon and lists the others. Returns the latest era for which this holds.
 async fn register(context: &Context) -> u64 {
     let settings = &context.settings;
     let spec = daemon::encode(settings.address, &settings.zone);
-    let store = || context.store.load_full();
     let is_own = |object: &Object| object.name == *settings.host && object.spec == spec;
-    match store().list_stale(daemon::KIND).await {
-        Ok((objects, revision)) if objects.iter().any(is_own) && !context.has_joined() => {
-            add_daemons(context, &objects);
-            return revision.era;
-        }
-        Ok(_) => {}
-        Err(error) => log::info!(error:%; "failed to list the daemons"),
-    }
-    while let Err(error) = store().put(daemon::KIND, &settings.host, &spec).await {
-        log::warn!(error:%; "registration failed");
-        sleep(REGISTER_RETRY_DELAY).await;
-    }
+    let known_era = context.store_era();
+    let mut written_in = None;
+    let mut freshness = if context.has_joined() {
+        Freshness::Latest
+    } else {
+        Freshness::Stale
+    };
     loop {
-        match store().list(daemon::KIND).await {
-            Ok((objects, revision)) => {
-                add_daemons(context, &objects);
-                return revision.era;
-            }
-            Err(error) => {
-                log::warn!(error:%; "failed to list the daemons");
-                sleep(REGISTER_RETRY_DELAY).await;
+        let store = context.store.load_full();
+        let listed = match freshness {
+            Freshness::Latest => store.list(daemon::KIND).await,
+            Freshness::Stale => store.list_stale(daemon::KIND).await,
+        };
+        freshness = Freshness::Latest;
+        match listed {
+            Ok((objects, Revision { era, .. })) => {
+                let is_listed = era >= known_era && objects.iter().any(is_own);
+                if is_listed || written_in == Some(era) {
+                    add_daemons(context, &objects);
+                    return era.max(known_era);
+                }
+                match store.put(daemon::KIND, &settings.host, &spec).await {
+                    Ok(()) => {
+                        written_in = Some(era);
+                        continue;
+                    }
+                    // The write may have taken effect, which the next list shows.
+                    Err(error) => log::warn!(error:%; "registration failed"),
+                }
             }
+            Err(error) => log::warn!(error:%; "failed to list the daemons"),
         }
+        sleep(REGISTER_RETRY_DELAY).await;
     }
 }
 
--- a/crates/primrosehoist-tests/tests/store_restored.rs
+++ b/crates/primrosehoist-tests/tests/store_restored.rs
@@ -3,9 +3,14 @@
 
 mod common;
 
+use std::net::UdpSocket;
+use std::sync::Arc;
 use std::time::Duration;
 
 use common::platform::{Deployment, Request, call, configuration, send, wait_until};
+use primrosehoist::coordination::gossip::{Datagram, Info, State};
+use primrosehoist::protocol::gossip;
+use primrosehoist::state::versions::{Revision, Versions};
 use serde_json::json;
 
 /// The time within which a change is in force.
@@ -192,3 +197,62 @@
     control(&deployment, "restore");
     wait_until("the daemon is registered again", is_registered);
 }
+
+/// Guards against writes as long as the answers of the store are lost.
+#[test]
+fn daemon_whose_registration_gets_no_answer_registers_once() {
+    let mut deployment = Deployment::without_daemons();
+    deployment.set_store_faults(&json!({"lose_writes": true}));
+    let store = deployment.store.clone();
+    deployment.add_daemon("zone-a", &store);
+    std::thread::sleep(Duration::from_secs(3));
+    let path = "/primrosehoist/objects/daemons/frontend-0";
+    assert_eq!(call(&store, "GET", path, "").status, 200);
+    let writes = deployment.daemons[0]
+        .logged()
+        .matches("registration failed")
+        .count();
+    assert_eq!(writes, 1);
+}
+
+/// Guards against a daemon that registers without end since another one knows of a later era.
+#[test]
+fn daemon_registers_once_for_an_era_that_its_store_does_not_tell() {
+    let deployment = Deployment::ready(1);
+    let address = format!("{}.60:7340", deployment.network);
+    let other = json!({"Address": format!("{}.60", deployment.network), "Zone": "zone-a"});
+    deployment.put("daemons", "other", &other);
+    let socket = UdpSocket::bind(address).expect("the port is free");
+    let era = Revision { era: 9, number: 1 };
+    let tell = |number| {
+        let datagram = Datagram::State(State {
+            host: Arc::from("other"),
+            zone: Arc::from("zone-a"),
+            sequence: (1, number),
+            info: Info {
+                versions: Versions {
+                    upstreams: era,
+                    ..Versions::default()
+                },
+                ..Info::default()
+            },
+            load: Vec::new(),
+        });
+        let bytes = gossip::encode(&datagram).expect("it is encoded");
+        let daemon = format!("{}.40:7340", deployment.network);
+        socket.send_to(&bytes, daemon).expect("it is sent");
+    };
+    let count = || {
+        let log = deployment.daemons[0].logged();
+        log.matches("registering again").count()
+    };
+    let mut number = 0;
+    while count() == 0 {
+        number += 1;
+        assert!(number < 100, "the daemon does not register again");
+        tell(number);
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    std::thread::sleep(Duration::from_secs(4));
+    assert_eq!(count(), 1);
+}
