--- a/crates/primrosehoist-standin/src/day/schedule.rs
+++ b/crates/primrosehoist-standin/src/day/schedule.rs
@@ -34,6 +34,12 @@
 /// The duration of a trouble of the store.
 const STORE_MS: RangeInclusive<u64> = 2_000..=14_000;
 
+/// The duration of a trouble of the store that is to outlast a roll.
+const LONG_STORE_MS: RangeInclusive<u64> = 15_000..=18_000;
+
+/// The delays between the hosts of a roll that a trouble of the store is to outlast.
+const SHORT_ROLL_DELAY_MS: RangeInclusive<u64> = 600..=1_000;
+
 /// The duration of a trouble of a host.
 const HOST_MS: RangeInclusive<u64> = 500..=6_000;
 
@@ -306,13 +312,24 @@
 
     /// Returns actions that overlap.
     fn group(&mut self) -> Vec<Action> {
-        match self.random.random_range(0..6) {
+        match self.random.random_range(0..7) {
             0 => vec![self.trouble(), self.roll(), self.kill()],
             1 => vec![self.trouble(), self.kill(), self.reload()],
             2 => vec![self.roll(), self.reload(), self.reload(), self.kill()],
             3 => vec![self.throttle(), self.throttle(), self.roll(), self.freeze()],
             4 => vec![self.hold_port(), self.roll(), Action::Configure],
-            _ => vec![self.end_runners(), self.trouble(), self.action()],
+            5 => vec![self.end_runners(), self.trouble(), self.action()],
+            _ => vec![
+                Action::Trouble {
+                    store: self.store(),
+                    for_ms: self.random.random_range(LONG_STORE_MS),
+                },
+                Action::Roll {
+                    hosts: (0..self.size.hosts).collect(),
+                    delay_ms: self.random.random_range(SHORT_ROLL_DELAY_MS),
+                    upgrade: self.random.random_bool(0.5),
+                },
+            ],
         }
     }
 
@@ -365,16 +382,20 @@
     }
 
     fn trouble(&mut self) -> Action {
+        Action::Trouble {
+            store: self.store(),
+            for_ms: self.random.random_range(STORE_MS),
+        }
+    }
+
+    fn store(&mut self) -> Store {
         let kinds = [
             Store::Refusing,
             Store::Silent,
             Store::Slow,
             Store::Resetting,
         ];
-        Action::Trouble {
-            store: *kinds.choose(&mut self.random).unwrap_or(&kinds[0]),
-            for_ms: self.random.random_range(STORE_MS),
-        }
+        *kinds.choose(&mut self.random).unwrap_or(&kinds[0])
     }
 
     fn end_runners(&mut self) -> Action {
--- a/crates/primrosehoist-tests/tests/day_soak.rs
+++ b/crates/primrosehoist-tests/tests/day_soak.rs
@@ -1,4 +1,4 @@
-//! A short day of real processes; `primrosehoist-standin day` plays longer ones and other seeds by hand.
+//! Short days of real processes; `primrosehoist-standin day` plays longer ones by hand.
 //!
 //! `PRIMROSEHOIST_DAY_SEED` sets the seed.
 
@@ -8,15 +8,13 @@
 
 use common::process::program;
 
-/// A day on which a roll and a kill overlap with troubles of the store.
-const SEED: &str = "2";
-
 const SECONDS: &str = "60";
 
-#[test]
-fn day_of_real_processes_ends_without_a_finding() {
-    let seed = std::env::var("PRIMROSEHOIST_DAY_SEED").unwrap_or_else(|_| SEED.to_owned());
-    let logs = std::env::temp_dir().join(format!("primrosehoist-day-soak-{}", std::process::id()));
+/// Plays the day of a seed, or of the one in the environment.
+fn play(seed: &str) {
+    let seed = std::env::var("PRIMROSEHOIST_DAY_SEED").unwrap_or_else(|_| seed.to_owned());
+    let own = std::process::id();
+    let logs = std::env::temp_dir().join(format!("primrosehoist-day-soak-{own}-{seed}"));
     let played = Command::new(program("primrosehoist-standin"))
         .args(["day", "--seed", &seed, "--seconds", SECONDS, "--logs"])
         .arg(&logs)
@@ -29,3 +27,13 @@
     println!("{text}");
     std::fs::remove_dir_all(&logs).expect("the logs are removed");
 }
+
+#[test]
+fn overlapping_restarts_leave_no_process_ended_or_idle() {
+    play("2");
+}
+
+#[test]
+fn roll_of_all_hosts_without_the_store_goes_on_serving() {
+    play("115");
+}
