Start from the state of other hosts while the store is away

What callers saw: a daemon that starts while the platform's store is away serves nobody until it is back, although all other hosts have a configuration; if the hosts restart one after the other, nobody is served at all. Cause: a start learnt of other hosts from the store alone, so that it knew nobody whom it could ask, and others' gossip was dropped. Change: the role serves control_plane too, so that the platform names up to three control addresses in SeedNodes. A start that is not informed 0.5 s later asks all of them at once, again with backoff, takes the newest part of each answer within 0.15 s of the first, knows the hosts from then on and gossips. The store's word is newer and replaces it; the versions decide, as between daemons. Only addresses of known hosts get an answer, at most 8 at a time, and none from a daemon that is not informed or was paused. A list that follows state of an earlier era of the store counts as that of a restored store. SeedNodes and Control are optional; mistakes in them are logged as `setting ignored`. The control port is not waited for.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -249,6 +249,14 @@
         *self.last_contact.lock() = Instant::now();
     }
 
+    /// Records that other daemons last heard from the platform at `at`, unless this daemon has heard from the
+    /// store itself.
+    pub(crate) fn record_contact_of_others(&self, at: Instant) {
+        if *self.store_revision.borrow() == Revision::default() {
+            *self.last_contact.lock() = at;
+        }
+    }
+
     /// Records an era of the store.
     pub(crate) fn record_era(&self, era: u64) {
         self.store_era.send_if_modified(|latest| {
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -46,7 +46,7 @@
 type ZoneFn<'a> = &'a dyn Fn(Key) -> Option<Arc<str>>;
 
 /// Returns what this daemon tells of itself.
-fn info(context: &Context, roster: &Roster, now: Instant) -> Info {
+pub(super) fn info(context: &Context, roster: &Roster, now: Instant) -> Info {
     let crashes = context.crashes.lock();
     let (recent, absolutions) = (crashes.recent(now), crashes.recent_absolutions(now));
     drop(crashes);
@@ -257,24 +257,7 @@
         context.shares.lock().hear(&received.host, uses, now);
     }
     if let Some(info) = &received.info {
-        let mut crashes = context.crashes.lock();
-        crashes.apply(&info.crashes, &info.absolutions, now);
-        drop(crashes);
-        for upstream in context.roster.lock().apply_leaving(&info.leaving) {
-            log::info!(upstream = upstream.id.as_ref(), host = received.host.as_ref(); "upstream is leaving, as another daemon reports");
-        }
-        for upstream in context.roster.lock().apply_limits(&info.limits, now) {
-            log::info!(upstream = upstream.id.as_ref(), host = received.host.as_ref(); "limit of upstream changed, as another daemon reports");
-        }
-        let mut health = context.health.lock();
-        health.record_warnings(&received.host, &info.avoided, now);
-        drop(health);
-        context.record_era(info.versions.upstreams.era);
-        context.peer_versions.send_if_modified(|newest| {
-            let before = *newest;
-            *newest = newest.merge(&info.versions);
-            *newest != before
-        });
+        apply_info(context, &received.host, info, now);
     }
     if let Some(update) = &received.update {
         upstream_changes::apply_update(context, update, now);
@@ -285,6 +268,28 @@
     received.reply.or(permit.map(Datagram::Permit))
 }
 
+/// Applies what the daemon on `host` tells of itself and of upstreams.
+pub(super) fn apply_info(context: &Context, host: &Arc<str>, info: &Info, now: Instant) {
+    let mut crashes = context.crashes.lock();
+    crashes.apply(&info.crashes, &info.absolutions, now);
+    drop(crashes);
+    for upstream in context.roster.lock().apply_leaving(&info.leaving) {
+        log::info!(upstream = upstream.id.as_ref(), host = host.as_ref(); "upstream is leaving, as another daemon reports");
+    }
+    for upstream in context.roster.lock().apply_limits(&info.limits, now) {
+        log::info!(upstream = upstream.id.as_ref(), host = host.as_ref(); "limit of upstream changed, as another daemon reports");
+    }
+    let mut health = context.health.lock();
+    health.record_warnings(host, &info.avoided, now);
+    drop(health);
+    context.record_era(info.versions.upstreams.era);
+    context.peer_versions.send_if_modified(|newest| {
+        let before = *newest;
+        *newest = newest.merge(&info.versions);
+        *newest != before
+    });
+}
+
 /// Lists the daemons again whenever messages come from addresses that are not known, for as long as
 /// the process runs.
 pub(crate) async fn refresh(context: Arc<Context>) {
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod reload;
 mod reservation;
 mod returns;
+mod seeds;
 mod selection;
 mod share;
 mod starting;
@@ -44,11 +45,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, StatusCode};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
 use log::LevelFilter;
 use opentelemetry_sdk::error::OTelSdkError;
 use primrosehoist::protocol::explanation;
+use primrosehoist::protocol::gossip::Error as EncodeError;
 use primrosehoist::state::memory::{Connections, Memory};
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::server::{self, Limits};
@@ -90,6 +93,9 @@
 /// zone at once, its link would be shared among so many that all of them would time out.
 const PEER_STATE_CONNECTIONS_MAX: usize = 12;
 
+/// The maximum number of starting daemons that get platform state at once.
+const CONTROL_CONNECTIONS_MAX: usize = 8;
+
 /// The smallest limit on the request head that the HTTP library accepts, in bytes.
 const HEAD_BYTES_MIN: u64 = 8192;
 
@@ -121,8 +127,8 @@
 /// The interval between checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Responds to a request with a path and a query.
-type Respond = fn(&Context, &str, &str) -> Response<Payload>;
+/// Responds to a request.
+type Respond = fn(&Context, &Request<Incoming>) -> Response<Payload>;
 
 quick_error! {
     /// An error that ends the daemon.
@@ -277,6 +283,19 @@
             serve_internal(context, port, internal, stopped, metrics_response)
         })
     });
+    for mistake in &settings.ignored {
+        log::warn!(mistake = mistake.as_str(); "setting ignored");
+    }
+    if let Some(control) = settings.control {
+        let connections = internal.min(CONTROL_CONNECTIONS_MAX);
+        let stopped = stopped.clone();
+        tasks.spawn("serve_seeds", move |context| {
+            let stopped = stopped.clone();
+            serve_when_free(control, stopped.clone(), move |port| {
+                serve_internal(context, port, connections, stopped, seeds::respond)
+            })
+        });
+    }
     let handovers = serve_when_free(
         SocketAddr::new(settings.address, takeover::port(settings)),
         stopped.clone(),
@@ -317,6 +336,7 @@
     });
     tasks.spawn("register", registration::join);
     tasks.spawn("report_start", starting::report);
+    tasks.spawn("ask_seeds", seeds::learn);
     tasks.spawn("ping_store", store_ping::ping);
     tasks.spawn("refresh_gossip", gossip::refresh);
     tasks.spawn("catch_up", peer_sync::catch_up);
@@ -400,12 +420,11 @@
         write_timeout: WRITE_TIMEOUT,
     };
     server::serve(listener, limits, stopped, move |request| {
-        let query = request.uri().query().unwrap_or("");
-        std::future::ready(respond(&context, request.uri().path(), query))
+        std::future::ready(respond(&context, &request))
     })
 }
 
-fn readiness_response(context: &Context, _path: &str, _query: &str) -> Response<Payload> {
+fn readiness_response(context: &Context, _request: &Request<Incoming>) -> Response<Payload> {
     if context.is_ready() {
         text_response(StatusCode::OK, "ready\n".to_owned())
     } else {
@@ -414,9 +433,9 @@
 }
 
 /// Responds to an operator.
-fn metrics_response(context: &Context, path: &str, query: &str) -> Response<Payload> {
-    if path == explanation::PATH {
-        return explain::respond(context, query);
+fn metrics_response(context: &Context, request: &Request<Incoming>) -> Response<Payload> {
+    if request.uri().path() == explanation::PATH {
+        return explain::respond(context, request.uri().query().unwrap_or_default());
     }
     match context.metrics.render() {
         Ok(metrics) => text_response(StatusCode::OK, metrics),
@@ -425,7 +444,22 @@
 }
 
 fn text_response(status: StatusCode, body: String) -> Response<Payload> {
-    let body = Full::new(Bytes::from(body)).map_err(|never| match never {});
+    response(status, Bytes::from(body))
+}
+
+/// Responds with encoded platform state.
+fn bytes_response(encoded: Result<Vec<u8>, EncodeError>) -> Response<Payload> {
+    match encoded {
+        Ok(bytes) => response(StatusCode::OK, Bytes::from(bytes)),
+        Err(error) => {
+            log::error!(error:%; "failed to encode platform state");
+            response(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+fn response(status: StatusCode, body: Bytes) -> Response<Payload> {
+    let body = Full::new(body).map_err(|never| match never {});
     let mut response = Response::new(body.boxed_unsync());
     *response.status_mut() = status;
     response
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -10,8 +10,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http::{HeaderMap, Method, Request, Response};
+use hyper::body::Incoming;
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
 use primrosehoist::state::map::Set;
 use primrosehoist::state::versions::Versions;
@@ -22,7 +22,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::context::Context;
-use super::store_sync;
+use super::{bytes_response, store_sync};
 
 /// The path of the state on the port for peers.
 const PATH: &str = "/picture";
@@ -47,12 +47,18 @@
 /// The delay after a request that brought nothing new.
 const REQUEST_RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Responds to a daemon that requests state; `query` holds the versions that it has.
-pub(crate) fn respond(context: &Context, _path: &str, query: &str) -> Response<Payload> {
+/// Responds to a daemon that requests state; the query holds the versions that it has.
+pub(crate) fn respond(context: &Context, request: &Request<Incoming>) -> Response<Payload> {
+    let query = request.uri().query().unwrap_or_default();
+    bytes_response(snapshot(context, query).encode())
+}
+
+/// Returns the state for a daemon that has the versions in `query`.
+pub(super) fn snapshot(context: &Context, query: &str) -> Snapshot {
     let known = parse_versions(query);
     let versions = *context.versions.lock();
     let roster = context.roster.lock();
-    let snapshot = Snapshot {
+    Snapshot {
         versions,
         configuration: (versions.configuration > known.configuration)
             .then(|| context.configuration.lock().clone()),
@@ -63,19 +69,7 @@
         missing: roster.missing(Instant::now()),
         evacuated: (versions.evacuations > known.evacuations)
             .then(|| roster.evacuated_zones().iter().cloned().collect()),
-    };
-    drop(roster);
-    let (status, bytes) = match snapshot.encode() {
-        Ok(bytes) => (StatusCode::OK, bytes),
-        Err(error) => {
-            log::error!(error:%; "failed to encode platform state");
-            (StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
-    };
-    let body = Full::new(Bytes::from(bytes)).map_err(|never| match never {});
-    let mut response = Response::new(body.boxed_unsync());
-    *response.status_mut() = status;
-    response
+    }
 }
 
 /// Returns the versions of the requesting daemon. One that states none gets everything.
@@ -203,7 +197,7 @@
 }
 
 /// Applies the parts of `snapshot` that are newer than this daemon's state.
-fn apply(context: &Context, snapshot: Snapshot) {
+pub(super) fn apply(context: &Context, snapshot: Snapshot) {
     let own = *context.versions.lock();
     let now = Instant::now();
     context.urgent.notify_one();
--- a/crates/primrosehoist-daemon/src/gateway/reload.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reload.rs
@@ -57,6 +57,8 @@
         }
         let requires_restart = settings.ingress != current.ingress
             || settings.readiness != current.readiness
+            || settings.control != current.control
+            || settings.seeds != current.seeds
             || settings.link_ports != current.link_ports
             || settings.host != current.host
             || settings.zone != current.zone;
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -203,7 +203,10 @@
             self.context.set_store_reachable(true);
         }
         self.context.record_revision(revision, Freshness::Latest);
-        let is_restored = self.era.is_some_and(|era| era < revision.era);
+        // Before its first response, this daemon may have got state of an earlier era from others.
+        let known = Some(self.known_revision()).filter(|known| *known != Revision::default());
+        let era = self.era.or(known.map(|known| known.era));
+        let is_restored = era.is_some_and(|era| era < revision.era);
         self.era = Some(revision.era);
         let outage = self.lost_at.take().map(|lost_at| lost_at.elapsed());
         if let Some(outage) = outage {
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -39,6 +39,7 @@
     permits: Counter<u64>,
     refused_over_share: Counter<u64>,
     handovers_taken: Counter<u64>,
+    seed_requests: Counter<u64>,
     rejected: Counter<u64>,
     task_restarts: Counter<u64>,
     /// The connections that had to make room for others, on all ports.
@@ -64,13 +65,6 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("primrosehoist");
-        let connections_closed = Arc::new(AtomicU64::new(0));
-        let observed = Arc::clone(&connections_closed);
-        meter
-            .u64_observable_counter("primrosehoist_connections_closed")
-            .with_description("Connections closed to make room for others")
-            .with_callback(move |observer| observer.observe(observed.load(Ordering::Relaxed), &[]))
-            .build();
         Ok(Self {
             registry,
             requests: counter(&meter, "primrosehoist_requests", "Requests that ended"),
@@ -125,6 +119,11 @@
                 "primrosehoist_handovers_taken",
                 "Requests that other daemons handed over to this one",
             ),
+            seed_requests: counter(
+                &meter,
+                "primrosehoist_seed_requests",
+                "Requests of starting daemons for platform state",
+            ),
             rejected: counter(
                 &meter,
                 "primrosehoist_rejected",
@@ -135,7 +134,7 @@
                 "primrosehoist_task_restarts",
                 "Long-lived tasks started again after a panic",
             ),
-            connections_closed,
+            connections_closed: connections_counter(&meter),
             version: meter
                 .u64_gauge("primrosehoist_config_version")
                 .with_description("The configuration version in force")
@@ -240,6 +239,12 @@
         self.handovers_taken.add(1, &[label("outcome", outcome)]);
     }
 
+    /// Counts a request of a starting daemon for platform state; `outcome` is `answered`, `uninformed` or
+    /// `refused`.
+    pub(crate) fn seed_request(&self, outcome: &'static str) {
+        self.seed_requests.add(1, &[label("outcome", outcome)]);
+    }
+
     /// Counts a request that was not admitted, such as for `no_route`.
     pub(crate) fn rejected<R>(&self, reason: R)
     where
@@ -313,6 +318,18 @@
         .build()
 }
 
+/// Creates the counter of connections that had to make room for others, which is read when it is observed.
+fn connections_counter(meter: &Meter) -> Arc<AtomicU64> {
+    let closed = Arc::new(AtomicU64::new(0));
+    let observed = Arc::clone(&closed);
+    meter
+        .u64_observable_counter("primrosehoist_connections_closed")
+        .with_description("Connections closed to make room for others")
+        .with_callback(move |observer| observer.observe(observed.load(Ordering::Relaxed), &[]))
+        .build();
+    closed
+}
+
 fn bytes_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
     meter
         .u64_gauge(name)
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -190,6 +190,7 @@
     metrics.handover_taken("busy");
     metrics.version(7);
     metrics.cut_off(true);
+    metrics.seed_request("refused");
     metrics.start_waits("hosts", true);
     metrics.refused_over_share();
     metrics.rejected("no_route");
@@ -218,6 +219,7 @@
         ("primrosehoist_in_flight{", "1"),
         ("primrosehoist_retries_total{", "1"),
         ("primrosehoist_cut_off{", "1"),
+        ("primrosehoist_seed_requests_total{outcome=\"refused\"", "1"),
         ("primrosehoist_start_waits{need=\"hosts\"", "1"),
         ("primrosehoist_connections_closed_total{", "4"),
         ("primrosehoist_rejected_total{reason=\"no_route\"", "1"),
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -24,6 +24,7 @@
 pub mod replica;
 pub mod request;
 pub mod retry;
+pub mod seeds;
 pub mod share;
 pub mod stall;
 pub mod turn;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -141,6 +141,23 @@
         self.by_address.contains_key(&address)
     }
 
+    /// Returns the host of the daemon at `address`, if one is known.
+    pub fn host_at(&self, address: IpAddr) -> Option<&Arc<str>> {
+        let peer = self.by_address.get(&address);
+        peer.map(|peer| &peer.member.host)
+    }
+
+    /// Returns the address, the host and the zone of all known daemons, including silent ones and the own
+    /// one.
+    pub fn listed(&self) -> Vec<(IpAddr, Arc<str>, Arc<str>)> {
+        let own = (self.address, Arc::clone(&self.host), Arc::clone(&self.zone));
+        let others = self.by_address.iter().map(|(address, peer)| {
+            let member = &peer.member;
+            (*address, Arc::clone(&member.host), Arc::clone(&member.zone))
+        });
+        others.chain([own]).collect()
+    }
+
     /// Returns a number that changes when a daemon is added.
     pub fn generation(&self) -> u64 {
         self.generation
--- a/src/protocol/snapshot.rs
+++ b/src/protocol/snapshot.rs
@@ -1,12 +1,15 @@
 //! Platform state passed from daemon to daemon, for a daemon that does not watch the platform's
 //! store or that the store rejects. Only the parts that the requester lacks are included.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bincode::config;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::coordination::gossip::Info;
 use crate::protocol::gossip::Error;
 use crate::state::roster::Upstream;
 use crate::state::versions::Versions;
@@ -75,9 +78,63 @@
     type Error = Error;
 
     fn try_from(bytes: &[u8]) -> Result<Self, Error> {
-        let limited = config::standard().with_limit::<SNAPSHOT_BYTES_MAX>();
-        let (snapshot, _length) = bincode::serde::decode_from_slice(bytes, limited)
+        decode(bytes).map(|(snapshot, _rest)| snapshot)
+    }
+}
+
+/// What a daemon that starts without the platform's store needs besides the platform state.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// The address, the host and the availability zone of each known daemon, the sender's included.
+    pub members: Vec<(IpAddr, Arc<str>, Arc<str>)>,
+    /// What the sender tells of itself.
+    pub info: Info,
+    /// How long ago the sender last heard from the store or another daemon.
+    pub silence: Duration,
+}
+
+/// The response to a daemon that starts without the platform's store. Its encoding begins with that of the
+/// snapshot, and what follows the fleet is ignored, so that it can be extended.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Seed {
+    /// The platform state.
+    pub snapshot: Snapshot,
+    /// The daemons and what they tell each other.
+    pub fleet: Fleet,
+}
+
+impl Seed {
+    /// Encodes the response.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it cannot be encoded.
+    pub fn encode(&self) -> Result<Vec<u8>, Error> {
+        let mut bytes = self.snapshot.encode()?;
+        let fleet = bincode::serde::encode_to_vec(&self.fleet, config::standard())
             .map_err(|cause| Error::Malformed(cause.to_string()))?;
-        Ok(snapshot)
+        bytes.extend(fleet);
+        Ok(bytes)
     }
 }
+
+impl TryFrom<&[u8]> for Seed {
+    type Error = Error;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, Error> {
+        let (snapshot, rest) = decode(bytes)?;
+        let (fleet, _rest) = decode(rest)?;
+        Ok(Self { snapshot, fleet })
+    }
+}
+
+/// Decodes the value at the start of `bytes`; returns it with the bytes behind it.
+fn decode<T>(bytes: &[u8]) -> Result<(T, &[u8]), Error>
+where
+    T: DeserializeOwned,
+{
+    let limited = config::standard().with_limit::<SNAPSHOT_BYTES_MAX>();
+    let (value, length) = bincode::serde::decode_from_slice(bytes, limited)
+        .map_err(|cause| Error::Malformed(cause.to_string()))?;
+    Ok((value, bytes.get(length..).unwrap_or_default()))
+}
--- a/src/transport/peer/client.rs
+++ b/src/transport/peer/client.rs
@@ -220,7 +220,9 @@
         peer: address.to_owned(),
         cause,
     };
-    let mut stream = socket::connect_to(address).await.map_err(connect_error)?;
+    let mut stream = socket::connect_to(address, None)
+        .await
+        .map_err(connect_error)?;
     stream.set_nodelay(true).map_err(connect_error)?;
     let peer = handshake::connect(&mut stream, &identity.host, &identity.secret)
         .await
--- a/src/transport/platform/connection.rs
+++ b/src/transport/platform/connection.rs
@@ -1,5 +1,6 @@
 //! Connection pool for the platform.
 
+use std::net::IpAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use bytes::Bytes;
@@ -30,6 +31,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Pool {
     address: Arc<str>,
+    /// The local address of the connections, or `None` for the one that the route selects.
+    source: Option<IpAddr>,
     idle: Arc<Mutex<Vec<Connection>>>,
 }
 
@@ -37,10 +40,19 @@
     pub(crate) fn new(address: &str) -> Self {
         Self {
             address: Arc::from(address),
+            source: None,
             idle: Arc::default(),
         }
     }
 
+    /// Creates a pool of connections from the local address `source`.
+    pub(crate) fn bound_to(address: &str, source: IpAddr) -> Self {
+        Self {
+            source: Some(source),
+            ..Self::new(address)
+        }
+    }
+
     /// Sends `request` on an idle connection if one is still open, or on a new one.
     pub(crate) async fn send(
         &self,
@@ -90,7 +102,7 @@
     }
 
     async fn connect(&self) -> Result<Connection, String> {
-        let stream = socket::connect_to(&self.address)
+        let stream = socket::connect_to(&self.address, self.source)
             .await
             .map_err(|cause| cause.to_string())?;
         socket::configure(&stream).map_err(|cause| cause.to_string())?;
--- a/src/transport/platform/endpoint.rs
+++ b/src/transport/platform/endpoint.rs
@@ -1,5 +1,6 @@
 //! Calls to one address of the platform, independent of the format of their content.
 
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -33,6 +34,15 @@
         }
     }
 
+    /// Makes the endpoint connect from the local address `source`, by which the other side knows this host.
+    #[must_use]
+    pub fn bound_to(self, source: IpAddr) -> Self {
+        Self {
+            pool: Pool::bound_to(&self.address, source),
+            ..self
+        }
+    }
+
     /// Closes the idle connections, so that subsequent calls open new ones.
     pub fn close_idle(&self) {
         self.pool.clear();
--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -66,16 +66,16 @@
     socket.connect(address).await
 }
 
-/// Connects as [`connect`] does to the first of the addresses of `host`, a name or an address with a port,
-/// that accepts.
+/// Connects as [`connect`] does, from `source`, to the first of the addresses of `host`, a name or an address
+/// with a port, that accepts.
 ///
 /// # Errors
 ///
 /// Returns an error if no address is known, or the last one if no connection can be made.
-pub async fn connect_to(host: &str) -> io::Result<TcpStream> {
+pub async fn connect_to(host: &str, source: Option<IpAddr>) -> io::Result<TcpStream> {
     let mut last = io::Error::from(io::ErrorKind::AddrNotAvailable);
     for address in lookup_host(host).await? {
-        match connect(address, None).await {
+        match connect(address, source).await {
             Ok(stream) => return Ok(stream),
             Err(error) => last = error,
         }
