Bound the log lines of which others decide the rate

Such lines fill the log's queue, and those that tell why a daemon ends are dropped with them.

Cause: one line for each datagram, connection or request that strangers or other daemons send in a form that is not understood.

Change: at most 20 lines of a kind are logged in a second, by the sampler that requests which are not admitted had already, and `unlogged` says how many before a line were not. It is used for invalid gossip, requests of other daemons that are malformed or lack a workspace, requests whose route has no service, connections and exchanges that the peer server rejects, and requests sent in the name of another daemon. The first three are also counted by primrosehoist_rejected_total as `gossip`, `handover` and `no_service`; the peer server had no counter and has none now. Lines of requests that were admitted, and `request refused` of the daemon with its own settings, which carry ids that callers quote, are as before.

Evidence: log_floods. With the daemon built before, 3,001 datagrams made 3,001 lines and 400 connections to the peer port 402, and both tests fail; both pass with the change. The tests also demand that lines and `unlogged` add up to all events, and to the metric.

--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -21,6 +21,7 @@
 use super::context::Context;
 use super::permit;
 use super::registration;
+use super::rejections::Reason;
 use super::share;
 use super::upstream_changes;
 use crate::startup;
@@ -226,7 +227,11 @@
                     transmit(&context, &reply).await;
                 }
             }
-            Err(error) => log::warn!(sender:%, error:%; "invalid gossip dropped"),
+            Err(error) => {
+                if let Some(unlogged) = context.reject(Reason::Gossip) {
+                    log::warn!(sender:%, error:%, unlogged; "invalid gossip dropped");
+                }
+            }
         }
     }
 }
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -256,7 +256,9 @@
         }
     };
     let Some(service) = admission::service(table, route, &request.id) else {
-        log::error!(route = route.name.as_ref(), version = table.version(); "no service");
+        if let Some(unlogged) = context.reject(Reason::NoService) {
+            log::error!(route = route.name.as_ref(), version = table.version(), unlogged; "no service");
+        }
         return Err(Box::new(refuse("no service", UNCONFIGURED_RETRY_S)));
     };
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
--- a/crates/primrosehoist-daemon/src/gateway/rejections.rs
+++ b/crates/primrosehoist-daemon/src/gateway/rejections.rs
@@ -1,4 +1,5 @@
-//! Counts the requests that end before they are admitted, and bounds how often they are logged.
+//! Counts the requests that end before they are admitted and the invalid datagrams, and bounds how often they
+//! are logged.
 
 use parking_lot::Mutex;
 use primrosehoist::state::map::Map;
@@ -8,7 +9,7 @@
 
 use crate::metrics::Metrics;
 
-/// Why a request is not admitted.
+/// Why a request is not admitted, or a datagram is dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum Reason {
@@ -20,11 +21,17 @@
     UnknownKey,
     /// Its body could not be read.
     Body,
+    /// The active configuration has no service for its route.
+    NoService,
     /// It came to the port for other daemons from none of them.
     UnknownDaemon,
+    /// Another daemon handed it over in a form that cannot be understood.
+    Handover,
+    /// The datagram is no gossip of a supported version.
+    Gossip,
 }
 
-/// The requests that were not admitted.
+/// The requests that were not admitted, and the datagrams that were dropped.
 #[derive(Debug, Default)]
 pub(crate) struct Rejections {
     samplers: Mutex<Map<Reason, Sampler>>,
--- a/crates/primrosehoist-daemon/src/gateway/takeover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/takeover.rs
@@ -151,7 +151,9 @@
         return Err(unserved(Outcome::Busy, "unknown_daemon", response));
     }
     let handover = handover::Request::try_from(&head.headers).map_err(|error| {
-        log::warn!(peer:?, error:%; "malformed request of another daemon");
+        if let Some(unlogged) = context.reject(Reason::Handover) {
+            log::warn!(peer:?, error:%, unlogged; "malformed request of another daemon");
+        }
         let response = plain(StatusCode::BAD_REQUEST, "malformed");
         unserved(Outcome::Busy, "malformed", response)
     })?;
@@ -174,7 +176,7 @@
     let Some(table) = context.table.load_full() else {
         return Err(busy(&handover, "uninformed"));
     };
-    let admission = admit(&table, &handover, head, received)?;
+    let admission = admit(context, &table, &handover, head, received)?;
     let id = admission.request.id.clone();
     if !context
         .body_budget
@@ -220,6 +222,7 @@
 
 /// Routes a request as one of a client, with the workspace that the other daemon found.
 fn admit(
+    context: &Context,
     table: &Table,
     handover: &handover::Request,
     head: Parts,
@@ -232,7 +235,10 @@
         return Err(busy(handover, "no_route"));
     };
     let mut request = header::Request::try_from(&head.headers).map_err(|error| {
-        log::warn!(entry = handover.host.as_ref(), error:%; "malformed request of a client");
+        if let Some(unlogged) = context.reject(Reason::Handover) {
+            let entry = handover.host.as_ref();
+            log::warn!(entry, error:%, unlogged; "malformed request of a client");
+        }
         not_run("malformed")
     })?;
     let workspace = match &handover.workspace {
@@ -242,12 +248,15 @@
         },
         None if table.access(route, None) == Access::Open => None,
         None => {
-            log::error!(
-                request = request.id.as_str(),
-                entry = handover.host.as_ref(),
-                route = route.name.as_ref();
-                "request without a workspace refused"
-            );
+            if let Some(unlogged) = context.reject(Reason::Handover) {
+                log::error!(
+                    request = request.id.as_str(),
+                    entry = handover.host.as_ref(),
+                    route = route.name.as_ref(),
+                    unlogged;
+                    "request without a workspace refused"
+                );
+            }
             return Err(not_run("no_workspace"));
         }
     };
--- a/crates/primrosehoist-daemon/src/links.rs
+++ b/crates/primrosehoist-daemon/src/links.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use parking_lot::Mutex;
 use primrosehoist::protocol::wire::Request;
+use primrosehoist::state::sampler::Sampler;
 use primrosehoist::state::view::Member;
 use primrosehoist::transport::peer::{Body, Identity, Responder, Server};
 use tokio::task::JoinHandle;
@@ -34,10 +36,12 @@
     let handler = {
         let node = Arc::clone(node);
         let cluster = Arc::clone(&cluster);
+        let impostors = Arc::new(Mutex::new(Sampler::new(Instant::now())));
         move |request, body, responder| {
             let node = Arc::clone(&node);
             let cluster = Arc::clone(&cluster);
-            answer(node, cluster, request, body, responder)
+            let impostors = Arc::clone(&impostors);
+            answer(node, cluster, impostors, request, body, responder)
         }
     };
     let address = settings.listen.peer;
@@ -94,6 +98,7 @@
 async fn answer(
     node: Arc<Node>,
     cluster: Arc<Cluster>,
+    impostors: Arc<Mutex<Sampler>>,
     request: Request,
     body: Body,
     mut responder: Responder,
@@ -110,7 +115,10 @@
         request => cluster.answer(&peer, &request),
     };
     let Some(reply) = reply else {
-        log::warn!(peer = peer.as_str(); "rejected a request sent in the name of another daemon");
+        let sampled = impostors.lock().record(Instant::now());
+        if let Some(unlogged) = sampled {
+            log::warn!(peer = peer.as_str(), unlogged; "rejected a request sent in the name of another daemon");
+        }
         return;
     };
     if let Err(error) = responder.send(&reply).await {
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -127,7 +127,7 @@
             rejected: counter(
                 &meter,
                 "primrosehoist_rejected",
-                "Requests that were not admitted",
+                "Requests that were not admitted, and invalid datagrams",
             ),
             task_restarts: counter(
                 &meter,
@@ -245,7 +245,7 @@
         self.seed_requests.add(1, &[label("outcome", outcome)]);
     }
 
-    /// Counts a request that was not admitted, such as for `no_route`.
+    /// Counts a request that was not admitted, such as for `no_route`, or an invalid datagram.
     pub(crate) fn rejected<R>(&self, reason: R)
     where
         R: Display,
--- a/src/transport/peer/server.rs
+++ b/src/transport/peer/server.rs
@@ -2,18 +2,20 @@
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
+use h2::SendStream;
 use h2::server::SendResponse;
-use h2::{RecvStream, SendStream};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use crate::protocol::{codec, wire};
 use crate::state::name;
+use crate::state::sampler::Sampler;
 use crate::transport::peer::frames::{self, Reader};
 use crate::transport::peer::socket::Socket;
 use crate::transport::peer::{
@@ -151,12 +153,32 @@
     }
 }
 
+/// Bounds how often rejections are logged, whose rate the peers decide.
+#[derive(Debug)]
+struct Rejections(Mutex<Sampler>);
+
+impl Rejections {
+    fn new() -> Self {
+        Self(Mutex::new(Sampler::new(Instant::now())))
+    }
+
+    fn report(&self, rejected: &str, error: &Error) {
+        let mut sampler = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let unlogged = sampler.record(Instant::now());
+        drop(sampler);
+        if let Some(unlogged) = unlogged {
+            log::warn!(unlogged; "rejected peer {rejected}: {error}");
+        }
+    }
+}
+
 async fn accept<F, R>(listener: TcpListener, identity: Identity, handler: Arc<F>)
 where
     F: Fn(wire::Request, Body, Responder) -> R + Send + Sync + 'static,
     R: Future<Output = ()> + Send + 'static,
 {
     let handshakes = Arc::new(Semaphore::new(HANDSHAKES_MAX));
+    let rejections = Arc::new(Rejections::new());
     let port = listener.local_addr().map_or(0, |address| address.port());
     let mut refusals = Refusals::new(port);
     loop {
@@ -171,12 +193,13 @@
         };
         let identity = identity.clone();
         let handler = Arc::clone(&handler);
+        let rejections = Arc::clone(&rejections);
         tokio::spawn(async move {
             let authenticated = authenticate(stream, remote, &identity).await;
             drop(permit);
             match authenticated {
-                Ok((socket, peer)) => serve(socket, peer, handler).await,
-                Err(error) => log::warn!("rejected peer connection: {error}"),
+                Ok((socket, peer)) => serve(socket, peer, handler, rejections).await,
+                Err(error) => rejections.report("connection", &error),
             }
         });
     }
@@ -206,7 +229,7 @@
     Ok((socket, peer))
 }
 
-async fn serve<F, R>(socket: Socket, peer: name::Host, handler: Arc<F>)
+async fn serve<F, R>(socket: Socket, peer: name::Host, handler: Arc<F>, rejections: Arc<Rejections>)
 where
     F: Fn(wire::Request, Body, Responder) -> R + Send + Sync + 'static,
     R: Future<Output = ()> + Send + 'static,
@@ -225,7 +248,11 @@
         while let Some(Ok((request, response))) = connection.accept().await {
             let handler = Arc::clone(&handler);
             let peer = peer.clone();
-            tokio::spawn(serve_exchange(request.into_body(), response, peer, handler));
+            let reader = Reader::new(request.into_body(), peer.to_string());
+            let rejections = Arc::clone(&rejections);
+            tokio::spawn(async move {
+                serve_exchange(reader, response, peer, &*handler, &rejections).await;
+            });
         }
     };
     tokio::select! {
@@ -235,20 +262,20 @@
 }
 
 async fn serve_exchange<F, R>(
-    stream: RecvStream,
+    mut reader: Reader,
     mut response: SendResponse<Bytes>,
     peer: name::Host,
-    handler: Arc<F>,
+    handler: &F,
+    rejections: &Rejections,
 ) where
     F: Fn(wire::Request, Body, Responder) -> R + Send + Sync + 'static,
     R: Future<Output = ()> + Send + 'static,
 {
-    let mut reader = Reader::new(stream, peer.to_string());
     let first = tokio::time::timeout(FIRST_FRAME_TIMEOUT, reader.frame()).await;
     let request = match first {
         Ok(Ok(Some(request))) => request,
         Ok(Err(error)) => {
-            log::warn!("rejected exchange: {error}");
+            rejections.report("exchange", &error);
             response.send_reset(h2::Reason::PROTOCOL_ERROR);
             return;
         }
