Report a runtime that stands still or spins

What callers saw: nothing could tell it: a process that lives and answers nobody, with no line in its log. A lock that is taken twice by the only thread, or a loop without an await, looks like that.

Cause: all that the daemon tells of itself, it tells in the runtime, which has one thread.

Change: a thread observes a pulse of the runtime each second. After five observations without one it logs `runtime stands still` or `runtime spins`, by the processor time of the process, counts it, and logs `runtime goes on` when it is over. It never ends the process. It counts observations and not time, so that a suspended process is not reported.

Evidence: runtime_that_stalls_is_logged_once blocks a runtime and lets it spin: two lines for each, none without. suspended_daemon_reports_no_stall stops a daemon by SIGSTOP for 8 s: no line.

--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -69,7 +69,7 @@
 use crate::signals::{self, Cause, Signals};
 use crate::startup::{self, Port};
 use crate::tasks::Supervisor;
-use crate::{descriptors, log_queue, panics, runtime};
+use crate::{descriptors, log_queue, panics, runtime, watchdog};
 
 /// The maximum number of headers in a request.
 const HEADERS_MAX: usize = 100;
@@ -252,6 +252,7 @@
 ) -> Result<(), Error> {
     let context = Arc::new(Context::new(settings, Metrics::new()?, unix_ms()));
     let settings = &context.settings;
+    watchdog::start(watchdog::INTERVAL, context.metrics.runtime_stalls());
     let tasks = Supervisor::new(&context, context.metrics.task_restarts());
     spawn_tasks(&tasks);
     let (stop, stopped) = watch::channel(false);
--- a/crates/primrosehoist-daemon/src/main.rs
+++ b/crates/primrosehoist-daemon/src/main.rs
@@ -27,6 +27,7 @@
 mod signals;
 mod startup;
 mod tasks;
+mod watchdog;
 
 use std::io::{self, Write};
 use std::process::ExitCode;
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -42,6 +42,7 @@
     seed_requests: Counter<u64>,
     rejected: Counter<u64>,
     task_restarts: Counter<u64>,
+    runtime_stalls: Counter<u64>,
     /// The connections that had to make room for others, on all ports.
     connections_closed: Arc<AtomicU64>,
     version: Gauge<u64>,
@@ -134,6 +135,11 @@
                 "primrosehoist_task_restarts",
                 "Long-lived tasks started again after a panic",
             ),
+            runtime_stalls: counter(
+                &meter,
+                "primrosehoist_runtime_stalls",
+                "Times in which no task ran for seconds",
+            ),
             connections_closed: connections_counter(&meter),
             version: meter
                 .u64_gauge("primrosehoist_config_version")
@@ -276,6 +282,11 @@
         self.task_restarts.clone()
     }
 
+    /// Returns the counter of stalls of the runtime.
+    pub(crate) fn runtime_stalls(&self) -> Counter<u64> {
+        self.runtime_stalls.clone()
+    }
+
     /// Records the configuration version in force.
     pub(crate) fn version(&self, version: Version) {
         self.version.record(version, &[]);
--- a/crates/primrosehoist-daemon/src/service.rs
+++ b/crates/primrosehoist-daemon/src/service.rs
@@ -18,7 +18,7 @@
 use crate::shutdown::{self, End};
 use crate::signals::Signals;
 use crate::startup::{self, Port};
-use crate::{admin, caller, descriptors, links, log_queue, panics, runtime};
+use crate::{admin, caller, descriptors, links, log_queue, panics, runtime, watchdog};
 
 /// The largest number of headers in one request.
 const HEADERS_MAX: usize = 64;
@@ -95,6 +95,7 @@
     let mut signals = startup::wait_for(Signals::install).await;
     let secret = settings.secret()?;
     let node = Arc::new(Node::new(&settings, &secret)?);
+    watchdog::start(watchdog::INTERVAL, node.metrics.runtime_stalls());
     let ports = tokio::select! {
         cause = signals.wait_for_stop() => {
             log::info!(cause = cause.name(); "terminated during startup");
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -194,6 +194,7 @@
     metrics.refused_over_share();
     metrics.rejected("no_route");
     metrics.task_restarts().add(1, &[]);
+    metrics.runtime_stalls().add(2, &[]);
     let own = resident::Resident::read().expect("the memory of this process is known");
     assert!(own.now <= own.peak && own.now > 1 << 20, "{own:?}");
     metrics.resident(resident::Resident {
@@ -232,6 +233,7 @@
         ("primrosehoist_permits_total{", "1"),
         ("primrosehoist_refused_over_share_total", "1"),
         ("primrosehoist_task_restarts_total", "1"),
+        ("primrosehoist_runtime_stalls_total", "2"),
         ("primrosehoist_resident_bytes{", "4096"),
         ("primrosehoist_resident_peak_bytes{", "8192"),
         ("primrosehoist_handovers_taken_total{outcome=\"busy\"", "1"),
--- a/crates/primrosehoist-tests/tests/process_ends.rs
+++ b/crates/primrosehoist-tests/tests/process_ends.rs
@@ -301,6 +301,21 @@
     serves(&deployment, 0);
 }
 
+#[test]
+fn suspended_daemon_reports_no_stall() {
+    let mut deployment = prepared(1);
+    deployment.start_daemon(0);
+    serves(&deployment, 0);
+    let process = deployment.daemons[0].process.as_ref().expect("it runs");
+    process.pause();
+    std::thread::sleep(Duration::from_secs(8));
+    process.resume();
+    serves(&deployment, 0);
+    std::thread::sleep(Duration::from_secs(2));
+    let log = deployment.daemons[0].logged();
+    assert!(!log.contains("\"runtime "), "{log}");
+}
+
 #[test]
 fn lack_of_descriptors_is_in_the_log_and_passes() {
     let mut deployment = prepared(1);
