Ask seeds only until other daemons are known

What operators would have seen: at the first start of all, when nobody has a configuration yet, each daemon asks its seeds every two seconds until the configuration is written, although the store answers; and, in a fleet of more than 24 hosts, a start by a copy could serve its first requests with a larger share of limits than its own. Cause: the wait was for a configuration. It needs hosts only: once these are known, gossip tells the rest. The shares were set with the next message. Change: a start asks until it is registered or one seed has answered, at first after 0.25 s instead of 0.5 s, and sets its shares before it applies the state. Tests of hosts that end in series, and of a store that comes back from a copy after such a start. That shares are set first has no test.

--- a/crates/primrosehoist-daemon/src/gateway/seeds.rs
+++ b/crates/primrosehoist-daemon/src/gateway/seeds.rs
@@ -17,7 +17,7 @@
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::server::Peer;
 use primrosehoist::transport::platform::Endpoint;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::context::Context;
 use super::{bytes_response, gossip, peer_sync, text_response};
@@ -64,25 +64,29 @@
     }
 }
 
-/// Asks the seeds until the daemon has what it needs to serve and knows other daemons.
+/// Asks the seeds until the store or one of them has told which other daemons there are. These tell the
+/// rest.
 pub(crate) async fn learn(context: Arc<Context>) {
     let targets = seeds::targets(&context.settings.seeds, context.settings.address);
-    if targets.is_empty() {
+    if targets.is_empty()
+        || timeout(seeds::STORE_PATIENCE, context.wait_joined())
+            .await
+            .is_ok()
+    {
         return;
     }
-    sleep(seeds::STORE_PATIENCE).await;
     let mut failures = 0;
-    let mut has_learnt = false;
-    while !(context.is_informed() && (has_learnt || context.has_joined())) {
+    while !context.has_joined() {
         let responses = ask(&context, &targets).await;
-        if responses.is_empty() {
-            failures += 1;
-        } else {
+        if !responses.is_empty() {
             adopt(&context, responses);
-            has_learnt = true;
-            failures = 1;
+            return;
+        }
+        failures += 1;
+        let delay = backoff::jitter(seeds::retry_delay(failures));
+        if timeout(delay, context.wait_joined()).await.is_ok() {
+            return;
         }
-        sleep(backoff::jitter(seeds::retry_delay(failures))).await;
     }
 }
 
@@ -154,7 +158,10 @@
             exchange.peers.add(host, zone, *address, now);
         }
         let host = exchange.peers.host_at(address).cloned();
+        let hosts = exchange.peers.hosts();
         drop(exchange);
+        // The shares of limits must be those among all hosts before the first request is served.
+        context.allowance.lock().set_daemons(hosts);
         peer_sync::apply(context, snapshot);
         if let Some(host) = host {
             gossip::apply_info(context, &host, &info, now);
--- a/crates/primrosehoist-tests/tests/starts_without_store.rs
+++ b/crates/primrosehoist-tests/tests/starts_without_store.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use common::platform::{
-    Deployment, Request, Response, call, configuration, receive, send, wait_until,
+    Daemon, Deployment, Request, Response, call, configuration, receive, send, wait_until,
 };
 use primrosehoist::protocol::snapshot::{Compressed, Fleet, Seed, Snapshot};
 use primrosehoist::state::versions::{Revision, Versions};
@@ -158,6 +158,98 @@
     }
 }
 
+/// Returns whether a daemon is ready, and false soon if it does not answer.
+fn is_ready(daemon: &Daemon) -> bool {
+    const TIMEOUT: Duration = Duration::from_millis(100);
+    let address: SocketAddr = daemon.readiness.parse().expect("an address");
+    let Ok(mut connection) = TcpStream::connect_timeout(&address, TIMEOUT) else {
+        return false;
+    };
+    let timeout = connection.set_read_timeout(Some(TIMEOUT));
+    timeout.expect("the timeout is set");
+    let request = b"GET /primrosehoist/ready HTTP/1.1\r\nHost: x\r\n\r\n";
+    let mut status = [0; 12];
+    connection.write_all(request).is_ok()
+        && connection.read_exact(&mut status).is_ok()
+        && status.ends_with(b"200")
+}
+
+#[test]
+fn daemons_that_shut_down_in_series_while_the_store_is_away_leave_a_served_fleet() {
+    const DAEMONS: usize = 6;
+    let mut deployment = ready(DAEMONS);
+    set_store(&deployment, AWAY);
+    let started = Instant::now();
+    let mut told = 0;
+    let mut restarted = 0;
+    let mut unserved = Vec::new();
+    while restarted < DAEMONS {
+        if told < DAEMONS && started.elapsed() >= Duration::from_secs(told as u64) {
+            let process = deployment.daemons[told].process.as_ref();
+            process.expect("the process is running").terminate();
+            told += 1;
+        }
+        for daemon in &mut deployment.daemons[..told] {
+            let process = daemon.process.as_mut().expect("it was started");
+            if process.ended().is_some() {
+                daemon.spawn();
+                restarted += 1;
+            }
+        }
+        if !deployment.daemons.iter().any(is_ready) {
+            unserved.push(started.elapsed());
+        }
+        assert!(
+            started.elapsed() < Duration::from_secs(60),
+            "{restarted} ended"
+        );
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert!(unserved.is_empty(), "no daemon is ready at {unserved:?}");
+    for index in 0..DAEMONS {
+        deployment.wait_until_ready(index);
+        assert_eq!(look(&deployment, index).status, 200);
+    }
+}
+
+/// A daemon that starts by a copy must not take a list of a restored store for a complete one.
+#[test]
+fn evacuation_that_a_restored_store_forgot_holds_after_a_start_by_a_copy() {
+    let mut deployment = ready(2);
+    let control = |path: &str| {
+        let response = call(&deployment.store, "POST", path, "");
+        assert_eq!(response.status, 200);
+    };
+    control("/standin/copy");
+    deployment.put("evacuations", "zone-b", &json!({}));
+    wait_until("it is known", || {
+        (0..2).all(|index| logged(&deployment, index).contains("zone-b"))
+    });
+    set_store(&deployment, AWAY);
+    serves_after_restart(&mut deployment, 1);
+    let mut other = deployment.daemons[0].process.take();
+    other.as_mut().expect("it runs").kill();
+    let response = call(&deployment.store, "POST", "/standin/restore", "");
+    assert_eq!(response.status, 200);
+    set_store(&deployment, BACK);
+    wait_until("it has listed", || {
+        logged(&deployment, 1).contains("store was restored from a copy")
+    });
+    for number in 0..24 {
+        let request = Request {
+            body: format!("body {number}").into_bytes(),
+            ..Request::new("GET", "/look/1")
+        };
+        let response = send(&deployment.daemons[1].ingress, &request);
+        assert_eq!(response.status, 200, "{response:?}");
+        assert_ne!(
+            deployment.runs(&request.id)[0].0,
+            2,
+            "its zone is evacuated"
+        );
+    }
+}
+
 #[test]
 fn first_start_waits_for_the_store() {
     let mut deployment = prepared(3);
--- a/src/coordination/seeds.rs
+++ b/src/coordination/seeds.rs
@@ -11,8 +11,9 @@
 /// The largest number of daemons that are asked.
 pub const SEEDS_MAX: usize = 3;
 
-/// The time for which a start relies on the store alone, which usually answers within milliseconds.
-pub const STORE_PATIENCE: Duration = Duration::from_millis(500);
+/// The time for which a start relies on the store alone, which usually answers within milliseconds. All hosts
+/// may be restarting, and the last one that knows anything may end soon.
+pub const STORE_PATIENCE: Duration = Duration::from_millis(250);
 
 /// The timeout for the response of a seed, whose link may be slow.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(2);
