Tell the other daemons of a start and a shutdown, and count those that serve

When all hosts are told to end together, each refuses new requests although no other takes them.

A daemon that shuts down, or has no configuration or no upstreams yet, adds its phase to its gossip as an extension, at once when a shutdown starts. Former builds skip it, and a daemon without it counts as serving. The gauge primrosehoist_serving_hosts and the field serving_hosts of "shutdown started" and "new requests are refused" show how many others take requests.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -12,6 +12,7 @@
 use primrosehoist::coordination::allowance::Allowance;
 use primrosehoist::coordination::gossip::{Exchange, Own, Update};
 use primrosehoist::coordination::share::Ledger;
+use primrosehoist::coordination::shutdown::Phase;
 use primrosehoist::coordination::watchers::{Member, Status};
 use primrosehoist::protocol::snapshot::Compressed;
 use primrosehoist::state::bounds::Bounds;
@@ -376,6 +377,27 @@
         !self.is_draining() && self.is_informed()
     }
 
+    /// Returns whether this daemon takes requests, as other daemons are told.
+    pub(crate) fn phase(&self) -> Phase {
+        match (self.is_draining(), self.is_informed()) {
+            (true, _) => Phase::Stopping,
+            (false, true) => Phase::Serving,
+            (false, false) => Phase::Starting,
+        }
+    }
+
+    /// Returns how many other hosts take requests.
+    pub(crate) fn serving_hosts(&self) -> usize {
+        self.exchange.lock().peers.serving_count(Instant::now())
+    }
+
+    /// Tells the other daemons at once that this one shuts down.
+    pub(crate) fn announce_shutdown(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.exchange.lock().request_state();
+        self.urgent.notify_one();
+    }
+
     /// Returns whether the daemon has a configuration and a list of upstreams.
     pub(crate) fn is_informed(&self) -> bool {
         self.has_upstreams() && self.table.load().is_some()
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -112,6 +112,7 @@
             }
         }
         context.assign_store(now);
+        context.metrics.serving_hosts(context.serving_hosts());
         let updates = std::mem::take(&mut *context.updates.lock());
         let (loads, updates) = with_exchange(&context, now, |exchange, view| {
             let loads = exchange.tell_load(view, now);
@@ -160,13 +161,16 @@
     let Some(socket) = context.gossip.get() else {
         return;
     };
-    let bytes = match gossip::encode_message(&outgoing.datagram, uses) {
+    let mut bytes = match gossip::encode_message(&outgoing.datagram, uses) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(error:%; "failed to encode gossip");
             return;
         }
     };
+    if gossip::has_info(&outgoing.datagram) {
+        gossip::push_phase(&mut bytes, context.phase());
+    }
     let port = context.settings.link_ports.0;
     for target in &outgoing.targets {
         let target = SocketAddr::new(*target, port);
@@ -234,10 +238,18 @@
 /// Applies a message; returns the answer to its sender, if it requires one.
 fn apply(context: &Context, sender: IpAddr, message: Message) -> Option<Datagram> {
     let now = Instant::now();
-    let Message { datagram, uses } = message;
+    let Message {
+        datagram,
+        uses,
+        phase,
+    } = message;
+    let has_info = gossip::has_info(&datagram);
     let (received, became_cut_off) = with_exchange(context, now, |exchange, view| {
         let was_cut_off = exchange.peers.is_cut_off(sender);
         let received = exchange.receive(sender, datagram, view, now);
+        if has_info {
+            exchange.peers.set_phase(sender, phase);
+        }
         let became_cut_off = !was_cut_off && exchange.peers.is_cut_off(sender);
         (received, became_cut_off)
     });
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -452,7 +452,7 @@
     stop: &watch::Sender<bool>,
     serving: tokio::task::JoinHandle<()>,
 ) {
-    context.draining.store(true, Ordering::Release);
+    context.announce_shutdown();
     let started = Instant::now();
     let end = started
         + context
@@ -461,10 +461,12 @@
             .shutdown_grace
             .saturating_sub(GRACE_MARGIN);
     let in_progress = || context.in_progress.load(Ordering::Acquire);
-    log::info!(in_progress = in_progress(), cause = cause.name(); "shutdown started");
+    let serving_hosts = context.serving_hosts();
+    log::info!(in_progress = in_progress(), serving_hosts, cause = cause.name(); "shutdown started");
     sleep(DEREGISTRATION_DELAY).await;
     context.closing.store(true, Ordering::Release);
-    log::info!(in_progress = in_progress(); "new requests are refused");
+    let serving_hosts = context.serving_hosts();
+    log::info!(in_progress = in_progress(), serving_hosts; "new requests are refused");
     while Instant::now() < end && in_progress() > 0 {
         sleep(SHUTDOWN_POLL_INTERVAL).await;
         if Instant::now() + EXPIRY_MARGIN >= end && !context.expiring.send_replace(true) {
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -46,6 +46,7 @@
     version: Gauge<u64>,
     cut_off: Gauge<u64>,
     start_waits: Gauge<u64>,
+    serving_hosts: Gauge<u64>,
     resident: Gauge<u64>,
     resident_peak: Gauge<u64>,
 }
@@ -64,13 +65,7 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("primrosehoist");
-        let connections_closed = Arc::new(AtomicU64::new(0));
-        let observed = Arc::clone(&connections_closed);
-        meter
-            .u64_observable_counter("primrosehoist_connections_closed")
-            .with_description("Connections closed to make room for others")
-            .with_callback(move |observer| observer.observe(observed.load(Ordering::Relaxed), &[]))
-            .build();
+        let connections_closed = observe_connections_closed(&meter);
         Ok(Self {
             registry,
             requests: counter(&meter, "primrosehoist_requests", "Requests that ended"),
@@ -125,29 +120,33 @@
                 "primrosehoist_handovers_taken",
                 "Requests that other daemons handed over to this one",
             ),
-            rejected: counter(
-                &meter,
-                "primrosehoist_rejected",
-                "Requests that were not admitted",
-            ),
+            rejected: counter(&meter, "primrosehoist_rejected", "Requests not admitted"),
             task_restarts: counter(
                 &meter,
                 "primrosehoist_task_restarts",
                 "Long-lived tasks started again after a panic",
             ),
             connections_closed,
-            version: meter
-                .u64_gauge("primrosehoist_config_version")
-                .with_description("The configuration version in force")
-                .build(),
-            cut_off: meter
-                .u64_gauge("primrosehoist_cut_off")
-                .with_description("Whether the host is cut off from all upstreams")
-                .build(),
-            start_waits: meter
-                .u64_gauge("primrosehoist_start_waits")
-                .with_description("Whether the daemon has not got what it needs since its start")
-                .build(),
+            version: gauge(
+                &meter,
+                "primrosehoist_config_version",
+                "The configuration version in force",
+            ),
+            cut_off: gauge(
+                &meter,
+                "primrosehoist_cut_off",
+                "Whether the host is cut off from all upstreams",
+            ),
+            start_waits: gauge(
+                &meter,
+                "primrosehoist_start_waits",
+                "Whether the daemon has not got what it needs since its start",
+            ),
+            serving_hosts: gauge(
+                &meter,
+                "primrosehoist_serving_hosts",
+                "Other hosts that take requests",
+            ),
             resident: bytes_gauge(&meter, "primrosehoist_resident", "Memory of the process"),
             resident_peak: bytes_gauge(
                 &meter,
@@ -290,6 +289,11 @@
         self.start_waits.record(u64::from(waits), &labels);
     }
 
+    /// Records how many other hosts take requests.
+    pub(crate) fn serving_hosts(&self, hosts: usize) {
+        self.serving_hosts.record(hosts as u64, &[]);
+    }
+
     /// Records the memory of the process.
     pub(crate) fn resident(&self, resident: Resident) {
         self.resident.record(resident.now, &[]);
@@ -313,6 +317,22 @@
         .build()
 }
 
+/// Returns the number of connections that had to make room, which is read when the metrics are.
+fn observe_connections_closed(meter: &Meter) -> Arc<AtomicU64> {
+    let closed = Arc::new(AtomicU64::new(0));
+    let observed = Arc::clone(&closed);
+    meter
+        .u64_observable_counter("primrosehoist_connections_closed")
+        .with_description("Connections closed to make room for others")
+        .with_callback(move |observer| observer.observe(observed.load(Ordering::Relaxed), &[]))
+        .build();
+    closed
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
 fn bytes_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
     meter
         .u64_gauge(name)
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -191,6 +191,7 @@
     metrics.version(7);
     metrics.cut_off(true);
     metrics.start_waits("hosts", true);
+    metrics.serving_hosts(5);
     metrics.refused_over_share();
     metrics.rejected("no_route");
     metrics.task_restarts().add(1, &[]);
@@ -219,6 +220,7 @@
         ("primrosehoist_retries_total{", "1"),
         ("primrosehoist_cut_off{", "1"),
         ("primrosehoist_start_waits{need=\"hosts\"", "1"),
+        ("primrosehoist_serving_hosts{", "5"),
         ("primrosehoist_connections_closed_total{", "4"),
         ("primrosehoist_rejected_total{reason=\"no_route\"", "1"),
         ("primrosehoist_platform_calls_total{", "3"),
--- a/src/coordination/gossip.rs
+++ b/src/coordination/gossip.rs
@@ -279,6 +279,11 @@
         outgoing
     }
 
+    /// Makes the next message a complete state, because what extensions tell has changed.
+    pub fn request_state(&mut self) {
+        self.last_state = None;
+    }
+
     fn is_state_due(&self, info: &Info, now: Instant) -> bool {
         let interval = if self.peers.spacing() == 1 {
             STATE_INTERVAL
@@ -491,7 +496,7 @@
             info,
             load,
         } = state;
-        let member = member(&host, &zone, info.status);
+        let member = Member::new(&host, &zone, info.status);
         let told = Told::new(info.versions, info.cut_off);
         let is_first = self.peers.update(sender, member, sequence.0, told, now)?;
         let load = self.relevant(&zone, load, &view.zone_of, now);
@@ -522,7 +527,7 @@
         R: Fn() -> Map<Key, u32>,
         Z: Fn(Key) -> Option<Arc<str>>,
     {
-        let member = member(&query.host, &query.zone, query.info.status);
+        let member = Member::new(&query.host, &query.zone, query.info.status);
         let told = Told::new(query.info.versions, query.info.cut_off);
         self.peers
             .update(sender, member, query.started_ms, told, now)?;
@@ -562,7 +567,7 @@
             mut load,
             members,
         } = summary;
-        let member = member(&host, &zone, info.status);
+        let member = Member::new(&host, &zone, info.status);
         let told = Told::new(info.versions, info.cut_off);
         self.peers.update(sender, member, started_ms, told, now)?;
         if zone != self.own.zone {
@@ -582,14 +587,6 @@
     }
 }
 
-fn member(host: &Arc<str>, zone: &Arc<str>, status: Status) -> Member {
-    Member {
-        host: Arc::clone(host),
-        zone: Arc::clone(zone),
-        status,
-    }
-}
-
 fn received(host: Arc<str>, info: Option<Info>) -> Received {
     Received {
         host,
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -25,6 +25,7 @@
 pub mod request;
 pub mod retry;
 pub mod share;
+pub mod shutdown;
 pub mod stall;
 pub mod turn;
 pub mod waiting;
--- a/src/coordination/peers.rs
+++ b/src/coordination/peers.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::coordination::rendezvous;
+use crate::coordination::shutdown::Phase;
 use crate::coordination::watchers::{self, Member, Status};
 use crate::state::map::{Map, Set};
 use crate::state::versions::Versions;
@@ -60,12 +61,18 @@
     pub versions: Versions,
     /// Whether its host is cut off from the upstreams.
     pub cut_off: bool,
+    /// Whether it takes requests of clients.
+    pub phase: Phase,
 }
 
 impl Told {
     /// Creates what a daemon tells of itself.
     pub fn new(versions: Versions, cut_off: bool) -> Self {
-        Self { versions, cut_off }
+        Self {
+            versions,
+            cut_off,
+            phase: Phase::Serving,
+        }
     }
 }
 
@@ -214,6 +221,22 @@
         Ok(&peer.member)
     }
 
+    /// Records whether the daemon at `address`, if there is one, takes requests.
+    pub fn set_phase(&mut self, address: IpAddr, phase: Phase) {
+        if let Some(peer) = self.by_address.get_mut(&address) {
+            peer.told.phase = phase;
+        }
+    }
+
+    /// Returns how many of the other daemons are live and take requests that they can send to upstreams.
+    pub fn serving_count(&self, now: Instant) -> usize {
+        let others = self.by_address.values();
+        let serving = others.filter(|peer| {
+            peer.told.phase == Phase::Serving && !peer.told.cut_off && self.is_heard(peer, now)
+        });
+        serving.count()
+    }
+
     /// Returns the address of the live daemon that ranks first for `key`, or `None` if that is this one.
     pub fn first_in_rank(&self, key: &str, now: Instant) -> Option<IpAddr> {
         let heard = self.by_address.iter();
--- a/src/coordination/watchers.rs
+++ b/src/coordination/watchers.rs
@@ -46,6 +46,17 @@
     pub status: Status,
 }
 
+impl Member {
+    /// Creates the entry of a daemon.
+    pub fn new(host: &Arc<str>, zone: &Arc<str>, status: Status) -> Self {
+        Self {
+            host: Arc::clone(host),
+            zone: Arc::clone(zone),
+            status,
+        }
+    }
+}
+
 /// Returns whether the daemon `own` should follow the store, given the live daemons in `others`.
 ///
 /// A disconnected follower is replaced by the next daemon in rank, unless all daemons of the zone
--- a/src/protocol/gossip.rs
+++ b/src/protocol/gossip.rs
@@ -11,6 +11,7 @@
 
 pub use crate::coordination::gossip::Datagram;
 use crate::coordination::share;
+use crate::coordination::shutdown::Phase;
 
 /// The maximum size of a datagram, in bytes.
 pub const DATAGRAM_BYTES_MAX: usize = 60_000;
@@ -21,6 +22,9 @@
 /// The kind of the extension with the use of engines by workspace.
 const KIND_USE: u8 = 1;
 
+/// The kind of the extension with the phase of the sender, which is left out while it takes requests.
+const KIND_PHASE: u8 = 2;
+
 /// The bytes of an extension besides its content: its kind and its length.
 const EXTENSION_HEAD_BYTES: usize = 3;
 
@@ -31,6 +35,8 @@
     pub datagram: Datagram,
     /// The recent use of engines by workspace, if the message tells it.
     pub uses: Option<share::Report>,
+    /// Whether the sender takes requests of clients.
+    pub phase: Phase,
 }
 
 quick_error! {
@@ -76,6 +82,21 @@
     Ok(bytes)
 }
 
+/// Returns whether a message has what its sender tells of itself.
+pub fn has_info(datagram: &Datagram) -> bool {
+    match datagram {
+        Datagram::State(_) | Datagram::Query(_) | Datagram::Summary(_) => true,
+        Datagram::Delta(_) | Datagram::Update(_) | Datagram::Permit(_) => false,
+    }
+}
+
+/// Appends the phase of the sender to a message, unless it takes requests.
+pub fn push_phase(message: &mut Vec<u8>, phase: Phase) {
+    if phase != Phase::Serving {
+        push_extension(message, KIND_PHASE, &[phase.into()]);
+    }
+}
+
 /// Appends an extension to a message, unless it does not fit.
 pub fn push_extension(message: &mut Vec<u8>, kind: u8, content: &[u8]) {
     let total = message.len() + EXTENSION_HEAD_BYTES + content.len();
@@ -104,17 +125,22 @@
 /// Returns an error if the bytes do not begin with a datagram of this version.
 pub fn decode_message(bytes: &[u8]) -> Result<Message, Error> {
     let (datagram, length) = decode_prefix(bytes)?;
-    let mut uses = None;
+    let (mut uses, mut phase) = (None, Phase::Serving);
     for (kind, content) in extensions(&bytes[length..]) {
-        if kind != KIND_USE {
-            continue;
-        }
-        match decode_uses(content) {
-            Ok(found) => uses = Some(found),
-            Err(error) => log::debug!(kind, error:%; "malformed extension of gossip ignored"),
+        let applied = match kind {
+            KIND_USE => decode_uses(content).map(|found| uses = Some(found)),
+            KIND_PHASE => decode_phase(content).map(|found| phase = found),
+            _ => Ok(()),
+        };
+        if let Err(error) = applied {
+            log::debug!(kind, error:%; "malformed extension of gossip ignored");
         }
     }
-    Ok(Message { datagram, uses })
+    Ok(Message {
+        datagram,
+        uses,
+        phase,
+    })
 }
 
 /// Returns a datagram and its length, in bytes.
@@ -150,6 +176,13 @@
     })
 }
 
+fn decode_phase(content: &[u8]) -> Result<Phase, Error> {
+    let [code, ..] = content else {
+        return Err(Error::Malformed("the phase is missing".to_owned()));
+    };
+    Phase::try_from(*code).map_err(|cause| Error::Malformed(cause.to_string()))
+}
+
 fn decode_uses(content: &[u8]) -> Result<share::Report, Error> {
     let limited = config::standard().with_limit::<DATAGRAM_BYTES_MAX>();
     let (uses, _length): (share::Report, usize) =
--- a/tests/gossip_exchange/main.rs
+++ b/tests/gossip_exchange/main.rs
@@ -8,6 +8,7 @@
 
 use primrosehoist::coordination::gossip::{Datagram, Info, Outgoing, QUERY_INTERVAL, Query, State};
 use primrosehoist::coordination::peers::{Error, FLEET_SCOPE_MAX, Scope};
+use primrosehoist::coordination::shutdown::Phase;
 use primrosehoist::coordination::watchers::SILENCE_MAX;
 use primrosehoist::protocol::gossip::encode;
 use primrosehoist::state::map::{Map, Set};
@@ -302,6 +303,26 @@
     assert!(helpers(&fleet, &[]).is_empty(), "it is silent");
 }
 
+#[test]
+fn only_daemons_that_take_requests_count_as_serving() {
+    let mut fleet = Fleet::new(6, 2, 4, 14);
+    fleet.run(Duration::from_millis(100));
+    let now = fleet.now;
+    let peers = &mut fleet.daemons[0].exchange.peers;
+    assert_eq!(peers.serving_count(now), 5);
+    peers.set_phase(address(1), Phase::Stopping);
+    peers.set_phase(address(2), Phase::Starting);
+    assert_eq!(peers.serving_count(now), 3);
+    // A complete state of a daemon that takes requests has no phase.
+    fleet.run(Duration::from_millis(700));
+    let peers = &mut fleet.daemons[0].exchange.peers;
+    assert_eq!(peers.serving_count(fleet.now), 5);
+    fleet.kill(3);
+    fleet.run(SILENCE_MAX);
+    let peers = &fleet.daemons[0].exchange.peers;
+    assert_eq!(peers.serving_count(fleet.now), 4, "one is silent");
+}
+
 /// Daemons of other zones hear of it from queries and summaries.
 #[test]
 fn a_cut_off_daemon_is_known_to_those_that_ask_it() {
--- a/tests/gossip_formats/main.rs
+++ b/tests/gossip_formats/main.rs
@@ -8,9 +8,10 @@
 use bincode::config;
 use primrosehoist::coordination::gossip::Datagram;
 use primrosehoist::coordination::share::{Account, Entry, Report};
+use primrosehoist::coordination::shutdown::Phase;
 use primrosehoist::protocol::gossip::{
     DATAGRAM_BYTES_MAX, Error, Message, decode, decode_message, encode, encode_message,
-    push_extension,
+    push_extension, push_phase,
 };
 use primrosehoist_property::check;
 
@@ -52,6 +53,7 @@
         let message = decode_message(bytes).expect("the message is understood");
         assert_eq!(message.datagram, expected);
         assert_eq!(message.uses, None);
+        assert_eq!(message.phase, Phase::Serving);
         assert_eq!(decode(bytes), Ok(expected));
     }
 }
@@ -67,10 +69,16 @@
         let mut extended = encode_message(&datagram, Some(&uses())).expect("it can be encoded");
         assert!(extended.starts_with(&plain) && extended.len() > plain.len());
         push_extension(&mut extended, UNKNOWN_KIND, &[1, 2, 3]);
+        push_phase(&mut extended, Phase::Stopping);
         assert_eq!(decode_formerly(&extended), datagram);
         let message = decode_message(&extended).expect("this build understands it");
-        let uses = Some(uses());
-        assert_eq!(message, Message { datagram, uses });
+        let (uses, phase) = (Some(uses()), Phase::Stopping);
+        let expected = Message {
+            datagram,
+            uses,
+            phase,
+        };
+        assert_eq!(message, expected);
     }
 }
 
@@ -101,12 +109,16 @@
         // A list that is said to be longer than its bytes.
         let mut garbled = plain.clone();
         push_extension(&mut garbled, whole[plain.len()], &[250, 7]);
+        push_phase(&mut garbled, Phase::Starting);
+        let phase = garbled.len() - 1;
+        garbled[phase] = 77;
         let message = decode_message(&garbled).expect("the datagram is complete");
         assert_eq!(
             message,
             Message {
                 datagram,
-                uses: None
+                uses: None,
+                phase: Phase::Serving,
             }
         );
     }
