--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -45,13 +45,53 @@
     runtime_stalls: Counter<u64>,
     /// The connections that had to make room for others, on all ports.
     connections_closed: Arc<AtomicU64>,
+    states: States,
+}
+
+/// What is true of the daemon now.
+#[derive(Debug)]
+struct States {
     version: Gauge<u64>,
     cut_off: Gauge<u64>,
     start_waits: Gauge<u64>,
+    serving_hosts: Gauge<u64>,
     resident: Gauge<u64>,
     resident_peak: Gauge<u64>,
 }
 
+impl States {
+    fn new(meter: &Meter) -> Self {
+        Self {
+            version: gauge(
+                meter,
+                "primrosehoist_config_version",
+                "The configuration version in force",
+            ),
+            cut_off: gauge(
+                meter,
+                "primrosehoist_cut_off",
+                "Whether the host is cut off from all upstreams",
+            ),
+            start_waits: gauge(
+                meter,
+                "primrosehoist_start_waits",
+                "Whether the daemon has not got what it needs since its start",
+            ),
+            serving_hosts: gauge(
+                meter,
+                "primrosehoist_serving_hosts",
+                "Other hosts that take requests",
+            ),
+            resident: bytes_gauge(meter, "primrosehoist_resident", "Memory of the process"),
+            resident_peak: bytes_gauge(
+                meter,
+                "primrosehoist_resident_peak",
+                "The most memory that the process took",
+            ),
+        }
+    }
+}
+
 impl Metrics {
     /// Creates the instruments.
     ///
@@ -141,24 +181,7 @@
                 "Times in which no task ran for seconds",
             ),
             connections_closed: connections_counter(&meter),
-            version: meter
-                .u64_gauge("primrosehoist_config_version")
-                .with_description("The configuration version in force")
-                .build(),
-            cut_off: meter
-                .u64_gauge("primrosehoist_cut_off")
-                .with_description("Whether the host is cut off from all upstreams")
-                .build(),
-            start_waits: meter
-                .u64_gauge("primrosehoist_start_waits")
-                .with_description("Whether the daemon has not got what it needs since its start")
-                .build(),
-            resident: bytes_gauge(&meter, "primrosehoist_resident", "Memory of the process"),
-            resident_peak: bytes_gauge(
-                &meter,
-                "primrosehoist_resident_peak",
-                "The most memory that the process took",
-            ),
+            states: States::new(&meter),
             _provider: provider,
         })
     }
@@ -289,12 +312,12 @@
 
     /// Records the configuration version in force.
     pub(crate) fn version(&self, version: Version) {
-        self.version.record(version, &[]);
+        self.states.version.record(version, &[]);
     }
 
     /// Records whether the host is cut off from the upstreams.
     pub(crate) fn cut_off(&self, cut_off: bool) {
-        self.cut_off.record(u64::from(cut_off), &[]);
+        self.states.cut_off.record(u64::from(cut_off), &[]);
     }
 
     /// Records whether the daemon still waits for `need` since its start, such as for `configuration`.
@@ -303,13 +326,18 @@
         N: Display,
     {
         let labels = [label("need", need)];
-        self.start_waits.record(u64::from(waits), &labels);
+        self.states.start_waits.record(u64::from(waits), &labels);
+    }
+
+    /// Records how many other hosts take requests.
+    pub(crate) fn serving_hosts(&self, hosts: usize) {
+        self.states.serving_hosts.record(hosts as u64, &[]);
     }
 
     /// Records the memory of the process.
     pub(crate) fn resident(&self, resident: Resident) {
-        self.resident.record(resident.now, &[]);
-        self.resident_peak.record(resident.peak, &[]);
+        self.states.resident.record(resident.now, &[]);
+        self.states.resident_peak.record(resident.peak, &[]);
     }
 
     /// Returns all metrics in the Prometheus text format.
@@ -341,6 +369,10 @@
     closed
 }
 
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    meter.u64_gauge(name).with_description(description).build()
+}
+
 fn bytes_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
     meter
         .u64_gauge(name)
--- a/src/coordination/mod.rs
+++ b/src/coordination/mod.rs
@@ -26,6 +26,7 @@
 pub mod retry;
 pub mod seeds;
 pub mod share;
+pub mod shutdown;
 pub mod stall;
 pub mod turn;
 pub mod waiting;
