--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -100,11 +100,7 @@
     /// Fails if the exporter cannot be set up.
     pub(crate) fn new() -> Result<Self, OTelSdkError> {
         let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let provider = provider(&registry)?;
         let meter = provider.meter("primrosehoist");
         Ok(Self {
             registry,
@@ -350,6 +346,15 @@
     }
 }
 
+/// Returns a provider whose instruments are exported to `registry`.
+fn provider(registry: &Registry) -> Result<SdkMeterProvider, OTelSdkError> {
+    let exporter = opentelemetry_prometheus::exporter()
+        .with_registry(registry.clone())
+        .without_target_info()
+        .build()?;
+    Ok(SdkMeterProvider::builder().with_reader(exporter).build())
+}
+
 fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
     meter
         .u64_counter(name)
