Do not send a state that no daemon accepts

What callers saw: nothing of ours; with a state of more than 8 MiB, daemons that do not follow the store ask for it again and again, and each answer costs its sender the whole state.

Cause: the bound on the state between daemons was checked by the reader only.

Evidence: state_that_no_daemon_accepts_is_not_sent fails before and passes now, with all of peer_messages.

--- a/src/protocol/snapshot.rs
+++ b/src/protocol/snapshot.rs
@@ -67,10 +67,14 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the snapshot cannot be encoded.
+    /// Returns an error if the snapshot cannot be encoded or is larger than [`SNAPSHOT_BYTES_MAX`].
     pub fn encode(&self) -> Result<Vec<u8>, Error> {
-        bincode::serde::encode_to_vec(self, config::standard())
-            .map_err(|cause| Error::Malformed(cause.to_string()))
+        let bytes = bincode::serde::encode_to_vec(self, config::standard())
+            .map_err(|cause| Error::Malformed(cause.to_string()))?;
+        if bytes.len() > SNAPSHOT_BYTES_MAX {
+            return Err(Error::TooLarge(bytes.len()));
+        }
+        Ok(bytes)
     }
 }
 
--- a/tests/peer_messages.rs
+++ b/tests/peer_messages.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use primrosehoist::protocol::gossip::Error;
 use primrosehoist::protocol::snapshot::{Compressed, Snapshot};
 use primrosehoist::state::roster::{Phase, Upstream};
 use primrosehoist::state::versions::Versions;
@@ -68,3 +69,9 @@
         assert!(received.text().is_err());
     }
 }
+
+#[test]
+fn state_that_no_daemon_accepts_is_not_sent() {
+    let large = snapshot(400_000).encode();
+    assert!(matches!(large, Err(Error::TooLarge(_))));
+}
