--- a/crates/primrosehoist-standin/src/day/mod.rs
+++ b/crates/primrosehoist-standin/src/day/mod.rs
@@ -136,12 +136,16 @@
     })
 }
 
-/// Kills the daemons when the day is over or given up.
-struct Running(Arc<Supervisor>);
+/// Kills all processes when the day is over or given up. Tasks that are still running share their owners.
+struct Running {
+    supervisor: Arc<Supervisor>,
+    upstreams: Arc<Upstreams>,
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.kill();
+        self.supervisor.kill();
+        self.upstreams.kill();
     }
 }
 
@@ -170,22 +174,30 @@
     std::fs::create_dir_all(&logs)?;
     let address = |last: u8| IpAddr::V4(Ipv4Addr::new(127, network.0, network.1, last));
     let zones = ZONES.map(str::to_owned);
-    let upstreams = Upstreams::start(address(1), &logs, &zones, RUNNERS).await?;
     let (gate, opening) = watch::channel(Store::Refusing);
     let store = SocketAddr::new(address(2), 7_100);
+    let upstreams = Upstreams::start((address(1), store), &logs, &zones, RUNNERS).await?;
     let mut hosts = Vec::new();
     for (index, last) in (0..size.hosts).zip(HOST_FIRST..) {
+        // The first one is the same for all, as on the platform.
+        let seeds = [0, index + 1, index + size.hosts / 2];
+        let seeds = seeds.map(|seed| address(HOST_FIRST + (seed % size.hosts) as u8));
         let place = Place {
             name: &format!("host-{index}"),
             zone: ZONES[index % ZONES.len()],
             ip: address(last),
             store,
+            seeds: &seeds,
         };
         hosts.push(Prepared::new(place, &logs)?);
     }
     let other = options.other.unwrap_or_else(|| options.daemon.clone());
     let supervisor = Arc::new(Supervisor::new(hosts, &logs, [options.daemon, other]));
-    let _running = Running(Arc::clone(&supervisor));
+    let upstreams = Arc::new(upstreams);
+    let _running = Running {
+        supervisor: Arc::clone(&supervisor),
+        upstreams: Arc::clone(&upstreams),
+    };
     let traffic = Arc::new(Traffic::new(Arc::clone(&supervisor), size.zones, seed));
     let mut tasks: JoinSet<io::Result<()>> = JoinSet::new();
     tasks.spawn(gate::serve(store, upstreams.store, opening.clone()));
--- a/crates/primrosehoist-standin/src/day/play.rs
+++ b/crates/primrosehoist-standin/src/day/play.rs
@@ -36,7 +36,7 @@
 #[derive(Debug)]
 pub(crate) struct Stage {
     supervisor: Arc<Supervisor>,
-    upstreams: Upstreams,
+    upstreams: Arc<Upstreams>,
     gate: watch::Sender<Store>,
     /// The number of troubles of the store so far.
     troubles: AtomicU64,
@@ -47,7 +47,7 @@
     /// Creates a stage whose store is still closed.
     pub(crate) fn new(
         supervisor: Arc<Supervisor>,
-        upstreams: Upstreams,
+        upstreams: Arc<Upstreams>,
         gate: watch::Sender<Store>,
     ) -> Self {
         Self {
--- a/crates/primrosehoist-standin/src/day/schedule.rs
+++ b/crates/primrosehoist-standin/src/day/schedule.rs
@@ -44,7 +44,7 @@
 const HOST_MS: RangeInclusive<u64> = 500..=6_000;
 
 /// The ports of a host that another process may hold.
-const PORTS: [u16; 5] = [8227, 8220, 7340, 7341, 9464];
+const PORTS: [u16; 6] = [8227, 8220, 8229, 7340, 7341, 9464];
 
 /// What a day is played on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/primrosehoist-standin/src/day/upstreams.rs
+++ b/crates/primrosehoist-standin/src/day/upstreams.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::{MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::net::TcpStream;
@@ -10,7 +11,7 @@
 use tokio::time::{self, Instant};
 
 use crate::day::process::Process;
-use crate::published::deployment::{self, APPLICATION, ENTRY_MAX_MS, MODEL};
+use crate::published::deployment::{self, APPLICATION, MODEL};
 
 /// The longest time until a stand-in listens.
 const LISTENING_MAX: Duration = Duration::from_secs(10);
@@ -21,11 +22,17 @@
 /// The first port of runners.
 const PORT_FIRST: u16 = 7_200;
 
-/// The objects of a page of the store.
-const PAGE: &str = "500";
-
-/// The kind of the entries of runners in the store.
-const ENTRIES: &str = "servers";
+/// The page size, the rates and the lifetime of entries of the store.
+const STORE: [&str; 8] = [
+    "--page",
+    "500",
+    "--writes-per-s",
+    "400",
+    "--reads-per-s",
+    "2000",
+    "--expire-ms",
+    deployment::ENTRY_MAX_MS,
+];
 
 #[derive(Debug)]
 struct Runner {
@@ -33,7 +40,6 @@
     service: &'static str,
     zone: String,
     starts: u32,
-    process: Option<Process>,
 }
 
 impl Runner {
@@ -47,20 +53,29 @@
 pub(crate) struct Upstreams {
     /// The address of the store without its troubles.
     pub(crate) store: SocketAddr,
+    /// The address at which runners reach it.
+    gate: SocketAddr,
     program: PathBuf,
     directory: PathBuf,
     runners: Vec<Mutex<Runner>>,
-    _store: Process,
+    processes: std::sync::Mutex<Processes>,
+}
+
+#[derive(Debug)]
+struct Processes {
+    store: Option<Process>,
+    runners: Vec<Option<Process>>,
 }
 
 impl Upstreams {
-    /// Starts a store at `ip` and prepares `models` and `applications` runners in `zones`.
+    /// Starts a store at `ip` and prepares `models` and `applications` runners in `zones`, which reach it at
+    /// `gate`.
     ///
     /// # Errors
     ///
     /// Fails if the store does not start.
     pub(crate) async fn start(
-        ip: IpAddr,
+        (ip, gate): (IpAddr, SocketAddr),
         directory: &Path,
         zones: &[String],
         (models, applications): (usize, usize),
@@ -68,9 +83,8 @@
         let program = std::env::current_exe()?;
         let (store, also) = (SocketAddr::new(ip, 7_100), SocketAddr::new(ip, 7_101));
         let (listen, second) = (store.to_string(), also.to_string());
-        let arguments = [
-            "store", "--listen", &listen, "--also", &second, "--page", PAGE,
-        ];
+        let mut arguments = vec!["store", "--listen", &listen, "--also", &second];
+        arguments.extend(STORE);
         let process = Process::start(&program, &arguments, &[], &directory.join("store.log"))?;
         wait_listening(store).await?;
         let mut runners = Vec::new();
@@ -80,56 +94,84 @@
                 service: if index < models { MODEL } else { APPLICATION },
                 zone: zones[index % zones.len()].clone(),
                 starts: 0,
-                process: None,
             }));
         }
         Ok(Self {
             store,
+            gate,
             program,
             directory: directory.to_owned(),
+            processes: std::sync::Mutex::new(Processes {
+                store: Some(process),
+                runners: runners.iter().map(|_| None).collect(),
+            }),
             runners,
-            _store: process,
         })
     }
 
+    fn lock(&self) -> MutexGuard<'_, Processes> {
+        self.processes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Kills all processes; none is started from now on.
+    pub(crate) fn kill(&self) {
+        let mut processes = self.lock();
+        processes.store = None;
+        processes.runners.clear();
+    }
+
     /// Starts all runners.
     ///
     /// # Errors
     ///
-    /// Fails if one does not start or cannot be registered.
+    /// Fails if one does not start.
     pub(crate) async fn start_runners(&self) -> io::Result<()> {
-        for runner in &self.runners {
-            self.start_runner(&mut *runner.lock().await).await?;
+        for (index, runner) in self.runners.iter().enumerate() {
+            self.start_runner(index, &mut *runner.lock().await).await?;
         }
         Ok(())
     }
 
-    async fn start_runner(&self, runner: &mut Runner) -> io::Result<()> {
+    async fn start_runner(&self, index: usize, runner: &mut Runner) -> io::Result<()> {
         runner.starts += 1;
         let (id, address) = (runner.id(), runner.address.to_string());
-        let arguments = ["runner", "--listen", &address, "--id", &id];
+        let (gate, slots) = (self.gate.to_string(), deployment::slots(runner.service));
+        let arguments = [
+            "runner",
+            "--listen",
+            &address,
+            "--id",
+            &id,
+            "--store",
+            &gate,
+            "--service",
+            runner.service,
+            "--zone",
+            &runner.zone,
+            "--slots",
+            slots,
+        ];
         let log = self.directory.join(format!("runner-{id}.log"));
-        runner.process = Some(Process::start(&self.program, &arguments, &[], &log)?);
-        wait_listening(runner.address).await?;
-        let entry = deployment::entry(runner.service, runner.address, &runner.zone);
-        deployment::put(self.store, ENTRIES, &id, &entry).await
+        if let Some(process) = self.lock().runners.get_mut(index) {
+            *process = Some(Process::start(&self.program, &arguments, &[], &log)?);
+        }
+        wait_listening(runner.address).await
     }
 
-    /// Ends a runner for a while. Its entry is removed as for one that is not heard; it comes back under
-    /// another id.
+    /// Ends a runner for a while. It comes back under another id; the store removes its entry.
     ///
     /// # Errors
     ///
-    /// Fails if the store refuses the change of its entry, or the runner does not start.
+    /// Fails if the runner does not start.
     pub(crate) async fn end_runner(&self, index: usize, duration: Duration) -> io::Result<()> {
         let mut runner = self.runners[index].lock().await;
-        let id = runner.id();
-        runner.process = None;
-        let silence = duration.min(Duration::from_millis(ENTRY_MAX_MS));
-        time::sleep(silence).await;
-        deployment::delete(self.store, ENTRIES, &id).await?;
-        time::sleep(duration.saturating_sub(silence)).await;
-        self.start_runner(&mut runner).await
+        if let Some(process) = self.lock().runners.get_mut(index) {
+            *process = None;
+        }
+        time::sleep(duration).await;
+        self.start_runner(index, &mut runner).await
     }
 }
 
--- a/crates/primrosehoist-standin/src/published/deployment.rs
+++ b/crates/primrosehoist-standin/src/published/deployment.rs
@@ -1,5 +1,4 @@
-//! A deployment on the users' platform: settings of daemons, the configuration, entries of runners, and the
-//! requests of clients.
+//! A deployment on the users' platform: settings of daemons, the configuration, and the requests of clients.
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
@@ -21,7 +20,7 @@
 pub(crate) const GRACE_S: u64 = 8;
 
 /// The time without a runner until its entry is removed, in milliseconds: three heartbeats.
-pub(crate) const ENTRY_MAX_MS: u64 = 3 * HEARTBEAT_MS;
+pub(crate) const ENTRY_MAX_MS: &str = "3600";
 
 const HEARTBEAT_MS: u64 = 1_200;
 const HOST: &str = "sorting.example";
@@ -44,6 +43,8 @@
     pub(crate) ip: IpAddr,
     /// The address at which it reaches the store.
     pub(crate) store: SocketAddr,
+    /// Addresses of hosts that it may ask.
+    pub(crate) seeds: &'a [IpAddr],
 }
 
 impl Place<'_> {
@@ -60,12 +61,15 @@
     /// Returns the settings file.
     pub(crate) fn settings(&self) -> String {
         let (name, zone, ip) = (self.name, self.zone, self.ip);
+        let control = |ip: IpAddr| SocketAddr::new(ip, 8229);
+        let seeds = self.seeds.iter().map(|ip| control(*ip).to_string());
+        let (seeds, control) = (json!(seeds.collect::<Vec<_>>()), control(ip));
         let (ingress, readiness, store) = (self.ingress(), self.readiness(), self.store);
         format!(
-            "NodeName = \"{name}\"\nRole = \"gateway\"\nMachineClass = \"frontend\"\nServes = [\"frontend\"]\n\
-             Ip = \"{ip}\"\nZone = \"{zone}\"\nInternalPorts = [7340, 7355]\nBootstrap = true\n\
+            "NodeName = \"{name}\"\nRole = \"gateway\"\nMachineClass = \"frontend\"\nServes = [\"frontend\", \"control_plane\"]\n\
+             Ip = \"{ip}\"\nZone = \"{zone}\"\nInternalPorts = [7340, 7355]\nSeedNodes = {seeds}\nBootstrap = true\n\
              HeartbeatMs = {HEARTBEAT_MS}\n\
-             [Listen]\nFrontend = \"{ingress}\"\nReadiness = \"{readiness}\"\n\
+             [Listen]\nFrontend = \"{ingress}\"\nReadiness = \"{readiness}\"\nControl = \"{control}\"\n\
              [Limits]\nCpuShare = 0.25\nCpuCores = 1\nMemoryMb = 260\nMaxFds = 4100\n\
              [Bounds]\nStableWindowMs = 3000\n{DRAIN}\nGraceS = {GRACE_S}\nConfigApplyMs = 2000\n\
              RetryBudgetRatio = 0.2\nBudgetWindowS = 10\nRetrySlack = 104\nColdOver = 1.5\nColdSlack = 5\n\
@@ -109,11 +113,9 @@
 /// The service without one.
 pub(crate) const APPLICATION: &str = "tri-app";
 
-/// Returns the entry of a runner in the store.
-pub(crate) fn entry(service: &str, address: SocketAddr, zone: &str) -> Value {
-    let slots = if service == MODEL { 16 } else { 6 };
-    json!({"Service": service, "Address": address, "Zone": zone, "Version": "v1", "Slots": slots,
-           "State": "ready", "ColdLeftMs": 0, "Sequence": 1})
+/// Returns how many requests a runner of a service serves at once.
+pub(crate) fn slots(service: &str) -> &'static str {
+    if service == MODEL { "16" } else { "6" }
 }
 
 /// A kind of requests.
@@ -248,19 +250,6 @@
     }
 }
 
-/// Deletes an object in the store, if it is there.
-///
-/// # Errors
-///
-/// Fails if the store cannot be reached or refuses the call.
-pub(crate) async fn delete(store: SocketAddr, kind: &str, name: &str) -> io::Result<()> {
-    let path = format!("{OBJECTS}/{kind}/{name}");
-    match call(store, Method::DELETE, &path, &Value::Null).await? {
-        404 => Ok(()),
-        status => expect(status, &path),
-    }
-}
-
 /// Controls the stand-in of the store.
 ///
 /// # Errors
--- a/crates/primrosehoist-standin/tests/ends.rs
+++ b/crates/primrosehoist-standin/tests/ends.rs
@@ -156,3 +156,29 @@
     let log = log();
     assert!(log.contains("p7"), "{log}");
 }
+
+#[test]
+fn a_day_that_is_told_to_end_leaves_no_process() {
+    let logs = std::env::temp_dir().join(format!("primrosehoist-day-ends-{}", std::process::id()));
+    // In place of a daemon: it ends at once, since its argument is wrong.
+    let mut command = command(&["day", "--seed", "1", "--log", "off", "--daemon", "sleep"]);
+    command.arg("--logs").arg(&logs);
+    let mut day = Standin::spawn(&mut command, String::new());
+    let settings = wait_for("the last runner", || {
+        let is_up = logs.join("runner-i-7220-1.log").exists();
+        std::fs::read_to_string(logs.join("host-0.toml"))
+            .ok()
+            .filter(|_| is_up)
+    });
+    assert_eq!(Some(1), day.stop("-TERM").code());
+    let (_, rest) = settings.split_once("Ip = \"").expect("it has an address");
+    let (network, _) = rest
+        .split_once("40\"")
+        .expect("the address is that of the first host");
+    let processes = std::fs::read_dir("/proc").expect("there are processes");
+    let processes = processes
+        .filter_map(|entry| std::fs::read_to_string(entry.ok()?.path().join("cmdline")).ok());
+    let left: Vec<String> = processes.filter(|line| line.contains(network)).collect();
+    assert!(left.is_empty(), "{left:?}");
+    std::fs::remove_dir_all(&logs).expect("the logs are removed");
+}
