Name ignored mistakes in the check of settings

What operators would have seen: `primrosehoistd check FILE` names all mistakes, but not those in SeedNodes and Control, which a start ignores. Change: it prints one line `ignored: ...` for each, and still exits with 0. Evidence: check_of_settings_names_the_mistakes_that_are_ignored passes; that it fails without the change was not run.

--- a/crates/primrosehoist-daemon/src/command.rs
+++ b/crates/primrosehoist-daemon/src/command.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use std::ffi::OsString;
+use std::iter;
 use std::path::PathBuf;
 
 use log::LevelFilter;
@@ -118,12 +119,16 @@
     let path: PathBuf = arguments.free_from_str()?;
     finish(arguments)?;
     let settings = PlatformSettings::load(&path)?;
-    Ok(Command::Print(format!(
+    let verdict = format!(
         "{}: host {} in zone {} can be run\n",
         path.display(),
         settings.host,
         settings.zone
-    )))
+    );
+    let ignored = settings.ignored.iter();
+    let ignored = ignored.map(|mistake| format!("ignored: {mistake}\n"));
+    let text = iter::once(verdict).chain(ignored).collect();
+    Ok(Command::Print(text))
 }
 
 fn finish(arguments: Arguments) -> Result<(), Error> {
--- a/crates/primrosehoist-tests/tests/starts_without_store.rs
+++ b/crates/primrosehoist-tests/tests/starts_without_store.rs
@@ -4,11 +4,13 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use common::platform::{
     Daemon, Deployment, Request, Response, call, configuration, receive, send, wait_until,
 };
+use common::process::program;
 use primrosehoist::protocol::snapshot::{Compressed, Fleet, Seed, Snapshot};
 use primrosehoist::state::versions::{Revision, Versions};
 use serde_json::json;
@@ -409,3 +411,20 @@
     deployment.wait_until_ready(0);
     assert_eq!(look(&deployment, 0).status, 200);
 }
+
+#[test]
+fn check_of_settings_names_the_mistakes_that_are_ignored() {
+    let deployment = prepared(1);
+    deployment.change_settings(0, "SeedNodes = [", "SeedNodes = [\"nowhere\", ");
+    let output = Command::new(program("primrosehoistd"))
+        .arg("check")
+        .arg(&deployment.daemons[0].settings)
+        .output()
+        .expect("it runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{output:?}");
+    assert!(
+        text.contains("ignored: SeedNodes holds \"nowhere\""),
+        "{text}"
+    );
+}
