--- a/crates/primrosehoist-tests/tests/backlog_ends.rs
+++ b/crates/primrosehoist-tests/tests/backlog_ends.rs
@@ -66,7 +66,7 @@
             let status = process.wait(SHUTDOWN_MAX);
             ended.store(true, Ordering::Release);
             assert!(status.is_some_and(|status| status.success()), "{status:?}");
-            let outcomes = clients.into_iter().map(|client| client.join());
+            let outcomes = clients.into_iter().map(thread::ScopedJoinHandle::join);
             outcomes.collect::<Result<_, _>>().expect("no client fails")
         });
         let answered: usize = outcomes.iter().map(|(answered, _)| answered).sum();
