Accept what ends in time while all hosts shut down

Cause: a host that shuts down refuses so that its requests end before it does and others take the new ones. It did not ask whether there are others.

Change: while no other host takes requests, it goes on with those that end before it: by their own deadline, or if the expected time of the answer, on the upstream with the most work and for the largest number of answer tokens, is at most half of the time left. Their deadline is cut to that time. Others get 503 with the time until the end, 2 s at most. A host without an accepted request for 0.5 s stops accepting, so that an idle one ends as early as before. Requests that other daemons hand over are refused as before.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -42,6 +42,7 @@
 use super::queue::Queue;
 use super::rejections::{Reason, Rejections};
 use super::returns::Returns;
+use super::stopping::Stopping;
 use super::takeover;
 use super::takeover::HANDOVERS_MAX;
 use crate::metrics::Metrics;
@@ -111,6 +112,8 @@
     pub(crate) pauses: Monitor,
     /// Whether the daemon is shutting down.
     pub(crate) draining: AtomicBool,
+    /// The progress of a shutdown.
+    pub(crate) stopping: Mutex<Stopping>,
     /// Whether the daemon refuses new requests.
     pub(crate) closing: AtomicBool,
     /// Set when requests whose answer has not begun must be answered before the process exits.
@@ -196,6 +199,7 @@
             upstreams_listed: AtomicBool::new(false),
             pauses: Monitor::default(),
             draining: AtomicBool::new(false),
+            stopping: Mutex::default(),
             closing: AtomicBool::new(false),
             expiring: watch::Sender::new(false),
             in_progress: AtomicUsize::new(0),
--- a/crates/primrosehoist-daemon/src/gateway/explain.rs
+++ b/crates/primrosehoist-daemon/src/gateway/explain.rs
@@ -67,6 +67,7 @@
             key: None,
             prompt_tokens: query.prompt_tokens,
             answer_tokens: query.answer_tokens,
+            answer_tokens_max: query.answer_tokens,
             last_event: None,
             shared_parts: Vec::new(),
         },
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -25,6 +25,7 @@
 use super::job::Job;
 use super::rejections::Reason;
 use super::returns;
+use super::stopping;
 use super::stream::Relay;
 use super::suspension;
 
@@ -36,9 +37,8 @@
 /// The `Retry-After` of a daemon that has no current configuration, in seconds.
 const UNCONFIGURED_RETRY_S: f64 = 0.5;
 
-/// The `Retry-After` of a daemon that shuts down, in seconds. It is short since the retry reaches
-/// another daemon.
-const CLOSING_RETRY_S: f64 = 0.02;
+/// The `Retry-After` of a request that another daemon may take, in seconds.
+const BUSY_RETRY_S: f64 = 0.02;
 
 /// How long before the route's timeout a request ends, so that the response arrives in time.
 pub(crate) const TIMEOUT_MARGIN: Duration = Duration::from_millis(10);
@@ -149,13 +149,13 @@
     };
     if context.is_closing() {
         // A request that starts now might not finish before the process exits.
-        return refuse("the daemon shuts down", CLOSING_RETRY_S);
+        return stopping::refuse(context);
+    }
+    let admitted = admit(context, &table, request, received).await;
+    match admitted.and_then(|job| stopping::admit(context, job)) {
+        Ok(job) => serve(context, job, table.version(), None).await.response,
+        Err(response) => *response,
     }
-    let (job, version) = match admit(context, &table, request, received).await {
-        Ok(job) => (job, table.version()),
-        Err(response) => return *response,
-    };
-    serve(context, job, version, None).await.response
 }
 
 /// Makes the attempts of a request that was admitted with configuration `version`. A request that
@@ -190,7 +190,8 @@
                 if job.entry.is_some() {
                     busy("shutdown")
                 } else {
-                    not_run("the daemon shuts down", CLOSING_RETRY_S)
+                    let after = stopping::retry_after(context);
+                    not_run("the daemon shuts down", after.as_secs_f64())
                 }
             } else {
                 uncertain("the daemon shuts down")
@@ -411,7 +412,7 @@
 fn busy(reason: &'static str) -> Answer {
     Answer {
         outcome: Outcome::Busy,
-        ..not_run(reason, CLOSING_RETRY_S)
+        ..not_run(reason, BUSY_RETRY_S)
     }
 }
 
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod selection;
 mod share;
 mod starting;
+mod stopping;
 mod store_ping;
 mod store_sync;
 mod stream;
@@ -40,7 +41,6 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -58,7 +58,7 @@
 use quick_error::quick_error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use self::context::Context;
 use self::reload::Reload;
@@ -111,22 +111,6 @@
 /// The longest time without write progress on a response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// How long a daemon that shuts down still accepts connections. The load balancer checks
-/// readiness once a second and deregisters the daemon after two failed checks.
-const DEREGISTRATION_DELAY: Duration = Duration::from_millis(2600);
-
-/// The margin between the end of the shutdown and the platform's kill signal.
-const GRACE_MARGIN: Duration = Duration::from_millis(400);
-
-/// How long the last log lines may take after the end of the shutdown, as a part of [`GRACE_MARGIN`].
-const FLUSH_TIME: Duration = Duration::from_millis(100);
-
-/// How long before the end of the shutdown requests whose answer has not begun are answered.
-const EXPIRY_MARGIN: Duration = Duration::from_millis(300);
-
-/// The interval between checks for requests in progress during the shutdown.
-const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-
 /// The interval between checks of the settings file, which may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -318,8 +302,8 @@
         _ended = &mut readiness => (Cause::Server, Err(Error::Server("readiness checks"))),
         _ended = &mut peer_state => (Cause::Server, Err(Error::Server("platform state"))),
     };
-    let end = shut_down(&context, cause, &stop, serving).await;
-    log.limit((end + FLUSH_TIME).into_std());
+    let end = stopping::shut_down(&context, cause, &stop, serving).await;
+    log.limit((end + stopping::FLUSH_TIME).into_std());
     result
 }
 
@@ -478,38 +462,3 @@
         }
     }
 }
-
-/// Shuts down gracefully: fails the readiness check, then finishes the requests in progress. Returns when
-/// all had to be finished.
-async fn shut_down(
-    context: &Context,
-    cause: Cause,
-    stop: &watch::Sender<bool>,
-    serving: tokio::task::JoinHandle<()>,
-) -> Instant {
-    context.announce_shutdown();
-    let started = Instant::now();
-    let end = started
-        + context
-            .bounds
-            .load()
-            .shutdown_grace
-            .saturating_sub(GRACE_MARGIN);
-    let in_progress = || context.in_progress.load(Ordering::Acquire);
-    let serving_hosts = context.serving_hosts();
-    log::info!(in_progress = in_progress(), serving_hosts, cause = cause.name(); "shutdown started");
-    sleep(DEREGISTRATION_DELAY).await;
-    context.closing.store(true, Ordering::Release);
-    let serving_hosts = context.serving_hosts();
-    log::info!(in_progress = in_progress(), serving_hosts; "new requests are refused");
-    while Instant::now() < end && in_progress() > 0 {
-        sleep(SHUTDOWN_POLL_INTERVAL).await;
-        if Instant::now() + EXPIRY_MARGIN >= end && !context.expiring.send_replace(true) {
-            log::info!(in_progress = in_progress(); "requests without an answer are given up");
-        }
-    }
-    stop.send_replace(true);
-    let finished = serving.is_finished() || tokio::time::timeout_at(end, serving).await.is_ok();
-    log::info!(in_progress = in_progress(), finished; "shutdown finished");
-    end
-}
--- a/crates/primrosehoist-daemon/src/gateway/takeover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/takeover.rs
@@ -25,6 +25,7 @@
 use super::context::Context;
 use super::ingress::{self, TIMEOUT_MARGIN, plain, refuse};
 use super::rejections::Reason;
+use super::stopping;
 use super::suspension;
 
 /// The largest number of requests of other daemons that are served at once. Each takes two
@@ -158,7 +159,7 @@
         unserved(Outcome::Busy, "malformed", response)
     })?;
     context.pauses.wait_current().await;
-    if context.is_closing() {
+    if stopping::refuses_handovers(context) {
         return Err(busy(&handover, "shutdown"));
     }
     if !context.is_informed() {
