Keep upstreams that expired in the store after a start by a copy

What callers saw: after an outage in which the entries of upstreams expired in the store, a host that had started by the state of others shortly before the store came back dropped all of them at its first list, and hosts that had not listed yet copied that: 503 until the upstreams had registered again.

Cause: a list may lack expired entries only if the daemon itself had noticed an outage of a second or more, which a daemon that has just started cannot.

Change: the first list after a start by the state of others counts as one after an outage. A contact of others does not replace that of a daemon that has listed the hosts meanwhile.

All daemons of the file use the second address of the store now, so that entries can be deleted while it is away for them.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -130,6 +130,8 @@
     pub(crate) peer_versions: watch::Sender<Versions>,
     /// Whether the registered daemons have been listed.
     joined: watch::Sender<bool>,
+    /// Whether this daemon started by the state of other daemons.
+    started_by_seeds: AtomicBool,
     /// Whether this daemon is assigned to follow the store.
     follows_store: watch::Sender<bool>,
     /// Whether the store responds to this daemon.
@@ -208,6 +210,7 @@
             urgent: Notify::new(),
             peer_versions: watch::Sender::new(Versions::default()),
             joined: watch::Sender::new(false),
+            started_by_seeds: AtomicBool::new(false),
             follows_store: watch::Sender::new(true),
             store_reachable: watch::Sender::new(true),
             store_recoveries: watch::Sender::new(0),
@@ -257,7 +260,7 @@
     /// Records that other daemons last heard from the platform at `at`, unless this daemon has heard from the
     /// store itself.
     pub(crate) fn record_contact_of_others(&self, at: Instant) {
-        if *self.store_revision.borrow() == Revision::default() {
+        if *self.store_revision.borrow() == Revision::default() && !self.has_joined() {
             *self.last_contact.lock() = at;
         }
     }
@@ -331,6 +334,16 @@
         *self.joined.borrow()
     }
 
+    /// Records that this daemon starts by the state of other daemons.
+    pub(crate) fn set_started_by_seeds(&self) {
+        self.started_by_seeds.store(true, Ordering::Release);
+    }
+
+    /// Returns whether this daemon started by the state of other daemons, because the store did not answer.
+    pub(crate) fn has_started_by_seeds(&self) -> bool {
+        self.started_by_seeds.load(Ordering::Acquire)
+    }
+
     /// Waits until the registered daemons have been listed.
     pub(crate) async fn wait_joined(&self) {
         let mut joined = self.joined.subscribe();
--- a/crates/primrosehoist-daemon/src/gateway/seeds.rs
+++ b/crates/primrosehoist-daemon/src/gateway/seeds.rs
@@ -136,6 +136,7 @@
 /// Applies the newest parts of all responses.
 fn adopt(context: &Context, responses: Vec<(IpAddr, Seed)>) {
     let now = Instant::now();
+    context.set_started_by_seeds();
     let silences = responses.iter().map(|(_, seed)| seed.fleet.silence);
     if let Some(contact) = seeds::last_contact(silences, now) {
         context.record_contact_of_others(contact);
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -207,7 +207,7 @@
         let known = Some(self.known_revision()).filter(|known| *known != Revision::default());
         let era = self.era.or(known.map(|known| known.era));
         let is_restored = era.is_some_and(|era| era < revision.era);
-        self.era = Some(revision.era);
+        let is_first = self.era.replace(revision.era).is_none();
         let outage = self.lost_at.take().map(|lost_at| lost_at.elapsed());
         if let Some(outage) = outage {
             log::info!(kind = self.feed.kind(), away_ms = outage.as_millis() as u64; "store connection recovered");
@@ -215,7 +215,10 @@
         let gap = if is_restored {
             log::warn!(kind = self.feed.kind(), era = revision.era; "store was restored from a copy");
             Gap::Restored
-        } else if outage.is_some_and(|outage| outage >= OUTAGE_MIN) {
+        } else if outage.is_some_and(|outage| outage >= OUTAGE_MIN)
+            || is_first && self.context.has_started_by_seeds()
+        {
+            // The outage may have begun long before this daemon.
             Gap::Expired
         } else {
             Gap::None
--- a/crates/primrosehoist-tests/tests/starts_without_store.rs
+++ b/crates/primrosehoist-tests/tests/starts_without_store.rs
@@ -19,11 +19,14 @@
 const AWAY: &str = "silent";
 const BACK: &str = "none";
 
+/// An outage in which entries may expire.
+const OUTAGE: Duration = Duration::from_millis(1500);
+
 /// The time in which a daemon serves that starts beside others.
 const START_MAX: Duration = Duration::from_secs(5);
 
 fn set_store(deployment: &Deployment, mode: &str) {
-    deployment.set_store_faults(&json!({"mode": mode}));
+    deployment.set_store_faults(&json!({"mode": mode, "also_only": true}));
 }
 
 /// Prepares daemons that know the control addresses of the first three of them.
@@ -38,7 +41,8 @@
     let own = (0..daemons.min(3)).map(|index| control(&deployment, index));
     let seeds: Vec<String> = own.collect();
     for index in 0..daemons {
-        let daemon = deployment.prepare_daemon("zone-a", &deployment.store);
+        let store = format!("{}.1:7101", deployment.network);
+        let daemon = deployment.prepare_daemon("zone-a", &store);
         deployment.daemons.push(daemon);
         let own = control(&deployment, index);
         let listen = format!("SeedNodes = {seeds:?}\n[Listen]\nControl = \"{own}\"\n");
@@ -252,6 +256,41 @@
     }
 }
 
+#[test]
+fn upstreams_that_expired_in_the_store_are_kept_after_a_start_by_a_copy() {
+    let mut deployment = ready(2);
+    set_store(&deployment, "busy");
+    // It ends the watches, so that the outage is noticed at once.
+    deployment.forget_history();
+    wait_until("the outage is noticed", || {
+        let log = logged(&deployment, 0);
+        let mut lines = log.lines().filter(|line| line.contains("\"servers\""));
+        lines.any(|line| line.contains("store connection lost"))
+    });
+    for runner in &deployment.runners {
+        deployment.delete("servers", &runner.id);
+    }
+    std::thread::sleep(OUTAGE);
+    serves_after_restart(&mut deployment, 1);
+    set_store(&deployment, BACK);
+    wait_until("it has listed", || {
+        logged(&deployment, 1).contains("start is complete")
+    });
+    let listed = Instant::now();
+    while listed.elapsed() < Duration::from_millis(1000) {
+        for index in 0..2 {
+            assert_eq!(look(&deployment, index).status, 200, "{index}");
+        }
+    }
+    for index in 0..deployment.runners.len() {
+        deployment.register(index, "ready");
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    for index in 0..2 {
+        assert_eq!(look(&deployment, index).status, 200, "{index}");
+    }
+}
+
 #[test]
 fn first_start_waits_for_the_store() {
     let mut deployment = prepared(3);
