Wait for other seeds if the first one was cut off

What callers would have seen: a host that starts while the store is away serves by the state of a seed that was cut off for minutes, such as with a key that was revoked meanwhile, if that seed answers 150 ms before the others. Found by the review, by reading.

Change: only the answer of a seed that has heard from the store or another daemon within 3 s ends the wait for the others early.

Evidence: seed_that_was_cut_off_does_not_end_the_wait_for_others, by the pure rule; no run with real processes.

--- a/crates/primrosehoist-daemon/src/gateway/seeds.rs
+++ b/crates/primrosehoist-daemon/src/gateway/seeds.rs
@@ -100,8 +100,8 @@
     let mut responses = Vec::with_capacity(targets.len());
     while let Ok(Some(response)) = timeout_at(round.ends_at(), calls.next()).await {
         if let Some(response) = response {
+            round.record_response(response.1.fleet.silence, Instant::now());
             responses.push(response);
-            round.record_response(Instant::now());
         }
     }
     responses
--- a/src/coordination/seeds.rs
+++ b/src/coordination/seeds.rs
@@ -21,6 +21,10 @@
 /// How long a start waits for newer state of other seeds after the first response.
 pub const SETTLE_TIME: Duration = Duration::from_millis(150);
 
+/// The longest silence of a seed whose state may be used at once. One that has been cut off for longer may
+/// lack changes that the others know.
+const FRESH_SILENCE_MAX: Duration = Duration::from_secs(3);
+
 /// The delay after the first round that brought nothing, before jitter.
 const RETRY_DELAY_MIN: Duration = Duration::from_millis(200);
 
@@ -63,9 +67,12 @@
         }
     }
 
-    /// Records a valid response. Others that take long are not waited for.
-    pub fn record_response(&mut self, now: Instant) {
-        self.ends_at = self.ends_at.min(now + SETTLE_TIME);
+    /// Records a valid response of a seed that last heard from others `silence` ago. After a fresh one, others
+    /// that take long are not waited for.
+    pub fn record_response(&mut self, silence: Duration, now: Instant) {
+        if silence <= FRESH_SILENCE_MAX {
+            self.ends_at = self.ends_at.min(now + SETTLE_TIME);
+        }
     }
 
     /// Returns when the round ends, although some seeds have not responded.
--- a/tests/seed_rules.rs
+++ b/tests/seed_rules.rs
@@ -17,6 +17,9 @@
     SocketAddr::from(([10, 1, 0, last], 8229))
 }
 
+/// The silence of a seed that hears from others.
+const FRESH: Duration = Duration::from_millis(200);
+
 #[test]
 fn neither_the_own_host_nor_one_daemon_twice_is_asked() {
     let own = address(4).ip();
@@ -32,15 +35,25 @@
     let now = Instant::now();
     let mut round = Round::new(now);
     assert_eq!(round.ends_at(), now + RESPONSE_TIMEOUT);
-    round.record_response(now);
+    round.record_response(FRESH, now);
     assert_eq!(round.ends_at(), now + SETTLE_TIME);
-    round.record_response(now + SETTLE_TIME / 2);
+    round.record_response(FRESH, now + SETTLE_TIME / 2);
     assert_eq!(round.ends_at(), now + SETTLE_TIME);
     let mut late = Round::new(now);
-    late.record_response(now + RESPONSE_TIMEOUT);
+    late.record_response(FRESH, now + RESPONSE_TIMEOUT);
     assert_eq!(late.ends_at(), now + RESPONSE_TIMEOUT);
 }
 
+#[test]
+fn seed_that_was_cut_off_does_not_end_the_wait_for_others() {
+    let now = Instant::now();
+    let mut round = Round::new(now);
+    round.record_response(Duration::from_millis(3001), now);
+    assert_eq!(round.ends_at(), now + RESPONSE_TIMEOUT);
+    round.record_response(Duration::from_secs(3), now);
+    assert_eq!(round.ends_at(), now + SETTLE_TIME);
+}
+
 #[test]
 fn delays_grow_up_to_a_bound() {
     let delays: Vec<_> = (0..40).map(retry_delay).collect();
