Do not revive upstreams by a state of a later era

What would have been seen: a store that is restored from an old copy lists upstreams that have left. Hosts that know so leave them out of their own list, but took them from the state of a host that did not know, such as one that has just started. Found by the review, by reading.

Change: the state of another daemon of a later era of the store is filtered as a list of the restored store is.

--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -217,6 +217,11 @@
         && snapshot.versions.upstreams > own.upstreams
     {
         let mut roster = context.roster.lock();
+        let upstreams = if snapshot.versions.upstreams.era > own.upstreams.era {
+            roster.without_revived(upstreams)
+        } else {
+            upstreams
+        };
         roster.restore(upstreams, &snapshot.missing, now);
         drop(roster);
         context.versions.lock().upstreams = snapshot.versions.upstreams;
