Know the other hosts although the store refuses writes

What would have been seen: a host that starts while the store answers lists but refuses its registration knows no other host, sends no gossip and takes the whole of each limit for itself.

Change: each list of daemons is used, whether the host is on it or not. It counts as joined only when it is registered, as before.

--- a/crates/primrosehoist-daemon/src/gateway/registration.rs
+++ b/crates/primrosehoist-daemon/src/gateway/registration.rs
@@ -56,9 +56,10 @@
         freshness = Freshness::Latest;
         match listed {
             Ok((objects, Revision { era, .. })) => {
+                // The others are known although the store may refuse writes.
+                add_daemons(context, &objects);
                 let is_listed = era >= known_era && objects.iter().any(is_own);
                 if is_listed || written_in == Some(era) {
-                    add_daemons(context, &objects);
                     return era.max(known_era);
                 }
                 match store.put(daemon::KIND, &settings.host, &spec).await {
