--- a/crates/primrosehoist-tests/tests/starts_without_store.rs
+++ b/crates/primrosehoist-tests/tests/starts_without_store.rs
@@ -277,7 +277,7 @@
         logged(&deployment, 1).contains("start is complete")
     });
     let listed = Instant::now();
-    while listed.elapsed() < Duration::from_millis(1000) {
+    while listed.elapsed() < Duration::from_secs(1) {
         for index in 0..2 {
             assert_eq!(look(&deployment, index).status, 200, "{index}");
         }
