--- a/crates/primrosehoist-standin/tests/store.rs
+++ b/crates/primrosehoist-standin/tests/store.rs
@@ -126,5 +126,5 @@
     assert!(refused[0].head.contains("x-not-executed"));
     // The last one runs alone.
     let alone = |reply: &&support::Reply| reply.head.contains("x-server-load: 1,0,1");
-    assert!(served.iter().any(|reply| alone(reply)));
+    assert!(served.iter().any(alone));
 }
