Leave ports for other tests while connections arrive at an end

Sixteen clients that connect without a pause made about 12,000 connections to each of three daemons, whose ports the operating system holds for a minute: 88,000 were held beside two runs of all tests at the same time, and tests of both runs failed because no port was free.

Change: each client pauses for 10 ms after an answer. Each connection still has to be answered.

Whether this alone took the ports is not shown: tests that run before it failed, too.

--- a/crates/primrosehoist-tests/tests/backlog_ends.rs
+++ b/crates/primrosehoist-tests/tests/backlog_ends.rs
@@ -17,6 +17,9 @@
 /// The daemons that end, one after the other.
 const ENDS: usize = 3;
 
+/// The pause of a client after each answer. Without it, the clients take all ports of the machine.
+const PAUSE: Duration = Duration::from_millis(10);
+
 /// How long a client waits for an answer.
 const ANSWER_MAX: Duration = Duration::from_secs(5);
 
@@ -40,6 +43,7 @@
             connection.write_all(&request).is_ok() && receive(&mut connection).status > 0;
         answered += usize::from(is_answered);
         lost += usize::from(!is_answered);
+        thread::sleep(PAUSE);
     }
     (answered, lost)
 }
