Let connections share ports again

A host that opens more than some 28,000 connections in a minute, to whatever addresses, would have had no port left.

Bound sockets share no ports, not even for different destinations, and each port is held for a minute after its connection.

Change: connections are made with the option that lets a listener have their port later, and without a bound port, unless the source address is set, as before.

--- a/src/transport/socket.rs
+++ b/src/transport/socket.rs
@@ -6,7 +6,7 @@
 //! connection, and the user timeout while sent bytes are unacknowledged.
 
 use std::io;
-use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use socket2::{SockFilter, SockRef, TcpKeepalive};
@@ -45,23 +45,16 @@
 /// Connects to `address` from `source`, or from the address that the route there selects.
 ///
 /// The operating system holds the port of a closed connection for a minute. As the port may be one that the
-/// next process of this host listens on, the connection is made so that it does not prevent that.
+/// next process of this host listens on, the connection is made so that it usually does not prevent that. It is
+/// not bound to a port before: bound sockets share no ports, and a host would run out of them.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection cannot be made.
 pub async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
-    let any = match address {
-        SocketAddr::V4(_) => IpAddr::V4(Ipv4Addr::UNSPECIFIED),
-        SocketAddr::V6(_) => IpAddr::V6(Ipv6Addr::UNSPECIFIED),
-    };
     let socket = reusable(address.ip())?;
-    match socket.bind(SocketAddr::new(source.unwrap_or(any), 0)) {
-        // A port can be shared by connections to different addresses, but not by bound sockets.
-        Err(error) if error.kind() == io::ErrorKind::AddrInUse && source.is_none() => {
-            log::debug!(address:%; "no port can be bound; connecting from any");
-        }
-        bound => bound?,
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0))?;
     }
     socket.connect(address).await
 }
