--- a/crates/primrosehoist-tests/tests/takeover.rs
+++ b/crates/primrosehoist-tests/tests/takeover.rs
@@ -482,6 +482,10 @@
             (request.id, stream)
         })
         .collect();
+    wait_until("all are taken over", || {
+        let log = std::fs::read_to_string(&deployment.daemons[0].log).expect("is readable");
+        log.matches("\"request taken over\"").count() == HANDOVERS_MAX
+    });
     for round in 0..OWN_REQUESTS {
         let own = Request::stream(100, 4);
         let mut own_stream = start_request(&deployment.daemons[0].ingress, &own);
