Share the calls that show which runners are used

Two tests of starts without the store sent the same 24 calls and looked at their runners. One function does it for both; what each demands of the runners, and that each call is served, is as before.

--- a/crates/primrosehoist-tests/tests/starts_without_store.rs
+++ b/crates/primrosehoist-tests/tests/starts_without_store.rs
@@ -75,6 +75,20 @@
     )
 }
 
+/// Returns the runners of 24 different calls to a daemon, all of which must be served.
+fn runners_of_calls(deployment: &Deployment, index: usize) -> Vec<usize> {
+    let call = |number| {
+        let request = Request {
+            body: format!("body {number}").into_bytes(),
+            ..Request::new("GET", "/look/1")
+        };
+        let response = send(&deployment.daemons[index].ingress, &request);
+        assert_eq!(response.status, 200, "{response:?}");
+        deployment.runs(&request.id)[0].0
+    };
+    (0..24).map(call).collect()
+}
+
 /// Restarts a daemon and waits until it serves.
 fn serves_after_restart(deployment: &mut Deployment, index: usize) {
     restart(deployment, index);
@@ -241,18 +255,8 @@
     wait_until("it has listed", || {
         logged(&deployment, 1).contains("store was restored from a copy")
     });
-    for number in 0..24 {
-        let request = Request {
-            body: format!("body {number}").into_bytes(),
-            ..Request::new("GET", "/look/1")
-        };
-        let response = send(&deployment.daemons[1].ingress, &request);
-        assert_eq!(response.status, 200, "{response:?}");
-        assert_ne!(
-            deployment.runs(&request.id)[0].0,
-            2,
-            "its zone is evacuated"
-        );
+    for runner in runners_of_calls(&deployment, 1) {
+        assert_ne!(runner, 2, "its zone is evacuated");
     }
 }
 
@@ -321,18 +325,8 @@
     });
     set_store(&deployment, AWAY);
     serves_after_restart(&mut deployment, 1);
-    for number in 0..24 {
-        let request = Request {
-            body: format!("body {number}").into_bytes(),
-            ..Request::new("GET", "/look/1")
-        };
-        let response = send(&deployment.daemons[1].ingress, &request);
-        assert_eq!(response.status, 200, "{response:?}");
-        assert_eq!(
-            deployment.runs(&request.id)[0].0,
-            1,
-            "not a runner in service"
-        );
+    for runner in runners_of_calls(&deployment, 1) {
+        assert_eq!(runner, 1, "not a runner in service");
     }
 }
 
