--- /dev/null
+++ b/review/harness-2/main.rs
@@ -0,0 +1,31 @@
+//! Stand-ins and scenarios of the second independent review. Standard library only.
+//!
+//! `harness runner ...` is a runner of the users' platform; `harness SCENARIO` starts the project's
+//! store, runners and daemons as processes, plays a case and judges it.
+
+mod case_followers;
+mod case_lapse;
+mod case_stop;
+mod case_tenants;
+mod fleet;
+mod http;
+mod proxy;
+mod runner;
+
+use std::process::exit;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let code = match arguments.first().map(String::as_str) {
+        Some("runner") => runner::main(&arguments[1..]),
+        Some("followers") => case_followers::main(),
+        Some("lapse") => case_lapse::main(),
+        Some("stop") => case_stop::main(),
+        Some("tenants") => case_tenants::main(),
+        _ => {
+            eprintln!("usage: harness runner|CASE");
+            2
+        }
+    };
+    exit(code);
+}
