--- a/review/common-2/run.bash
+++ b/review/common-2/run.bash
@@ -8,6 +8,8 @@
     echo "review/build-2.sh builds the harness" >&2
     exit 2
 fi
+# One case holds some thousand connections.
+ulimit -n 8192 2>/dev/null || ulimit -n "$(ulimit -Hn)"
 directory=$(mktemp -d)
 player=
 finish() {
