--- a/review/common-2/run.bash
+++ b/review/common-2/run.bash
@@ -11,10 +11,11 @@
 # One case holds some thousand connections.
 ulimit -n 8192 2>/dev/null || ulimit -n "$(ulimit -Hn)"
 directory=$(mktemp -d)
-player=
+player= watchdog=
 finish() {
-    # The player and all that it started are in one process group.
+    # The player and all that it started are in one process group, and so is the watchdog with its wait.
     [ -z "$player" ] || kill -KILL -- "-$player" 2>/dev/null
+    [ -z "$watchdog" ] || kill -KILL -- "-$watchdog" 2>/dev/null
     rm -rf "$directory"
 }
 trap finish EXIT
@@ -23,11 +24,10 @@
 CASE_TMP=$directory CASE_RECORD=$here/record.txt CASE_ROOT=$root TROUBLE=${TROUBLE:-1} \
     "$harness" "$case_name" &
 player=$!
-set +m
 (sleep 115 && kill -KILL -- "-$player" 2>/dev/null) &
 watchdog=$!
+set +m
 wait "$player"
 code=$?
-kill "$watchdog" 2>/dev/null
 [ "$code" -le 1 ] || code=2
 exit "$code"
