Encode names in calls to the store

Their logs say `list servers: not sent: invalid uri character` and `start is waiting`, `needs: upstreams`, for as long as the operator's objects `a00%#`, `a02&b=`, `a03+`, `a04%C3%A9` or one with a space were there.

Cause: the client put names into paths and queries as they were. A name at the end of a page of a list went into `After`: a space could not be sent, and a store that decodes its query read `a00%#` as `a00%`, so that the list repeated the page for ever. A living daemon only watches and needs no list, which is why it showed after all were killed. The stand-in of the store did not decode what it got, so all tests passed.

Change: the path and query of a call are a `Target`, which percent-encodes whatever is added to it (crate `percent-encoding`), and an `Endpoint` takes nothing else; both clients of the library and the links between daemons go through it. The stand-in decodes calls as any HTTP server does (`form_urlencoded`), refuses escapes and options that are none, answers 404 and 405 where the page does, refuses bodies that are no objects instead of storing them without a name, keeps names and specifications as they were written, and no longer reports a change for a PUT that changes nothing.

--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -17,7 +17,7 @@
 use primrosehoist::state::versions::Versions;
 use primrosehoist::transport::hedge::first_success;
 use primrosehoist::transport::http::Payload;
-use primrosehoist::transport::platform::Endpoint;
+use primrosehoist::transport::platform::{Endpoint, Target};
 use serde_json::Value;
 use tokio::time::{Instant, sleep};
 
@@ -170,7 +170,7 @@
 /// Requests the state that is newer than this daemon's from the daemon at `address`.
 async fn fetch(context: &Context, address: SocketAddr) -> Option<Snapshot> {
     let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
-    let path = format!("{PATH}?{}", *context.versions.lock());
+    let path = Target::new(PATH).list(*context.versions.lock());
     let step = format!("fetch platform state from {address}");
     let result = endpoint.call(&step, Method::GET, &path, Bytes::new(), REQUEST_TIMEOUT);
     match result.await {
--- a/crates/primrosehoist-daemon/src/gateway/seeds.rs
+++ b/crates/primrosehoist-daemon/src/gateway/seeds.rs
@@ -16,7 +16,7 @@
 use primrosehoist::protocol::snapshot::{Fleet, Seed};
 use primrosehoist::transport::http::Payload;
 use primrosehoist::transport::http::server::Peer;
-use primrosehoist::transport::platform::Endpoint;
+use primrosehoist::transport::platform::{Endpoint, Target};
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::context::Context;
@@ -111,7 +111,7 @@
 async fn fetch(context: &Context, target: SocketAddr) -> Option<(IpAddr, Seed)> {
     let endpoint = Endpoint::new(&target.to_string(), HeaderMap::new());
     let endpoint = endpoint.bound_to(context.settings.address);
-    let path = format!("{PATH}?{}", *context.versions.lock());
+    let path = Target::new(PATH).list(*context.versions.lock());
     let step = format!("fetch platform state from the seed {target}");
     let call = endpoint.call(
         &step,
--- a/crates/primrosehoist-standin/src/published/deployment.rs
+++ b/crates/primrosehoist-standin/src/published/deployment.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Full};
+use primrosehoist::transport::platform::Target;
 use serde_json::{Value, json};
 
 use crate::caller::connection::{Exchange, Payload};
@@ -240,13 +241,15 @@
 /// Fails if the store cannot be reached or refuses the object.
 pub(crate) async fn put(store: SocketAddr, kind: &str, name: &str, spec: &Value) -> io::Result<()> {
     let object = json!({"Metadata": {"Name": name}, "Spec": spec});
-    let path = format!("{OBJECTS}/{kind}");
-    match call(store, Method::POST, &path, &object).await? {
+    let targets = Target::new(OBJECTS).segment(kind);
+    let targets = targets.and_then(|kind| Ok((kind.clone().segment(name)?, kind)));
+    let (object_target, kind_target) = targets.map_err(io::Error::other)?;
+    match call(store, Method::POST, kind_target.as_str(), &object).await? {
         409 => {
-            let path = format!("{path}/{name}");
-            expect(call(store, Method::PUT, &path, &object).await?, &path)
+            let path = object_target.as_str();
+            expect(call(store, Method::PUT, path, &object).await?, path)
         }
-        status => expect(status, &path),
+        status => expect(status, kind_target.as_str()),
     }
 }
 
--- a/crates/primrosehoist-standin/src/published/mod.rs
+++ b/crates/primrosehoist-standin/src/published/mod.rs
@@ -4,5 +4,6 @@
 pub(crate) mod fault;
 mod queue;
 mod registration;
+mod request;
 pub(crate) mod runner;
 pub(crate) mod store;
--- a/crates/primrosehoist-standin/src/published/registration.rs
+++ b/crates/primrosehoist-standin/src/published/registration.rs
@@ -6,6 +6,7 @@
 
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full};
+use primrosehoist::transport::platform::Target;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 use tokio::time;
@@ -65,10 +66,10 @@
             time::sleep(self.heartbeat).await;
         }
         time::sleep(self.drain).await;
-        let path = format!("{PATH}/{}", self.id);
+        let Some(target) = self.target() else { return };
         for _ in 0..REMOVAL_ATTEMPTS {
             if let Some(StatusCode::OK | StatusCode::NOT_FOUND) =
-                self.call(Method::DELETE, &path, &Value::Null).await
+                self.call(Method::DELETE, &target, &Value::Null).await
             {
                 break;
             }
@@ -79,21 +80,32 @@
     /// Replaces or creates the entry; returns whether the store accepted it.
     async fn write(&self, spec: &Value) -> bool {
         let object = json!({"Metadata": {"Name": self.id}, "Spec": spec});
-        let path = format!("{PATH}/{}", self.id);
-        let status = match self.call(Method::PUT, &path, &object).await {
-            Some(StatusCode::NOT_FOUND) => self.call(Method::POST, PATH, &object).await,
+        let Some(target) = self.target() else {
+            return false;
+        };
+        let status = match self.call(Method::PUT, &target, &object).await {
+            Some(StatusCode::NOT_FOUND) => {
+                let target = Target::new(PATH);
+                self.call(Method::POST, &target, &object).await
+            }
             status => status,
         };
         status == Some(StatusCode::OK)
     }
 
+    /// Returns the target of calls for the entry.
+    fn target(&self) -> Option<Target> {
+        let target = Target::new(PATH).segment(&self.id);
+        target.inspect_err(|error| log::error!("{error}")).ok()
+    }
+
     /// Returns the status of a call, or `None` if there is no response.
-    async fn call(&self, method: Method, path: &str, object: &Value) -> Option<StatusCode> {
-        let called = time::timeout(self.heartbeat, self.exchange(&method, path, object)).await;
+    async fn call(&self, method: Method, target: &Target, object: &Value) -> Option<StatusCode> {
+        let called = time::timeout(self.heartbeat, self.exchange(&method, target, object)).await;
         match called.unwrap_or_else(|elapsed| Err(io::Error::other(elapsed))) {
             Ok(status) => Some(status),
             Err(error) => {
-                log::warn!("{method} {path}: {error}");
+                log::warn!("{method} {target}: {error}");
                 None
             }
         }
@@ -102,13 +114,13 @@
     async fn exchange(
         &self,
         method: &Method,
-        path: &str,
+        target: &Target,
         object: &Value,
     ) -> io::Result<StatusCode> {
         let body: Payload = Full::from(object.to_string()).boxed_unsync();
         let request = Request::builder()
             .method(method)
-            .uri(path)
+            .uri(target.as_str())
             .header(http::header::HOST, self.store.to_string())
             .body(body)
             .map_err(io::Error::other)?;
--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -10,6 +10,8 @@
 use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use pico_args::Arguments;
+use serde::Serialize;
+use serde_json::value::RawValue;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
@@ -18,6 +20,7 @@
 use crate::command::{self, Error};
 use crate::listener;
 use crate::published::fault::{Faults, Mode, OUTAGES_MAX, Outage};
+use crate::published::request::{self, Body, Name, Options as CallOptions, Target};
 use crate::rate::Bucket;
 use crate::reply::{self, Answer, Closed};
 
@@ -61,9 +64,6 @@
 /// The number of changes kept for watches.
 const HISTORY_MAX: usize = 1000;
 
-/// The longest wait of a watch, in milliseconds.
-const WAIT_MAX_MS: u64 = 30_000;
-
 /// The kind of the entries that expire.
 const EXPIRING_KIND: &str = "servers";
 
@@ -106,17 +106,63 @@
     })
 }
 
+/// An object. Its name and its specification are sent as they were received.
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Object {
+    metadata: Metadata,
+    spec: Box<RawValue>,
+    status: Option<Value>,
+}
+
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Metadata {
+    name: Box<RawValue>,
+    rev: u64,
+    create_rev: u64,
+    finalizers: [&'static str; 0],
+    deleting: bool,
+}
+
+/// A page of a list.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Page<'a> {
+    items: Vec<&'a Object>,
+    has_more: bool,
+    store_revision: u64,
+}
+
+/// The changes since a revision.
+#[derive(Debug, Serialize)]
+struct Changes<'a> {
+    events: Vec<&'a Event>,
+    #[serde(rename = "StoreRevision")]
+    store_revision: u64,
+}
+
+#[derive(Debug, Clone, Serialize)]
+#[serde(rename_all = "PascalCase")]
+struct Event {
+    object: Object,
+    deleted: bool,
+}
+
 #[derive(Debug, Clone)]
 struct Change {
     revision: u64,
     kind: String,
-    event: Value,
+    event: Event,
 }
 
+/// The kind and the name of an object.
+type Key = (String, Name);
+
 #[derive(Debug, Default, Clone)]
 struct Content {
     revision: u64,
-    objects: BTreeMap<(String, String), Value>,
+    objects: BTreeMap<Key, Object>,
     history: VecDeque<Change>,
     /// The oldest revision that can be watched from. Watches from earlier ones get status 410.
     oldest: u64,
@@ -124,7 +170,8 @@
 
 impl Content {
     /// Applies a change and adds it to the history.
-    fn apply(&mut self, key: (String, String), revision: u64, object: &Value, deleted: bool) {
+    fn apply(&mut self, key: Key, object: &Object, deleted: bool) {
+        let revision = object.metadata.rev;
         let kind = key.0.clone();
         if deleted {
             self.objects.remove(&key);
@@ -134,7 +181,10 @@
         self.history.push_back(Change {
             revision,
             kind,
-            event: json!({"Object": object, "Deleted": deleted}),
+            event: Event {
+                object: object.clone(),
+                deleted,
+            },
         });
         if self.history.len() > HISTORY_MAX
             && let Some(dropped) = self.history.pop_front()
@@ -157,7 +207,7 @@
     writes: Bucket,
     reads: Bucket,
     /// When each entry that may expire was last written.
-    written: BTreeMap<String, Instant>,
+    written: BTreeMap<Name, Instant>,
     /// The schedule that is played.
     schedule: Option<AbortHandle>,
 }
@@ -248,8 +298,7 @@
         Ok(content) => content,
         Err(status) => return Ok(reply::json(status, &json!({}))),
     };
-    let path = parts.uri.path().to_owned();
-    let query = parts.uri.query().unwrap_or("").to_owned();
+    let path = parts.uri.path();
     if let Some(command) = path.strip_prefix("/standin/") {
         return Ok(store.control(command, &content));
     }
@@ -267,47 +316,59 @@
         Mode::Silent if applies => return std::future::pending().await,
         _ => {}
     }
-    if !store.takes(&parts.method, &query) {
+    let target = path.strip_prefix(PREFIX).ok_or(request::Error::NoPath);
+    let target = target.and_then(Target::new);
+    let options = CallOptions::new(parts.uri.query().unwrap_or_default());
+    let (target, options) = match (target, options) {
+        (Ok(target), Ok(options)) => (target, options),
+        (Err(error), _) | (_, Err(error)) => return Ok(refusal(error)),
+    };
+    if !store.takes(&parts.method, &options) {
         return refuse(StatusCode::TOO_MANY_REQUESTS);
     }
     time::sleep(faults.half_delay()).await;
-    let reply = perform(store, &parts.method, &path, &query, &content, faults).await;
+    let reply = perform(store, &parts.method, target, &options, &content, faults).await;
     time::sleep(faults.half_delay()).await;
     reply
 }
 
+fn refusal(error: request::Error) -> Reply {
+    let status = match error {
+        request::Error::NoPath => StatusCode::NOT_FOUND,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    reply::json(status, &json!({"Message": error.to_string()}))
+}
+
 async fn perform(
     store: &Store,
     method: &Method,
-    path: &str,
-    query: &str,
+    target: Target,
+    options: &CallOptions,
     content: &[u8],
     faults: Faults,
 ) -> Answer {
-    let Some(object) = path.strip_prefix(PREFIX) else {
-        return Ok(reply::json(StatusCode::NOT_FOUND, &json!({})));
-    };
-    let (kind, name) = object.split_once('/').unwrap_or((object, ""));
     if method == Method::GET {
-        let watched = parameter(query, "Watch");
-        if watched.is_some() && faults.lose_watches {
+        if options.watch.is_some() && faults.lose_watches {
             return std::future::pending().await;
         }
-        return Ok(match watched {
-            Some(revision) => store.watch(kind, &revision, query).await,
-            None if name.is_empty() => {
-                let page = store.list(kind, query);
+        return Ok(match (target, options.watch) {
+            (Target::Kind(kind), Some(revision)) => {
+                store.watch(&kind, revision, options.wait).await
+            }
+            (Target::Kind(kind), None) => {
+                let page = store.list(&kind, &options.after);
                 time::sleep(Duration::from_millis(faults.list_delay_ms)).await;
                 page
             }
-            None => store.get(kind, name),
+            (Target::Object(kind, name), _) => store.get(kind, name),
         });
     }
-    let reply = store.write(method, kind, name, content, query);
+    let reply = store.write(method, target, content, options);
     if faults.lose_writes {
         return Err(Closed::Now);
     }
-    Ok(reply)
+    Ok(reply.unwrap_or_else(refusal))
 }
 
 type Reply = http::Response<reply::Payload>;
@@ -325,9 +386,9 @@
     }
 
     /// Returns whether a call is within the rates. Reads that may be stale do not count.
-    fn takes(&self, method: &Method, query: &str) -> bool {
+    fn takes(&self, method: &Method, options: &CallOptions) -> bool {
         let (is_read, now) = (method == Method::GET, Instant::now());
-        if is_read && parameter(query, "AllowStale").is_some_and(|stale| stale == "1") {
+        if is_read && options.may_be_stale {
             return true;
         }
         let mut state = self.lock();
@@ -360,10 +421,11 @@
         let is_changed = !expired.is_empty();
         for key in expired {
             written.remove(&key.1);
-            let object = content.objects.get(&key).cloned().unwrap_or_default();
             content.revision += 1;
-            let revision = content.revision;
-            content.apply(key, revision, &object, true);
+            if let Some(mut object) = content.objects.get(&key).cloned() {
+                object.metadata.rev = content.revision;
+                content.apply(key, &object, true);
+            }
         }
         drop(state);
         if is_changed {
@@ -408,44 +470,31 @@
         reply::json(StatusCode::OK, &json!({}))
     }
 
-    fn list(&self, kind: &str, query: &str) -> Reply {
-        let after = parameter(query, "After").unwrap_or_default();
+    fn list(&self, kind: &str, after: &Name) -> Reply {
         let state = self.lock();
-        let of_kind = state
-            .content
-            .objects
-            .iter()
-            .filter(|((other, _), _)| other == kind);
-        let remaining: Vec<&Value> = of_kind
-            .filter(|((_, name), _)| *name > after)
+        let objects = state.content.objects.iter();
+        let remaining: Vec<&Object> = objects
+            .filter(|((other, name), _)| other == kind && name > after)
             .map(|(_, object)| object)
             .collect();
-        let page: Vec<&Value> = remaining.iter().take(self.page).copied().collect();
-        let has_more = remaining.len() > page.len();
-        let list =
-            json!({"Items": page, "HasMore": has_more, "StoreRevision": state.content.revision});
-        reply::json(StatusCode::OK, &list)
+        let items: Vec<&Object> = remaining.iter().take(self.page).copied().collect();
+        let page = Page {
+            has_more: remaining.len() > items.len(),
+            items,
+            store_revision: state.content.revision,
+        };
+        reply::json(StatusCode::OK, &page)
     }
 
-    fn get(&self, kind: &str, name: &str) -> Reply {
-        let state = self.lock();
-        match state
-            .content
-            .objects
-            .get(&(kind.to_owned(), name.to_owned()))
-        {
+    fn get(&self, kind: String, name: Name) -> Reply {
+        match self.lock().content.objects.get(&(kind, name)) {
             Some(object) => reply::json(StatusCode::OK, object),
             None => reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
     }
 
-    async fn watch(&self, kind: &str, revision: &str, query: &str) -> Reply {
+    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Reply {
         let era = self.lock().era;
-        let Ok(since) = revision.parse::<u64>() else {
-            return reply::json(StatusCode::BAD_REQUEST, &json!({}));
-        };
-        let wait = parameter(query, "WaitMs").and_then(|wait| wait.parse().ok());
-        let wait = Duration::from_millis(wait.unwrap_or(0).min(WAIT_MAX_MS));
         let deadline = time::Instant::now() + wait;
         loop {
             let next_change = self.changed.notified();
@@ -460,10 +509,12 @@
                     .history
                     .iter()
                     .filter(|change| change.revision > since && change.kind == kind);
-                let events: Vec<&Value> = new_changes.map(|change| &change.event).collect();
+                let events: Vec<&Event> = new_changes.map(|change| &change.event).collect();
                 if !events.is_empty() || time::Instant::now() >= deadline {
-                    let changes =
-                        json!({"events": events, "StoreRevision": state.content.revision});
+                    let changes = Changes {
+                        events,
+                        store_revision: state.content.revision,
+                    };
                     return reply::json(StatusCode::OK, &changes);
                 }
             }
@@ -472,66 +523,83 @@
         }
     }
 
-    fn write(&self, method: &Method, kind: &str, name: &str, content: &[u8], query: &str) -> Reply {
-        let request: Value = serde_json::from_slice(content).unwrap_or(Value::Null);
-        let body_name = request["Metadata"]["Name"]
-            .as_str()
-            .unwrap_or("")
-            .to_owned();
-        let name = if name.is_empty() {
-            body_name
+    fn write(
+        &self,
+        method: &Method,
+        target: Target,
+        content: &[u8],
+        options: &CallOptions,
+    ) -> Result<Reply, request::Error> {
+        let is_deleted = method == Method::DELETE;
+        let body = if is_deleted && content.is_empty() {
+            Body::default()
         } else {
-            name.to_owned()
+            Body::try_from(content)?
+        };
+        let given = body.metadata.name;
+        let given_key = given.and_then(|name| serde_json::from_str::<Name>(name.get()).ok());
+        let (kind, name) = match (method, target) {
+            (&Method::POST, Target::Kind(kind)) => (kind, given_key.unwrap_or_default()),
+            (&Method::PUT | &Method::DELETE, Target::Object(kind, name)) => (kind, name),
+            _ => return Ok(reply::json(StatusCode::METHOD_NOT_ALLOWED, &json!({}))),
         };
-        let key = (kind.to_owned(), name.clone());
+        if name.is_empty() {
+            return Err(request::Error::Body);
+        }
+        let key = (kind, name);
         let mut state = self.lock();
         let existing = state.content.objects.get(&key).cloned();
-        let expected = request["Metadata"]["Rev"].as_u64();
-        let expected = expected.or(parameter(query, "Rev").and_then(|rev| rev.parse().ok()));
-        let current = existing
-            .as_ref()
-            .and_then(|object| object["Metadata"]["Rev"].as_u64());
+        let expected = body.metadata.revision.or(options.revision);
+        let current = existing.as_ref().map(|object| object.metadata.rev);
         let conflict = match method {
             &Method::POST => existing.is_some(),
             _ => expected.is_some() && expected != current,
         };
         if conflict {
-            return reply::json(StatusCode::CONFLICT, &existing.unwrap_or(Value::Null));
+            return Ok(reply::json(StatusCode::CONFLICT, &existing));
         }
-        if method != Method::POST && existing.is_none() {
-            return reply::json(StatusCode::NOT_FOUND, &json!({}));
+        if key.0 == EXPIRING_KIND && !is_deleted {
+            state.written.insert(key.1.clone(), Instant::now());
         }
-        state.content.revision += 1;
-        let revision = state.content.revision;
-        let deleted = method == Method::DELETE;
-        let created = existing
-            .as_ref()
-            .and_then(|object| object["Metadata"]["CreateRev"].as_u64());
-        let spec = if deleted {
-            existing.map_or(Value::Null, |object| object["Spec"].clone())
-        } else {
-            request["Spec"].clone()
+        let is_same = |object: &&Object| {
+            body.spec
+                .is_some_and(|spec| spec.get() == object.spec.get())
         };
-        let object = json!({
-            "Metadata": {"Name": name, "Rev": revision, "CreateRev": created.unwrap_or(revision),
-                         "Finalizers": [], "Deleting": false},
-            "Spec": spec,
-            "Status": null,
-        });
-        if kind == EXPIRING_KIND && !deleted {
-            state.written.insert(name, Instant::now());
+        if let Some(object) = existing.as_ref().filter(is_same)
+            && !is_deleted
+        {
+            return Ok(reply::json(StatusCode::OK, object));
         }
-        state.content.apply(key, revision, &object, deleted);
+        let revision = state.content.revision + 1;
+        let object = match (existing, given) {
+            (Some(mut object), _) => {
+                object.metadata.rev = revision;
+                object
+            }
+            (None, Some(name)) if method == Method::POST => Object {
+                metadata: Metadata {
+                    name: name.to_owned(),
+                    rev: revision,
+                    create_rev: revision,
+                    finalizers: [],
+                    deleting: false,
+                },
+                spec: RawValue::NULL.to_owned(),
+                status: None,
+            },
+            (None, _) => return Ok(reply::json(StatusCode::NOT_FOUND, &json!({}))),
+        };
+        let object = match body.spec {
+            Some(spec) if !is_deleted => Object {
+                spec: spec.to_owned(),
+                ..object
+            },
+            _ => object,
+        };
+        state.content.revision = revision;
+        state.content.apply(key, &object, is_deleted);
         drop(state);
         self.changed.notify_waiters();
-        reply::json(StatusCode::OK, &object)
+        Ok(reply::json(StatusCode::OK, &object))
     }
 }
-
-/// Returns the value of a query parameter.
-fn parameter(query: &str, name: &str) -> Option<String> {
-    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value.to_owned())
-}
--- a/crates/primrosehoist-tests/tests/common/platform.rs
+++ b/crates/primrosehoist-tests/tests/common/platform.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU8, AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
+use primrosehoist::transport::platform::Target;
 use serde_json::{Value, json};
 
 use super::process::Process;
@@ -109,17 +110,31 @@
 /// Creates or replaces an object in the store.
 pub fn put(store: &str, kind: &str, name: &str, spec: &Value) {
     let body = json!({"Metadata": {"Name": name}, "Spec": spec}).to_string();
+    put_text(store, kind, name, &body);
+}
+
+/// Creates or replaces an object in the store by the JSON text `object`.
+pub fn put_text(store: &str, kind: &str, name: &str, object: &str) {
     let path = format!("/primrosehoist/objects/{kind}");
-    let created = call(store, "POST", &path, &body);
+    let created = call(store, "POST", &path, object);
     if created.status == 409 {
-        let path = format!("{path}/{name}");
-        assert_eq!(call(store, "PUT", &path, &body).status, 200);
+        let replaced = call(store, "PUT", &object_path(kind, name), object);
+        assert_eq!(replaced.status, 200);
+    } else {
+        assert_eq!(created.status, 200, "{object:.200}");
     }
 }
 
+/// Returns the path of an object in the store.
+fn object_path(kind: &str, name: &str) -> String {
+    let target = Target::new("/primrosehoist/objects").segment(kind);
+    let target = target.and_then(|target| target.segment(name));
+    target.expect("the name can be in a path").to_string()
+}
+
 /// Deletes an object in the store.
 pub fn delete(store: &str, kind: &str, name: &str) {
-    let path = format!("/primrosehoist/objects/{kind}/{name}");
+    let path = object_path(kind, name);
     assert_eq!(call(store, "DELETE", &path, "").status, 200);
 }
 
--- a/src/transport/platform/client.rs
+++ b/src/transport/platform/client.rs
@@ -10,7 +10,7 @@
 use crate::protocol::platform::{List, Metadata, Object, PREFIX};
 use crate::state::name;
 use crate::transport::platform::endpoint::{Endpoint, check_status};
-use crate::transport::platform::{CALL_TIMEOUT, Call, Counts, Error, Watch, watch};
+use crate::transport::platform::{CALL_TIMEOUT, Call, Counts, Error, Target, Watch, target, watch};
 
 const HEADER_CLIENT: &str = "x-client";
 const HEADER_ZONE: &str = "x-client-zone";
@@ -51,8 +51,9 @@
     pub async fn get(&self, kind: &str, name: &str) -> Result<Object, Error> {
         self.counts.add(Call::Get);
         let operation = format!("get {kind}/{name}");
-        let path = format!("{PREFIX}/{kind}/{name}");
-        self.call(operation, Method::GET, &path, Bytes::new()).await
+        let target = object_target(&operation, kind, name)?;
+        self.call(operation, Method::GET, &target, Bytes::new())
+            .await
     }
 
     /// Reads all objects of `kind`.
@@ -63,8 +64,9 @@
     pub async fn list(&self, kind: &str) -> Result<List, Error> {
         self.counts.add(Call::List);
         let operation = format!("list {kind}");
-        let path = format!("{PREFIX}/{kind}");
-        self.call(operation, Method::GET, &path, Bytes::new()).await
+        let target = kind_target(&operation, kind)?;
+        self.call(operation, Method::GET, &target, Bytes::new())
+            .await
     }
 
     /// Reads a page of at most `limit` objects of `kind`. `position` is the continuation token of
@@ -76,8 +78,11 @@
     pub async fn list_page(&self, kind: &str, limit: u32, position: &str) -> Result<List, Error> {
         self.counts.add(Call::List);
         let operation = format!("list {kind}");
-        let path = format!("{PREFIX}/{kind}?limit={limit}&continue={position}");
-        self.call(operation, Method::GET, &path, Bytes::new()).await
+        let target = kind_target(&operation, kind)?
+            .option("limit", limit)
+            .option("continue", position);
+        self.call(operation, Method::GET, &target, Bytes::new())
+            .await
     }
 
     /// Deletes the object named in `metadata` if it is at the version in `metadata`.
@@ -89,12 +94,9 @@
     pub async fn delete(&self, kind: &str, metadata: &Metadata) -> Result<Object, Error> {
         self.counts.add(Call::Delete);
         let operation = format!("delete {kind}/{}", metadata.name);
-        let version = &metadata.resource_version;
-        let path = format!(
-            "{PREFIX}/{kind}/{}?resourceVersion={version}",
-            metadata.name
-        );
-        self.call(operation, Method::DELETE, &path, Bytes::new())
+        let target = object_target(&operation, kind, &metadata.name)?
+            .option("resourceVersion", &metadata.resource_version);
+        self.call(operation, Method::DELETE, &target, Bytes::new())
             .await
     }
 
@@ -115,8 +117,8 @@
             resource_version: String::new(),
         };
         let body = encode(&operation, metadata, spec)?;
-        let path = format!("{PREFIX}/{kind}");
-        self.call(operation, Method::POST, &path, body).await
+        let target = kind_target(&operation, kind)?;
+        self.call(operation, Method::POST, &target, body).await
     }
 
     /// Replaces the object named in `metadata` if it is at the version in `metadata`.
@@ -136,9 +138,9 @@
     {
         self.counts.add(Call::Replace);
         let operation = format!("replace {kind}/{}", metadata.name);
-        let path = format!("{PREFIX}/{kind}/{}", metadata.name);
+        let target = object_target(&operation, kind, &metadata.name)?;
         let body = encode(&operation, metadata.clone(), spec)?;
-        self.call(operation, Method::PUT, &path, body).await
+        self.call(operation, Method::PUT, &target, body).await
     }
 
     /// Watches events of `kind` after `resource_version`.
@@ -149,10 +151,12 @@
     pub async fn watch(&self, kind: &str, resource_version: &str) -> Result<Watch, Error> {
         self.counts.add(Call::Watch);
         let operation = format!("watch {kind}");
-        let path = format!("{PREFIX}/{kind}?watch=true&resourceVersion={resource_version}");
+        let target = kind_target(&operation, kind)?
+            .option("watch", true)
+            .option("resourceVersion", resource_version);
         let call = self
             .endpoint
-            .send(&operation, Method::GET, &path, Bytes::new(), CALL_TIMEOUT);
+            .send(&operation, Method::GET, &target, Bytes::new(), CALL_TIMEOUT);
         let (response, connection) = call.await?;
         let (head, body) = response.into_parts();
         check_status(&operation, &head)?;
@@ -163,7 +167,7 @@
         &self,
         operation: String,
         method: Method,
-        path: &str,
+        target: &Target,
         body: Bytes,
     ) -> Result<M, Error>
     where
@@ -171,7 +175,7 @@
     {
         let call = self
             .endpoint
-            .call(&operation, method, path, body, CALL_TIMEOUT);
+            .call(&operation, method, target, body, CALL_TIMEOUT);
         let response = call.await?;
         serde_json::from_slice(&response).map_err(|cause| Error::Malformed {
             operation,
@@ -180,6 +184,25 @@
     }
 }
 
+/// Returns the target of calls for all objects of `kind`.
+fn kind_target(operation: &str, kind: &str) -> Result<Target, Error> {
+    let target = Target::new(PREFIX).segment(kind);
+    target.map_err(|cause| invalid(operation, &cause))
+}
+
+/// Returns the target of calls for the object `name` of `kind`.
+fn object_target(operation: &str, kind: &str, name: &str) -> Result<Target, Error> {
+    let target = kind_target(operation, kind)?.segment(name);
+    target.map_err(|cause| invalid(operation, &cause))
+}
+
+fn invalid(operation: &str, cause: &target::Error) -> Error {
+    Error::Invalid {
+        operation: operation.to_owned(),
+        cause: cause.to_string(),
+    }
+}
+
 fn encode<S>(operation: &str, metadata: Metadata, spec: &S) -> Result<Bytes, Error>
 where
     S: Serialize,
--- a/src/transport/platform/endpoint.rs
+++ b/src/transport/platform/endpoint.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::transport::platform::connection::{Connection, Failure, Pool};
-use crate::transport::platform::{Error, RESPONSE_BYTES_MAX};
+use crate::transport::platform::{Error, RESPONSE_BYTES_MAX, Target};
 
 /// The retry delay if the platform specifies none.
 const RETRY_AFTER_DEFAULT: Duration = Duration::from_secs(1);
@@ -57,11 +57,11 @@
         &self,
         operation: &str,
         method: Method,
-        path: &str,
+        target: &Target,
         body: Bytes,
         timeout: Duration,
     ) -> Result<Bytes, Error> {
-        let call = self.call_with_headers(operation, method, path, body, timeout);
+        let call = self.call_with_headers(operation, method, target, body, timeout);
         call.await.map(|(_headers, body)| body)
     }
 
@@ -75,12 +75,13 @@
         &self,
         operation: &str,
         method: Method,
-        path: &str,
+        target: &Target,
         body: Bytes,
         timeout: Duration,
     ) -> Result<(HeaderMap, Bytes), Error> {
         let call = async {
-            let (response, connection) = self.send(operation, method, path, body, timeout).await?;
+            let (response, connection) =
+                self.send(operation, method, target, body, timeout).await?;
             let (head, body) = response.into_parts();
             let response = read(operation, body).await?;
             check_status(operation, &head)?;
@@ -107,7 +108,7 @@
         &self,
         operation: &str,
         method: Method,
-        path: &str,
+        target: &Target,
         body: Bytes,
         timeout: Duration,
     ) -> Result<(Response<Incoming>, Connection), Error> {
@@ -115,13 +116,17 @@
             operation: operation.to_owned(),
             cause,
         };
+        let invalid = |cause: http::Error| Error::Invalid {
+            operation: operation.to_owned(),
+            cause: cause.to_string(),
+        };
         let mut request = Request::builder()
             .method(method)
-            .uri(path)
+            .uri(target.as_str())
             .header(header::HOST, self.address.as_ref())
             .header(header::CONTENT_TYPE, "application/json")
             .body(Full::new(body))
-            .map_err(|cause| unreachable(cause.to_string()))?;
+            .map_err(invalid)?;
         let headers = self.headers.iter();
         request
             .headers_mut()
--- a/src/transport/platform/mod.rs
+++ b/src/transport/platform/mod.rs
@@ -7,6 +7,7 @@
 mod connection;
 mod counts;
 mod endpoint;
+pub mod target;
 mod watch;
 
 use std::time::Duration;
@@ -16,6 +17,7 @@
 pub use client::Client;
 pub use counts::{Call, Counts};
 pub use endpoint::Endpoint;
+pub use target::Target;
 pub use watch::Watch;
 
 /// The timeout for a call, including connecting.
@@ -39,6 +41,10 @@
         RateLimited { operation: String, retry_after: Duration } {
             display("platform: {}: rate limited for {} ms", operation, retry_after.as_millis())
         }
+        /// The call cannot be sent: it has no valid target.
+        Invalid { operation: String, cause: String } {
+            display("platform: {}: not a valid call: {}", operation, cause)
+        }
         /// The call was not sent.
         Unreachable { operation: String, cause: String } {
             display("platform: {}: not sent: {}", operation, cause)
--- a/tests/reused_ports.rs
+++ b/tests/reused_ports.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method};
 use primrosehoist::transport::http::upstream::Pool;
-use primrosehoist::transport::platform::Endpoint;
+use primrosehoist::transport::platform::{Endpoint, Target};
 use primrosehoist::transport::socket;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -58,8 +58,8 @@
     let (listener, address) = listener().await;
     for _ in 0..CONNECTIONS {
         let endpoint = Endpoint::new(&address.to_string(), HeaderMap::new());
-        let timeout = Duration::from_millis(50);
-        let call = endpoint.call("wait", Method::GET, "/", Bytes::new(), timeout);
+        let (target, timeout) = (Target::new("/"), Duration::from_millis(50));
+        let call = endpoint.call("wait", Method::GET, &target, Bytes::new(), timeout);
         let (called, accepted) = tokio::join!(call, listener.accept());
         assert!(called.is_err(), "nobody answers");
         let (accepted, _) = accepted.expect("it was connected to");
