Use a list of the store that breaks off, and do not take it for complete

What callers saw: a start waited for ever for the whole list of upstreams if one page of it could not be read. If a page had no readable name, its list counted as complete: the upstreams behind it were missing, and known ones were removed, without a word in the log.

Cause: a list failed as a whole for one page. `Page::cursor` was `None` both on the last page and on a page without a readable name.

Change: a page says where the list goes on (`Next`), and a list where it is cut (`List::cut`). Behind a page without a readable name it goes on at the name with replacement characters, and counts as cut, since similar names may be skipped. A daemon uses what it read of a cut list, looks up by name what it knows and the list lacks before it removes it, lists again every 10 s, and does not give the list to other daemons as theirs. A list that breaks off for a moment is used only by a daemon that knows nothing yet. Log line `list of the store is cut` with the name in the way, metric `primrosehoist_cut_lists`, and `causes` in `start is waiting`.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -31,12 +31,13 @@
 use primrosehoist::transport::http::upstream::Pool;
 use primrosehoist_platform::settings::Settings;
 use primrosehoist_platform::store::Freshness;
-use primrosehoist_platform::{header, store};
+use primrosehoist_platform::{header, store, upstream};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, OnceCell, Semaphore, watch};
 use tokio::time::Instant;
 
 use super::gossip;
+use super::obstacles::Obstacles;
 use super::pause::Monitor;
 use super::permit::Permits;
 use super::queue::Queue;
@@ -106,8 +107,10 @@
     pub(crate) shares: Mutex<Ledger>,
     /// The versions of platform state that this daemon has applied.
     pub(crate) versions: Mutex<Versions>,
-    /// Whether a complete list of upstreams has been received.
+    /// Whether a list of upstreams has been received.
     pub(crate) upstreams_listed: AtomicBool,
+    /// What keeps lists of the store from being read.
+    pub(crate) obstacles: Obstacles,
     /// Detects pauses of the process.
     pub(crate) pauses: Monitor,
     /// Whether the daemon is shutting down.
@@ -199,6 +202,7 @@
             shares: Mutex::new(Ledger::new(Instant::now())),
             versions: Mutex::default(),
             upstreams_listed: AtomicBool::new(false),
+            obstacles: Obstacles::default(),
             pauses: Monitor::default(),
             draining: AtomicBool::new(false),
             stopping: Mutex::default(),
@@ -433,7 +437,20 @@
         self.has_upstreams() && self.table.load().is_some()
     }
 
-    /// Returns whether a complete list of upstreams has been received.
+    /// Returns the versions of what this daemon can tell the others. It cannot tell a list of which it read
+    /// only a part.
+    pub(crate) fn complete_versions(&self) -> Versions {
+        let mut versions = *self.versions.lock();
+        if self.obstacles.is_cut(upstream::KIND) {
+            versions.upstreams = Revision::default();
+        }
+        if self.obstacles.is_cut(upstream::EVACUATION_KIND) {
+            versions.evacuations = Revision::default();
+        }
+        versions
+    }
+
+    /// Returns whether a list of upstreams has been received.
     pub(crate) fn has_upstreams(&self) -> bool {
         self.upstreams_listed.load(Ordering::Acquire)
     }
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -65,7 +65,7 @@
         limits: roster.recent_limits(now),
         crashes: recent,
         absolutions,
-        versions: *context.versions.lock(),
+        versions: context.complete_versions(),
     }
 }
 
@@ -318,7 +318,7 @@
             .list_stale(primrosehoist_platform::daemon::KIND)
             .await
         {
-            Ok((objects, _revision)) => registration::add_daemons(&context, &objects),
+            Ok(list) => registration::add_daemons(&context, &list.objects),
             Err(error) => log::info!(error:%; "failed to list the daemons"),
         }
         sleep(REFRESH_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
--- a/crates/primrosehoist-daemon/src/gateway/mod.rs
+++ b/crates/primrosehoist-daemon/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod job;
 mod memory;
 mod observation;
+mod obstacles;
 mod pause;
 mod peer_sync;
 mod permit;
--- a/crates/primrosehoist-daemon/src/gateway/registration.rs
+++ b/crates/primrosehoist-daemon/src/gateway/registration.rs
@@ -6,10 +6,11 @@
 use primrosehoist::state::versions::Revision;
 use primrosehoist_platform::daemon;
 use primrosehoist_platform::object::Object;
-use primrosehoist_platform::store::Freshness;
+use primrosehoist_platform::store::{Freshness, List};
 use tokio::time::{Instant, sleep};
 
 use super::context::Context;
+use super::store_sync;
 
 /// The longest random delay before a daemon registers again in a store that was restored from a copy, so
 /// that the daemons do not all do so at once.
@@ -55,9 +56,14 @@
         };
         freshness = Freshness::Latest;
         match listed {
-            Ok((objects, Revision { era, .. })) => {
+            Ok(List {
+                objects,
+                revision: Revision { era, .. },
+                cut,
+            }) => {
                 // The others are known although the store may refuse writes.
                 add_daemons(context, &objects);
+                store_sync::record_list(context, daemon::KIND, cut.as_ref());
                 let is_listed = era >= known_era && objects.iter().any(is_own);
                 if is_listed || written_in == Some(era) {
                     return era.max(known_era);
@@ -71,7 +77,10 @@
                     Err(error) => log::warn!(error:%; "registration failed"),
                 }
             }
-            Err(error) => log::warn!(error:%; "failed to list the daemons"),
+            Err(error) => {
+                log::warn!(error:%; "failed to list the daemons");
+                context.obstacles.record_failure(daemon::KIND, &error);
+            }
         }
         sleep(REGISTER_RETRY_DELAY).await;
     }
--- a/crates/primrosehoist-daemon/src/gateway/starting.rs
+++ b/crates/primrosehoist-daemon/src/gateway/starting.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use primrosehoist::state::versions::Revision;
+use primrosehoist_platform::{config, daemon, upstream};
 use strum::{Display, EnumIter, IntoEnumIterator};
 use tokio::time::{Instant, sleep};
 
@@ -28,11 +29,21 @@
     Hosts,
     /// The configuration, without which it serves nobody.
     Configuration,
-    /// The list of upstreams, without which it serves nobody.
+    /// A list of upstreams, without which it serves nobody.
     Upstreams,
 }
 
 impl Need {
+    /// Returns the kind of object in the store that it needs.
+    fn kind(self) -> Option<&'static str> {
+        match self {
+            Self::Store => None,
+            Self::Hosts => Some(daemon::KIND),
+            Self::Configuration => Some(config::KIND),
+            Self::Upstreams => Some(upstream::KIND),
+        }
+    }
+
     fn is_met(self, context: &Context) -> bool {
         match self {
             Self::Store => *context.store_revision.borrow() != Revision::default(),
@@ -66,7 +77,10 @@
         if is_due && started.elapsed() >= REPORT_DELAY {
             let names: Vec<String> = unmet.iter().map(Need::to_string).collect();
             let (needs, serves) = (names.join(" "), context.is_informed());
-            log::warn!(needs = needs.as_str(), serves, waited_ms; "start is waiting");
+            let causes = context
+                .obstacles
+                .causes(unmet.iter().filter_map(|need| need.kind()));
+            log::warn!(needs = needs.as_str(), causes = causes.as_str(), serves, waited_ms; "start is waiting");
             reported_at = Some(Instant::now());
         }
         sleep(POLL_INTERVAL).await;
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -12,7 +12,7 @@
 use primrosehoist::state::versions::{self, Revision};
 use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::object::{Event, Object};
-use primrosehoist_platform::store::Freshness;
+use primrosehoist_platform::store::{Cut, Freshness};
 use primrosehoist_platform::{config, store, upstream};
 use serde_json::Value;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -51,6 +51,12 @@
 /// is assigned to follow the store.
 const JOIN_WAIT_MAX: Duration = Duration::from_millis(1500);
 
+/// The interval between attempts to read the rest of a list that is cut.
+const CUT_LIST_PERIOD: Duration = Duration::from_secs(10);
+
+/// The largest number of objects that are looked up because a list lacks them.
+const LOOKUPS_MAX: usize = 64;
+
 /// How long a starting daemon that is not assigned to follow the store waits for the state of other
 /// daemons before it reads the store itself.
 const PEER_STATE_WAIT: Duration = Duration::from_secs(1);
@@ -100,14 +106,13 @@
     };
     wait_to_start(&follower.context).await;
     loop {
-        let listed = follower.context.store.load().list(feed.kind()).await;
-        let revision = match listed {
-            Ok((objects, revision)) => {
-                let gap = follower.on_success(revision);
-                follower.on_list(objects, revision, gap);
-                revision
-            }
+        let revision = match follower.list().await {
+            Ok(revision) => revision,
             Err(error) => {
+                follower
+                    .context
+                    .obstacles
+                    .record_failure(feed.kind(), &error);
                 follower.on_error(&error).await;
                 continue;
             }
@@ -147,6 +152,94 @@
 }
 
 impl Follower {
+    /// Lists the objects and applies the list. Returns the revision from which to watch.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no list can be read. What was read of one that broke off is applied if nothing is
+    /// known yet.
+    async fn list(&mut self) -> Result<Revision, Error> {
+        let kind = self.feed.kind();
+        let mut list = self.context.store.load().list(kind).await?;
+        let broke_off = list.cut.as_ref().is_some_and(|cut| !cut.is_lasting());
+        if broke_off && !self.is_first() {
+            return match list.cut {
+                Some(cut) => Err(cut.cause),
+                None => Ok(list.revision),
+            };
+        }
+        record_list(&self.context, kind, list.cut.as_ref());
+        let unknown = match &list.cut {
+            Some(_) => self.look_up(&mut list.objects).await,
+            None => Set::default(),
+        };
+        let gap = self.on_success(list.revision);
+        self.on_list(list.objects, &unknown, list.revision, gap);
+        match list.cut {
+            Some(cut) if broke_off => Err(cut.cause),
+            Some(_) => {
+                let period = if self.is_first() {
+                    BACKOFF_MAX
+                } else {
+                    CUT_LIST_PERIOD
+                };
+                self.relist_at = Some(Instant::now() + period);
+                Ok(list.revision)
+            }
+            None => Ok(list.revision),
+        }
+    }
+
+    /// Returns whether nothing of the kind is known yet.
+    fn is_first(&self) -> bool {
+        match self.feed {
+            Feed::Configuration => self.context.table.load().is_none(),
+            Feed::Upstreams => !self.context.has_upstreams(),
+            Feed::Evacuations => self.era.is_none(),
+        }
+    }
+
+    /// Adds the objects that a cut list may lack, as far as they are known or their names are. Returns the
+    /// names of those of which nothing was learnt.
+    async fn look_up(&self, objects: &mut Vec<Object>) -> Set<Arc<str>> {
+        let mut names: Set<Arc<str>> = match self.feed {
+            Feed::Configuration => [Arc::from(config::NAME)].into_iter().collect(),
+            Feed::Upstreams => {
+                let roster = self.context.roster.lock();
+                roster
+                    .upstreams()
+                    .map(|upstream| Arc::clone(&upstream.id))
+                    .collect()
+            }
+            Feed::Evacuations => {
+                let roster = self.context.roster.lock();
+                let zones = roster.upstreams().map(|upstream| &upstream.zone);
+                zones.chain(roster.evacuated_zones()).cloned().collect()
+            }
+        };
+        for object in objects.iter() {
+            names.remove(object.name.as_str());
+        }
+        let store = self.context.store.load_full();
+        let mut unknown = Set::default();
+        for (index, name) in names.into_iter().enumerate() {
+            let found = if index < LOOKUPS_MAX {
+                store.get(self.feed.kind(), &name).await
+            } else {
+                unknown.insert(name);
+                continue;
+            };
+            match found {
+                Ok(object) => objects.extend(object),
+                Err(error) => {
+                    log::info!(kind = self.feed.kind(), name = name.as_ref(), error:%; "failed to look up an object");
+                    unknown.insert(name);
+                }
+            }
+        }
+        unknown
+    }
+
     /// Watches from revision `start` until the objects have to be listed again: the store has
     /// discarded the history, or other daemons have newer state.
     async fn watch(&mut self, start: Revision) {
@@ -244,8 +337,15 @@
         sleep(backoff::shorten(delay, JITTER)).await;
     }
 
-    /// Applies a complete list as of `revision`, which may lack what `gap` says.
-    fn on_list(&mut self, objects: Vec<Object>, revision: Revision, gap: Gap) {
+    /// Applies a list as of `revision`, which may lack what `gap` says. Of the objects named in `unknown`, what
+    /// was known before holds.
+    fn on_list(
+        &mut self,
+        objects: Vec<Object>,
+        unknown: &Set<Arc<str>>,
+        revision: Revision,
+        gap: Gap,
+    ) {
         let context = &self.context;
         self.complete_to = revision;
         if gap == Gap::Restored && self.feed == Feed::Evacuations {
@@ -267,8 +367,12 @@
                 }
             }
             Feed::Upstreams => {
-                let upstreams: Vec<_> = objects.iter().filter_map(decode_upstream).collect();
+                let mut upstreams: Vec<_> = objects.iter().filter_map(decode_upstream).collect();
                 let mut roster = context.roster.lock();
+                let kept = roster
+                    .upstreams()
+                    .filter(|upstream| unknown.contains(&upstream.id));
+                upstreams.extend(kept.map(|upstream| upstream.as_ref().clone()));
                 let upstreams = match gap {
                     Gap::Restored => roster.without_revived(upstreams),
                     Gap::None | Gap::Expired => upstreams,
@@ -279,17 +383,23 @@
                 if removed || is_empty {
                     version = revision;
                 }
-                context.upstreams_listed.store(true, Ordering::Release);
+                let has_any = !context.roster.lock().is_empty();
+                // Without any upstream, a cut list tells nothing.
+                if has_any || !context.obstacles.is_cut(upstream::KIND) {
+                    context.upstreams_listed.store(true, Ordering::Release);
+                }
                 known_to_peers = context.peer_versions.borrow().upstreams;
                 context.queue.wake_all();
             }
             Feed::Evacuations => {
                 let zones = objects.into_iter().filter(|object| !object.deleting);
                 let mut zones: Set<_> = zones.map(|object| Arc::from(object.name)).collect();
-                if gap == Gap::Restored {
-                    let known = context.roster.lock().evacuated_zones().clone();
-                    zones.extend(known);
-                }
+                let known = context.roster.lock().evacuated_zones().clone();
+                zones.extend(
+                    known
+                        .into_iter()
+                        .filter(|zone| gap == Gap::Restored || unknown.contains(zone)),
+                );
                 if !context.roster.lock().evacuated_zones().is_subset(&zones) {
                     version = revision;
                 }
@@ -517,6 +627,18 @@
     }
 }
 
+/// Records a list of the store. Logs where it is cut, unless the one before was cut there too.
+pub(crate) fn record_list(context: &Context, kind: &'static str, cut: Option<&Cut>) {
+    let is_news = context.obstacles.record_list(kind, cut, &context.metrics);
+    match cut {
+        Some(Cut { after, cause }) if is_news => {
+            log::warn!(kind, after = after.as_str(), error:% = cause; "list of the store is cut; using what was read");
+        }
+        None if is_news => log::info!(kind; "list of the store is complete"),
+        _ => {}
+    }
+}
+
 fn decode_upstream(object: &Object) -> Option<primrosehoist::state::roster::Upstream> {
     upstream::decode(object)
         .inspect_err(|error| {
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -54,6 +54,7 @@
     version: Gauge<u64>,
     cut_off: Gauge<u64>,
     start_waits: Gauge<u64>,
+    cut_lists: Gauge<u64>,
     serving_hosts: Gauge<u64>,
     resident: Gauge<u64>,
     resident_peak: Gauge<u64>,
@@ -77,6 +78,11 @@
                 "primrosehoist_start_waits",
                 "Whether the daemon has not got what it needs since its start",
             ),
+            cut_lists: gauge(
+                meter,
+                "primrosehoist_cut_lists",
+                "Whether a list of the store could not be read behind a name",
+            ),
             serving_hosts: gauge(
                 meter,
                 "primrosehoist_serving_hosts",
@@ -325,6 +331,12 @@
         self.states.start_waits.record(u64::from(waits), &labels);
     }
 
+    /// Records whether the list of objects of `kind` could not be read behind the object `after`.
+    pub(crate) fn cut_list(&self, kind: &'static str, after: String, is_cut: bool) {
+        let labels = [label("kind", kind), KeyValue::new("after", after)];
+        self.states.cut_lists.record(u64::from(is_cut), &labels);
+    }
+
     /// Records how many other hosts take requests.
     pub(crate) fn serving_hosts(&self, hosts: usize) {
         self.states.serving_hosts.record(hosts as u64, &[]);
--- a/crates/primrosehoist-daemon/tests/settings.rs
+++ b/crates/primrosehoist-daemon/tests/settings.rs
@@ -191,6 +191,7 @@
     metrics.cut_off(true);
     metrics.seed_request("refused");
     metrics.start_waits("hosts", true);
+    metrics.cut_list("servers", "a\"b\n\\".to_owned(), true);
     metrics.serving_hosts(5);
     metrics.refused_over_share();
     metrics.rejected("no_route");
@@ -222,6 +223,10 @@
         ("primrosehoist_cut_off{", "1"),
         ("primrosehoist_seed_requests_total{outcome=\"refused\"", "1"),
         ("primrosehoist_start_waits{need=\"hosts\"", "1"),
+        (
+            r#"primrosehoist_cut_lists{after="a\"b\n\\",kind="servers""#,
+            "1",
+        ),
         ("primrosehoist_serving_hosts{", "5"),
         ("primrosehoist_connections_closed_total{", "4"),
         ("primrosehoist_rejected_total{reason=\"no_route\"", "1"),
--- a/crates/primrosehoist-tests/tests/odd_names.rs
+++ b/crates/primrosehoist-tests/tests/odd_names.rs
@@ -4,7 +4,9 @@
 
 use std::time::Duration;
 
-use common::platform::{Deployment, Request, configuration, put_text, send, wait_for, wait_until};
+use common::platform::{
+    Deployment, Request, call, configuration, put_text, send, wait_for, wait_until,
+};
 use serde_json::json;
 
 /// The time in which a daemon is ready that starts while the store answers.
@@ -148,3 +150,53 @@
     deployment.forget_history();
     wait_until_used(&deployment, &[1]);
 }
+
+/// Guards against a page without a readable name that counts as the last one.
+#[test]
+fn unreadable_names_do_not_end_a_list() {
+    let mut deployment = prepared();
+    for name in [
+        r#""a\ud800""#,
+        r#""a\ud801""#,
+        r#""a\udc00b""#,
+        r#""a\udfff""#,
+    ] {
+        put_named(&deployment, "servers", name, "{}");
+    }
+    start(&mut deployment);
+    wait_until_used(&deployment, &[0, 1]);
+}
+
+/// Guards against a cut list that is taken for a complete one, and against a start that waits for the rest.
+#[test]
+fn list_that_cannot_be_continued_is_used_and_reported_as_cut() {
+    let mut deployment = prepared();
+    let name = format!("i-0-{}", "\u{e9}".repeat(20_000));
+    // The pages have three objects; the name ends the first one.
+    for filler in ["i-0-1", &name] {
+        put_named(&deployment, "servers", &json!(filler).to_string(), "{}");
+    }
+    start(&mut deployment);
+    wait_until_used(&deployment, &[0]);
+    let log = deployment.daemons[0].logged();
+    assert!(log.contains("list of the store is cut"), "{log}");
+    let metrics = call(&deployment.daemons[0].metrics, "GET", "/metrics", "").body;
+    let metrics = String::from_utf8(metrics).expect("metrics are text");
+    let line = metrics
+        .lines()
+        .find(|line| line.starts_with("primrosehoist_cut_lists"));
+    let line = line.expect("the metric of cut lists");
+    assert!(line.contains("i-0-") && line.ends_with(" 1"), "{line}");
+    // What the daemon knows is not removed because the list lacks it.
+    let mut entry = deployment.entry(1, "ready");
+    entry["Sequence"] = json!(2);
+    deployment.put("servers", "i-1", &entry);
+    wait_until_used(&deployment, &[0, 1]);
+    deployment.forget_history();
+    std::thread::sleep(Duration::from_secs(2));
+    wait_until_used(&deployment, &[0, 1]);
+    // What has left meanwhile is.
+    deployment.delete("servers", "i-1");
+    deployment.forget_history();
+    wait_until_used(&deployment, &[0]);
+}
