--- a/crates/primrosehoist-tests/tests/odd_names.rs
+++ b/crates/primrosehoist-tests/tests/odd_names.rs
@@ -30,6 +30,11 @@
     "a09\u{0}",
 ];
 
+/// A value nested more deeply than decoders of JSON go.
+fn nested(levels: usize) -> String {
+    ["[".repeat(levels), "]".repeat(levels)].concat()
+}
+
 /// Writes an object whose name is the JSON text `name`.
 fn put_named(deployment: &Deployment, kind: &str, name: &str, spec: &str) {
     let object = format!(r#"{{"Metadata":{{"Name":{name}}},"Spec":{spec}}}"#);
@@ -167,6 +172,32 @@
     wait_until_used(&deployment, &[0, 1]);
 }
 
+/// Guards against entries that are skipped for a field that nobody reads.
+#[test]
+fn unreadable_fields_beside_readable_ones_do_not_matter() {
+    let mut deployment = prepared();
+    let odd = [
+        nested(150),
+        "1e999".to_owned(),
+        r#"{"\ud800":[1]}"#.to_owned(),
+    ];
+    for (index, odd) in odd.iter().enumerate() {
+        let id = deployment.runners[index].id.clone();
+        let mut spec = deployment.entry(index, "ready").to_string();
+        spec.insert_str(1, &format!(r#""Odd":{odd},"#));
+        let object = format!(r#"{{"Metadata":{{"Name":"{id}"}},"Spec":{spec}}}"#);
+        put_text(&deployment.store, "servers", &id, &object);
+    }
+    let mut spec = configuration(2).to_string();
+    spec.insert_str(1, &format!(r#""Odd":{},"#, nested(150)));
+    let object = format!(r#"{{"Metadata":{{"Name":"main"}},"Spec":{spec}}}"#);
+    put_text(&deployment.store, "config", "main", &object);
+    start(&mut deployment);
+    wait_until_used(&deployment, &[0, 1]);
+    let log = deployment.daemons[0].logged();
+    assert!(log.contains(r#""version":2"#), "{log}");
+}
+
 /// Guards against a cut list that is taken for a complete one, and against a start that waits for the rest.
 #[test]
 fn list_that_cannot_be_continued_is_used_and_reported_as_cut() {
