Name the object in a test of error responses

`error_responses_map_to_typed_errors` replaced an object without a name, for which there is no call since names are checked. It checks the same errors for an object that has one. It failed with `the name "" cannot be part of a path`, and passes now.

--- a/tests/peer_platform.rs
+++ b/tests/peer_platform.rs
@@ -97,7 +97,10 @@
     ];
     for (response, expected, uncertain) in cases {
         let client = platform(response).await;
-        let metadata = Metadata::default();
+        let metadata = Metadata {
+            name: "change".to_owned(),
+            ..Metadata::default()
+        };
         let error = client
             .replace(CHANGES, &metadata, &json!({}))
             .await
