Tell other daemons what was read of a cut list

A daemon with a cut list told its peers versions of zero, so that they never asked it for changes: an evacuation did not reach daemons that the store rejects, nor those of a large fleet that do not follow the store.

It tells its versions again. A cut list does not raise them, so that daemons that know more stay ahead and are asked, also by one that starts; it does not list again for being behind. Lists are tried again after 2 s instead of 10 s, within the bounds of evacuations, and a start whose list breaks off keeps its backoff.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -31,7 +31,7 @@
 use primrosehoist::transport::http::upstream::Pool;
 use primrosehoist_platform::settings::Settings;
 use primrosehoist_platform::store::Freshness;
-use primrosehoist_platform::{header, store, upstream};
+use primrosehoist_platform::{header, store};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, OnceCell, Semaphore, watch};
 use tokio::time::Instant;
@@ -437,19 +437,6 @@
         self.has_upstreams() && self.table.load().is_some()
     }
 
-    /// Returns the versions of what this daemon can tell the others. It cannot tell a list of which it read
-    /// only a part.
-    pub(crate) fn complete_versions(&self) -> Versions {
-        let mut versions = *self.versions.lock();
-        if self.obstacles.is_cut(upstream::KIND) {
-            versions.upstreams = Revision::default();
-        }
-        if self.obstacles.is_cut(upstream::EVACUATION_KIND) {
-            versions.evacuations = Revision::default();
-        }
-        versions
-    }
-
     /// Returns whether a list of upstreams has been received.
     pub(crate) fn has_upstreams(&self) -> bool {
         self.upstreams_listed.load(Ordering::Acquire)
--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -65,7 +65,7 @@
         limits: roster.recent_limits(now),
         crashes: recent,
         absolutions,
-        versions: context.complete_versions(),
+        versions: *context.versions.lock(),
     }
 }
 
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -56,7 +56,7 @@
 /// Returns the state for a daemon that has the versions in `query`.
 pub(super) fn snapshot(context: &Context, query: &str) -> Snapshot {
     let known = parse_versions(query);
-    let versions = context.complete_versions();
+    let versions = *context.versions.lock();
     let roster = context.roster.lock();
     Snapshot {
         versions,
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -53,7 +53,7 @@
 const JOIN_WAIT_MAX: Duration = Duration::from_millis(1500);
 
 /// The interval between attempts to read the rest of a list that is cut.
-const CUT_LIST_PERIOD: Duration = Duration::from_secs(10);
+const CUT_LIST_PERIOD: Duration = Duration::from_secs(2);
 
 /// How long a starting daemon that is not assigned to follow the store waits for the state of other
 /// daemons before it reads the store itself.
@@ -171,17 +171,16 @@
             Some(_) => lookup::complete(&self.context, self.feed, &mut list.objects).await,
             None => Set::default(),
         };
+        let failures = self.failures;
         let gap = self.on_success(list.revision);
         self.on_list(list.objects, &unknown, list.revision, gap);
         match list.cut {
-            Some(cut) if broke_off => Err(cut.cause),
+            Some(cut) if broke_off => {
+                self.failures = failures;
+                Err(cut.cause)
+            }
             Some(_) => {
-                let period = if self.is_first() {
-                    BACKOFF_MAX
-                } else {
-                    CUT_LIST_PERIOD
-                };
-                self.relist_at = Some(Instant::now() + period);
+                self.relist_at = Some(Instant::now() + CUT_LIST_PERIOD);
                 Ok(list.revision)
             }
             None => Ok(list.revision),
@@ -205,6 +204,7 @@
         loop {
             let context = Arc::clone(&self.context);
             let store = context.store.load_full();
+            let is_cut = context.obstacles.is_cut(self.feed.kind());
             let watched = tokio::select! {
                 watched = store.watch(self.feed.kind(), revision, WATCH_TIMEOUT) => watched,
                 loss = wait_until_lost(&context, &store, self.feed, revision) => {
@@ -215,7 +215,8 @@
                         Loss::History => return,
                     }
                 }
-                () = wait_until_behind(&context, self.feed) => {
+                // Others may know what a cut list lacks; it is requested from them.
+                () = wait_until_behind(&context, self.feed), if !is_cut => {
                     log::info!(kind = self.feed.kind(), revision:?; "watch lags behind other daemons; listing again");
                     store.close_idle();
                     return;
@@ -367,7 +368,10 @@
         if known_to_peers <= revision {
             version = version.max(known_to_peers);
         }
-        self.advance(version);
+        // Others may know what a cut list lacks, so that they must stay ahead.
+        if !context.obstacles.is_cut(self.feed.kind()) {
+            self.advance(version);
+        }
         log::info!(kind = self.feed.kind(), revision = revision.number, era = revision.era; "listed");
     }
 
