Know the evacuated zones before a start is complete

What callers could have seen: a started daemon was ready as soon as it had a configuration and upstreams. While its list of evacuations took longer, it sent requests to zones that had been taken out, for 8 s and more with a list of 100 slow pages.

Cause: the evacuations were not among the needs of a start.

Change: they are, as `evacuations` in `start is waiting` and `primrosehoist_start_waits`.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -109,6 +109,8 @@
     pub(crate) versions: Mutex<Versions>,
     /// Whether a list of upstreams has been received.
     pub(crate) upstreams_listed: AtomicBool,
+    /// Whether the evacuated zones are known.
+    pub(crate) evacuations_listed: AtomicBool,
     /// What keeps lists of the store from being read.
     pub(crate) obstacles: Obstacles,
     /// Detects pauses of the process.
@@ -202,6 +204,7 @@
             shares: Mutex::new(Ledger::new(Instant::now())),
             versions: Mutex::default(),
             upstreams_listed: AtomicBool::new(false),
+            evacuations_listed: AtomicBool::new(false),
             obstacles: Obstacles::default(),
             pauses: Monitor::default(),
             draining: AtomicBool::new(false),
@@ -432,9 +435,14 @@
         self.urgent.notify_one();
     }
 
-    /// Returns whether the daemon has a configuration and a list of upstreams.
+    /// Returns whether the daemon has a configuration and lists of upstreams and evacuated zones.
     pub(crate) fn is_informed(&self) -> bool {
-        self.has_upstreams() && self.table.load().is_some()
+        self.has_upstreams() && self.has_evacuations() && self.table.load().is_some()
+    }
+
+    /// Returns whether the evacuated zones are known.
+    pub(crate) fn has_evacuations(&self) -> bool {
+        self.evacuations_listed.load(Ordering::Acquire)
     }
 
     /// Returns whether a list of upstreams has been received.
--- a/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/peer_sync.rs
@@ -234,5 +234,7 @@
         context.roster.lock().set_evacuated_zones(zones, now);
         context.versions.lock().evacuations = snapshot.versions.evacuations;
     }
+    // A daemon that knows no more than this one says nothing of evacuations.
+    context.evacuations_listed.store(true, Ordering::Release);
     context.queue.wake_all();
 }
--- a/crates/primrosehoist-daemon/src/gateway/starting.rs
+++ b/crates/primrosehoist-daemon/src/gateway/starting.rs
@@ -31,6 +31,8 @@
     Configuration,
     /// A list of upstreams, without which it serves nobody.
     Upstreams,
+    /// The list of evacuated zones, without which it serves nobody.
+    Evacuations,
 }
 
 impl Need {
@@ -41,6 +43,7 @@
             Self::Hosts => Some(daemon::KIND),
             Self::Configuration => Some(config::KIND),
             Self::Upstreams => Some(upstream::KIND),
+            Self::Evacuations => Some(upstream::EVACUATION_KIND),
         }
     }
 
@@ -50,6 +53,7 @@
             Self::Hosts => context.has_joined() || context.exchange.lock().peers.generation() > 0,
             Self::Configuration => context.table.load().is_some(),
             Self::Upstreams => context.has_upstreams(),
+            Self::Evacuations => context.has_evacuations(),
         }
     }
 }
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -192,7 +192,7 @@
         match self.feed {
             Feed::Configuration => self.context.table.load().is_none(),
             Feed::Upstreams => !self.context.has_upstreams(),
-            Feed::Evacuations => self.era.is_none(),
+            Feed::Evacuations => !self.context.has_evacuations(),
         }
     }
 
@@ -362,6 +362,7 @@
                     version = revision;
                 }
                 self.set_evacuated_zones(zones);
+                context.evacuations_listed.store(true, Ordering::Release);
                 known_to_peers = context.peer_versions.borrow().evacuations;
             }
         }
