Encode names in calls of the command line

What callers could have seen: none so far, since versions and fixed names are all that the tool puts into paths.

Cause: paths were built with `format!`, and `explain` encoded its query in another way than the calls to the store.

Change: calls take a `Target`, into which a name cannot be put unescaped. `explain` builds its query from it too, so that `serde_urlencoded` is no longer needed here.

--- a/crates/primrosehoist-cli/src/admin.rs
+++ b/crates/primrosehoist-cli/src/admin.rs
@@ -7,6 +7,7 @@
 use oxhttp::model::Method;
 use primrosehoist::protocol::operator;
 use primrosehoist::protocol::status::Status;
+use primrosehoist::transport::platform::Target;
 
 use crate::error::Error;
 use crate::http::{Call, Endpoint};
@@ -48,7 +49,7 @@
         let response = endpoint.call(Call {
             operation,
             method: Method::GET,
-            path: "/admin/status",
+            target: &Target::new("/admin/status"),
             body: Vec::new(),
         })?;
         match response.status {
@@ -68,7 +69,7 @@
         let response = endpoint.call(Call {
             operation,
             method: Method::POST,
-            path: "/admin/drain",
+            target: &Target::new("/admin/drain"),
             body: Vec::new(),
         })?;
         match response.status {
--- a/crates/primrosehoist-cli/src/error.rs
+++ b/crates/primrosehoist-cli/src/error.rs
@@ -5,6 +5,7 @@
 
 use primrosehoist::state::change::Change;
 use primrosehoist::state::fleet::Version;
+use primrosehoist::transport::platform::target;
 use quick_error::quick_error;
 
 use crate::output::Exit;
@@ -30,6 +31,11 @@
         ShortSecret(path: PathBuf) {
             display("the secret in {} has fewer than 16 bytes", path.display())
         }
+        /// A name cannot be part of a path.
+        Target(operation: &'static str, error: target::Error) {
+            display("{}: {}", operation, error)
+            source(error)
+        }
         /// A call received no complete response.
         Call(operation: &'static str, address: String, error: io::Error) {
             display("{} at {}: {}", operation, address, error)
--- a/crates/primrosehoist-cli/src/explain.rs
+++ b/crates/primrosehoist-cli/src/explain.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use primrosehoist::protocol::explanation::{self, Candidate, Decision, Explanation, Query};
+use primrosehoist::transport::platform::Target;
 use serde::Serialize;
 
 use crate::args::Args;
@@ -118,16 +119,29 @@
         answer_tokens: args.optional("--answer-tokens")?.unwrap_or_default(),
     };
     args.finish()?;
-    let encoded = serde_urlencoded::to_string(&query);
-    let encoded = encoded.map_err(|error| Error::Usage(error.to_string()))?;
     let endpoint = Endpoint {
         address,
         token: None,
     };
-    let path = format!("{}?{encoded}", explanation::PATH);
-    let found = endpoint.get("explain", &path)?;
+    let found = endpoint.get("explain", &target(&query))?;
     let unknown = Error::Unknown("the daemon knows no such route or workspace");
     let found = found.ok_or(unknown)?;
     print(format, &Report(found))?;
     Ok(Exit::Done)
 }
+
+/// Returns the target of the call that asks the daemon.
+fn target(query: &Query) -> Target {
+    let mut target = Target::new(explanation::PATH)
+        .option("host", &query.host)
+        .option("path", &query.path);
+    if let Some(id) = &query.id {
+        target = target.option("id", id);
+    }
+    if let Some(workspace) = &query.workspace {
+        target = target.option("workspace", workspace);
+    }
+    target
+        .option("prompt_tokens", query.prompt_tokens)
+        .option("answer_tokens", query.answer_tokens)
+}
--- a/crates/primrosehoist-cli/src/http.rs
+++ b/crates/primrosehoist-cli/src/http.rs
@@ -6,6 +6,7 @@
 
 use oxhttp::Client;
 use oxhttp::model::{Method, Request};
+use primrosehoist::transport::platform::Target;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -43,7 +44,7 @@
     /// The HTTP method.
     pub(crate) method: Method,
     /// The path and query.
-    pub(crate) path: &'c str,
+    pub(crate) target: &'c Target,
     /// The body.
     pub(crate) body: Vec<u8>,
 }
@@ -67,14 +68,18 @@
     ///
     /// Fails if no complete response arrives, if the status is neither 200 nor 404, or if the body
     /// is not the expected JSON.
-    pub(crate) fn get<T>(&self, operation: &'static str, path: &str) -> Result<Option<T>, Error>
+    pub(crate) fn get<T>(
+        &self,
+        operation: &'static str,
+        target: &Target,
+    ) -> Result<Option<T>, Error>
     where
         T: DeserializeOwned,
     {
         let response = self.call(Call {
             operation,
             method: Method::GET,
-            path,
+            target,
             body: Vec::new(),
         })?;
         match response.status {
@@ -108,7 +113,7 @@
     fn exchange(&self, call: Call<'_>) -> io::Result<Response> {
         let mut request = Request::builder()
             .method(call.method)
-            .uri(format!("http://{}{}", self.address, call.path))
+            .uri(format!("http://{}{}", self.address, call.target))
             .header("content-type", "application/json")
             .header("x-client", "operator");
         if let Some(token) = &self.token {
--- a/crates/primrosehoist-cli/src/store.rs
+++ b/crates/primrosehoist-cli/src/store.rs
@@ -8,6 +8,7 @@
 };
 use primrosehoist::state::change::Change;
 use primrosehoist::state::fleet::{Fleet, Version};
+use primrosehoist::transport::platform::Target;
 use serde::de::DeserializeOwned;
 
 use crate::backoff::Backoff;
@@ -64,10 +65,11 @@
     ///
     /// Fails if the platform does not respond, or if its response is unexpected.
     pub(crate) fn change(&self, version: Version) -> Result<Option<Change>, Error> {
-        let path = format!("{PREFIX}/{CHANGES}/{}", change_name(version));
-        let object = self.get::<Object>("read a change", &path)?;
+        let operation = "read a change";
+        let target = object_target(operation, CHANGES, &change_name(version))?;
+        let object = self.get::<Object>(operation, &target)?;
         object
-            .map(|object| self.spec("read a change", object))
+            .map(|object| self.spec(operation, object))
             .transpose()
     }
 
@@ -80,11 +82,11 @@
     pub(crate) fn create(&self, change: &Change) -> Result<Creation, Error> {
         let operation = "create a change";
         let object = object(change_name(change.version), String::new(), change)?;
-        let path = format!("{PREFIX}/{CHANGES}");
+        let target = kind_target(operation, CHANGES)?;
         let response = self.endpoint.call(Call {
             operation,
             method: Method::POST,
-            path: &path,
+            target: &target,
             body: encode(&object)?,
         })?;
         match response.status {
@@ -103,25 +105,27 @@
     /// Fails if the platform does not respond, or if the stored snapshot cannot be read.
     pub(crate) fn write_snapshot(&self, fleet: &Fleet) -> Result<(), Error> {
         let operation = "write the snapshot";
-        let collection = format!("{PREFIX}/{SNAPSHOTS}");
-        let path = format!("{collection}/{SNAPSHOT}");
-        let stored = self.get::<Object>(operation, &path)?;
-        let (method, path, resource_version) = match stored {
-            None => (Method::POST, collection, String::new()),
+        let target = object_target(operation, SNAPSHOTS, SNAPSHOT)?;
+        let stored = self.get::<Object>(operation, &target)?;
+        let (method, target, resource_version) = match stored {
+            None => {
+                let collection = kind_target(operation, SNAPSHOTS)?;
+                (Method::POST, collection, String::new())
+            }
             Some(stored) => {
                 let resource_version = stored.metadata.resource_version.clone();
                 let current: Fleet = self.spec(operation, stored)?;
                 if current.version >= fleet.version {
                     return Ok(());
                 }
-                (Method::PUT, path, resource_version)
+                (Method::PUT, target, resource_version)
             }
         };
         let object = object(SNAPSHOT.to_owned(), resource_version, fleet)?;
         let call = Call {
             operation,
             method,
-            path: &path,
+            target: &target,
             body: encode(&object)?,
         };
         self.endpoint.call(call).map(drop)
@@ -134,8 +138,8 @@
     /// Fails if the platform does not respond, or if its response is unexpected.
     pub(crate) fn hosts(&self) -> Result<Vec<Host>, Error> {
         let operation = "list the hosts";
-        let path = format!("{PREFIX}/{HOSTS}");
-        let Some(list) = self.get::<List>(operation, &path)? else {
+        let target = kind_target(operation, HOSTS)?;
+        let Some(list) = self.get::<List>(operation, &target)? else {
             return Ok(Vec::new());
         };
         let items = list.items.into_iter();
@@ -143,24 +147,24 @@
     }
 
     /// Reads a document. Retries transient errors, because a read has no side effects.
-    fn get<T>(&self, operation: &'static str, path: &str) -> Result<Option<T>, Error>
+    fn get<T>(&self, operation: &'static str, target: &Target) -> Result<Option<T>, Error>
     where
         T: DeserializeOwned,
     {
         let mut backoff = Backoff::new();
         for _ in 1..READ_ATTEMPTS {
-            match self.endpoint.get(operation, path) {
+            match self.endpoint.get(operation, target) {
                 Err(error) if error.is_transient() => backoff.sleep(),
                 result => return result,
             }
         }
-        self.endpoint.get(operation, path)
+        self.endpoint.get(operation, target)
     }
 
     fn snapshot(&self) -> Result<Option<Fleet>, Error> {
         let operation = "read the snapshot";
-        let path = format!("{PREFIX}/{SNAPSHOTS}/{SNAPSHOT}");
-        let object = self.get::<Object>(operation, &path)?;
+        let target = object_target(operation, SNAPSHOTS, SNAPSHOT)?;
+        let object = self.get::<Object>(operation, &target)?;
         object
             .map(|object| self.spec(operation, object))
             .transpose()
@@ -175,6 +179,18 @@
     }
 }
 
+/// Returns the target of calls for all objects of `kind`.
+fn kind_target(operation: &'static str, kind: &str) -> Result<Target, Error> {
+    let target = Target::new(PREFIX).segment(kind);
+    target.map_err(|cause| Error::Target(operation, cause))
+}
+
+/// Returns the target of calls for the object `name` of `kind`.
+fn object_target(operation: &'static str, kind: &str, name: &str) -> Result<Target, Error> {
+    let target = kind_target(operation, kind)?.segment(name);
+    target.map_err(|cause| Error::Target(operation, cause))
+}
+
 fn object<T>(name: String, resource_version: String, spec: &T) -> Result<Object, Error>
 where
     T: serde::Serialize,
--- a/crates/primrosehoist-cli/tests/tool.rs
+++ b/crates/primrosehoist-cli/tests/tool.rs
@@ -415,6 +415,42 @@
     assert!(status.out.contains("no answer"), "{status:?}");
 }
 
+#[test]
+fn explain_sends_what_the_operator_wrote() {
+    let daemon = Fake::start();
+    let explanation = json!({
+        "host": "a1", "version": 7, "route": "r1", "service": "m", "priority": 2, "objective_ms": 300.0,
+        "over_share": 0.0, "refused_on_arrival": 0.0, "waiting": 0, "ahead": 0, "zone_only": false,
+        "decision": {"action": "hand_over"}, "candidates": [], "left_out": [],
+    });
+    let target = "/explain?host=a.example&path=%2Fx%2F%3Fq%3D1%2B2%26%23&id=%2525\
+                  &workspace=a%20%C3%A9%26host%3Db&prompt_tokens=0&answer_tokens=9";
+    daemon.set(target, explanation);
+    let address = daemon.address.to_string();
+    let options = [
+        "--daemon",
+        &address,
+        "--host",
+        "a.example",
+        "--answer-tokens",
+        "9",
+    ];
+    let odd = [
+        "--path",
+        "/x/?q=1+2&#",
+        "--id",
+        "%25",
+        "--workspace",
+        "a \u{e9}&host=b",
+    ];
+    let explained = run(&[&["explain"], options.as_slice(), odd.as_slice()].concat());
+    assert_eq!(explained.code, 0, "{explained:?}");
+    assert!(
+        explained.out.starts_with("a1, version 7: route r1"),
+        "{explained:?}"
+    );
+}
+
 #[test]
 fn the_digest_excludes_white_space_around_the_key() {
     let expected = "6a2df51586a6da583d7af6cb47361648785c58d681f233dbe40678a851e05500\n";
