Decode paths and queries in the stand-in of the older platform

What callers saw: no test could show that a client of the older interface leaves names unescaped, since the stand-in compared what it got with names as it is.

Change: paths, queries and the names of hosts in control calls are decoded as by any HTTP server; malformed escapes and limits get status 400. The decoding is that of the stand-in of the published store, in a module of its own.

Evidence: `names_and_options_are_decoded` gets status 404 from the former stand-in, and passes now. The tests `platform` and `store` pass.

--- a/crates/primrosehoist-standin/src/lib.rs
+++ b/crates/primrosehoist-standin/src/lib.rs
@@ -6,6 +6,7 @@
 mod command;
 mod connection;
 pub mod day;
+mod encoding;
 mod engine;
 mod listener;
 mod load;
--- a/crates/primrosehoist-standin/src/platform/api.rs
+++ b/crates/primrosehoist-standin/src/platform/api.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 use tokio::time::{self, Instant};
 
+use crate::encoding;
 use crate::platform::store::Error;
 use crate::platform::watch::Watch;
 use crate::platform::{Platform, fault};
@@ -47,9 +48,14 @@
             |content| control(&platform, &parts.method, rest, &content),
         ));
     }
-    match target(parts.uri.path()) {
-        Some(target) => call(platform, parts, target, body).await,
-        None => Ok(status_error(StatusCode::NOT_FOUND, "no such path")),
+    let target = match target(parts.uri.path()) {
+        Ok(Some(target)) => target,
+        Ok(None) => return Ok(status_error(StatusCode::NOT_FOUND, "no such path")),
+        Err(error) => return Ok(status_error(StatusCode::BAD_REQUEST, &error.to_string())),
+    };
+    match Options::try_from(parts.uri.query().unwrap_or_default()) {
+        Ok(options) => call(platform, parts, target, options, body).await,
+        Err(refused) => Ok(failure(&refused)),
     }
 }
 
@@ -60,40 +66,86 @@
     reply::read(body, VALUE_LIMIT_BYTES).await
 }
 
-fn target(path: &str) -> Option<Target> {
-    let rest = path.strip_prefix(PREFIX)?.strip_prefix('/')?;
-    match rest.split_once('/') {
-        None if !rest.is_empty() => Some(Target::Collection(rest.to_owned())),
-        Some((kind, name)) if !name.is_empty() && !name.contains('/') => {
-            Some(Target::Object(kind.to_owned(), name.to_owned()))
+/// Decodes a path.
+///
+/// # Errors
+///
+/// Returns an error if it is not encoded properly.
+fn target(path: &str) -> Result<Option<Target>, encoding::Error> {
+    let rest = path.strip_prefix(PREFIX);
+    let Some(rest) = rest.and_then(|rest| rest.strip_prefix('/')) else {
+        return Ok(None);
+    };
+    let segments = rest.split('/').map(encoding::decode);
+    let segments = segments.collect::<Result<Vec<_>, _>>()?;
+    Ok(match segments.as_slice() {
+        [kind] if !kind.is_empty() => Some(Target::Collection(kind.to_string())),
+        [kind, name] if !kind.is_empty() && !name.is_empty() => {
+            Some(Target::Object(kind.to_string(), name.to_string()))
         }
         _ => None,
+    })
+}
+
+/// The options of a call, as they are decoded.
+#[derive(Debug, Default)]
+struct Options {
+    is_watch: bool,
+    version: Option<String>,
+    limit: Option<usize>,
+    position: String,
+}
+
+impl TryFrom<&str> for Options {
+    type Error = Refusal;
+
+    fn try_from(query: &str) -> Result<Self, Refusal> {
+        let bad = |message: &str| status_refusal(StatusCode::BAD_REQUEST, message);
+        let parsed = encoding::options(query).map_err(|error| bad(&error.to_string()))?;
+        let mut options = Self::default();
+        for (name, value) in parsed {
+            match name.as_ref() {
+                "watch" => options.is_watch = value == "true",
+                "resourceVersion" => options.version = Some(value.into_owned()),
+                "limit" => {
+                    let limit = value.parse().map_err(|_source| bad("bad limit"))?;
+                    options.limit = Some(limit);
+                }
+                "continue" => options.position = value.into_owned(),
+                _ => {}
+            }
+        }
+        Ok(options)
     }
 }
 
-async fn call(platform: Arc<Platform>, parts: Parts, target: Target, body: Incoming) -> Answer {
+async fn call(
+    platform: Arc<Platform>,
+    parts: Parts,
+    target: Target,
+    options: Options,
+    body: Incoming,
+) -> Answer {
     let caller = Caller {
         client: reply::header(&parts.headers, "x-client")
             .map_or_else(|| CLIENT_UNKNOWN.to_owned(), |name| name.to_string()),
         zone: reply::header(&parts.headers, "x-client-zone"),
     };
-    let query = parts.uri.query().unwrap_or("");
-    let is_watch = parameter(query, "watch") == Some("true");
     // Half of the delay precedes the effect of the call and half follows it, so that a client may
     // time out on either side.
     let late = platform.state().faults.slow() / 2;
     time::sleep(late).await;
-    if let Some(refused) = admit(&platform, &parts.method, is_watch, &caller)? {
+    if let Some(refused) = admit(&platform, &parts.method, options.is_watch, &caller)? {
         return Ok(refused);
     }
-    if is_watch {
-        return Ok(watch(&platform, target, query, caller));
+    if options.is_watch {
+        return Ok(watch(&platform, target, &options, caller));
     }
     let content = match read(body).await {
         Ok(content) => content,
         Err(status) => return Ok(status_error(status, "the value is refused")),
     };
-    let answer = execute(&platform, &parts, target, &content, &caller);
+    let answer = execute(&platform, &parts, target, &options, &content, &caller);
     time::sleep(late).await;
     answer
 }
@@ -140,13 +192,13 @@
 fn watch(
     platform: &Arc<Platform>,
     target: Target,
-    query: &str,
+    options: &Options,
     caller: Caller,
 ) -> Response<Payload> {
     let Target::Collection(kind) = target else {
         return status_error(StatusCode::BAD_REQUEST, "only collections are watched");
     };
-    let given = parameter(query, "resourceVersion").map(str::parse::<u64>);
+    let given = options.version.as_deref().map(str::parse::<u64>);
     let version = match given {
         None => platform.state().store.version(),
         Some(Ok(version)) => version,
@@ -175,11 +227,12 @@
     platform: &Platform,
     parts: &Parts,
     target: Target,
+    options: &Options,
     content: &[u8],
     caller: &Caller,
 ) -> Answer {
     let write = parts.method != Method::GET;
-    let Applied { status, text } = match apply(platform, parts, target, content) {
+    let Applied { status, text } = match apply(platform, parts, target, options, content) {
         Ok(applied) => applied,
         Err(refused) => {
             if refused.status == StatusCode::CONFLICT {
@@ -235,16 +288,15 @@
     platform: &Platform,
     parts: &Parts,
     target: Target,
+    options: &Options,
     content: &[u8],
 ) -> Result<Applied, Refusal> {
     let mut state = platform.state();
     let store = &mut state.store;
     match (&parts.method, target) {
         (&Method::GET, Target::Collection(kind)) => {
-            let query = parts.uri.query().unwrap_or("");
-            let limit = parameter(query, "limit").and_then(|limit| limit.parse().ok());
-            let position = parameter(query, "continue").unwrap_or("");
-            let list = store.list(&kind, position, limit.unwrap_or(usize::MAX));
+            let limit = options.limit.unwrap_or(usize::MAX);
+            let list = store.list(&kind, &options.position, limit);
             Ok(Applied::new(StatusCode::OK, &list))
         }
         (&Method::GET, Target::Object(kind, name)) => {
@@ -263,8 +315,7 @@
             Ok(Applied::new(StatusCode::OK, &made.map_err(refusal)?))
         }
         (&Method::DELETE, Target::Object(kind, name)) => {
-            let query = parts.uri.query().unwrap_or("");
-            let gone = store.delete(&kind, &name, parameter(query, "resourceVersion"));
+            let gone = store.delete(&kind, &name, options.version.as_deref());
             Ok(Applied::new(StatusCode::OK, &gone.map_err(refusal)?))
         }
         _ => Err(status_refusal(
@@ -284,14 +335,6 @@
     Ok(object)
 }
 
-fn parameter<'q>(query: &'q str, name: &str) -> Option<&'q str> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .filter(|(key, _)| *key == name)
-        .map(|(_, value)| value)
-        .next()
-}
-
 fn control(
     platform: &Arc<Platform>,
     method: &Method,
@@ -309,7 +352,10 @@
             Err(error) => status_error(StatusCode::BAD_REQUEST, &error.to_string()),
         },
         (&Method::PUT | &Method::DELETE, _) => match rest.strip_prefix("hosts/") {
-            Some(name) => change_host(platform, method, name, content),
+            Some(name) => match encoding::decode(name) {
+                Ok(name) => change_host(platform, method, &name, content),
+                Err(error) => status_error(StatusCode::BAD_REQUEST, &error.to_string()),
+            },
             None => status_error(StatusCode::NOT_FOUND, "no such control"),
         },
         _ => status_error(StatusCode::NOT_FOUND, "no such control"),
--- a/crates/primrosehoist-standin/src/published/request.rs
+++ b/crates/primrosehoist-standin/src/published/request.rs
@@ -1,15 +1,15 @@
 //! Paths, queries and bodies of calls to the object store, decoded as by any HTTP server.
 
-use std::borrow::Cow;
 use std::fmt;
 use std::time::Duration;
 
-use percent_encoding::percent_decode_str;
 use quick_error::quick_error;
 use serde::de::Visitor;
 use serde::{Deserialize, Deserializer};
 use serde_json::value::RawValue;
 
+use crate::encoding;
+
 /// The longest wait of a watch.
 const WAIT_MAX: Duration = Duration::from_secs(30);
 
@@ -19,8 +19,11 @@
     pub enum Error {
         /// The path is none of the object API.
         NoPath { display("there is no such path") }
-        /// A percent sign does not start an encoded byte, or the bytes are not UTF-8.
-        Encoding { display("the path or the query is not encoded properly") }
+        /// The path or the query is not encoded properly.
+        Encoding(cause: encoding::Error) {
+            display("{}", cause)
+            from()
+        }
         /// An option has no valid value.
         Option(name: &'static str) { display("the option {} has no valid value", name) }
         /// The body is no object.
@@ -84,7 +87,7 @@
     ///
     /// Returns an error if it is none of the API, or is not encoded properly.
     pub(crate) fn new(rest: &str) -> Result<Self, Error> {
-        let segments = rest.split('/').map(decode);
+        let segments = rest.split('/').map(encoding::decode);
         let segments = segments.collect::<Result<Vec<_>, _>>()?;
         match segments.as_slice() {
             [kind] if !kind.is_empty() => Ok(Self::Kind(kind.to_string())),
@@ -118,9 +121,8 @@
     ///
     /// Returns an error if it is not encoded properly or an option has no valid value.
     pub(crate) fn new(query: &str) -> Result<Self, Error> {
-        decode(query)?;
         let mut options = Self::default();
-        for (name, value) in form_urlencoded::parse(query.as_bytes()) {
+        for (name, value) in encoding::options(query)? {
             let number = |name| value.parse::<u64>().map_err(|_source| Error::Option(name));
             match name.as_ref() {
                 "After" => options.after = Name::from(value.as_ref()),
@@ -140,17 +142,6 @@
     }
 }
 
-/// Decodes a part of a path or query, in which each percent sign must start an encoded byte.
-fn decode(part: &str) -> Result<Cow<'_, str>, Error> {
-    let mut escapes = part.split('%').skip(1).map(str::as_bytes);
-    let is_escape = |bytes: &[u8]| matches!(bytes, [high, low, ..] if high.is_ascii_hexdigit() && low.is_ascii_hexdigit());
-    if !escapes.all(is_escape) {
-        return Err(Error::Encoding);
-    }
-    let decoded = percent_decode_str(part).decode_utf8();
-    decoded.map_err(|_source| Error::Encoding)
-}
-
 /// The object in the body of a call.
 #[derive(Debug, Default, Deserialize)]
 pub(crate) struct Body<'a> {
--- a/crates/primrosehoist-standin/tests/platform.rs
+++ b/crates/primrosehoist-standin/tests/platform.rs
@@ -47,6 +47,66 @@
     assert_eq!(4, platform.counts()["conflicts"]);
 }
 
+/// Guards against a stand-in that takes unescaped names, with which no test shows that a client escapes them.
+#[test]
+fn names_and_options_are_decoded() {
+    let platform = Standin::start("platform", &[]);
+    let names = ["%2e", "a b", "a#", "a%#", "a&b=", "a+", "a/b", "a\u{e9}"];
+    for name in names {
+        assert_eq!(201, platform.post(CHANGES, &[], &object(name, "", 1)));
+    }
+    let encoded = "%252e a%20b a%23 a%25%23 a%26b%3D a%2B a%2Fb a%C3%A9";
+    for (encoded, name) in encoded.split(' ').zip(names) {
+        let found = platform.call("GET", &format!("{CHANGES}/{encoded}"), &[], "");
+        assert_eq!(
+            (200, name),
+            (
+                found.status,
+                found.json()["metadata"]["name"].as_str().unwrap_or("")
+            )
+        );
+        let list = format!("{CHANGES}?limit=1&continue={encoded}");
+        let next = platform.call("GET", &list, &[], "").json();
+        let after = names.iter().find(|other| **other > name);
+        assert_eq!(
+            after.copied(),
+            next["items"][0]["metadata"]["name"].as_str()
+        );
+    }
+    // A plus sign in a query is a space.
+    let next = platform.call("GET", &format!("{CHANGES}?limit=1&continue=a+b"), &[], "");
+    assert_eq!("a#", next.json()["items"][0]["metadata"]["name"]);
+    let host = json!({"zone": "z", "role": "entry", "address": "a", "state": "live"}).to_string();
+    assert_eq!(
+        200,
+        platform
+            .call("PUT", "/standin/hosts/h%201", &[], &host)
+            .status
+    );
+    let hosts = "/apis/primrosehoist/v1/hosts";
+    let found = platform.call("GET", hosts, &[], "").json();
+    assert_eq!("h 1", found["items"][0]["metadata"]["name"]);
+    for malformed in [
+        format!("{CHANGES}/a%"),
+        format!("{CHANGES}/a%4"),
+        format!("{CHANGES}/%zz"),
+        format!("{CHANGES}/%ff"),
+        format!("{CHANGES}?continue=a%"),
+        format!("{CHANGES}?continue=%ff"),
+        format!("{CHANGES}?limit=many"),
+    ] {
+        assert_eq!(
+            400,
+            platform.call("GET", &malformed, &[], "").status,
+            "{malformed}"
+        );
+    }
+    assert_eq!(
+        400,
+        platform.call("PUT", "/standin/hosts/h%", &[], &host).status
+    );
+}
+
 #[test]
 fn watches_end_with_an_outage() {
     let platform = Standin::start("platform", &["--history", "2"]);
