--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -16,14 +16,15 @@
 use primrosehoist::state::map::Map;
 use primrosehoist::state::occupancy::Key;
 use primrosehoist::state::roster::Roster;
+use primrosehoist_platform::daemon;
 use tokio::time::{Instant, sleep, timeout};
 
 use super::context::Context;
 use super::permit;
-use super::registration;
 use super::rejections::Reason;
 use super::share;
 use super::upstream_changes;
+use super::{registration, store_sync};
 use crate::startup;
 
 /// The longest time between two messages in a small fleet.
@@ -312,13 +313,11 @@
 pub(crate) async fn refresh(context: Arc<Context>) {
     loop {
         context.unknown_sender.notified().await;
-        match context
-            .store
-            .load()
-            .list_stale(primrosehoist_platform::daemon::KIND)
-            .await
-        {
-            Ok(list) => registration::add_daemons(&context, &list.objects),
+        match context.store.load().list_stale(daemon::KIND).await {
+            Ok(list) => {
+                registration::add_daemons(&context, &list.objects);
+                store_sync::record_list(&context, daemon::KIND, list.cut.as_ref());
+            }
             Err(error) => log::info!(error:%; "failed to list the daemons"),
         }
         sleep(REFRESH_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
--- a/crates/primrosehoist-tests/tests/cut_lists.rs
+++ b/crates/primrosehoist-tests/tests/cut_lists.rs
@@ -265,6 +265,61 @@
     );
 }
 
+#[test]
+fn daemons_behind_a_cut_discover_each_other() {
+    let mut deployment = prepared();
+    cut_list(&deployment, "daemons", "a", 3);
+    let store = deployment.store.clone();
+    for _ in 0..2 {
+        add_daemon(&mut deployment, &store);
+    }
+    wait_until("the daemons discover each other", || {
+        (0..2).all(|index| {
+            let host = format!("\"host\":\"frontend-{}\"", 1 - index);
+            deployment.daemons[index].logged().contains(&host)
+        })
+    });
+}
+
+#[test]
+fn metric_of_a_cut_list_of_daemons_ends_with_the_cut() {
+    let mut deployment = prepared();
+    cut_list(&deployment, "daemons", "a", 3);
+    let store = deployment.store.clone();
+    let daemon = add_daemon(&mut deployment, &store);
+    let metric = || {
+        let body = call(&deployment.daemons[daemon].metrics, "GET", "/metrics", "").body;
+        let text = String::from_utf8(body).expect("metrics are text");
+        let line = text
+            .lines()
+            .find(|line| line.starts_with("primrosehoist_cut_lists"));
+        line.map(|line| line.ends_with(" 1"))
+    };
+    wait_until("the cut is reported", || metric() == Some(true));
+    deployment.delete("daemons", "a1");
+    wait_until("the end of the cut is reported", || metric() == Some(false));
+}
+
+/// Guards against state that is kept back although all of it was read.
+#[test]
+fn evacuation_reaches_rejected_daemons_beside_a_page_without_a_readable_name() {
+    let mut deployment = prepared();
+    let store = deployment.store.clone();
+    add_daemon(&mut deployment, &store);
+    let second_store = second_address(&deployment);
+    let second = add_daemon(&mut deployment, &second_store);
+    std::thread::sleep(Duration::from_millis(600));
+    reject_second_address(&deployment);
+    for name in [r#""a\ud800""#, r#""a\ud801""#, r#""a\ud802""#, r#""b""#] {
+        let object = format!(r#"{{"Metadata":{{"Name":{name}}},"Spec":{{}}}}"#);
+        put_text(&deployment.store, "evacuations", "", &object);
+    }
+    deployment.forget_history();
+    std::thread::sleep(Duration::from_secs(1));
+    deployment.put("evacuations", "zone-a", &json!({}));
+    time_until_used(&deployment, second, &[2]);
+}
+
 /// Serves a store whose first pages have one object without a use, and which refuses all others; returns
 /// its address and the number of calls for lists of upstreams.
 fn serve_refusing_store(network: &str) -> (String, Arc<AtomicUsize>) {
