List the daemons again while their list is cut

Cause: a daemon that had written its entry took the next list of the daemons for all of them, also if it was cut, and listed them again only for messages from unknown addresses. Two daemons that start at the same cut send each other none. A page that was late was enough for it.

Change: while the list of the daemons is cut, they are listed each 2 s, as upstreams are, at the price of a call that may be stale. The line `list of the store is complete` and the metric `primrosehoist_cut_lists` follow for daemons too.

--- a/crates/primrosehoist-daemon/src/gateway/gossip.rs
+++ b/crates/primrosehoist-daemon/src/gateway/gossip.rs
@@ -308,11 +308,18 @@
     });
 }
 
-/// Lists the daemons again whenever messages come from addresses that are not known, for as long as
-/// the process runs.
+/// Lists the daemons again whenever messages come from addresses that are not known, and now and then while
+/// their list is cut, for as long as the process runs.
 pub(crate) async fn refresh(context: Arc<Context>) {
     loop {
-        context.unknown_sender.notified().await;
+        let requested = context.unknown_sender.notified();
+        if context.obstacles.is_cut(daemon::KIND) {
+            let requested = timeout(store_sync::CUT_LIST_PERIOD, requested);
+            // They are listed in any case.
+            let _timed_out = requested.await.is_err();
+        } else {
+            requested.await;
+        }
         match context.store.load().list_stale(daemon::KIND).await {
             Ok(list) => {
                 registration::add_daemons(&context, &list.objects);
--- a/crates/primrosehoist-daemon/src/gateway/registration.rs
+++ b/crates/primrosehoist-daemon/src/gateway/registration.rs
@@ -64,6 +64,10 @@
                 // The others are known although the store may refuse writes.
                 add_daemons(context, &objects);
                 store_sync::record_list(context, daemon::KIND, cut.as_ref());
+                if cut.is_some() {
+                    // The rest of them is listed apart, since it may be missing for long.
+                    context.unknown_sender.notify_one();
+                }
                 let is_listed = era >= known_era && objects.iter().any(is_own);
                 if is_listed || written_in == Some(era) {
                     return era.max(known_era);
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -53,7 +53,7 @@
 const JOIN_WAIT_MAX: Duration = Duration::from_millis(1500);
 
 /// The interval between attempts to read the rest of a list that is cut.
-const CUT_LIST_PERIOD: Duration = Duration::from_secs(2);
+pub(super) const CUT_LIST_PERIOD: Duration = Duration::from_secs(2);
 
 /// How long a starting daemon that is not assigned to follow the store waits for the state of other
 /// daemons before it reads the store itself.
--- a/crates/primrosehoist-tests/tests/odd_names.rs
+++ b/crates/primrosehoist-tests/tests/odd_names.rs
@@ -132,6 +132,38 @@
     assert!(!log.contains("failed to list the daemons"), "{log}");
 }
 
+/// Guards against a cut list of the daemons that is taken for a complete one.
+#[test]
+fn daemons_behind_a_cut_in_their_list_are_found_later() {
+    let mut deployment = prepared();
+    // The pages have three objects; the name ends the first one and is too long for a call.
+    let names = ["a0", "a1", &"b".repeat(100_000)];
+    let objects = names.map(|name| json!({"Kind": "daemons", "Metadata": {"Name": name}}));
+    let objects = json!(objects).to_string();
+    let control = |deployment: &Deployment, command| {
+        let path = format!("/standin/{command}");
+        assert_eq!(200, call(&deployment.store, "POST", &path, &objects).status);
+    };
+    control(&deployment, "keep");
+    start(&mut deployment);
+    let store = deployment.store.clone();
+    deployment.add_daemon("zone-a", &store);
+    wait_until("the lists are cut", || {
+        let mut daemons = deployment.daemons.iter();
+        daemons.all(|daemon| daemon.logged().contains("list of the store is cut"))
+    });
+    // The lists of the start are over by then.
+    std::thread::sleep(Duration::from_secs(4));
+    control(&deployment, "remove");
+    wait_until("the daemons discover each other", || {
+        let of_other = |index: usize| format!("\"host\":\"frontend-{}\"", 1 - index);
+        (0..2).all(|index| {
+            let log = deployment.daemons[index].logged();
+            log.contains(&of_other(index)) && log.contains("list of the store is complete")
+        })
+    });
+}
+
 #[test]
 fn names_of_zones_do_not_hide_an_evacuation() {
     let mut deployment = prepared();
