Keep deleted objects with finalizers in the stand-in's store

What callers saw: no test could show how daemons treat an object that is being deleted, as the stand-in removed it at once and took no finalizers. It also took a body that names another object, sent status 409 without an object for a write of a missing one, and sent pages of any size.

Change: POST and PUT take `Finalizers`, with which DELETE marks an object as being deleted until a PUT removes the last one; those of `servers` do not count. A PUT without a specification that changes nothing has no new revision. A body that names another object than the path gets status 400, a conditional write of a missing object 404, and a page has 1 MB at most, or one object.

--- a/crates/primrosehoist-standin/src/published/request.rs
+++ b/crates/primrosehoist-standin/src/published/request.rs
@@ -162,6 +162,9 @@
     /// The revision that the object must have.
     #[serde(rename = "Rev")]
     pub(crate) revision: Option<u64>,
+    /// What has to be removed before a deleted object is gone.
+    #[serde(rename = "Finalizers")]
+    pub(crate) finalizers: Option<Vec<String>>,
 }
 
 impl<'a> TryFrom<&'a [u8]> for Body<'a> {
--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -61,6 +61,9 @@
 /// The largest accepted body, in bytes.
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
+/// The size of the objects of a page beyond which the list goes on with another page, in bytes.
+const PAGE_BYTES_MAX: usize = 1 << 20;
+
 /// The number of changes kept for watches.
 const HISTORY_MAX: usize = 1000;
 
@@ -115,13 +118,53 @@
     status: Option<Value>,
 }
 
+/// What a call did to an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Unchanged,
+    Changed,
+    Removed,
+}
+
+impl Object {
+    /// Replaces what `body` holds. An object that is being deleted is removed with its last finalizer.
+    fn replace(&mut self, body: &Body<'_>) -> Outcome {
+        let mut outcome = Outcome::Unchanged;
+        if let Some(spec) = body.spec.filter(|spec| spec.get() != self.spec.get()) {
+            self.spec = spec.to_owned();
+            outcome = Outcome::Changed;
+        }
+        let finalizers = body.metadata.finalizers.as_ref();
+        if let Some(finalizers) = finalizers.filter(|other| **other != self.metadata.finalizers) {
+            self.metadata.finalizers.clone_from(finalizers);
+            outcome = Outcome::Changed;
+        }
+        if self.metadata.deleting && self.metadata.finalizers.is_empty() {
+            outcome = Outcome::Removed;
+        }
+        outcome
+    }
+
+    /// Removes the object of `kind`, or marks it as being deleted if it has finalizers. Those of entries that
+    /// expire do not count.
+    fn delete(&mut self, kind: &str) -> Outcome {
+        if kind == EXPIRING_KIND || self.metadata.finalizers.is_empty() {
+            Outcome::Removed
+        } else if std::mem::replace(&mut self.metadata.deleting, true) {
+            Outcome::Unchanged
+        } else {
+            Outcome::Changed
+        }
+    }
+}
+
 #[derive(Debug, Clone, Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct Metadata {
     name: Box<RawValue>,
     rev: u64,
     create_rev: u64,
-    finalizers: [&'static str; 0],
+    finalizers: Vec<String>,
     deleting: bool,
 }
 
@@ -477,7 +520,13 @@
             .filter(|((other, name), _)| other == kind && name > after)
             .map(|(_, object)| object)
             .collect();
-        let items: Vec<&Object> = remaining.iter().take(self.page).copied().collect();
+        let mut bytes = 0;
+        let page = remaining.iter().take(self.page).take_while(|object| {
+            let is_first = bytes == 0;
+            bytes += object.spec.get().len();
+            is_first || bytes <= PAGE_BYTES_MAX
+        });
+        let items: Vec<&Object> = page.copied().collect();
         let page = Page {
             has_more: remaining.len() > items.len(),
             items,
@@ -539,49 +588,40 @@
         let given = body.metadata.name;
         let given_key = given.and_then(|name| serde_json::from_str::<Name>(name.get()).ok());
         let (kind, name) = match (method, target) {
-            (&Method::POST, Target::Kind(kind)) => (kind, given_key.unwrap_or_default()),
+            (&Method::POST, Target::Kind(kind)) => (kind, given_key.clone().unwrap_or_default()),
             (&Method::PUT | &Method::DELETE, Target::Object(kind, name)) => (kind, name),
             _ => return Ok(reply::json(StatusCode::METHOD_NOT_ALLOWED, &json!({}))),
         };
         if name.is_empty() {
             return Err(request::Error::Body);
         }
+        // A body for another object is a mistake of the client, whatever a store makes of it.
+        if given_key.is_some_and(|given| given != name) {
+            return Err(request::Error::Body);
+        }
         let key = (kind, name);
         let mut state = self.lock();
         let existing = state.content.objects.get(&key).cloned();
         let expected = body.metadata.revision.or(options.revision);
-        let current = existing.as_ref().map(|object| object.metadata.rev);
-        let conflict = match method {
-            &Method::POST => existing.is_some(),
-            _ => expected.is_some() && expected != current,
-        };
+        let conflict = existing.as_ref().is_some_and(|object| {
+            let is_other = expected.is_some_and(|revision| revision != object.metadata.rev);
+            method == Method::POST || is_other
+        });
         if conflict {
             return Ok(reply::json(StatusCode::CONFLICT, &existing));
         }
         if key.0 == EXPIRING_KIND && !is_deleted {
             state.written.insert(key.1.clone(), Instant::now());
         }
-        let is_same = |object: &&Object| {
-            body.spec
-                .is_some_and(|spec| spec.get() == object.spec.get())
-        };
-        if let Some(object) = existing.as_ref().filter(is_same)
-            && !is_deleted
-        {
-            return Ok(reply::json(StatusCode::OK, object));
-        }
         let revision = state.content.revision + 1;
-        let object = match (existing, given) {
-            (Some(mut object), _) => {
-                object.metadata.rev = revision;
-                object
-            }
+        let mut object = match (existing, given) {
+            (Some(object), _) => object,
             (None, Some(name)) if method == Method::POST => Object {
                 metadata: Metadata {
                     name: name.to_owned(),
                     rev: revision,
                     create_rev: revision,
-                    finalizers: [],
+                    finalizers: Vec::new(),
                     deleting: false,
                 },
                 spec: RawValue::NULL.to_owned(),
@@ -589,15 +629,19 @@
             },
             (None, _) => return Ok(reply::json(StatusCode::NOT_FOUND, &json!({}))),
         };
-        let object = match body.spec {
-            Some(spec) if !is_deleted => Object {
-                spec: spec.to_owned(),
-                ..object
-            },
-            _ => object,
+        let outcome = if is_deleted {
+            object.delete(&key.0)
+        } else {
+            object.replace(&body)
         };
+        if outcome == Outcome::Unchanged && method != Method::POST {
+            return Ok(reply::json(StatusCode::OK, &object));
+        }
+        object.metadata.rev = revision;
         state.content.revision = revision;
-        state.content.apply(key, &object, is_deleted);
+        state
+            .content
+            .apply(key, &object, outcome == Outcome::Removed);
         drop(state);
         self.changed.notify_waiters();
         Ok(reply::json(StatusCode::OK, &object))
--- a/crates/primrosehoist-standin/tests/store.rs
+++ b/crates/primrosehoist-standin/tests/store.rs
@@ -75,6 +75,91 @@
     );
 }
 
+/// Guards against clients that take a deleted object for gone, or for one that is still there.
+#[test]
+fn objects_with_finalizers_are_kept_until_they_are_gone() {
+    let store = start(&[]);
+    let zones = "/primrosehoist/objects/evacuations";
+    let zone = format!("{zones}/z");
+    let object = |finalizers: &[&str], spec: u32| {
+        let metadata = json!({"Name": "z", "Finalizers": finalizers});
+        json!({"Metadata": metadata, "Spec": spec}).to_string()
+    };
+    assert_eq!(200, store.post(zones, &[], &object(&["f"], 1)));
+    let call = |method, body: &str| store.call(method, &zone, &[], body);
+    let revision = call("GET", "").json()["Metadata"]["Rev"].clone();
+    assert_eq!(
+        revision,
+        call("PUT", &object(&["f"], 1)).json()["Metadata"]["Rev"]
+    );
+    let marked = call("DELETE", "").json();
+    assert_eq!(
+        (true, json!(1)),
+        (
+            marked["Metadata"]["Deleting"] == true,
+            marked["Spec"].clone()
+        )
+    );
+    assert_eq!(marked, call("DELETE", "").json());
+    assert_eq!(marked, call("GET", "").json());
+    assert_eq!(200, call("PUT", &object(&[], 1)).status);
+    assert_eq!(404, call("GET", "").status);
+    let watch = format!("{zones}?Watch={revision}&WaitMs=0");
+    let events = store.call("GET", &watch, &[], "").json()["events"].clone();
+    let seen = |index: usize| {
+        (
+            events[index]["Deleted"].clone(),
+            events[index]["Object"]["Metadata"]["Deleting"].clone(),
+        )
+    };
+    assert_eq!(
+        [seen(0), seen(1)],
+        [(json!(false), json!(true)), (json!(true), json!(true))]
+    );
+    let server = json!({"Metadata": {"Name": "a", "Finalizers": ["f"]}, "Spec": {}}).to_string();
+    assert_eq!(200, store.post(SERVERS, &[], &server));
+    let server = format!("{SERVERS}/a");
+    assert_eq!(200, store.call("DELETE", &server, &[], "").status);
+    assert_eq!(404, store.call("GET", &server, &[], "").status);
+}
+
+#[test]
+fn writes_of_missing_or_other_objects_are_refused() {
+    let store = start(&[]);
+    assert_eq!(200, register(&store, "a"));
+    let entry = |name: &str| format!("{SERVERS}/{name}");
+    let object = |name: &str, revision: u64| {
+        json!({"Metadata": {"Name": name, "Rev": revision}, "Spec": 1}).to_string()
+    };
+    let revision = store.call("GET", &entry("a"), &[], "").json()["Metadata"]["Rev"].clone();
+    let revision = revision.as_u64().expect("a revision");
+    let put = |path: &str, body: &str| store.call("PUT", path, &[], body);
+    let conflict = put(&entry("a"), &object("a", revision + 1));
+    assert_eq!(
+        (409, json!("a")),
+        (conflict.status, conflict.json()["Metadata"]["Name"].clone())
+    );
+    let in_query = format!("{}?Rev={}", entry("a"), revision + 1);
+    assert_eq!(409, store.call("DELETE", &in_query, &[], "").status);
+    assert_eq!(404, put(&entry("b"), &object("b", revision)).status);
+    assert_eq!(400, put(&entry("a"), &object("b", revision)).status);
+    assert_eq!(200, put(&entry("a"), &object("a", revision)).status);
+}
+
+#[test]
+fn pages_of_large_objects_are_shorter() {
+    let store = start(&["--page", "500"]);
+    for name in ["a", "b", "c"] {
+        let object = json!({"Metadata": {"Name": name}, "Spec": "x".repeat(600 << 10)});
+        assert_eq!(200, store.post(SERVERS, &[], &object.to_string()));
+    }
+    let page = store.call("GET", SERVERS, &[], "").json();
+    assert_eq!(
+        (Some(1), &json!(true)),
+        (page["Items"].as_array().map(Vec::len), &page["HasMore"])
+    );
+}
+
 #[test]
 fn runner_registers_beats_and_leaves() {
     let store = start(&["--expire-ms", "400"]);
