Show former data to stale reads of the stand-in's store

What callers saw: no test could show what daemons do with a response that is seconds old, since the stand-in answered reads with `AllowStale` as all others.

Change: with `--stale-ms` such reads show the store as it was up to so long ago. Without it nothing changes.

--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -38,6 +38,7 @@
   --reads-per-s N   reading calls per second, beyond which calls get 429; 0 is no limit [default: 0]
   --expire-ms N     time without a write after which an entry of servers is removed; 0 is never
                     [default: 0]
+  --stale-ms N      age up to which reads with AllowStale show former data [default: 0]
   --log LEVEL       off, error, warn, info, debug or trace [default: warn]
   --help            prints this text
   --version         prints the version
@@ -88,6 +89,8 @@
     writes_per_s: u32,
     reads_per_s: u32,
     expiry: Option<Duration>,
+    /// The longest age of the data in reads that may be stale.
+    staleness: Option<Duration>,
 }
 
 /// Reads the options of the subcommand.
@@ -97,11 +100,13 @@
 /// Returns an error if an option is missing or invalid.
 pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
     let expire_ms = command::value(arguments, "--expire-ms", 0)?;
+    let stale_ms = command::value(arguments, "--stale-ms", 0)?;
     Ok(Options {
         limits: Limits {
             writes_per_s: command::value(arguments, "--writes-per-s", 0)?,
             reads_per_s: command::value(arguments, "--reads-per-s", 0)?,
             expiry: (expire_ms > 0).then_some(Duration::from_millis(expire_ms)),
+            staleness: (stale_ms > 0).then_some(Duration::from_millis(stale_ms)),
         },
         listen: command::listen(arguments)?,
         also: command::required(arguments, "--also")?,
@@ -241,6 +246,8 @@
 struct State {
     content: Content,
     copy: Content,
+    /// What reads show that may be stale, if there is a limit on their age.
+    stale: Option<Content>,
     /// The number of times that the store went back to a copy.
     era: u64,
     faults: Faults,
@@ -255,6 +262,14 @@
     schedule: Option<AbortHandle>,
 }
 
+impl State {
+    /// Returns the content that a read with `options` shows.
+    fn shown(&self, options: &CallOptions) -> &Content {
+        let stale = self.stale.as_ref().filter(|_| options.may_be_stale);
+        stale.unwrap_or(&self.content)
+    }
+}
+
 #[derive(Debug)]
 struct Store {
     page: usize,
@@ -289,6 +304,9 @@
     if let Some(expiry) = options.limits.expiry {
         tokio::spawn(expire(Arc::clone(&store), expiry));
     }
+    if let Some(staleness) = options.limits.staleness {
+        tokio::spawn(catch_up(Arc::clone(&store), staleness));
+    }
     let listen = |address, is_second_address: bool, receiver| {
         let store = Arc::clone(&store);
         let handler = move |request| handle(Arc::clone(&store), request, is_second_address);
@@ -310,6 +328,16 @@
     }
 }
 
+/// Brings what stale reads show up to date every `staleness`, forever.
+async fn catch_up(store: Arc<Store>, staleness: Duration) {
+    let mut interval = time::interval(staleness);
+    loop {
+        interval.tick().await;
+        let mut state = store.lock();
+        state.stale = Some(state.content.clone());
+    }
+}
+
 /// Plays outages one after the other.
 async fn play(store: Arc<Store>, outages: Vec<Outage>) {
     for outage in outages {
@@ -396,15 +424,13 @@
             return std::future::pending().await;
         }
         return Ok(match (target, options.watch) {
-            (Target::Kind(kind), Some(revision)) => {
-                store.watch(&kind, revision, options.wait).await
-            }
+            (Target::Kind(kind), Some(revision)) => store.watch(&kind, revision, options).await,
             (Target::Kind(kind), None) => {
-                let page = store.list(&kind, &options.after);
+                let page = store.list(&kind, options);
                 time::sleep(Duration::from_millis(faults.list_delay_ms)).await;
                 page
             }
-            (Target::Object(kind, name), _) => store.get(kind, name),
+            (Target::Object(kind, name), _) => store.get(kind, name, options),
         });
     }
     let reply = store.write(method, target, content, options);
@@ -500,6 +526,7 @@
             "copy" => state.copy = state.content.clone(),
             "restore" => {
                 state.content = state.copy.clone();
+                state.stale = state.stale.as_ref().map(|_| state.copy.clone());
                 state.era += 1;
             }
             "counts" => {
@@ -513,9 +540,11 @@
         reply::json(StatusCode::OK, &json!({}))
     }
 
-    fn list(&self, kind: &str, after: &Name) -> Reply {
+    fn list(&self, kind: &str, options: &CallOptions) -> Reply {
+        let after = &options.after;
         let state = self.lock();
-        let objects = state.content.objects.iter();
+        let content = state.shown(options);
+        let objects = content.objects.iter();
         let remaining: Vec<&Object> = objects
             .filter(|((other, name), _)| other == kind && name > after)
             .map(|(_, object)| object)
@@ -530,21 +559,21 @@
         let page = Page {
             has_more: remaining.len() > items.len(),
             items,
-            store_revision: state.content.revision,
+            store_revision: content.revision,
         };
         reply::json(StatusCode::OK, &page)
     }
 
-    fn get(&self, kind: String, name: Name) -> Reply {
-        match self.lock().content.objects.get(&(kind, name)) {
+    fn get(&self, kind: String, name: Name, options: &CallOptions) -> Reply {
+        match self.lock().shown(options).objects.get(&(kind, name)) {
             Some(object) => reply::json(StatusCode::OK, object),
             None => reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
     }
 
-    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Reply {
+    async fn watch(&self, kind: &str, since: u64, options: &CallOptions) -> Reply {
         let era = self.lock().era;
-        let deadline = time::Instant::now() + wait;
+        let deadline = time::Instant::now() + options.wait;
         loop {
             let next_change = self.changed.notified();
             {
@@ -553,8 +582,8 @@
                 if !is_known || state.era != era {
                     return reply::json(StatusCode::GONE, &json!({}));
                 }
-                let new_changes = state
-                    .content
+                let content = state.shown(options);
+                let new_changes = content
                     .history
                     .iter()
                     .filter(|change| change.revision > since && change.kind == kind);
@@ -562,7 +591,7 @@
                 if !events.is_empty() || time::Instant::now() >= deadline {
                     let changes = Changes {
                         events,
-                        store_revision: state.content.revision,
+                        store_revision: content.revision,
                     };
                     return reply::json(StatusCode::OK, &changes);
                 }
--- a/crates/primrosehoist-standin/tests/store.rs
+++ b/crates/primrosehoist-standin/tests/store.rs
@@ -146,6 +146,25 @@
     assert_eq!(200, put(&entry("a"), &object("a", revision)).status);
 }
 
+#[test]
+fn reads_that_may_be_stale_show_former_data() {
+    let store = start(&["--stale-ms", "700"]);
+    let stale = format!("{SERVERS}?AllowStale=1");
+    let list = |path: &str| store.call("GET", path, &[], "").json();
+    // The data is a moment old only if the store catches up between the calls.
+    wait_for("a read that is stale", || {
+        store.call("DELETE", &format!("{SERVERS}/a"), &[], "");
+        let former = list(&stale)["StoreRevision"].as_u64();
+        assert_eq!(200, register(&store, "a"));
+        let (latest, shown) = (list(SERVERS), list(&stale));
+        assert_eq!("a", latest["Items"][0]["Metadata"]["Name"]);
+        assert!(latest["StoreRevision"].as_u64() > former);
+        (shown["StoreRevision"].as_u64() == former && shown["Items"] == json!([])).then_some(())
+    });
+    let latest = list(SERVERS);
+    wait_for("the data", || (list(&stale) == latest).then_some(()));
+}
+
 #[test]
 fn pages_of_large_objects_are_shorter() {
     let store = start(&["--page", "500"]);
