--- a/crates/primrosehoist-standin/src/published/store.rs
+++ b/crates/primrosehoist-standin/src/published/store.rs
@@ -38,6 +38,7 @@
   --reads-per-s N   reading calls per second, beyond which calls get 429; 0 is no limit [default: 0]
   --expire-ms N     time without a write after which an entry of servers is removed; 0 is never
                     [default: 0]
+  --stale-ms N      age up to which reads with AllowStale show former data [default: 0]
   --log LEVEL       off, error, warn, info, debug or trace [default: warn]
   --help            prints this text
   --version         prints the version
@@ -63,6 +64,9 @@
 /// The largest accepted body, in bytes.
 const BODY_LIMIT_BYTES: usize = 4 * 1024 * 1024;
 
+/// The size of the objects of a page beyond which the list goes on with another page, in bytes.
+const PAGE_BYTES_MAX: usize = 1 << 20;
+
 /// The number of changes kept for watches.
 const HISTORY_MAX: usize = 1000;
 
@@ -87,6 +91,8 @@
     writes_per_s: u32,
     reads_per_s: u32,
     expiry: Option<Duration>,
+    /// The longest age of the data in reads that may be stale.
+    staleness: Option<Duration>,
 }
 
 /// Reads the options of the subcommand.
@@ -96,11 +102,13 @@
 /// Returns an error if an option is missing or invalid.
 pub(crate) fn options(arguments: &mut Arguments) -> Result<Options, Error> {
     let expire_ms = command::value(arguments, "--expire-ms", 0)?;
+    let stale_ms = command::value(arguments, "--stale-ms", 0)?;
     Ok(Options {
         limits: Limits {
             writes_per_s: command::value(arguments, "--writes-per-s", 0)?,
             reads_per_s: command::value(arguments, "--reads-per-s", 0)?,
             expiry: (expire_ms > 0).then_some(Duration::from_millis(expire_ms)),
+            staleness: (stale_ms > 0).then_some(Duration::from_millis(stale_ms)),
         },
         listen: command::listen(arguments)?,
         also: command::required(arguments, "--also")?,
@@ -117,13 +125,53 @@
     status: Option<Value>,
 }
 
+/// What a call did to an object.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    Unchanged,
+    Changed,
+    Removed,
+}
+
+impl Object {
+    /// Replaces what `body` holds. An object that is being deleted is removed with its last finalizer.
+    fn replace(&mut self, body: &Body<'_>) -> Outcome {
+        let mut outcome = Outcome::Unchanged;
+        if let Some(spec) = body.spec.filter(|spec| spec.get() != self.spec.get()) {
+            self.spec = spec.to_owned();
+            outcome = Outcome::Changed;
+        }
+        let finalizers = body.metadata.finalizers.as_ref();
+        if let Some(finalizers) = finalizers.filter(|other| **other != self.metadata.finalizers) {
+            self.metadata.finalizers.clone_from(finalizers);
+            outcome = Outcome::Changed;
+        }
+        if self.metadata.deleting && self.metadata.finalizers.is_empty() {
+            outcome = Outcome::Removed;
+        }
+        outcome
+    }
+
+    /// Removes the object of `kind`, or marks it as being deleted if it has finalizers. Those of entries that
+    /// expire do not count.
+    fn delete(&mut self, kind: &str) -> Outcome {
+        if kind == EXPIRING_KIND || self.metadata.finalizers.is_empty() {
+            Outcome::Removed
+        } else if std::mem::replace(&mut self.metadata.deleting, true) {
+            Outcome::Unchanged
+        } else {
+            Outcome::Changed
+        }
+    }
+}
+
 #[derive(Debug, Clone, Serialize)]
 #[serde(rename_all = "PascalCase")]
 struct Metadata {
     name: Box<RawValue>,
     rev: u64,
     create_rev: u64,
-    finalizers: [&'static str; 0],
+    finalizers: Vec<String>,
     deleting: bool,
 }
 
@@ -209,6 +257,8 @@
 struct State {
     content: Content,
     copy: Content,
+    /// What reads show that may be stale, if there is a limit on their age.
+    stale: Option<Content>,
     /// The number of times that the store went back to a copy.
     era: u64,
     faults: Faults,
@@ -225,6 +275,14 @@
     schedule: Option<AbortHandle>,
 }
 
+impl State {
+    /// Returns the content that a read with `options` shows.
+    fn shown(&self, options: &CallOptions) -> &Content {
+        let stale = self.stale.as_ref().filter(|_| options.may_be_stale);
+        stale.unwrap_or(&self.content)
+    }
+}
+
 #[derive(Debug)]
 struct Store {
     page: usize,
@@ -259,6 +317,9 @@
     if let Some(expiry) = options.limits.expiry {
         tokio::spawn(expire(Arc::clone(&store), expiry));
     }
+    if let Some(staleness) = options.limits.staleness {
+        tokio::spawn(catch_up(Arc::clone(&store), staleness));
+    }
     let listen = |address, is_second_address: bool, receiver| {
         let store = Arc::clone(&store);
         let handler = move |request| handle(Arc::clone(&store), request, is_second_address);
@@ -280,6 +341,16 @@
     }
 }
 
+/// Brings what stale reads show up to date every `staleness`, forever.
+async fn catch_up(store: Arc<Store>, staleness: Duration) {
+    let mut interval = time::interval(staleness);
+    loop {
+        interval.tick().await;
+        let mut state = store.lock();
+        state.stale = Some(state.content.clone());
+    }
+}
+
 /// Plays outages one after the other.
 async fn play(store: Arc<Store>, outages: Vec<Outage>) {
     for outage in outages {
@@ -366,15 +437,13 @@
             return std::future::pending().await;
         }
         return Ok(match (target, options.watch) {
-            (Target::Kind(kind), Some(revision)) => {
-                store.watch(&kind, revision, options.wait).await
-            }
+            (Target::Kind(kind), Some(revision)) => store.watch(&kind, revision, options).await,
             (Target::Kind(kind), None) => {
-                let page = store.list(&kind, &options.after);
+                let page = store.list(&kind, options);
                 time::sleep(Duration::from_millis(faults.list_delay_ms)).await;
                 page
             }
-            (Target::Object(kind, name), _) => store.get(kind, name),
+            (Target::Object(kind, name), _) => store.get(kind, name, options),
         });
     }
     let reply = store.write(method, target, content, options);
@@ -477,6 +546,7 @@
             "copy" => state.copy = state.content.clone(),
             "restore" => {
                 state.content = state.copy.clone();
+                state.stale = state.stale.as_ref().map(|_| state.copy.clone());
                 state.era += 1;
             }
             "counts" => {
@@ -514,32 +584,40 @@
         Ok(())
     }
 
-    fn list(&self, kind: &str, after: &Name) -> Reply {
+    fn list(&self, kind: &str, options: &CallOptions) -> Reply {
+        let after = &options.after;
         let state = self.lock();
-        let objects = state.content.objects.iter();
+        let content = state.shown(options);
+        let objects = content.objects.iter();
         let remaining: Vec<&Object> = objects
             .filter(|((other, name), _)| other == kind && name > after)
             .map(|(_, object)| object)
             .collect();
-        let items: Vec<&Object> = remaining.iter().take(self.page).copied().collect();
+        let mut bytes = 0;
+        let page = remaining.iter().take(self.page).take_while(|object| {
+            let is_first = bytes == 0;
+            bytes += object.spec.get().len();
+            is_first || bytes <= PAGE_BYTES_MAX
+        });
+        let items: Vec<&Object> = page.copied().collect();
         let page = Page {
             has_more: remaining.len() > items.len(),
             items,
-            store_revision: state.content.revision,
+            store_revision: content.revision,
         };
         reply::json(StatusCode::OK, &page)
     }
 
-    fn get(&self, kind: String, name: Name) -> Reply {
-        match self.lock().content.objects.get(&(kind, name)) {
+    fn get(&self, kind: String, name: Name, options: &CallOptions) -> Reply {
+        match self.lock().shown(options).objects.get(&(kind, name)) {
             Some(object) => reply::json(StatusCode::OK, object),
             None => reply::json(StatusCode::NOT_FOUND, &json!({})),
         }
     }
 
-    async fn watch(&self, kind: &str, since: u64, wait: Duration) -> Reply {
+    async fn watch(&self, kind: &str, since: u64, options: &CallOptions) -> Reply {
         let era = self.lock().era;
-        let deadline = time::Instant::now() + wait;
+        let deadline = time::Instant::now() + options.wait;
         loop {
             let next_change = self.changed.notified();
             {
@@ -548,8 +626,8 @@
                 if !is_known || state.era != era {
                     return reply::json(StatusCode::GONE, &json!({}));
                 }
-                let new_changes = state
-                    .content
+                let content = state.shown(options);
+                let new_changes = content
                     .history
                     .iter()
                     .filter(|change| change.revision > since && change.kind == kind);
@@ -557,7 +635,7 @@
                 if !events.is_empty() || time::Instant::now() >= deadline {
                     let changes = Changes {
                         events,
-                        store_revision: state.content.revision,
+                        store_revision: content.revision,
                     };
                     return reply::json(StatusCode::OK, &changes);
                 }
@@ -583,49 +661,40 @@
         let given = body.metadata.name;
         let given_key = given.and_then(|name| serde_json::from_str::<Name>(name.get()).ok());
         let (kind, name) = match (method, target) {
-            (&Method::POST, Target::Kind(kind)) => (kind, given_key.unwrap_or_default()),
+            (&Method::POST, Target::Kind(kind)) => (kind, given_key.clone().unwrap_or_default()),
             (&Method::PUT | &Method::DELETE, Target::Object(kind, name)) => (kind, name),
             _ => return Ok(reply::json(StatusCode::METHOD_NOT_ALLOWED, &json!({}))),
         };
         if name.is_empty() {
             return Err(request::Error::Body);
         }
+        // A body for another object is a mistake of the client, whatever a store makes of it.
+        if given_key.is_some_and(|given| given != name) {
+            return Err(request::Error::Body);
+        }
         let key = (kind, name);
         let mut state = self.lock();
         let existing = state.content.objects.get(&key).cloned();
         let expected = body.metadata.revision.or(options.revision);
-        let current = existing.as_ref().map(|object| object.metadata.rev);
-        let conflict = match method {
-            &Method::POST => existing.is_some(),
-            _ => expected.is_some() && expected != current,
-        };
+        let conflict = existing.as_ref().is_some_and(|object| {
+            let is_other = expected.is_some_and(|revision| revision != object.metadata.rev);
+            method == Method::POST || is_other
+        });
         if conflict {
             return Ok(reply::json(StatusCode::CONFLICT, &existing));
         }
         if key.0 == EXPIRING_KIND && !is_deleted {
             state.written.insert(key.1.clone(), Instant::now());
         }
-        let is_same = |object: &&Object| {
-            body.spec
-                .is_some_and(|spec| spec.get() == object.spec.get())
-        };
-        if let Some(object) = existing.as_ref().filter(is_same)
-            && !is_deleted
-        {
-            return Ok(reply::json(StatusCode::OK, object));
-        }
         let revision = state.content.revision + 1;
-        let object = match (existing, given) {
-            (Some(mut object), _) => {
-                object.metadata.rev = revision;
-                object
-            }
+        let mut object = match (existing, given) {
+            (Some(object), _) => object,
             (None, Some(name)) if method == Method::POST => Object {
                 metadata: Metadata {
                     name: name.to_owned(),
                     rev: revision,
                     create_rev: revision,
-                    finalizers: [],
+                    finalizers: Vec::new(),
                     deleting: false,
                 },
                 spec: RawValue::NULL.to_owned(),
@@ -633,15 +702,19 @@
             },
             (None, _) => return Ok(reply::json(StatusCode::NOT_FOUND, &json!({}))),
         };
-        let object = match body.spec {
-            Some(spec) if !is_deleted => Object {
-                spec: spec.to_owned(),
-                ..object
-            },
-            _ => object,
+        let outcome = if is_deleted {
+            object.delete(&key.0)
+        } else {
+            object.replace(&body)
         };
+        if outcome == Outcome::Unchanged && method != Method::POST {
+            return Ok(reply::json(StatusCode::OK, &object));
+        }
+        object.metadata.rev = revision;
         state.content.revision = revision;
-        state.content.apply(key, &object, is_deleted);
+        state
+            .content
+            .apply(key, &object, outcome == Outcome::Removed);
         drop(state);
         self.changed.notify_waiters();
         Ok(reply::json(StatusCode::OK, &object))
