Compare and record headers byte for byte in the stand-in of runners

What callers saw: nobody; a test could not see it if a request for another runner ran.

Cause: the stand-in read `X-Expect-Instance` only if it was visible ASCII, and ran a request with another value as if it named no runner. Of a header that occurs twice it compared and recorded the first. An id in UTF-8 was not read, and not echoed.

Change: all values of `X-Expect-Instance` have to be the id of the runner, byte for byte. What a run records of a header are all of its values. Ids in UTF-8 are read and echoed.

--- a/crates/primrosehoist-standin/src/published/runner.rs
+++ b/crates/primrosehoist-standin/src/published/runner.rs
@@ -311,10 +311,14 @@
     insert_header(response, RECEIPT, &format!("{runner}.{id}"));
 }
 
+/// Adds a header to a response.
+///
+/// # Panics
+///
+/// Panics if `value` holds a control character. Ids that were received in a header do not.
 fn insert_header(response: &mut Response<Payload>, name: HeaderName, value: &str) {
-    if let Ok(value) = HeaderValue::from_str(value) {
-        response.headers_mut().insert(name, value);
-    }
+    let value = HeaderValue::from_bytes(value.as_bytes()).expect("headers hold the value");
+    response.headers_mut().insert(name, value);
 }
 
 fn not_executed(status: StatusCode) -> Response<Payload> {
@@ -346,8 +350,12 @@
         }
     }
 
+    /// Returns whether no other runner is expected, byte for byte.
     fn matches_expected_id(&self, headers: &HeaderMap) -> bool {
-        reply::header(headers, "x-expect-instance").is_none_or(|id| *id == self.id)
+        let expected = headers.get_all("x-expect-instance");
+        expected
+            .iter()
+            .all(|id| id.as_bytes() == self.id.as_bytes())
     }
 
     /// Returns the part that ends this process, if the request has it.
@@ -428,7 +436,14 @@
     }
 
     fn record(&self, id: &str, parts: &Parts, content: &[u8]) {
-        let header = |name| reply::header(&parts.headers, name);
+        // A header that occurs twice is not taken for one that occurs once.
+        let header = |name| {
+            let values = parts.headers.get_all(name).iter();
+            let values: Vec<_> = values
+                .map(|value| String::from_utf8_lossy(value.as_bytes()))
+                .collect();
+            (!values.is_empty()).then(|| Arc::from(values.join(", ")))
+        };
         self.lock().runs.push(Run {
             id: id.to_owned(),
             method: parts.method.to_string(),
--- a/crates/primrosehoist-standin/src/reply.rs
+++ b/crates/primrosehoist-standin/src/reply.rs
@@ -128,9 +128,10 @@
     Ok(content.freeze())
 }
 
-/// Returns the value of a header if it is present and visible ASCII.
+/// Returns the value of a header if it is present and UTF-8.
 pub(crate) fn header(headers: &HeaderMap, name: &str) -> Option<Arc<str>> {
-    headers.get(name)?.to_str().ok().map(Arc::from)
+    let value = headers.get(name)?.as_bytes();
+    str::from_utf8(value).ok().map(Arc::from)
 }
 
 /// Returns the time since the Unix epoch in milliseconds.
