Send no request without its workspace or the id of its upstream

What callers saw: requests of a workspace whose name ends with a line break ran for nobody, and those of ` rope` ran for `rope`. If all workspaces of a configuration were malformed, requests without a key ran.

Cause: a name that no header holds (a control character) was left out of `X-Tenant` or `X-Expect-Instance`, with a log line for each request, and the request was sent. Blanks at the ends of a name were sent, and trimmed by the receiver, so another workspace was named. Malformed workspaces were skipped before it was decided whether routes need a key. Names in UTF-8 were sent correctly.

Change: `protocol::header::Text` is text that a header holds and a receiver reads as it is. Names of workspaces and ids of upstreams are checked by it where they are decoded. An upstream without such an id is rejected. The keys of a workspace that is malformed or has no such name are `Access::Unusable`: 503 before the request runs, since a 401 would deny a key that is valid; routes need a key as soon as any workspace is listed. What is sent is checked again: `header::forward`, `reservation::headers` and `handover::Request::insert` return an error instead of leaving a header out, and the request is not sent. The receiver of a handover refuses one from an empty host.

`a_workspace_that_cannot_be_read_is_not_taken_for_an_open_route` demands now that such a workspace is not sent at all; before, it was sent empty and refused by the receiver.

--- a/crates/primrosehoist-daemon/src/gateway/attempt.rs
+++ b/crates/primrosehoist-daemon/src/gateway/attempt.rs
@@ -265,7 +265,19 @@
         placement.waiting = Some(Waiting::begin(&self.context, &upstream.id));
         let remaining = self.job.remaining();
         let gate = self.gate(&upstream);
-        let request = forward::request(&self.job, &placement, remaining, last_event);
+        let request = match forward::request(&self.job, &placement, remaining, last_event) {
+            Ok(request) => request,
+            Err(error) => {
+                log::error!(
+                    request = self.job.request.id.as_str(),
+                    upstream = upstream.id.as_ref(),
+                    error:%;
+                    "request not sent"
+                );
+                let failure = Failure::Unsent;
+                return Err(Failed { upstream, failure });
+            }
+        };
         let pool = self.context.pool(upstream.address);
         let options = self.options();
         let limit = self.silence_timeout(Some(&placement));
--- a/crates/primrosehoist-daemon/src/gateway/forward.rs
+++ b/crates/primrosehoist-daemon/src/gateway/forward.rs
@@ -14,12 +14,16 @@
 const RESUMED_PRIORITY: u64 = 0;
 
 /// Returns the request for an attempt of `job` that may take `remaining` and goes on after `last_event`.
+///
+/// # Errors
+///
+/// Returns an error if no header holds what the upstream must be told.
 pub(super) fn request(
     job: &Job,
     placement: &Placement,
     remaining: Duration,
     last_event: Option<u64>,
-) -> Request<Payload> {
+) -> Result<Request<Payload>, header::Error> {
     let helpers = placement.helpers.iter().enumerate();
     let helpers = helpers.map(|(index, helper)| {
         let reservation = placement.reservation.as_ref();
@@ -44,6 +48,6 @@
     *request.method_mut() = job.method.clone();
     // The target was parsed from a request, so parsing it again succeeds.
     *request.uri_mut() = job.target.parse().unwrap_or_default();
-    *request.headers_mut() = header::forward(&job.headers, &overrides);
-    request
+    *request.headers_mut() = header::forward(&job.headers, &overrides)?;
+    Ok(request)
 }
--- a/crates/primrosehoist-daemon/src/gateway/handover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/handover.rs
@@ -104,7 +104,13 @@
 
     async fn send_to(&mut self, address: IpAddr, last_event: Option<u64>) -> Handed {
         let sending = rand::random();
-        let request = self.request_for_daemon(sending, last_event);
+        let request = match self.request_for_daemon(sending, last_event) {
+            Ok(request) => request,
+            Err(error) => {
+                log::error!(request = self.job.request.id.as_str(), error:%; "request not handed over");
+                return Handed::Refused;
+            }
+        };
         let gate = self.gate_for_daemon();
         let pool = self.context.handover_pool(address);
         let options = Options {
@@ -238,7 +244,16 @@
         Arc::new(Gate::new(Arc::default(), allowed))
     }
 
-    fn request_for_daemon(&self, sending: u64, last_event: Option<u64>) -> Request<Payload> {
+    /// Returns the request to another daemon.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no header holds what that one must be told.
+    fn request_for_daemon(
+        &self,
+        sending: u64,
+        last_event: Option<u64>,
+    ) -> Result<Request<Payload>, handover::Error> {
         let head = handover::Request {
             sending,
             host: Arc::clone(&self.context.settings.host),
@@ -255,8 +270,8 @@
         // The target was parsed from a request, so parsing it again succeeds.
         *request.uri_mut() = self.job.target.parse().unwrap_or_default();
         *request.headers_mut() = header::without_credentials(&self.job.headers);
-        head.insert(request.headers_mut());
-        request
+        head.insert(request.headers_mut())?;
+        Ok(request)
     }
 }
 
--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -240,6 +240,19 @@
     let workspace = match table.access(route, request.key.as_deref()) {
         Access::Open => None,
         Access::Workspace(workspace) => Some(workspace),
+        Access::Unusable => {
+            if let Some(unlogged) = context.reject(Reason::UnusableWorkspace) {
+                log::error!(
+                    request = request.id.as_str(),
+                    route = route.name.as_ref(),
+                    version = table.version(),
+                    unlogged;
+                    "the workspace of the key cannot be served"
+                );
+            }
+            let reason = "the workspace cannot be served";
+            return Err(Box::new(refuse(reason, UNCONFIGURED_RETRY_S)));
+        }
         Access::Unknown if isolated => {
             return Err(Box::new(refuse("cut off", UNCONFIGURED_RETRY_S)));
         }
--- a/crates/primrosehoist-daemon/src/gateway/rejections.rs
+++ b/crates/primrosehoist-daemon/src/gateway/rejections.rs
@@ -19,6 +19,8 @@
     BadHeader,
     /// Its key is not known.
     UnknownKey,
+    /// Its key is that of a workspace that cannot be served.
+    UnusableWorkspace,
     /// Its body could not be read.
     Body,
     /// The active configuration has no service for its route.
--- a/crates/primrosehoist-daemon/src/gateway/reservation.rs
+++ b/crates/primrosehoist-daemon/src/gateway/reservation.rs
@@ -120,7 +120,7 @@
 /// Returns a ticket id that is unique across daemons and their restarts.
 fn ticket_id(context: &Context) -> String {
     let number = NEXT_NUMBER.fetch_add(1, Ordering::Relaxed);
-    format!("{}.{}.{number}", context.settings.host, context.started_ms)
+    reservation::id(&context.settings.host, context.started_ms, number)
 }
 
 async fn renew(context: Arc<Context>, tickets: Vec<Ticket>) {
@@ -171,7 +171,13 @@
     let mut request = Request::new(body.boxed_unsync());
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from_static(reservation::PATH);
-    *request.headers_mut() = reservation::headers(&ticket.upstream.id);
+    *request.headers_mut() = match reservation::headers(&ticket.upstream.id) {
+        Ok(headers) => headers,
+        Err(error) => {
+            log::error!(upstream = ticket.upstream.id.as_ref(), error:%; "reservation request not sent");
+            return None;
+        }
+    };
     let address = ticket.upstream.address;
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         request.headers_mut().insert(header::HOST, host);
--- a/crates/primrosehoist-daemon/src/gateway/takeover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/takeover.rs
@@ -118,7 +118,10 @@
             upstream: answer.upstream,
             reason: answer.reason.to_owned(),
         };
-        said.insert(response.headers_mut());
+        if let Err(error) = said.insert(response.headers_mut()) {
+            // Without the outcome, the other daemon takes it for uncertain.
+            log::error!(sending, error:%; "the outcome of a request of another daemon is not told");
+        }
     }
     if context.is_draining() {
         let close = HeaderValue::from_static("close");
--- a/crates/primrosehoist-tests/tests/common/handover.rs
+++ b/crates/primrosehoist-tests/tests/common/handover.rs
@@ -36,7 +36,7 @@
 /// Returns the headers of a request that is handed over.
 pub fn headers(handover: &handover::Request) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    handover.insert(&mut headers);
+    handover.insert(&mut headers).expect("headers hold it");
     headers
 }
 
--- a/crates/primrosehoist-tests/tests/copies_on_hops.rs
+++ b/crates/primrosehoist-tests/tests/copies_on_hops.rs
@@ -88,7 +88,7 @@
         reason: "test".to_owned(),
     };
     let mut headers = HeaderMap::new();
-    said.insert(&mut headers);
+    said.insert(&mut headers).expect("headers hold it");
     let added = headers.iter();
     let added: Vec<String> = added
         .map(|(name, value)| format!("{name}: {}\r\n", value.to_str().expect("is text")))
--- /dev/null
+++ b/crates/primrosehoist-tests/tests/odd_traffic.rs
@@ -0,0 +1,221 @@
+//! Tests of traffic whose names, keys and ids someone else wrote.
+
+mod common;
+
+use std::io::Write;
+
+use common::handover::{SENDING, connect_from};
+use common::platform::{
+    Deployment, HOST, KEY, Request, configuration, receive, send, wait_for, wait_until,
+};
+use serde_json::{Value, json};
+
+/// Names that a header holds as they are.
+const NAMES: [&str; 4] = ["\u{e9}", "\u{65e5}\u{672c} x", "a%20b", "a,b\"/\\"];
+
+/// Names that no header holds, or not as they are. Receivers trim the first ones.
+const UNUSABLE: [&str; 10] = [
+    " rope",
+    "rope ",
+    "\trope",
+    "rope\t",
+    "",
+    "a\r\nX-Tenant: rope",
+    "rope\n",
+    "rope\u{0}",
+    "\u{7f}rope",
+    "rope\u{1b}[2J",
+];
+
+/// The keys of additional workspaces.
+const KEYS: [&str; 10] = [
+    "key-0", "key-1", "key-2", "key-3", "key-4", "key-5", "key-6", "key-7", "key-8", "key-9",
+];
+
+/// Returns a configuration with a workspace for each of `names`, each with one of [`KEYS`].
+fn with_workspaces(version: u64, names: &[&str]) -> Value {
+    let mut spec = configuration(version);
+    let workspaces = spec["Tenants"].as_array_mut().expect("workspaces");
+    let added = names.iter().zip(KEYS);
+    workspaces.extend(added.map(|(name, key)| json!({"Name": name, "ApiKeys": [key, 7]})));
+    spec
+}
+
+/// Returns a request with the key `key`.
+fn request(key: &'static str) -> Request {
+    Request {
+        key,
+        ..Request::new("GET", "/look/1")
+    }
+}
+
+/// Starts a daemon with the configuration `spec`.
+fn started(spec: &Value) -> Deployment {
+    let mut deployment = Deployment::without_daemons();
+    deployment.configure(spec);
+    for index in 0..deployment.runners.len() {
+        deployment.register(index, "ready");
+    }
+    let store = deployment.store.clone();
+    deployment.add_daemon("zone-a", &store);
+    deployment.wait_until_ready(0);
+    deployment
+}
+
+/// Returns the log lines of the first daemon with `message`.
+fn lines(deployment: &Deployment, message: &str) -> Vec<Value> {
+    let log = deployment.daemons[0].logged();
+    let lines = log.lines().filter(|line| line.contains(message));
+    lines
+        .map(|line| serde_json::from_str(line).expect("JSON"))
+        .collect()
+}
+
+#[test]
+fn names_of_workspaces_reach_the_upstream_as_they_are() {
+    let deployment = started(&with_workspaces(1, &NAMES));
+    for (name, key) in NAMES.iter().zip(KEYS) {
+        let request = request(key);
+        let response = send(&deployment.daemons[0].ingress, &request);
+        assert_eq!(response.status, 200, "{name:?}: {response:?}");
+        let runs = deployment.runs(&request.id);
+        assert_eq!(runs.len(), 1, "{name:?}");
+        assert_eq!(runs[0].1["tenant"], *name);
+        assert_eq!(runs[0].1["authorization"], Value::Null);
+    }
+}
+
+/// Guards against requests that run for nobody, or for another workspace.
+#[test]
+fn requests_of_workspaces_that_no_header_holds_are_refused_and_do_not_run() {
+    let deployment = started(&with_workspaces(1, &UNUSABLE));
+    let mut wrong = Vec::new();
+    for (name, key) in UNUSABLE.iter().zip(KEYS) {
+        let request = request(key);
+        let response = send(&deployment.daemons[0].ingress, &request);
+        let runs = deployment.runs(&request.id);
+        if response.status != 503 || response.header("retry-after").is_none() || !runs.is_empty() {
+            let workspaces = runs.into_iter().map(|(_, run)| run["tenant"].clone());
+            wrong.push((name, response.status, workspaces.collect::<Vec<_>>()));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+    for (key, expected) in [(KEY, 200), ("unknown", 401), ("", 401)] {
+        let response = send(&deployment.daemons[0].ingress, &request(key));
+        assert_eq!(response.status, expected, "{key:?}");
+    }
+    let skipped = lines(&deployment, "malformed config entry skipped");
+    assert_eq!(skipped.len(), UNUSABLE.len(), "{skipped:?}");
+    let skipped = lines(&deployment, "malformed header skipped");
+    assert_eq!(skipped.len(), 0, "{skipped:?}");
+}
+
+/// Guards against routes that are open because no workspace is usable.
+#[test]
+fn routes_are_not_open_if_all_workspaces_are_malformed() {
+    let mut spec = configuration(1);
+    spec["Tenants"] = json!([{"Name": "rope\n", "ApiKeys": [KEY]}, {"Name": 7}, "rope"]);
+    let deployment = started(&spec);
+    for (key, expected) in [(KEY, 503), ("unknown", 401)] {
+        let request = request(key);
+        let response = send(&deployment.daemons[0].ingress, &request);
+        assert_eq!(response.status, expected, "{key:?}");
+        assert_eq!(deployment.runs(&request.id), [], "{key:?}");
+    }
+}
+
+/// Guards against an upstream at the address of another one that runs its requests.
+#[test]
+fn upstreams_run_only_what_is_meant_for_them() {
+    let mut deployment = Deployment::without_daemons();
+    deployment.configure(&configuration(1));
+    let own = "i-\u{e9}\u{65e5}".to_owned();
+    deployment.runners[0].process = None;
+    deployment.runners[0].id = own.clone();
+    deployment.start_runner(0);
+    let other = deployment.entry(1, "ready");
+    for name in ["i-\u{e8}", " i-1", "i-1 ", "i-1\r\nX-Other: 1"] {
+        deployment.put("servers", name, &other);
+    }
+    let store = deployment.store.clone();
+    deployment.add_daemon("zone-a", &store);
+    deployment.wait_until_ready(0);
+    let request = || Request::new("GET", "/look/1");
+    let refused = send(&deployment.daemons[0].ingress, &request());
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert_eq!(deployment.counts(1)["runs"], json!([]));
+    deployment.register(0, "ready");
+    wait_until("the runner is used", || {
+        send(&deployment.daemons[0].ingress, &request()).status == 200
+    });
+    let runs = deployment.counts(0)["runs"].clone();
+    assert_eq!(runs.as_array().map(Vec::len), Some(1), "{runs}");
+    assert_eq!(deployment.counts(1)["runs"], json!([]));
+}
+
+/// Sends a request handed over with the header line `workspace`; returns the status and the outcome.
+fn hand_over(
+    deployment: &Deployment,
+    id: &str,
+    host: &[u8],
+    workspace: &[u8],
+) -> (u16, Option<String>) {
+    let address = format!("{}.41", deployment.network);
+    let address = address.parse().expect("an address");
+    let mut connection = connect_from(deployment, Some(address));
+    let head = format!(
+        "GET /look/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: {id}\r\nX-Deadline-Ms: 8000\r\n\
+         Content-Length: 0\r\nprimrosehoist-sending: {SENDING:x}\r\nprimrosehoist-elapsed-ms: 5\r\n\
+         primrosehoist-remaining-ms: 7000\r\nprimrosehoist-attempts: 2\r\nprimrosehoist-resumes: 0\r\n\
+         primrosehoist-versions: 0,0,0,0,0\r\n"
+    );
+    let bytes = [head.as_bytes(), host, workspace, b"\r\n"].concat();
+    connection.write_all(&bytes).expect("sends the request");
+    let response = receive(&mut connection);
+    let outcome = response.header("primrosehoist-outcome").map(str::to_owned);
+    (response.status, outcome)
+}
+
+#[test]
+fn requests_handed_over_run_for_the_workspace_that_is_named() {
+    let spec = with_workspaces(1, &["\u{e9}", " rope", "rope ", "rope\n"]);
+    let mut deployment = started(&spec);
+    let store = deployment.store.clone();
+    deployment.add_daemon("zone-a", &store);
+    deployment.wait_until_ready(1);
+    let host = b"primrosehoist-host: frontend-1\r\n";
+    wait_for("the daemons know each other", || {
+        let (status, _) = hand_over(
+            &deployment,
+            "probe",
+            host,
+            b"primrosehoist-workspace: rope\r\n",
+        );
+        (status == 200).then_some(())
+    });
+    let named = "primrosehoist-workspace: \u{e9}\r\n".as_bytes();
+    let (status, outcome) = hand_over(&deployment, "named", host, named);
+    assert_eq!((status, outcome.as_deref()), (200, Some("answered")));
+    assert_eq!(deployment.runs("named")[0].1["tenant"], "\u{e9}");
+    let lines: [(&[u8], &[u8]); 6] = [
+        (host, b"primrosehoist-workspace: \r\n"),
+        (host, b"primrosehoist-workspace: \xe9\r\n"),
+        (
+            host,
+            b"primrosehoist-workspace: rope\r\nprimrosehoist-workspace: rope\r\n",
+        ),
+        (host, b""),
+        (b"", b"primrosehoist-workspace: rope\r\n"),
+        (
+            b"primrosehoist-host: \r\n",
+            b"primrosehoist-workspace: rope\r\n",
+        ),
+    ];
+    for (index, (host, workspace)) in lines.into_iter().enumerate() {
+        let id = format!("odd-{index}");
+        let (status, outcome) = hand_over(&deployment, &id, host, workspace);
+        let is_not_run = matches!(outcome.as_deref(), Some("busy" | "not_run"));
+        assert!(status >= 400 && is_not_run, "{index}: {status} {outcome:?}");
+        assert_eq!(deployment.runs(&id), [], "{index}");
+    }
+}
--- a/src/protocol/handover.rs
+++ b/src/protocol/handover.rs
@@ -12,6 +12,7 @@
 use quick_error::quick_error;
 use strum::{Display, EnumString};
 
+use crate::protocol::header::{self, Text};
 use crate::state::versions::Versions;
 
 /// The prefix of all names of headers between daemons.
@@ -35,11 +36,13 @@
 const TIME_MAX: Duration = Duration::from_secs(3600);
 
 quick_error! {
-    /// An error from decoding the headers of a handover.
+    /// An error from decoding or encoding the headers of a handover.
     #[derive(Debug, Clone, PartialEq, Eq)]
     pub enum Error {
         /// A header is missing or malformed.
         Header(name: &'static str) { display("header {} is missing or malformed", name) }
+        /// No header holds the value of a header.
+        Value(name: &'static str, cause: header::Error) { display("header {}: {}", name, cause) }
     }
 }
 
@@ -99,14 +102,22 @@
 
 impl Request {
     /// Adds the headers to those of the caller.
-    pub fn insert(&self, headers: &mut HeaderMap) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no header holds the host or the workspace. The request must not be sent then: without the
+    /// workspace, its route would count as open.
+    pub fn insert(&self, headers: &mut HeaderMap) -> Result<(), Error> {
         strip(headers);
-        insert_text(headers, SENDING, &format!("{:x}", self.sending));
-        insert_text(headers, HOST, &self.host);
+        insert_text(
+            headers,
+            SENDING,
+            "primrosehoist-sending",
+            &format!("{:x}", self.sending),
+        )?;
+        insert_text(headers, HOST, "primrosehoist-host", &self.host)?;
         if let Some(workspace) = &self.workspace {
-            // An empty value is refused; without the header, the route would count as open.
-            headers.insert(WORKSPACE, HeaderValue::from_static(""));
-            insert_text(headers, WORKSPACE, workspace);
+            insert_text(headers, WORKSPACE, "primrosehoist-workspace", workspace)?;
         }
         headers.insert(ELAPSED, milliseconds(self.elapsed));
         headers.insert(REMAINING, milliseconds(self.remaining));
@@ -115,7 +126,12 @@
             headers.insert(LAST_EVENT, HeaderValue::from(last));
         }
         headers.insert(RESUMES, HeaderValue::from(u64::from(self.resumes)));
-        insert_text(headers, VERSIONS, &self.versions.to_string());
+        insert_text(
+            headers,
+            VERSIONS,
+            "primrosehoist-versions",
+            &self.versions.to_string(),
+        )
     }
 }
 
@@ -129,7 +145,8 @@
         };
         let attempts = number(headers, &ATTEMPTS, "primrosehoist-attempts")?;
         let versions = text(headers, &VERSIONS).and_then(|text| text.parse().ok());
-        let host = text(headers, &HOST).ok_or(Error::Header("primrosehoist-host"))?;
+        let host = text(headers, &HOST).filter(|host| !host.is_empty());
+        let host = host.ok_or(Error::Header("primrosehoist-host"))?;
         let last_event = match headers.get(&LAST_EVENT) {
             Some(_) => Some(number(headers, &LAST_EVENT, "primrosehoist-last-event")?),
             None => None,
@@ -161,16 +178,31 @@
 
 impl Response {
     /// Adds the headers to those of the answer.
-    pub fn insert(&self, headers: &mut HeaderMap) {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no header holds the upstream or the reason.
+    pub fn insert(&self, headers: &mut HeaderMap) -> Result<(), Error> {
         strip(headers);
-        insert_text(headers, SENDING, &format!("{:x}", self.sending));
-        insert_text(headers, OUTCOME, &self.outcome.to_string());
+        insert_text(
+            headers,
+            SENDING,
+            "primrosehoist-sending",
+            &format!("{:x}", self.sending),
+        )?;
+        insert_text(
+            headers,
+            OUTCOME,
+            "primrosehoist-outcome",
+            &self.outcome.to_string(),
+        )?;
         if let Some(upstream) = &self.upstream {
-            insert_text(headers, UPSTREAM, upstream);
+            insert_text(headers, UPSTREAM, "primrosehoist-upstream", upstream)?;
         }
         if !self.reason.is_empty() {
-            insert_text(headers, REASON, &self.reason);
+            insert_text(headers, REASON, "primrosehoist-reason", &self.reason)?;
         }
+        Ok(())
     }
 }
 
@@ -230,11 +262,17 @@
     HeaderValue::from(time.min(TIME_MAX).as_millis() as u64)
 }
 
-fn insert_text(headers: &mut HeaderMap, name: HeaderName, value: &str) {
-    match HeaderValue::from_bytes(value.as_bytes()) {
+fn insert_text(
+    headers: &mut HeaderMap,
+    header: HeaderName,
+    name: &'static str,
+    value: &str,
+) -> Result<(), Error> {
+    match Text::try_from(value) {
         Ok(value) => {
-            headers.insert(name, value);
+            headers.insert(header, value.into());
+            Ok(())
         }
-        Err(error) => log::error!(header = name.as_str(), error:%; "malformed header skipped"),
+        Err(cause) => Err(Error::Value(name, cause)),
     }
 }
--- a/src/protocol/mod.rs
+++ b/src/protocol/mod.rs
@@ -5,6 +5,7 @@
 pub mod explanation;
 pub mod gossip;
 pub mod handover;
+pub mod header;
 pub mod openai;
 pub mod operator;
 pub mod platform;
--- a/src/state/route.rs
+++ b/src/state/route.rs
@@ -1,6 +1,6 @@
 //! The routing table: maps a request to a service, checks access and holds the request limits.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -146,6 +146,8 @@
     Open,
     /// The key belongs to this workspace.
     Workspace(Arc<Workspace>),
+    /// The key belongs to a workspace that cannot be served.
+    Unusable,
     /// The key is missing or belongs to no workspace.
     Unknown,
 }
@@ -159,6 +161,8 @@
     services: Map<Arc<str>, Arc<Service>>,
     keys: HashMap<Arc<str>, Arc<Workspace>>,
     workspaces: HashMap<Arc<str>, Arc<Workspace>>,
+    /// The keys of workspaces that cannot be served.
+    unusable_keys: HashSet<Arc<str>>,
     requires_key: bool,
     limits: Limits,
 }
@@ -197,11 +201,24 @@
             services: services.into_iter().map(by_name).collect(),
             keys,
             workspaces: by_workspace,
+            unusable_keys: HashSet::new(),
             requires_key,
             limits,
         }
     }
 
+    /// Adds a workspace that cannot be served, with those of its keys that are known. Like any other one, it makes
+    /// routes require a key.
+    #[must_use]
+    pub fn with_unusable_workspace<K>(mut self, keys: K) -> Self
+    where
+        K: IntoIterator<Item = Arc<str>>,
+    {
+        self.requires_key = true;
+        self.unusable_keys.extend(keys);
+        self
+    }
+
     /// Returns the configuration version; higher versions are newer.
     pub fn version(&self) -> u64 {
         self.version
@@ -236,8 +253,12 @@
         if route.open || !self.requires_key {
             return Access::Open;
         }
-        match key.and_then(|key| self.keys.get(key)) {
+        let Some(key) = key else {
+            return Access::Unknown;
+        };
+        match self.keys.get(key) {
             Some(workspace) => Access::Workspace(Arc::clone(workspace)),
+            None if self.unusable_keys.contains(key) => Access::Unusable,
             None => Access::Unknown,
         }
     }
--- a/tests/handover_headers.rs
+++ b/tests/handover_headers.rs
@@ -27,7 +27,7 @@
 
 fn encode(request: &Request) -> HeaderMap {
     let mut headers = HeaderMap::new();
-    request.insert(&mut headers);
+    request.insert(&mut headers).expect("headers hold it");
     headers
 }
 
@@ -65,7 +65,7 @@
                 reason: reason.to_owned(),
             };
             let mut headers = HeaderMap::new();
-            response.insert(&mut headers);
+            response.insert(&mut headers).expect("headers hold it");
             assert_eq!(Response::try_from(&headers), Ok(response));
         }
     }
@@ -96,7 +96,7 @@
         upstream: Some(Arc::from("i-1")),
         reason: "full".to_owned(),
     };
-    response.insert(&mut headers);
+    response.insert(&mut headers).expect("headers hold it");
     let expected = [
         ("primrosehoist-sending", "a"),
         ("primrosehoist-outcome", "not_run"),
@@ -125,7 +125,7 @@
         reason: String::new(),
     };
     let mut complete = HeaderMap::new();
-    response.insert(&mut complete);
+    response.insert(&mut complete).expect("headers hold it");
     for name in complete.keys() {
         let mut headers = complete.clone();
         headers.remove(name);
@@ -191,18 +191,48 @@
         headers.insert("primrosehoist-workspace", value);
         assert_eq!(Request::try_from(&headers), error, "{unreadable:?}");
     }
-    // The request is refused as well if the sender cannot put the name into a header.
-    for unsendable in ["ro\npe", "rope\u{7f}", ""] {
+    // No request is sent if no header holds the name, or none holds it as it is.
+    for unsendable in ["ro\npe", "rope\u{7f}", "", " rope", "rope\t"] {
         let request = Request {
             workspace: Some(Arc::from(unsendable)),
             ..request()
         };
-        assert_eq!(
-            Request::try_from(&encode(&request)),
-            error,
-            "{unsendable:?}"
+        let inserted = request.insert(&mut HeaderMap::new());
+        assert!(
+            matches!(inserted, Err(Error::Value("primrosehoist-workspace", _))),
+            "{unsendable:?}: {inserted:?}"
+        );
+    }
+}
+
+#[test]
+fn names_that_no_header_holds_are_not_left_out() {
+    for unsendable in ["", "a\r\nb", "a\0", " a", "a "] {
+        let from = Request {
+            host: Arc::from(unsendable),
+            ..request()
+        };
+        let inserted = from.insert(&mut HeaderMap::new());
+        assert!(
+            matches!(inserted, Err(Error::Value("primrosehoist-host", _))),
+            "{unsendable:?}: {inserted:?}"
+        );
+        let response = Response {
+            sending: 1,
+            outcome: Outcome::Answered,
+            upstream: Some(Arc::from(unsendable)),
+            reason: String::new(),
+        };
+        let inserted = response.insert(&mut HeaderMap::new());
+        assert!(
+            matches!(inserted, Err(Error::Value("primrosehoist-upstream", _))),
+            "{unsendable:?}: {inserted:?}"
         );
     }
+    let mut headers = encode(&request());
+    headers.insert("primrosehoist-host", HeaderValue::from_static(""));
+    let error = Error::Header("primrosehoist-host");
+    assert_eq!(Request::try_from(&headers), Err(error));
 }
 
 #[test]
@@ -229,7 +259,7 @@
         reason: "aus ä Grund".to_owned(),
     };
     let mut headers = HeaderMap::new();
-    response.insert(&mut headers);
+    response.insert(&mut headers).expect("headers hold it");
     assert_eq!(Response::try_from(&headers), Ok(response));
 }
 
@@ -291,7 +321,7 @@
         headers.append(name, HeaderValue::from_static("100"));
         headers.append(name, HeaderValue::from_static("101"));
     }
-    open.insert(&mut headers);
+    open.insert(&mut headers).expect("headers hold it");
     assert!(!headers.contains_key("primrosehoist-other"));
     assert_eq!(Request::try_from(&headers), Ok(open));
     let response = Response {
@@ -300,7 +330,7 @@
         upstream: None,
         reason: String::new(),
     };
-    response.insert(&mut headers);
+    response.insert(&mut headers).expect("headers hold it");
     assert_eq!(Response::try_from(&headers), Ok(response));
     assert_eq!(headers.len(), 2);
 }
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -96,6 +96,35 @@
     assert_eq!(table.workspace(""), None);
 }
 
+#[test]
+fn keys_of_workspaces_that_cannot_be_served_are_known() {
+    let workspace = Workspace {
+        name: Arc::from("rope"),
+        keys: vec![Arc::from("k1"), Arc::from("k2")],
+        priority: None,
+    };
+    let closed = route("r", "a.example", "/");
+    let unusable = |keys: &[&str]| keys.iter().copied().map(Arc::from).collect::<Vec<_>>();
+    let table_with = table(vec![closed.clone()], vec![workspace]);
+    let table_with = table_with.with_unusable_workspace(unusable(&["k2", "k3"]));
+    assert!(matches!(
+        table_with.access(&closed, Some("k2")),
+        Access::Workspace(_)
+    ));
+    assert_eq!(table_with.access(&closed, Some("k3")), Access::Unusable);
+    assert_eq!(table_with.access(&closed, Some("k4")), Access::Unknown);
+    assert_eq!(table_with.access(&closed, None), Access::Unknown);
+    let open = Route {
+        open: true,
+        ..closed.clone()
+    };
+    assert_eq!(table_with.access(&open, Some("k3")), Access::Open);
+    // A workspace whose keys cannot be read makes routes require a key, too.
+    let table_without = table(vec![closed.clone()], Vec::new());
+    let table_without = table_without.with_unusable_workspace(Vec::new());
+    assert_eq!(table_without.access(&closed, None), Access::Unknown);
+}
+
 #[test]
 fn no_key_is_needed_without_workspaces() {
     let table = table(vec![route("r", "a.example", "/")], Vec::new());
