Match routes of hosts that are configured with a port, and of IPv6 addresses

What callers saw: 404 for a route whose `Host` is `rope.example:8080`, and for one whose host is `[::1]` if a request named no port.

Cause: everything behind the last colon of the host was cut off before the route was looked up.

Change: the host is looked up as it is first, and without the port if there is no route.

--- a/src/state/route.rs
+++ b/src/state/route.rs
@@ -231,11 +231,16 @@
 
     /// Returns the route for a request to `path` on `host`, which may include a port.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let host = host.rsplit_once(':').map_or(host, |(host, _port)| host);
-        let routes = self.hosts.get(host.to_ascii_lowercase().as_str())?;
-        routes
-            .iter()
-            .find(|route| path.starts_with(route.prefix.as_ref()))
+        let host = host.to_ascii_lowercase();
+        let without_port = host.rsplit_once(':').map(|(host, _port)| host);
+        let find = |host| {
+            let routes = self.hosts.get(host)?;
+            routes
+                .iter()
+                .find(|route| path.starts_with(route.prefix.as_ref()))
+        };
+        // A host that is configured with a port is for that port only.
+        find(host.as_str()).or_else(|| without_port.and_then(find))
     }
 
     /// Returns the service with this name.
