Read headers of requests as UTF-8

What callers saw: 401 for a key with `é`, 400 for an `X-Attempt-Id` and 404 for a `Host` with such a character.

Cause: headers were read only if they were visible ASCII, and counted as missing otherwise.

--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -211,8 +211,8 @@
 ) -> Result<Job, Refusal> {
     let suspended = suspension::total();
     let (head, mut body) = request.into_parts();
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
+    let host = header::host(&head.headers).or(head.uri.host());
+    let host = host.unwrap_or_default();
     let isolated = context.is_isolated(context.bounds.load().config_apply_max + ISOLATION_MARGIN);
     let Some(route) = table.route(host, head.uri.path()) else {
         if isolated {
--- a/crates/primrosehoist-daemon/src/gateway/takeover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/takeover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONNECTION, HOST};
+use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
@@ -233,8 +233,8 @@
     received: Instant,
 ) -> Result<Admission, Refusal> {
     let suspended = suspension::total();
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
+    let host = header::host(&head.headers).or(head.uri.host());
+    let host = host.unwrap_or_default();
     let Some(route) = table.route(host, head.uri.path()) else {
         return Err(busy(handover, "no_route"));
     };
--- a/crates/primrosehoist-tests/tests/odd_traffic.rs
+++ b/crates/primrosehoist-tests/tests/odd_traffic.rs
@@ -6,7 +6,7 @@
 
 use common::handover::{SENDING, connect_from};
 use common::platform::{
-    Deployment, HOST, KEY, Request, configuration, receive, send, wait_for, wait_until,
+    Deployment, HOST, KEY, Request, configuration, connect, receive, send, wait_for, wait_until,
 };
 use serde_json::{Value, json};
 
@@ -153,6 +153,29 @@
     assert_eq!(deployment.counts(1)["runs"], json!([]));
 }
 
+#[test]
+fn keys_and_ids_in_utf_8_are_read() {
+    let key = "schl\u{fc}ssel-\u{65e5}";
+    let mut spec = configuration(1);
+    spec["Tenants"][0]["ApiKeys"] = json!([key, KEY]);
+    let deployment = started(&spec);
+    let mut request = request(key);
+    request.id = "attempt-\u{e9}".to_owned();
+    request
+        .headers
+        .push(("X-Prompt-Prefix", "\u{e9}1:10,b:5".to_owned()));
+    let response = send(&deployment.daemons[0].ingress, &request);
+    assert_eq!(response.status, 200, "{response:?}");
+    assert_eq!(
+        response.header("x-attempt-id"),
+        Some(request.id.as_str()),
+        "{response:?}"
+    );
+    let runs = deployment.runs(&request.id);
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].1["tenant"], "rope");
+}
+
 /// Sends a request handed over with the header line `workspace`; returns the status and the outcome.
 fn hand_over(
     deployment: &Deployment,
@@ -219,3 +242,70 @@
         assert_eq!(deployment.runs(&id), [], "{index}");
     }
 }
+
+#[test]
+fn hosts_and_prefixes_in_utf_8_are_routes() {
+    let mut spec = configuration(1);
+    let mut route = spec["Routes"][1].clone();
+    for (name, host, prefix) in [
+        ("accent", HOST, "/\u{e9}/"),
+        ("escaped", HOST, "/%C3%A8/"),
+        ("host", "r\u{f4}pe.example", "/x/"),
+        ("port", "rope.example:8080", "/port/"),
+        ("dots", HOST, "/../a//b/"),
+        ("semicolon", HOST, "/a;b=c&d+/"),
+    ] {
+        route["Name"] = json!(name);
+        route["Host"] = json!(host);
+        route["PathPrefix"] = json!(prefix);
+        spec["Routes"]
+            .as_array_mut()
+            .expect("routes")
+            .push(route.clone());
+    }
+    let deployment = started(&spec);
+    let ask = |host: &str, path: &str| {
+        let request = Request::new("GET", path);
+        let bytes = String::from_utf8(request.bytes()).expect("text");
+        let bytes = bytes.replacen(HOST, host, 1);
+        let mut connection = connect(&deployment.daemons[0].ingress);
+        connection
+            .write_all(bytes.as_bytes())
+            .expect("sends the request");
+        let status = receive(&mut connection).status;
+        let runs = deployment.runs(&request.id);
+        let paths = runs.iter().map(|(_, run)| run["path"].clone());
+        (status, paths.collect::<Vec<_>>())
+    };
+    let mut wrong = Vec::new();
+    for (host, path) in [
+        (HOST, "/\u{e9}/1?q=\u{e9}"),
+        (HOST, "/%C3%A8/1?a=%00"),
+        ("R\u{f4}pe.example", "/x/1"),
+        ("rope.example:8080", "/port/1"),
+        ("rope.example:8080", "/look/1"),
+        (HOST, "/../a//b/1"),
+        (HOST, "/a;b=c&d+/1"),
+    ] {
+        let answer = ask(host, path);
+        if answer != (200, vec![json!(path)]) {
+            wrong.push((host, path, answer));
+        }
+    }
+    for (host, path) in [
+        (HOST, "/%C3%A9/1"),
+        (HOST, "/\u{e8}/1"),
+        (HOST, "/%c3%a8/1"),
+        (HOST, "/a/b/1"),
+        (HOST, "/a%3Bb=c&d+/1"),
+        (HOST, "/x/1"),
+        (HOST, "/port/1"),
+        ("other.example:8080", "/port/1"),
+    ] {
+        let answer = ask(host, path);
+        if answer != (404, Vec::new()) {
+            wrong.push((host, path, answer));
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:?}");
+}
