Bound the log lines of malformed entries in the store

What callers saw: 100 malformed entries of upstreams made 378 lines in three lists, and each list or change of the configuration repeated the lines of its malformed entries.

Cause: one line for each malformed entry, each time it was read. Others write the entries, and decide how often.

Change: lines of entries of upstreams and daemons go through the sampler of rejections: 20 a second, with `unlogged`, and counted by primrosehoist_rejected_total as `upstream` and `daemon`. A configuration that is not newer than the active one is not decoded again, and of each kind of its entries 20 are logged, and a line with the number of the others. A watch whose changes are all malformed pauses as any other, instead of calling the store again at once.

The pause of the watch has no test of its own.

--- a/crates/primrosehoist-daemon/src/gateway/registration.rs
+++ b/crates/primrosehoist-daemon/src/gateway/registration.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::context::Context;
+use super::rejections::Reason;
 use super::store_sync;
 
 /// The longest random delay before a daemon registers again in a store that was restored from a copy, so
@@ -99,7 +100,9 @@
                 }
             }
             Err(error) => {
-                log::warn!(host = object.name.as_str(), error:%; "invalid daemon entry");
+                if let Some(unlogged) = context.reject(Reason::Daemon) {
+                    log::warn!(host = object.name.as_str(), error:%, unlogged; "invalid daemon entry");
+                }
             }
         }
     }
--- a/crates/primrosehoist-daemon/src/gateway/rejections.rs
+++ b/crates/primrosehoist-daemon/src/gateway/rejections.rs
@@ -1,5 +1,5 @@
-//! Counts the requests that end before they are admitted and the invalid datagrams, and bounds how often they
-//! are logged.
+//! Counts the requests that end before they are admitted, the invalid datagrams and the malformed entries in the
+//! platform's store, and bounds how often they are logged.
 
 use parking_lot::Mutex;
 use primrosehoist::state::map::Map;
@@ -9,7 +9,7 @@
 
 use crate::metrics::Metrics;
 
-/// Why a request is not admitted, or a datagram is dropped.
+/// Why a request is not admitted, a datagram is dropped, or an entry is skipped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display)]
 #[strum(serialize_all = "snake_case")]
 pub(crate) enum Reason {
@@ -31,9 +31,13 @@
     Handover,
     /// The datagram is no gossip of a supported version.
     Gossip,
+    /// The entry of an upstream in the platform's store is malformed.
+    Upstream,
+    /// The entry of a daemon in the platform's store is malformed.
+    Daemon,
 }
 
-/// The requests that were not admitted, and the datagrams that were dropped.
+/// The requests that were not admitted, the datagrams that were dropped, and the entries that were skipped.
 #[derive(Debug, Default)]
 pub(crate) struct Rejections {
     samplers: Mutex<Map<Reason, Sampler>>,
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use super::context::Context;
+use super::rejections::Reason;
 use super::upstream_changes::{apply_change, confirm_removal};
 
 /// How long the store holds a watch without a change.
@@ -272,7 +273,8 @@
             match watched {
                 Ok((events, latest)) => {
                     self.on_success(latest);
-                    let any = !events.is_empty();
+                    // Changes of which none is readable count, too.
+                    let any = !events.is_empty() || latest > revision;
                     self.on_events(events, latest.era);
                     revision = revision.max(latest);
                     if any {
@@ -367,7 +369,10 @@
                 }
             }
             Feed::Upstreams => {
-                let mut upstreams: Vec<_> = objects.iter().filter_map(decode_upstream).collect();
+                let mut upstreams: Vec<_> = objects
+                    .iter()
+                    .filter_map(|object| decode_upstream(context, object))
+                    .collect();
                 let mut roster = context.roster.lock();
                 let kept = roster
                     .upstreams()
@@ -471,7 +476,7 @@
         let entry = if deleted {
             None
         } else {
-            decode_upstream(object)
+            decode_upstream(&self.context, object)
         };
         if let Some(upstream) = entry {
             return Change::Upsert(upstream);
@@ -616,6 +621,11 @@
 where
     C: FnOnce() -> Compressed,
 {
+    let active = context.table.load().as_ref().map(|table| table.version());
+    // The entries that are skipped are logged once for each version.
+    if config::version(spec).is_ok_and(|version| Some(version) <= active) {
+        return;
+    }
     match config::decode(spec) {
         Ok(table) => {
             let version = table.version();
@@ -639,10 +649,14 @@
     }
 }
 
-fn decode_upstream(object: &Object) -> Option<primrosehoist::state::roster::Upstream> {
-    upstream::decode(object)
-        .inspect_err(|error| {
-            log::warn!(upstream = object.name.as_str(), error:%; "invalid upstream entry skipped");
-        })
-        .ok()
+fn decode_upstream(
+    context: &Context,
+    object: &Object,
+) -> Option<primrosehoist::state::roster::Upstream> {
+    let decoded = upstream::decode(object).inspect_err(|error| {
+        if let Some(unlogged) = context.reject(Reason::Upstream) {
+            log::warn!(upstream = object.name.as_str(), error:%, unlogged; "invalid upstream entry skipped");
+        }
+    });
+    decoded.ok()
 }
--- a/crates/primrosehoist-daemon/src/metrics.rs
+++ b/crates/primrosehoist-daemon/src/metrics.rs
@@ -170,7 +170,7 @@
             rejected: counter(
                 &meter,
                 "primrosehoist_rejected",
-                "Requests that were not admitted, and invalid datagrams",
+                "Requests that were not admitted, invalid datagrams, and malformed entries",
             ),
             task_restarts: counter(
                 &meter,
@@ -276,7 +276,7 @@
         self.seed_requests.add(1, &[label("outcome", outcome)]);
     }
 
-    /// Counts a request that was not admitted, such as for `no_route`, or an invalid datagram.
+    /// Counts a request that was not admitted, such as for `no_route`, an invalid datagram, or a malformed entry.
     pub(crate) fn rejected<R>(&self, reason: R)
     where
         R: Display,
--- a/crates/primrosehoist-tests/tests/odd_traffic.rs
+++ b/crates/primrosehoist-tests/tests/odd_traffic.rs
@@ -3,11 +3,13 @@
 mod common;
 
 use std::io::Write;
+use std::time::Instant;
 
 use common::handover::{SENDING, connect_from};
 use common::platform::{
     Deployment, HOST, KEY, Request, configuration, connect, receive, send, wait_for, wait_until,
 };
+use primrosehoist::state::sampler::{LOGGED_MAX, WINDOW};
 use serde_json::{Value, json};
 
 /// Names that a header holds as they are.
@@ -309,3 +311,46 @@
     }
     assert!(wrong.is_empty(), "{wrong:?}");
 }
+
+/// Guards against logs that others fill by entries that are malformed.
+#[test]
+fn malformed_entries_do_not_flood_the_log() {
+    const ENTRIES: usize = 100;
+    let deployment = started(&configuration(1));
+    let started_at = Instant::now();
+    let mut spec = configuration(2);
+    let routes = spec["Routes"].as_array_mut().expect("routes");
+    routes.extend((0..ENTRIES).map(|number| json!({"Name": number})));
+    deployment.configure(&spec);
+    for index in 0..ENTRIES {
+        deployment.put(
+            "servers",
+            &format!("odd-{index}"),
+            &json!({"Address": index}),
+        );
+    }
+    let listed = |count: usize| {
+        wait_until("the upstreams are listed", || {
+            lines(&deployment, r#""message":"listed""#).len() >= count
+        });
+    };
+    // Each list has all of them again.
+    for _ in 0..3 {
+        let before = lines(&deployment, r#""message":"listed""#).len();
+        deployment.forget_history();
+        deployment.put("servers", "odd-0", &json!({"Address": before}));
+        listed(before + 3);
+    }
+    wait_until("the configuration is active", || {
+        lines(&deployment, "configuration activated").len() == 2
+    });
+    let windows = started_at.elapsed().as_millis() / WINDOW.as_millis() + 2;
+    let most = windows as usize * LOGGED_MAX as usize;
+    let upstreams = lines(&deployment, "invalid upstream entry skipped");
+    assert!(upstreams.len() <= most, "{} > {most}", upstreams.len());
+    let routes = lines(&deployment, "malformed config entry skipped");
+    assert_eq!(routes.len(), LOGGED_MAX as usize);
+    let more = lines(&deployment, "more malformed config entries skipped");
+    assert_eq!(more.len(), 1, "{more:?}");
+    assert_eq!(more[0]["unlogged"], ENTRIES - LOGGED_MAX as usize);
+}
