Test odd queries to the port for operators

`odd_queries_of_operators_are_answered` sends queries and paths with bytes that are no text, escapes that are none, control characters and the largest numbers to `/explain` and `/metrics`.

--- a/crates/primrosehoist-tests/tests/odd_traffic.rs
+++ b/crates/primrosehoist-tests/tests/odd_traffic.rs
@@ -354,3 +354,61 @@
     assert_eq!(more.len(), 1, "{more:?}");
     assert_eq!(more[0]["unlogged"], ENTRIES - LOGGED_MAX as usize);
 }
+
+/// Guards against a port for operators that ends a daemon.
+#[test]
+fn odd_queries_of_operators_are_answered() {
+    let deployment = started(&with_workspaces(1, &["\u{e9}"]));
+    let metrics = &deployment.daemons[0].metrics;
+    let ask = |target: &[u8]| {
+        let mut connection = connect(metrics);
+        let request = [b"GET ", target, b" HTTP/1.1\r\nHost: x\r\n\r\n"].concat();
+        connection.write_all(&request).expect("sends the request");
+        receive(&mut connection).status
+    };
+    let explain = |query: &str| ask(format!("/explain?{query}").as_bytes());
+    let host = format!("host={HOST}&path=/look/1");
+    assert_eq!(explain(&host), 200);
+    assert_eq!(explain(&format!("{host}&workspace=%C3%A9")), 200);
+    assert_eq!(explain(&format!("{host}&workspace=%C3%A8")), 404);
+    for query in [
+        "",
+        "host",
+        "host=&path=",
+        "host=%00&path=%00",
+        "host=%FF&path=%FF",
+        "host=%zz&path=%",
+        &format!("host={HOST}&path=/look/%0D%0AX: 1"),
+        &format!("host={HOST}&path=/look/%00"),
+        &format!("host={HOST}&path=/look/%20"),
+        &format!("{host}&prompt_tokens=-1"),
+        &format!("{host}&prompt_tokens=99999999999999999999"),
+        &format!("{host}&workspace=%00"),
+        &format!("{host}&{host}"),
+    ] {
+        let status = explain(query);
+        assert!((400..500).contains(&status), "{query}: {status}");
+    }
+    for huge in ["prompt_tokens", "answer_tokens"] {
+        assert_eq!(
+            explain(&format!("{host}&{huge}={}", u64::MAX)),
+            200,
+            "{huge}"
+        );
+    }
+    assert!(explain(&format!("host={HOST}&path=/look/%C3%A9")) < 500);
+    for target in [
+        &b"/explain?\xff"[..],
+        b"/explain?host=\xc3\xa9",
+        b"/metrics?\xff",
+        b"/\xff",
+        b"*",
+    ] {
+        let status = ask(target);
+        assert!((200..500).contains(&status), "{target:?}: {status}");
+    }
+    assert_eq!(ask(b"/metrics"), 200);
+    assert_eq!(lines(&deployment, "panic"), Vec::<Value>::new());
+    let response = send(&deployment.daemons[0].ingress, &request(KEY));
+    assert_eq!(response.status, 200);
+}
