--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, RETRY_AFTER};
+use http::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -211,8 +211,8 @@
 ) -> Result<Job, Refusal> {
     let suspended = suspension::total();
     let (head, mut body) = request.into_parts();
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
+    let host = header::host(&head.headers).or(head.uri.host());
+    let host = host.unwrap_or_default();
     let isolated = context.is_isolated(context.bounds.load().config_apply_max + ISOLATION_MARGIN);
     let Some(route) = table.route(host, head.uri.path()) else {
         if isolated {
@@ -240,6 +240,19 @@
     let workspace = match table.access(route, request.key.as_deref()) {
         Access::Open => None,
         Access::Workspace(workspace) => Some(workspace),
+        Access::Unusable => {
+            if let Some(unlogged) = context.reject(Reason::UnusableWorkspace) {
+                log::error!(
+                    request = request.id.as_str(),
+                    route = route.name.as_ref(),
+                    version = table.version(),
+                    unlogged;
+                    "the workspace of the key cannot be served"
+                );
+            }
+            let reason = "the workspace cannot be served";
+            return Err(Box::new(refuse(reason, UNCONFIGURED_RETRY_S)));
+        }
         Access::Unknown if isolated => {
             return Err(Box::new(refuse("cut off", UNCONFIGURED_RETRY_S)));
         }
--- a/crates/primrosehoist-daemon/src/gateway/takeover.rs
+++ b/crates/primrosehoist-daemon/src/gateway/takeover.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::header::{CONNECTION, HOST};
+use http::header::CONNECTION;
 use http::request::Parts;
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
@@ -118,7 +118,10 @@
             upstream: answer.upstream,
             reason: answer.reason.to_owned(),
         };
-        said.insert(response.headers_mut());
+        if let Err(error) = said.insert(response.headers_mut()) {
+            // Without the outcome, the other daemon takes it for uncertain.
+            log::error!(sending, error:%; "the outcome of a request of another daemon is not told");
+        }
     }
     if context.is_draining() {
         let close = HeaderValue::from_static("close");
@@ -230,8 +233,8 @@
     received: Instant,
 ) -> Result<Admission, Refusal> {
     let suspended = suspension::total();
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
+    let host = header::host(&head.headers).or(head.uri.host());
+    let host = host.unwrap_or_default();
     let Some(route) = table.route(host, head.uri.path()) else {
         return Err(busy(handover, "no_route"));
     };
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -42,6 +42,8 @@
             route("short", "a.example", "/x/"),
             route("long", "a.example", "/x/y/"),
             route("other", "b.example", "/x/y/z/"),
+            route("port", "a.example:8080", "/port/"),
+            route("address", "[::1]", "/x/"),
         ],
         Vec::new(),
     );
@@ -52,6 +54,11 @@
         ("A.Example", "/x/1", Some("short")),
         ("a.example:8080", "/x/1", Some("short")),
         ("b.example", "/x/y/z/1", Some("other")),
+        ("A.example:8080", "/port/1", Some("port")),
+        ("a.example:8081", "/port/1", None),
+        ("a.example", "/port/1", None),
+        ("[::1]", "/x/1", Some("address")),
+        ("[::1]:8080", "/x/1", Some("address")),
         ("a.example", "/x", None),
         ("a.example", "/xy/", None),
         ("a.example", "/", None),
@@ -96,6 +103,35 @@
     assert_eq!(table.workspace(""), None);
 }
 
+#[test]
+fn keys_of_workspaces_that_cannot_be_served_are_known() {
+    let workspace = Workspace {
+        name: Arc::from("rope"),
+        keys: vec![Arc::from("k1"), Arc::from("k2")],
+        priority: None,
+    };
+    let closed = route("r", "a.example", "/");
+    let unusable = |keys: &[&str]| keys.iter().copied().map(Arc::from).collect::<Vec<_>>();
+    let table_with = table(vec![closed.clone()], vec![workspace]);
+    let table_with = table_with.with_unusable_workspace(unusable(&["k2", "k3"]));
+    assert!(matches!(
+        table_with.access(&closed, Some("k2")),
+        Access::Workspace(_)
+    ));
+    assert_eq!(table_with.access(&closed, Some("k3")), Access::Unusable);
+    assert_eq!(table_with.access(&closed, Some("k4")), Access::Unknown);
+    assert_eq!(table_with.access(&closed, None), Access::Unknown);
+    let open = Route {
+        open: true,
+        ..closed.clone()
+    };
+    assert_eq!(table_with.access(&open, Some("k3")), Access::Open);
+    // A workspace whose keys cannot be read makes routes require a key, too.
+    let table_without = table(vec![closed.clone()], Vec::new());
+    let table_without = table_without.with_unusable_workspace(Vec::new());
+    assert_eq!(table_without.access(&closed, None), Access::Unknown);
+}
+
 #[test]
 fn no_key_is_needed_without_workspaces() {
     let table = table(vec![route("r", "a.example", "/")], Vec::new());
