Skip entries whose names are too long for messages between daemons

What callers saw: nobody; one line `failed to encode gossip` (`a message of 70038 bytes is too large`), and other daemons were not told the changes of that message. An entry that names no upstream was gossiped as a removal, and logged as one each time it was written.

Cause: zones and services of upstreams, and names of daemons, had no largest length, and a datagram has one.

A change of an entry whose name no upstream can have is not told. `upstream removed` is logged only of an upstream that was known.

--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -6,6 +6,7 @@
 
 use primrosehoist::coordination::backoff;
 use primrosehoist::coordination::gossip::{Change, Update};
+use primrosehoist::protocol::header;
 use primrosehoist::protocol::snapshot::Compressed;
 use primrosehoist::state::map::Set;
 use primrosehoist::state::roster::RECONNECT_GRACE;
@@ -423,6 +424,7 @@
     fn on_events(&mut self, events: Vec<Event>, era: u64) {
         let since = self.complete_to;
         let mut changes = Vec::new();
+        let tells_others = self.feed == Feed::Upstreams && !events.is_empty();
         for Event { object, deleted } in events {
             let revision = Revision {
                 era,
@@ -439,13 +441,17 @@
                 }
                 Feed::Upstreams => {
                     let change = self.upstream_change(&object, deleted, revision);
+                    match &change {
+                        Some(change) if is_new => {
+                            apply_change(&self.context, change, revision, Instant::now());
+                        }
+                        Some(change) => confirm_removal(&self.context, change, Instant::now()),
+                        None => {}
+                    }
                     if is_new {
-                        apply_change(&self.context, &change, revision, Instant::now());
                         self.advance(revision);
-                    } else {
-                        confirm_removal(&self.context, &change, Instant::now());
                     }
-                    changes.push(change);
+                    changes.extend(change);
                 }
                 Feed::Evacuations if is_new => {
                     let zone: Arc<str> = Arc::from(object.name.as_str());
@@ -461,7 +467,7 @@
                 Feed::Evacuations => {}
             }
         }
-        if !changes.is_empty() {
+        if tells_others {
             let update = Update {
                 since,
                 revision: self.complete_to,
@@ -472,25 +478,34 @@
         }
     }
 
-    fn upstream_change(&self, object: &Object, deleted: bool, revision: Revision) -> Change {
+    /// Returns what changes with the entry of an upstream, or `None` if no upstream has such an id.
+    fn upstream_change(
+        &self,
+        object: &Object,
+        deleted: bool,
+        revision: Revision,
+    ) -> Option<Change> {
         let entry = if deleted {
             None
         } else {
             decode_upstream(&self.context, object)
         };
         if let Some(upstream) = entry {
-            return Change::Upsert(upstream);
+            return Some(Change::Upsert(upstream));
+        }
+        if header::Text::try_from(object.name.as_str()).is_err() {
+            return None;
         }
         let may_lapse = revision <= self.lapse_horizon;
         let roster = self.context.roster.lock();
-        Change::Remove {
+        Some(Change::Remove {
             id: Arc::from(object.name.as_str()),
             left: if may_lapse {
                 roster.grace_left(Instant::now())
             } else {
                 Duration::ZERO
             },
-        }
+        })
     }
 
     fn set_evacuated_zones(&self, zones: Set<Arc<str>>) {
--- a/crates/primrosehoist-daemon/src/gateway/upstream_changes.rs
+++ b/crates/primrosehoist-daemon/src/gateway/upstream_changes.rs
@@ -53,7 +53,10 @@
             context.queue.wake_all();
         }
         Change::Remove { id, left } => {
-            log::info!(upstream = id.as_ref(), revision = revision.number, left_ms = left.as_millis() as u64; "upstream removed");
+            // Others decide how many entries there are that name no upstream.
+            if context.roster.lock().get(id).is_some() {
+                log::info!(upstream = id.as_ref(), revision = revision.number, left_ms = left.as_millis() as u64; "upstream removed");
+            }
             if left.is_zero() {
                 context.roster.lock().discard(id);
                 forget_upstream(context, id, now);
--- a/crates/primrosehoist-tests/tests/odd_traffic.rs
+++ b/crates/primrosehoist-tests/tests/odd_traffic.rs
@@ -412,3 +412,47 @@
     let response = send(&deployment.daemons[0].ingress, &request(KEY));
     assert_eq!(response.status, 200);
 }
+
+/// Guards against entries that make messages between daemons too large to be sent.
+#[test]
+fn long_names_do_not_keep_daemons_from_telling_each_other() {
+    let mut deployment = started(&configuration(1));
+    let store = deployment.store.clone();
+    deployment.add_daemon("zone-a", &store);
+    deployment.wait_until_ready(1);
+    let name = "z".repeat(70_000);
+    for sequence in 0..5 {
+        for (index, field) in ["Zone", "Service"].into_iter().enumerate() {
+            let mut entry = deployment.entry(2, "ready");
+            entry["Sequence"] = json!(sequence);
+            entry[field] = json!(name);
+            deployment.put("servers", &format!("odd-{index}"), &entry);
+        }
+        deployment.put("servers", &format!("{name}-{sequence}"), &json!({}));
+        deployment.put(
+            "daemons",
+            &format!("{name}-{sequence}"),
+            &json!({"Address": format!("10.255.0.{sequence}"), "Zone": "zone-a"}),
+        );
+    }
+    deployment.delete("servers", "i-0");
+    deployment.forget_history();
+    wait_until("both daemons use the other runner only", || {
+        deployment.daemons.iter().all(|daemon| {
+            (0..16).all(|number| {
+                let request = Request {
+                    body: format!("body {number}").into_bytes(),
+                    ..Request::new("GET", "/look/1")
+                };
+                let response = send(&daemon.ingress, &request);
+                response.status == 200 && deployment.runs(&request.id)[0].0 == 1
+            })
+        })
+    });
+    for daemon in &deployment.daemons {
+        let log = daemon.logged();
+        let failed = log.matches("failed to encode").count();
+        assert_eq!(failed, 0, "{}", daemon.ingress);
+        assert!(log.contains("invalid upstream entry skipped"));
+    }
+}
