Keep upstreams that expired while the store is away again

The store was refusing for 4.4 s, back for 1.2 s without the entries that had expired, and refusing again.

Cause: an entry that is missing after an outage is used for 1.9 s, since its upstream may write it again. The time went on while the store was away for the second time, when no upstream can write anything. At its end all upstreams were given up, until the store was back.

Change: the time stands still while this daemon follows the store and gets no response. After an outage in which entries may have expired it begins anew, as for entries that expired in that outage; after a shorter one, the rest of it counts. Daemons that do not follow the store are as before.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -368,6 +368,7 @@
         });
         if changed {
             log::info!(follows; "assignment to follow the store changed");
+            self.tell_roster_of_store();
         }
     }
 
@@ -384,10 +385,19 @@
     /// Sets whether the store responds to this daemon, and tells the others of a change.
     pub(crate) fn set_store_reachable(&self, reachable: bool) {
         if self.store_reachable.send_replace(reachable) != reachable {
+            self.tell_roster_of_store();
             self.urgent.notify_one();
         }
     }
 
+    /// Tells the roster whether this daemon learns of upstreams that return. One that does not follow the
+    /// store learns of them from others.
+    fn tell_roster_of_store(&self) {
+        let is_reachable = !self.follows_store() || *self.store_reachable.borrow();
+        let mut roster = self.roster.lock();
+        roster.set_platform_reachable(is_reachable, Instant::now());
+    }
+
     /// Waits until the store does not respond to this daemon.
     pub(crate) async fn wait_store_unreachable(&self) {
         let mut reachable = self.store_reachable.subscribe();
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -2,7 +2,8 @@
 //!
 //! The roster mirrors the platform's upstream entries and the zones that operators evacuated. While
 //! the platform is unreachable, entries expire although their upstreams are alive. Right after it
-//! reconnects, a missing entry therefore does not prove that its upstream is gone.
+//! reconnects, a missing entry therefore does not prove that its upstream is gone, and none returns
+//! before it is reachable again.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -86,8 +87,10 @@
 }
 
 impl Entry {
-    fn is_usable(&self, now: Instant) -> bool {
-        self.is_in_service(now) && self.deferred_until.is_none_or(|until| until <= now)
+    /// Returns whether requests may be sent to the upstream at `now`; `clock` is
+    /// [`Roster::grace_clock`].
+    fn is_usable(&self, now: Instant, clock: Instant) -> bool {
+        self.is_in_service(clock) && self.deferred_until.is_none_or(|until| until <= now)
     }
 
     /// Returns the time until the next permit if the upstream names a limit.
@@ -116,11 +119,12 @@
         record.report(key, self.upstream.started_ms.unwrap_or(0), now)
     }
 
-    /// Returns whether the upstream accepts work, now or when its deferral is over.
-    fn is_in_service(&self, now: Instant) -> bool {
+    /// Returns whether the upstream accepts work, now or when its deferral is over; `clock` is
+    /// [`Roster::grace_clock`].
+    fn is_in_service(&self, clock: Instant) -> bool {
         self.upstream.phase == Phase::Ready
             && !self.leaving
-            && self.missing_until.is_none_or(|until| now < until)
+            && self.missing_until.is_none_or(|until| clock < until)
     }
 }
 
@@ -137,6 +141,9 @@
     departed: VecDeque<Arc<Upstream>>,
     /// Until then, a missing entry does not prove that its upstream is gone.
     grace_until: Option<Instant>,
+    /// Since when the platform is unreachable. Missing entries cannot return meanwhile, so that the times
+    /// for which they are used stand still.
+    away_since: Option<Instant>,
 }
 
 impl Roster {
@@ -252,20 +259,19 @@
     /// Removes an entry that may have expired during an outage of the platform. During the grace
     /// period after a reconnect, the entry of a ready upstream is only marked as missing.
     pub fn remove(&mut self, id: &str, now: Instant) {
-        let grace_until = self.grace_until.filter(|until| now < *until);
+        let left = self.grace_left(now);
         let is_ready = |entry: &Entry| entry.upstream.phase == Phase::Ready;
-        match grace_until {
-            Some(until) if self.entries.get(id).is_some_and(is_ready) => {
-                self.mark_missing(id, until - now, now);
-            }
-            _ => self.discard(id),
+        if !left.is_zero() && self.entries.get(id).is_some_and(is_ready) {
+            self.mark_missing(id, left, now);
+        } else {
+            self.discard(id);
         }
     }
 
     /// Marks an entry as missing. Its upstream is used for the time `left`, at most for
     /// [`RECONNECT_GRACE`], or until an earlier time at which it was marked before.
     pub fn mark_missing(&mut self, id: &str, left: Duration, now: Instant) {
-        let until = now + left.min(RECONNECT_GRACE);
+        let until = self.grace_clock(now) + left.min(RECONNECT_GRACE);
         if let Some(entry) = self.entries.get_mut(id) {
             let missing_until = entry.missing_until.get_or_insert(until);
             *missing_until = until.min(*missing_until);
@@ -294,20 +300,53 @@
     }
 
     /// Starts the grace period after the platform was unreachable: for [`RECONNECT_GRACE`], a
-    /// missing entry does not prove that its upstream is gone.
+    /// missing entry does not prove that its upstream is gone. It starts anew for the entries that were
+    /// missing already.
     pub fn platform_reconnected(&mut self, now: Instant) {
-        self.grace_until = Some(now + RECONNECT_GRACE);
+        self.set_platform_reachable(true, now);
+        let until = now + RECONNECT_GRACE;
+        self.grace_until = Some(until);
+        for missing_until in self.missing_times() {
+            *missing_until = until;
+        }
+    }
+
+    /// Records whether the platform is reachable. While it is not, the times for which missing entries
+    /// are used stand still.
+    pub fn set_platform_reachable(&mut self, is_reachable: bool, now: Instant) {
+        if !is_reachable {
+            self.away_since.get_or_insert(now);
+        } else if let Some(since) = self.away_since.take() {
+            let away = now.saturating_duration_since(since);
+            for until in self.missing_times() {
+                *until += away;
+            }
+            self.grace_until = self.grace_until.map(|until| until + away);
+        }
+    }
+
+    fn missing_times(&mut self) -> impl Iterator<Item = &mut Instant> {
+        let entries = self.entries.values_mut();
+        entries.filter_map(|entry| entry.missing_until.as_mut())
+    }
+
+    /// Returns the time by which missing entries are given up: `now`, or since when the platform is
+    /// unreachable.
+    fn grace_clock(&self, now: Instant) -> Instant {
+        self.away_since.map_or(now, |since| since.min(now))
     }
 
     /// Returns how long the grace period after a reconnect lasts.
     pub fn grace_left(&self, now: Instant) -> Duration {
+        let now = self.grace_clock(now);
         let until = self.grace_until.unwrap_or(now);
         until.saturating_duration_since(now)
     }
 
     /// Removes the entries that are still missing after the grace period and returns their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<Arc<str>> {
-        let is_over = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= now);
+        let clock = self.grace_clock(now);
+        let is_over = |entry: &Entry| entry.missing_until.is_some_and(|until| until <= clock);
         let entries = self.entries.iter();
         let missing: Vec<Arc<str>> = entries
             .filter(|(_, entry)| is_over(entry))
@@ -321,9 +360,10 @@
 
     /// Returns the ids of the missing entries, and for how long their upstreams are still used.
     pub fn missing(&self, now: Instant) -> Vec<(Arc<str>, Duration)> {
+        let clock = self.grace_clock(now);
         let entries = self.entries.iter();
         let missing = entries.filter_map(|(id, entry)| {
-            let left = entry.missing_until?.saturating_duration_since(now);
+            let left = entry.missing_until?.saturating_duration_since(clock);
             Some((Arc::clone(id), left))
         });
         missing.collect()
@@ -472,9 +512,10 @@
     /// Returns the entries of the upstreams of `service` that get requests now or when their deferral is
     /// over.
     fn in_service<'a>(&'a self, service: &'a str, now: Instant) -> impl Iterator<Item = &'a Entry> {
+        let clock = self.grace_clock(now);
         self.entries.values().filter(move |entry| {
             entry.upstream.service.as_ref() == service
-                && entry.is_in_service(now)
+                && entry.is_in_service(clock)
                 && !self.evacuated.contains(&entry.upstream.zone)
         })
     }
@@ -504,8 +545,10 @@
 
     /// Returns whether requests may be sent to the process that `upstream` describes.
     pub fn is_routable(&self, upstream: &Upstream, now: Instant) -> bool {
-        let entry = self.entries.get(&upstream.id);
-        entry.is_some_and(|entry| entry.is_usable(now) && entry.upstream.is_same_process(upstream))
+        let clock = self.grace_clock(now);
+        let is_usable =
+            |entry: &Entry| entry.is_usable(now, clock) && entry.upstream.is_same_process(upstream);
+        self.entries.get(&upstream.id).is_some_and(is_usable)
             && !self.evacuated.contains(&upstream.zone)
     }
 
@@ -515,11 +558,12 @@
         service: &'a str,
         now: Instant,
     ) -> impl Iterator<Item = &'a Arc<Upstream>> {
+        let clock = self.grace_clock(now);
         self.entries
             .values()
             .filter(move |entry| {
                 entry.upstream.service.as_ref() == service
-                    && entry.is_usable(now)
+                    && entry.is_usable(now, clock)
                     && !self.evacuated.contains(&entry.upstream.zone)
             })
             .map(|entry| &entry.upstream)
--- a/tests/roster_rules.rs
+++ b/tests/roster_rules.rs
@@ -148,6 +148,51 @@
     assert!(RECONNECT_GRACE < Duration::from_secs(2));
 }
 
+#[test]
+fn missing_entries_are_kept_while_the_platform_is_away_again() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut roster = Roster::default();
+    roster.replace(vec![upstream("a", "z"), upstream("b", "z")], false, start);
+    roster.platform_reconnected(start);
+    assert!(roster.replace(Vec::new(), true, start));
+    roster.set_platform_reachable(false, at(1200));
+    assert_eq!(ids(&roster, at(9000)), ["a", "b"]);
+    assert!(roster.expire(at(9000)).is_empty());
+    assert_eq!(roster.grace_left(at(9000)), Duration::from_millis(700));
+    // Back after too short a time for entries to expire, it has 700 ms left.
+    let mut shortly = roster.clone();
+    shortly.set_platform_reachable(true, at(2000));
+    assert_eq!(ids(&shortly, at(2699)), ["a", "b"]);
+    assert!(ids(&shortly, at(2700)).is_empty());
+    assert_eq!(shortly.expire(at(2700)).len(), 2);
+    // After an outage, upstreams have the whole time to return.
+    roster.platform_reconnected(at(9000));
+    roster.upsert(upstream("b", "z"), at(9500));
+    let end = at(9000) + RECONNECT_GRACE;
+    assert_eq!(ids(&roster, end - Duration::from_millis(1)), ["a", "b"]);
+    assert_eq!(ids(&roster, end), ["b"]);
+    assert_eq!(roster.expire(end), [Arc::from("a")]);
+}
+
+#[test]
+fn upstream_reported_missing_while_the_platform_is_away_is_given_up_after_its_return() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut roster = Roster::default();
+    roster.replace(vec![upstream("a", "z")], false, start);
+    roster.set_platform_reachable(false, at(100));
+    roster.mark_missing("a", Duration::from_millis(500), at(3000));
+    assert_eq!(ids(&roster, at(8000)), ["a"]);
+    assert_eq!(
+        roster.missing(at(8000)),
+        [(Arc::from("a"), Duration::from_millis(500))]
+    );
+    roster.set_platform_reachable(true, at(8000));
+    assert_eq!(ids(&roster, at(8499)), ["a"]);
+    assert_eq!(roster.expire(at(8500)), [Arc::from("a")]);
+}
+
 #[test]
 fn an_upstream_that_leaves_in_the_grace_period_is_not_used() {
     let now = Instant::now();
