Take what expired while the store was silent for missing, not for gone

Cause: an outage counted for the grace period of entries only if a call of the same follower had failed. A watch that waits notices nothing, so a silent store is noticed by pings alone, which restart the watches. These then reported the entries that had expired as removed. Or the check of lost watches got a response before the next ping, and told other daemons that the upstreams had left.

Change: a follower takes part in an outage that pings noticed, with the first response that it gets, or with the ping that ends the outage. Each outage counts once for a follower, so that the period is not prolonged by the ping after its own response. While the store does not respond, pings ask for the latest revision, up to which removals are of entries that may have expired.

Evidence: `upstreams_that_expired_while_the_store_was_silent_are_used_after_its_return` failed before, and with the first half of the change (the other daemon's check of its watch was first). It passes with both; `upstreams_that_expired_while_the_store_was_silent_are_given_up_in_the_end` passed before and after. The tests of gateway_restarts, starts_without_store, lost_watches and store_restored pass (36).

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -44,6 +44,7 @@
 use super::rejections::{Reason, Rejections};
 use super::returns::Returns;
 use super::stopping::Stopping;
+use super::store_ping::Outage;
 use super::takeover;
 use super::takeover::HANDOVERS_MAX;
 use crate::metrics::Metrics;
@@ -141,9 +142,11 @@
     follows_store: watch::Sender<bool>,
     /// Whether the store responds to this daemon.
     store_reachable: watch::Sender<bool>,
-    /// The number of recoveries of the store from an outage. Calls made before a recovery may never
-    /// get a response.
-    pub(crate) store_recoveries: watch::Sender<u64>,
+    /// Since when the store has not responded to pings.
+    pub(crate) store_lost_at: Mutex<Option<Instant>>,
+    /// The last outage of the store that is over. Calls made before its end, or before another notice,
+    /// may never get a response.
+    pub(crate) store_recoveries: watch::Sender<Option<Outage>>,
     /// The active configuration in the store's format, for daemons that do not read the store.
     pub(crate) configuration: Mutex<Compressed>,
     /// The latest era of the store that this daemon knows of.
@@ -220,7 +223,8 @@
             started_by_seeds: AtomicBool::new(false),
             follows_store: watch::Sender::new(true),
             store_reachable: watch::Sender::new(true),
-            store_recoveries: watch::Sender::new(0),
+            store_lost_at: Mutex::default(),
+            store_recoveries: watch::Sender::new(None),
             store_era: watch::Sender::new(0),
             store_revision: watch::Sender::new(Revision::default()),
             store_revision_at: Mutex::new(Instant::now()),
--- a/crates/primrosehoist-daemon/src/gateway/pause.rs
+++ b/crates/primrosehoist-daemon/src/gateway/pause.rs
@@ -72,7 +72,7 @@
     loop {
         if context.pauses.is_outdated() {
             // Watches that were pending may have been lost.
-            context.store_recoveries.send_modify(|count| *count += 1);
+            context.store_recoveries.send_modify(|_outage| {});
             let refreshed = timeout(REFRESH_TIMEOUT, peer_sync::refresh(&context)).await;
             log::info!(refreshed = refreshed.is_ok(); "state refreshed after a pause");
             context.pauses.outdated.send_replace(false);
--- a/crates/primrosehoist-daemon/src/gateway/store_ping.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_ping.rs
@@ -11,6 +11,15 @@
 
 use super::context::Context;
 
+/// An outage of the store that is over.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Outage {
+    /// When the first ping without a response was sent.
+    pub(super) since: Instant,
+    /// The revision of the store when it responded again.
+    pub(super) revision: Revision,
+}
+
 /// The longest interval between pings of the store, before jitter. A change must take effect within a few
 /// seconds although the store has stopped to answer all daemons that follow it.
 const PING_INTERVAL_MAX: Duration = Duration::from_secs(1);
@@ -25,7 +34,6 @@
 /// store responds again after an outage, all watches are restarted, on new connections. While it does not
 /// respond, another daemon is assigned to follow it.
 pub(crate) async fn ping(context: Arc<Context>) {
-    let mut lost_at: Option<Instant> = None;
     let mut known_era = None;
     let mut interval = PING_INTERVAL_MAX;
     loop {
@@ -33,7 +41,13 @@
         sleep(backoff::shorten(interval, JITTER)).await;
         interval = PING_INTERVAL_MAX;
         let store = context.store.load_full();
-        let freshness = ping_freshness(&context);
+        let lost_at = *context.store_lost_at.lock();
+        let freshness = match lost_at {
+            // Entries that expired up to the return of the store count as missing.
+            Some(_) => Freshness::Latest,
+            None => ping_freshness(&context),
+        };
+        let sent = Instant::now();
         let revision = store.ping(upstream::EVACUATION_KIND, freshness).await;
         if let Ok(revision) = revision {
             context.record_revision(revision, freshness);
@@ -44,21 +58,22 @@
                 known_era = Some(era);
                 if is_restored {
                     log::info!(era; "store was restored; restarting watches");
-                    context.store_recoveries.send_modify(|count| *count += 1);
+                    context.store_recoveries.send_modify(|_outage| {});
                 }
             }
             (Err(_), Some(_)) => {}
-            (Ok(Revision { era, .. }), Some(since)) => {
-                known_era = Some(era);
+            (Ok(revision), Some(since)) => {
+                known_era = Some(revision.era);
                 let away_ms = since.elapsed().as_millis() as u64;
                 log::info!(away_ms; "store recovered; restarting watches");
-                lost_at = None;
+                *context.store_lost_at.lock() = None;
                 context.set_store_reachable(true);
-                context.store_recoveries.send_modify(|count| *count += 1);
+                let outage = Outage { since, revision };
+                context.store_recoveries.send_replace(Some(outage));
             }
             (Err(error), None) => {
                 log::warn!(error:%; "store ping failed");
-                lost_at = Some(Instant::now());
+                *context.store_lost_at.lock() = Some(sent);
                 context.set_store_reachable(false);
                 store.close_idle();
                 // Only the connection may have failed.
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -21,6 +21,7 @@
 use super::context::Context;
 use super::lookup;
 use super::rejections::Reason;
+use super::store_ping::Outage;
 use super::upstream_changes::{apply_change, confirm_removal};
 
 /// How long the store holds a watch without a change.
@@ -99,6 +100,8 @@
         feed,
         failures: 0,
         lost_at: None,
+        recovered_at: None,
+        may_have_lapsed: false,
         era: None,
         relist_at: None,
         lapse_horizon: Revision::default(),
@@ -130,6 +133,10 @@
     feed: Feed,
     failures: u32,
     lost_at: Option<Instant>,
+    /// When the store was last known to be back after an outage.
+    recovered_at: Option<Instant>,
+    /// Whether entries may have expired since the last list or change.
+    may_have_lapsed: bool,
     /// The era of the store when it was last listed.
     era: Option<u64>,
     /// When to list again what the store may have lost.
@@ -174,7 +181,11 @@
             None => Set::default(),
         };
         let failures = self.failures;
-        let gap = self.on_success(list.revision);
+        let may_have_lapsed = std::mem::take(&mut self.may_have_lapsed);
+        let gap = match self.on_success(list.revision) {
+            Gap::None if may_have_lapsed => Gap::Expired,
+            gap => gap,
+        };
         self.on_list(list.objects, &unknown, list.revision, gap);
         match list.cut {
             Some(cut) if broke_off => {
@@ -223,7 +234,11 @@
                     store.close_idle();
                     return;
                 }
-                Ok(()) = recoveries.changed() => continue,
+                Ok(()) = recoveries.changed() => {
+                    let outage = *recoveries.borrow_and_update();
+                    self.on_recovery(outage);
+                    continue;
+                }
                 () = wait_until(self.relist_at) => {
                     self.relist_at = None;
                     return;
@@ -231,6 +246,7 @@
             };
             match watched {
                 Ok((events, latest)) => {
+                    self.may_have_lapsed = false;
                     self.on_success(latest);
                     // Changes of which none is readable count, too.
                     let any = !events.is_empty() || latest > revision;
@@ -262,8 +278,13 @@
         let era = self.era.or(known.map(|known| known.era));
         let is_restored = era.is_some_and(|era| era < revision.era);
         let is_first = self.era.replace(revision.era).is_none();
-        let outage = self.lost_at.take().map(|lost_at| lost_at.elapsed());
+        // A response may be received before the next ping.
+        let lost_at = *self.context.store_lost_at.lock();
+        let lost_at = lost_at.filter(|lost_at| self.is_new_outage(*lost_at));
+        let lost_at = self.lost_at.take().or(lost_at);
+        let outage = lost_at.map(|lost_at| lost_at.elapsed());
         if let Some(outage) = outage {
+            self.recovered_at = Some(Instant::now());
             log::info!(kind = self.feed.kind(), away_ms = outage.as_millis() as u64; "store connection recovered");
         }
         let gap = if is_restored {
@@ -278,13 +299,30 @@
             Gap::None
         };
         if gap != Gap::None && self.feed == Feed::Upstreams {
-            self.lapse_horizon = revision;
+            self.lapse_horizon = self.lapse_horizon.max(revision);
             let mut roster = self.context.roster.lock();
             roster.platform_reconnected(Instant::now());
         }
         gap
     }
 
+    /// Records that an outage is over that pings noticed. A watch that waits does not notice it.
+    fn on_recovery(&mut self, outage: Option<Outage>) {
+        let Some(outage) = outage else {
+            return;
+        };
+        // The list of a store that was restored tells what it lacks.
+        if self.is_new_outage(outage.since) && self.era == Some(outage.revision.era) {
+            self.lost_at.get_or_insert(outage.since);
+            self.may_have_lapsed = self.on_success(outage.revision) != Gap::None;
+        }
+    }
+
+    /// Returns whether the store has not been back since `lost_at`.
+    fn is_new_outage(&self, lost_at: Instant) -> bool {
+        self.recovered_at.is_none_or(|at| at < lost_at)
+    }
+
     async fn on_error(&mut self, error: &Error) {
         if self.lost_at.is_none() {
             if self.feed == Feed::Upstreams {
--- a/crates/primrosehoist-tests/tests/store_flaps.rs
+++ b/crates/primrosehoist-tests/tests/store_flaps.rs
@@ -67,6 +67,19 @@
         .collect()
 }
 
+/// Has the store respond to no call, nor to the watches that wait.
+fn silence_store(deployment: &Deployment) {
+    deployment.set_store_faults(&json!({"mode": "none", "lose_watches": true}));
+    for index in 0..deployment.runners.len() {
+        let mut entry = deployment.entry(index, "ready");
+        entry["Sequence"] = json!(2);
+        deployment.put("servers", &deployment.runners[index].id, &entry);
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let faults = json!({"mode": "silent", "also_only": true, "lose_watches": true});
+    deployment.set_store_faults(&faults);
+}
+
 /// Has the entries expire in an outage; returns when both daemons have listed again.
 fn expire_in_outage(deployment: &Deployment) {
     lose_store(deployment);
@@ -101,3 +114,26 @@
     set_store(&deployment, "none");
     gives_up(&deployment);
 }
+
+#[test]
+fn upstreams_that_expired_while_the_store_was_silent_are_used_after_its_return() {
+    let deployment = Deployment::ready_with(2, |_| true);
+    silence_store(&deployment);
+    std::thread::sleep(Duration::from_secs(4));
+    expire_entries(&deployment);
+    std::thread::sleep(Duration::from_secs(1));
+    set_store(&deployment, "none");
+    serves_for(&deployment, Duration::from_millis(1500));
+    register_all(&deployment);
+    serves_for(&deployment, Duration::from_secs(4));
+}
+
+#[test]
+fn upstreams_that_expired_while_the_store_was_silent_are_given_up_in_the_end() {
+    let deployment = Deployment::ready_with(2, |_| true);
+    silence_store(&deployment);
+    std::thread::sleep(Duration::from_secs(4));
+    expire_entries(&deployment);
+    set_store(&deployment, "none");
+    gives_up(&deployment);
+}
