Remember what an upstream said of itself when its entry expires

Cause: what an upstream says of itself was part of its entry, and went with it.

Change: it is kept with the upstreams that left last, and holds for the same process: id, address, service and time of its start. Where the entry names no time of the start, another process may be meant, and nothing is kept.

Evidence: `what_an_upstream_says_of_itself_outlives_its_entry` fails with the former `roster` and passes.

--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -76,42 +76,55 @@
     updated: Instant,
     /// If the entry is missing, until when its upstream is used nevertheless.
     missing_until: Option<Instant>,
-    /// Whether the upstream has said in an answer that it is about to leave.
+    notices: Notices,
+}
+
+/// What an upstream has said of itself in its answers. It holds for the life of its process.
+#[derive(Debug, Clone, Default)]
+struct Notices {
+    /// Whether it is about to leave.
     leaving: bool,
-    /// Until when the upstream wants no requests from this daemon.
+    /// Until when it wants no requests from this daemon.
     deferred_until: Option<Instant>,
-    /// What is known of the limit that the upstream names in its answers.
+    /// What is known of the limit that it names.
     limit: Option<rate::Record>,
     /// When the next permit under the limit is expected to be valid.
     next_permit: Option<Instant>,
 }
 
+/// An upstream that has left.
+#[derive(Debug, Clone)]
+struct Departed {
+    upstream: Arc<Upstream>,
+    notices: Notices,
+}
+
 impl Entry {
     /// Returns whether requests may be sent to the upstream at `now`; `clock` is
     /// [`Roster::grace_clock`].
     fn is_usable(&self, now: Instant, clock: Instant) -> bool {
-        self.is_in_service(clock) && self.deferred_until.is_none_or(|until| until <= now)
+        self.is_in_service(clock) && self.notices.deferred_until.is_none_or(|until| until <= now)
     }
 
     /// Returns the time until the next permit if the upstream names a limit.
     fn permit_wait(&self, now: Instant) -> Option<Duration> {
-        let next = self.next_permit.unwrap_or(now);
+        let next = self.notices.next_permit.unwrap_or(now);
         self.limit().map(|_| next.saturating_duration_since(now))
     }
 
     /// Sets what is known of the limit; returns whether the limit has changed.
     fn set_limit(&mut self, record: Option<rate::Record>) -> bool {
         let before = self.limit();
-        self.limit = record;
+        self.notices.limit = record;
         let changed = self.limit() != before;
         if changed {
-            self.next_permit = None;
+            self.notices.next_permit = None;
         }
         changed
     }
 
     fn limit(&self) -> Option<rate::Limit> {
-        self.limit.and_then(|record| record.limit)
+        self.notices.limit.and_then(|record| record.limit)
     }
 
     fn report(&self, record: &rate::Record, now: Instant) -> rate::Report {
@@ -123,7 +136,7 @@
     /// [`Roster::grace_clock`].
     fn is_in_service(&self, clock: Instant) -> bool {
         self.upstream.phase == Phase::Ready
-            && !self.leaving
+            && !self.notices.leaving
             && self.missing_until.is_none_or(|until| clock < until)
     }
 }
@@ -138,7 +151,7 @@
     /// When zones returned to service.
     reinstated: Map<Arc<str>, Instant>,
     /// The upstreams that left last, the latest at the end.
-    departed: VecDeque<Arc<Upstream>>,
+    departed: VecDeque<Departed>,
     /// Until then, a missing entry does not prove that its upstream is gone.
     grace_until: Option<Instant>,
     /// Since when the platform is unreachable. Missing entries cannot return meanwhile, so that the times
@@ -176,7 +189,7 @@
         let has_left = |upstream: &Upstream| {
             let mut departed = self.departed.iter();
             !self.entries.contains_key(&upstream.id)
-                && departed.any(|departed| departed.is_same_process(upstream))
+                && departed.any(|departed| departed.upstream.is_same_process(upstream))
         };
         let upstreams = upstreams.into_iter().filter(|upstream| !has_left(upstream));
         let latest = upstreams.map(|upstream| {
@@ -240,22 +253,32 @@
             entry.missing_until = None;
             return;
         }
-        // What an upstream says of itself holds for the life of its process.
-        let known = self.entries.get(&id);
-        let known = known.filter(|known| known.upstream.is_same_process(&upstream));
+        let notices = self.notices(&upstream);
         self.by_key.insert(Key::from(id.as_ref()), Arc::clone(&id));
         let entry = Entry {
             upstream: Arc::new(upstream),
             updated: now,
             missing_until: None,
-            leaving: known.is_some_and(|known| known.leaving),
-            deferred_until: known.and_then(|known| known.deferred_until),
-            limit: known.and_then(|known| known.limit),
-            next_permit: known.and_then(|known| known.next_permit),
+            notices,
         };
         self.entries.insert(id, entry);
     }
 
+    /// Returns what the process that `upstream` describes has said of itself. Its entry may have expired
+    /// meanwhile.
+    fn notices(&self, upstream: &Upstream) -> Notices {
+        let known = self.entries.get(&upstream.id);
+        if let Some(known) = known.filter(|known| known.upstream.is_same_process(upstream)) {
+            return known.notices.clone();
+        }
+        // Without a start time, another process under the same id and address may be meant.
+        let is_same = |departed: &&Departed| {
+            upstream.started_ms.is_some() && departed.upstream.is_same_process(upstream)
+        };
+        let departed = self.departed.iter().rev().find(is_same);
+        departed.map_or_else(Notices::default, |departed| departed.notices.clone())
+    }
+
     /// Removes an entry that may have expired during an outage of the platform. During the grace
     /// period after a reconnect, the entry of a ready upstream is only marked as missing.
     pub fn remove(&mut self, id: &str, now: Instant) {
@@ -285,7 +308,10 @@
             if self.departed.len() == DEPARTED_MAX {
                 self.departed.pop_front();
             }
-            self.departed.push_back(entry.upstream);
+            let Entry {
+                upstream, notices, ..
+            } = entry;
+            self.departed.push_back(Departed { upstream, notices });
         }
     }
 
@@ -374,7 +400,7 @@
     pub fn mark_leaving(&mut self, upstream: &Upstream) -> bool {
         let entry = self.entries.get_mut(&upstream.id);
         let entry = entry.filter(|entry| entry.upstream.is_same_process(upstream));
-        entry.is_some_and(|entry| !std::mem::replace(&mut entry.leaving, true))
+        entry.is_some_and(|entry| !std::mem::replace(&mut entry.notices.leaving, true))
     }
 
     /// Records that another daemon reports processes that are about to leave. Returns the upstreams of
@@ -383,7 +409,7 @@
         let reported = report.iter().filter_map(|(key, started_ms)| {
             let entry = self.entries.get(self.by_key.get(key)?)?;
             let is_same = entry.upstream.started_ms.unwrap_or(0) == *started_ms;
-            (is_same && !entry.leaving).then(|| Arc::clone(&entry.upstream))
+            (is_same && !entry.notices.leaving).then(|| Arc::clone(&entry.upstream))
         });
         let news: Vec<_> = reported.collect();
         for upstream in &news {
@@ -395,7 +421,7 @@
     /// Returns the processes that are about to leave, each with its start time, to be reported to
     /// other daemons.
     pub fn leaving(&self) -> Vec<(Key, u64)> {
-        let leaving = self.entries.values().filter(|entry| entry.leaving);
+        let leaving = self.entries.values().filter(|entry| entry.notices.leaving);
         leaving
             .map(|entry| &entry.upstream)
             .map(|upstream| {
@@ -412,7 +438,7 @@
     pub fn defer(&mut self, upstream: &Upstream, until: Instant) {
         let entry = self.entries.get_mut(&upstream.id);
         if let Some(entry) = entry.filter(|entry| entry.upstream.is_same_process(upstream)) {
-            entry.deferred_until = entry.deferred_until.max(Some(until));
+            entry.notices.deferred_until = entry.notices.deferred_until.max(Some(until));
         }
     }
 
@@ -429,7 +455,12 @@
         let Some(entry) = entry.filter(|entry| entry.upstream.is_same_process(upstream)) else {
             return false;
         };
-        entry.set_limit(rate::Record::after_answer(entry.limit, notice, sent, now))
+        entry.set_limit(rate::Record::after_answer(
+            entry.notices.limit,
+            notice,
+            sent,
+            now,
+        ))
     }
 
     /// Records that another daemon reports the limits of upstreams. Returns the upstreams whose limits
@@ -444,7 +475,7 @@
             if entry.upstream.started_ms.unwrap_or(0) != report.started_ms {
                 continue;
             }
-            if entry.set_limit(rate::Record::after_report(entry.limit, report, now)) {
+            if entry.set_limit(rate::Record::after_report(entry.notices.limit, report, now)) {
                 changed.push(Arc::clone(&entry.upstream));
             }
         }
@@ -455,7 +486,10 @@
     pub fn recent_limits(&self, now: Instant) -> Vec<rate::Report> {
         let entries = self.entries.values();
         let reports = entries.filter_map(|entry| {
-            let record = entry.limit.filter(|record| record.is_reported(now))?;
+            let record = entry
+                .notices
+                .limit
+                .filter(|record| record.is_reported(now))?;
             Some(entry.report(&record, now))
         });
         reports.collect()
@@ -465,7 +499,10 @@
     /// or `None` if it has none.
     pub fn limit(&self, upstream: &Upstream, now: Instant) -> Option<rate::Report> {
         let entry = self.entries.get(&upstream.id)?;
-        let record = entry.limit.filter(|record| record.limit.is_some())?;
+        let record = entry
+            .notices
+            .limit
+            .filter(|record| record.limit.is_some())?;
         let is_same = entry.upstream.is_same_process(upstream);
         is_same.then(|| entry.report(&record, now))
     }
@@ -484,7 +521,7 @@
     pub fn expect_permit(&mut self, upstream: &Upstream, at: Instant) {
         let entry = self.entries.get_mut(&upstream.id);
         if let Some(entry) = entry.filter(|entry| entry.upstream.is_same_process(upstream)) {
-            entry.next_permit = Some(at);
+            entry.notices.next_permit = Some(at);
         }
     }
 
@@ -495,7 +532,7 @@
 
     /// Returns whether the upstream is to be avoided because it recently named a limit.
     pub fn is_limit_confirmed(&self, id: &str, now: Instant) -> bool {
-        let record = self.entries.get(id).and_then(|entry| entry.limit);
+        let record = self.entries.get(id).and_then(|entry| entry.notices.limit);
         record.is_some_and(|record| record.limit.is_some() && record.is_confirmed(now))
     }
 
@@ -525,7 +562,7 @@
     pub fn reopens_at(&self, service: &str, now: Instant) -> Option<Instant> {
         let entries = self.in_service(service, now);
         let reopens_at = entries
-            .map(|entry| entry.deferred_until.unwrap_or(now))
+            .map(|entry| entry.notices.deferred_until.unwrap_or(now))
             .min();
         reopens_at.filter(|at| now < *at)
     }
--- a/tests/roster_rules.rs
+++ b/tests/roster_rules.rs
@@ -265,6 +265,41 @@
     }
 }
 
+/// Guards against requests to an upstream that said that it leaves, or wants none for some time, after its
+/// entry was gone for a moment.
+#[test]
+fn what_an_upstream_says_of_itself_outlives_its_entry() {
+    let now = Instant::now();
+    let process = |id: &str, started_ms| Upstream {
+        started_ms,
+        ..upstream(id, "z")
+    };
+    let mut roster = Roster::default();
+    for (id, started_ms) in [("leaves", Some(1)), ("defers", Some(1)), ("unknown", None)] {
+        roster.upsert(process(id, started_ms), now);
+    }
+    assert!(roster.mark_leaving(&process("leaves", Some(1))));
+    assert!(roster.mark_leaving(&process("unknown", None)));
+    roster.defer(&process("defers", Some(1)), now + Duration::from_secs(9));
+    for _ in 0..2 {
+        for (id, started_ms) in [("leaves", Some(1)), ("defers", Some(1)), ("unknown", None)] {
+            roster.discard(id);
+            roster.upsert(process(id, started_ms), now);
+        }
+        assert_eq!(ids(&roster, now), ["unknown"]);
+    }
+    assert_eq!(
+        ids(&roster, now + Duration::from_secs(9)),
+        ["defers", "unknown"]
+    );
+    // Another process under the same id has said nothing.
+    for id in ["leaves", "defers"] {
+        roster.discard(id);
+        roster.upsert(process(id, Some(2)), now);
+    }
+    assert_eq!(ids(&roster, now), ["defers", "leaves", "unknown"]);
+}
+
 #[test]
 fn a_copy_of_the_list_neither_revives_an_upstream_that_left_nor_one_that_drains() {
     let now = Instant::now();
