Require a key if the list of workspaces is empty

Cause: a configuration with an empty list of workspaces was taken as one without a list. Only the latter needs no key.

Change: the routing table is given the list or none.

--- a/src/state/route.rs
+++ b/src/state/route.rs
@@ -142,7 +142,7 @@
 /// The result of an access check.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Access {
-    /// No key is needed: the route is open, or no workspaces are configured.
+    /// No key is needed: the route is open, or the configuration has no list of workspaces.
     Open,
     /// The key belongs to this workspace.
     Workspace(Arc<Workspace>),
@@ -168,12 +168,13 @@
 }
 
 impl Table {
-    /// Creates a routing table.
+    /// Creates a routing table. Without `workspaces`, no key is needed; with an empty list of them, no key
+    /// is valid.
     pub fn new(
         version: u64,
         routes: Vec<Route>,
         services: Vec<Service>,
-        workspaces: Vec<Workspace>,
+        workspaces: Option<Vec<Workspace>>,
         limits: Limits,
     ) -> Self {
         let mut hosts: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
@@ -185,10 +186,10 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let by_name = |service: Service| (Arc::clone(&service.name), Arc::new(service));
-        let requires_key = !workspaces.is_empty();
+        let requires_key = workspaces.is_some();
         let mut keys = HashMap::new();
         let mut by_workspace = HashMap::new();
-        for workspace in workspaces {
+        for workspace in workspaces.into_iter().flatten() {
             let workspace = Arc::new(workspace);
             for key in &workspace.keys {
                 keys.insert(Arc::clone(key), Arc::clone(&workspace));
--- a/tests/route_table.rs
+++ b/tests/route_table.rs
@@ -25,7 +25,7 @@
     }
 }
 
-fn table(routes: Vec<Route>, workspaces: Vec<Workspace>) -> Table {
+fn table(routes: Vec<Route>, workspaces: Option<Vec<Workspace>>) -> Table {
     let limits = Limits {
         header_bytes_max: 16_384,
         body_bytes_max: 1 << 20,
@@ -45,7 +45,7 @@
             route("port", "a.example:8080", "/port/"),
             route("address", "[::1]", "/x/"),
         ],
-        Vec::new(),
+        None,
     );
     let cases = [
         ("a.example", "/x/1", Some("short")),
@@ -78,7 +78,10 @@
         keys: vec![Arc::from("k1"), Arc::from("k2")],
         priority: Some(2),
     };
-    let table = table(vec![route("r", "a.example", "/")], vec![workspace.clone()]);
+    let table = table(
+        vec![route("r", "a.example", "/")],
+        Some(vec![workspace.clone()]),
+    );
     let closed = route("r", "a.example", "/");
     let open = Route {
         open: true,
@@ -112,7 +115,7 @@
     };
     let closed = route("r", "a.example", "/");
     let unusable = |keys: &[&str]| keys.iter().copied().map(Arc::from).collect::<Vec<_>>();
-    let table_with = table(vec![closed.clone()], vec![workspace]);
+    let table_with = table(vec![closed.clone()], Some(vec![workspace]));
     let table_with = table_with.with_unusable_workspace(unusable(&["k2", "k3"]));
     assert!(matches!(
         table_with.access(&closed, Some("k2")),
@@ -127,18 +130,30 @@
     };
     assert_eq!(table_with.access(&open, Some("k3")), Access::Open);
     // A workspace whose keys cannot be read makes routes require a key, too.
-    let table_without = table(vec![closed.clone()], Vec::new());
+    let table_without = table(vec![closed.clone()], None);
     let table_without = table_without.with_unusable_workspace(Vec::new());
     assert_eq!(table_without.access(&closed, None), Access::Unknown);
 }
 
 #[test]
 fn no_key_is_needed_without_workspaces() {
-    let table = table(vec![route("r", "a.example", "/")], Vec::new());
+    let table = table(vec![route("r", "a.example", "/")], None);
     let route = route("r", "a.example", "/");
     assert_eq!(table.access(&route, None), Access::Open);
 }
 
+#[test]
+fn no_key_is_valid_after_the_last_workspace_is_removed() {
+    let table = table(vec![route("r", "a.example", "/")], Some(Vec::new()));
+    let closed = route("r", "a.example", "/");
+    for key in [None, Some(""), Some("k1")] {
+        assert_eq!(table.access(&closed, key), Access::Unknown);
+    }
+    let mut open = closed;
+    open.open = true;
+    assert_eq!(table.access(&open, None), Access::Open);
+}
+
 #[test]
 fn requests_are_split_by_weight() {
     let mut split = route("r", "a.example", "/");
