Refuse requests to malformed routes

Cause: a malformed route was skipped, so that the table knew nothing of its prefix.

Requests to it get 503 before their key is checked, since it is unknown whether the route needs one.

Evidence: `requests_to_a_malformed_route_are_refused` fails with the former daemon (200 from the service of the shorter prefix) and passes.

--- a/crates/primrosehoist-daemon/src/gateway/ingress.rs
+++ b/crates/primrosehoist-daemon/src/gateway/ingress.rs
@@ -237,6 +237,13 @@
         }
         Box::new(plain(StatusCode::BAD_REQUEST, "a header is missing"))
     })?;
+    // Whether a malformed route needs a key is unknown, so that it refuses no key.
+    let Some(service) = admission::service(table, route, &request.id) else {
+        if let Some(unlogged) = context.reject(Reason::NoService) {
+            log::error!(route = route.name.as_ref(), version = table.version(), unlogged; "no service");
+        }
+        return Err(Box::new(refuse("no service", UNCONFIGURED_RETRY_S)));
+    };
     let workspace = match table.access(route, request.key.as_deref()) {
         Access::Open => None,
         Access::Workspace(workspace) => Some(workspace),
@@ -269,12 +276,6 @@
             return Err(Box::new(plain(StatusCode::UNAUTHORIZED, "unknown key")));
         }
     };
-    let Some(service) = admission::service(table, route, &request.id) else {
-        if let Some(unlogged) = context.reject(Reason::NoService) {
-            log::error!(route = route.name.as_ref(), version = table.version(), unlogged; "no service");
-        }
-        return Err(Box::new(refuse("no service", UNCONFIGURED_RETRY_S)));
-    };
     let timeout = request.timeout.unwrap_or(route.timeout).min(route.timeout);
     let id = request.id.clone();
     let admission = Admission {
--- a/crates/primrosehoist-tests/tests/odd_traffic.rs
+++ b/crates/primrosehoist-tests/tests/odd_traffic.rs
@@ -126,6 +126,30 @@
     }
 }
 
+/// Guards against requests to a malformed route that the service of a shorter prefix runs.
+#[test]
+fn requests_to_a_malformed_route_are_refused() {
+    let mut spec = configuration(1);
+    let mut longer = spec["Routes"][1].clone();
+    longer["PathPrefix"] = json!("/look/longer/");
+    longer["Service"] = json!({});
+    longer["Public"] = json!(true);
+    let routes = spec["Routes"].as_array_mut().expect("routes");
+    routes.push(longer);
+    let deployment = started(&spec);
+    for key in [KEY, "unknown", ""] {
+        let request = Request {
+            path: "/look/longer/1".to_owned(),
+            ..request(key)
+        };
+        let response = send(&deployment.daemons[0].ingress, &request);
+        assert_eq!(response.status, 503, "{key:?}");
+        assert_eq!(deployment.runs(&request.id), [], "{key:?}");
+    }
+    let response = send(&deployment.daemons[0].ingress, &request(KEY));
+    assert_eq!(response.status, 200, "{response:?}");
+}
+
 /// Guards against an upstream at the address of another one that runs its requests.
 #[test]
 fn upstreams_run_only_what_is_meant_for_them() {
