Answer requests whose bodies arrive while an idle daemon shuts down

Cause: requests without an answer are given up shortly before the end of a shutdown, but only by a loop that ran while requests were in progress. A request is in progress once its body is read. With none at 2.6 s after the signal, the loop ended at once, and what arrived later ended with the process.

Change: requests are given up at that time as long as any connection is open.

Evidence: `request_whose_body_arrives_during_a_shutdown_is_answered` fails with the former daemon (no response) and passes.

--- a/crates/primrosehoist-daemon/src/gateway/stopping.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stopping.rs
@@ -49,7 +49,7 @@
     context: &Context,
     cause: Cause,
     stop: &watch::Sender<bool>,
-    serving: JoinHandle<()>,
+    mut serving: JoinHandle<()>,
 ) -> Instant {
     context.announce_shutdown();
     let started = Instant::now();
@@ -70,14 +70,18 @@
     context.closing.store(true, Ordering::Release);
     let serving_hosts = context.serving_hosts();
     log::info!(in_progress = in_progress(), serving_hosts; "new requests are refused");
-    while Instant::now() < end && in_progress() > 0 {
+    let expires_at = end.checked_sub(EXPIRY_MARGIN).unwrap_or(end);
+    while Instant::now() < expires_at && in_progress() > 0 {
         sleep(SHUTDOWN_POLL_INTERVAL).await;
-        if Instant::now() + EXPIRY_MARGIN >= end && !context.expiring.send_replace(true) {
-            log::info!(in_progress = in_progress(); "requests without an answer are given up");
-        }
     }
     stop.send_replace(true);
-    let finished = serving.is_finished() || timeout_at(end, serving).await.is_ok();
+    // Requests whose bodies are still received are in progress only later.
+    let mut finished = timeout_at(expires_at, &mut serving).await.is_ok();
+    if !finished {
+        context.expiring.send_replace(true);
+        log::info!(in_progress = in_progress(); "requests without an answer are given up");
+        finished = timeout_at(end, serving).await.is_ok();
+    }
     log::info!(in_progress = in_progress(), finished; "shutdown finished");
     end
 }
--- a/crates/primrosehoist-tests/tests/gateway_restarts.rs
+++ b/crates/primrosehoist-tests/tests/gateway_restarts.rs
@@ -4,12 +4,14 @@
 mod common;
 
 use std::cmp::Reverse;
+use std::io::Write;
 use std::net::UdpSocket;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::platform::{
-    Deployment, KEY, Request, call, configuration, receive, send, start_request, wait_until,
+    Deployment, KEY, Request, call, configuration, connect, receive, send, start_request,
+    wait_until,
 };
 use primrosehoist::coordination::gossip::{Change, Datagram, Info, State, Update};
 use primrosehoist::coordination::{rendezvous, watchers};
@@ -312,3 +314,34 @@
         assert!(matches!(response.status, 502 | 504), "{response:?}");
     }
 }
+
+/// Guards against an idle daemon that ends without an answer to requests whose bodies arrive meanwhile.
+#[test]
+fn request_whose_body_arrives_during_a_shutdown_is_answered() {
+    let mut deployment = Deployment::ready(1);
+    let address = deployment.daemons[0].ingress.clone();
+    for index in 0..deployment.runners.len() {
+        deployment.set_fault(index, "hang", 2);
+    }
+    let process = deployment.daemons[0].process.as_mut();
+    process.expect("the process is running").terminate();
+    // The route's time limit of 6 s ends after the daemon, which has 8 s.
+    std::thread::sleep(Duration::from_millis(2300));
+    let mut connections = ["/order/1", "/ask/1"].map(|path| {
+        let bytes = Request::new("POST", path).bytes();
+        let mut connection = connect(&address);
+        let sent = connection.write_all(&bytes[..bytes.len() - 1]);
+        sent.expect("failed to send the request");
+        (connection, bytes)
+    });
+    std::thread::sleep(Duration::from_secs(1));
+    for (connection, bytes) in &mut connections {
+        let sent = connection.write_all(&bytes[bytes.len() - 1..]);
+        sent.expect("failed to send the rest of the request");
+    }
+    for (connection, _) in &mut connections {
+        let response = receive(connection);
+        assert!(response.complete, "{response:?}");
+        assert!(matches!(response.status, 502..=504), "{response:?}");
+    }
+}
