Leave room for a silent upstream before a stream is accepted late in a shutdown

Cause: the expected time of an answer has no room for a pause of its upstream. A call can still be refused then, but not a stream that has begun.

Change: a stream is accepted only if it ends in time although its upstream is silent for 1.5 s. Calls are accepted as before. The cost: in the last seconds of a shutdown in which no other host takes requests, streams are refused up to 1.5 s earlier.

`hosts_that_end_together_serve_what_ends_before_them` passes.

--- a/crates/primrosehoist-daemon/src/gateway/stopping.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stopping.rs
@@ -124,7 +124,12 @@
         let left = last.saturating_duration_since(now);
         let deadline_in = job.deadline.saturating_duration_since(now);
         let answer_time = answer_time(context, &job);
-        if !shutdown::ends_in_time(deadline_in, answer_time, left) {
+        // A stream that has begun cannot be refused any more.
+        let silence = match job.route.kind {
+            Kind::Stream => shutdown::SILENCE_MAX,
+            Kind::Idempotent | Kind::Once => Duration::ZERO,
+        };
+        if !shutdown::ends_in_time(deadline_in, answer_time, silence, left) {
             log::info!(
                 request = job.request.id.as_str(),
                 answer_ms = answer_time.as_millis() as u64,
--- a/src/coordination/shutdown.rs
+++ b/src/coordination/shutdown.rs
@@ -19,6 +19,9 @@
 /// wait in the queue and for load that is not known.
 const ANSWER_SHARE: f64 = 0.5;
 
+/// How long a sound upstream may fall silent and then go on.
+pub const SILENCE_MAX: Duration = Duration::from_millis(1500);
+
 /// The expected time of an answer that is not a stream, in latency targets.
 const CALL_TARGETS: u32 = 4;
 
@@ -81,9 +84,15 @@
 }
 
 /// Returns whether a request ends before a daemon that ends in `left`: by its deadline, or since its answer
-/// takes much less.
-pub fn ends_in_time(deadline_in: Duration, answer_time: Duration, left: Duration) -> bool {
-    deadline_in <= left || answer_time <= left.mul_f64(ANSWER_SHARE)
+/// takes much less, although its upstream is silent for the time `silence` meanwhile.
+pub fn ends_in_time(
+    deadline_in: Duration,
+    answer_time: Duration,
+    silence: Duration,
+    left: Duration,
+) -> bool {
+    let active = left.checked_sub(silence);
+    deadline_in <= left || active.is_some_and(|active| answer_time <= active.mul_f64(ANSWER_SHARE))
 }
 
 /// Returns the expected time of an answer that is not a stream.
--- a/tests/shutdown_rules.rs
+++ b/tests/shutdown_rules.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use primrosehoist::coordination::shutdown::{
-    ends_in_time, keeps_accepting, retry_after, stream_time,
+    SILENCE_MAX, ends_in_time, keeps_accepting, retry_after, stream_time,
 };
 use primrosehoist::state::engine::Engine;
 use primrosehoist::state::occupancy::Work;
@@ -32,10 +32,23 @@
 
 #[test]
 fn request_ends_in_time_by_its_deadline_or_with_half_of_the_time_to_spare() {
-    assert!(ends_in_time(ms(1000), Duration::MAX, ms(1000)));
-    assert!(ends_in_time(ms(9000), ms(500), ms(1000)));
-    assert!(!ends_in_time(ms(1001), ms(501), ms(1000)));
-    assert!(!ends_in_time(ms(1), ms(1), ms(0)));
+    let in_time = |deadline, answer, left| ends_in_time(deadline, answer, Duration::ZERO, left);
+    assert!(in_time(ms(1000), Duration::MAX, ms(1000)));
+    assert!(in_time(ms(9000), ms(500), ms(1000)));
+    assert!(!in_time(ms(1001), ms(501), ms(1000)));
+    assert!(!in_time(ms(1), ms(1), ms(0)));
+}
+
+/// Guards against a stream that is cut at the end of a daemon, since its upstream paused.
+#[test]
+fn stream_ends_in_time_although_its_upstream_is_silent_meanwhile() {
+    let in_time = |deadline, answer, left| ends_in_time(deadline, answer, SILENCE_MAX, left);
+    let left = SILENCE_MAX + ms(1000);
+    assert!(in_time(left, Duration::MAX, left));
+    assert!(in_time(ms(9000), ms(500), left));
+    assert!(!in_time(ms(9000), ms(501), left));
+    assert!(!in_time(ms(9000), ms(1), SILENCE_MAX));
+    assert!(!in_time(ms(9000), ms(1), ms(0)));
 }
 
 #[test]
