Wait until the busy upstream has the request in the test of explanations

What was seen: `a_request_goes_where_the_explanation_says_and_the_explanation_sends_nothing` failed in 1 of 1 runs of all tests on (beside builds), and in 0 of 30 runs of it alone: "nothing is sent", 1 instead of 0.

Cause: the test's own. It waits until the daemon counts the request that keeps an upstream busy, which it does when the request is placed. Until the upstream has it (first event after 19 ms in that run), the number of runs is 0, and then 1. The daemon's log of that run has one placement, that of this request, so that the explanation sent nothing.

Change: the test also waits until the upstream has the request. It then checks for exactly one run instead of an unchanged number.

--- a/crates/primrosehoist-tests/tests/explain.rs
+++ b/crates/primrosehoist-tests/tests/explain.rs
@@ -58,10 +58,11 @@
                 .sum()
         }
     };
-    let before = total();
+    // The daemon counts it before it has reached the upstream.
+    wait_until("it has begun", || total() == 1);
     let shown = explained(&deployment, "/ask/1");
     println!("{shown:#}");
-    assert_eq!(total(), before, "nothing is sent");
+    assert_eq!(total(), 1, "nothing is sent");
     assert_eq!(shown["route"], "ask");
     assert_eq!(shown["service"], "model");
     assert_eq!(shown["refused_on_arrival"], 0.0);
