Do not wait for a server that has ended when a daemon shuts down

What callers could have seen: requests in progress that are cut without an answer, if the server of the clients ends by itself.

Waiting for a task once more panics.

Change: the former check stands before the wait again.

--- a/crates/primrosehoist-daemon/src/gateway/stopping.rs
+++ b/crates/primrosehoist-daemon/src/gateway/stopping.rs
@@ -76,7 +76,7 @@
     }
     stop.send_replace(true);
     // Requests whose bodies are still received are in progress only later.
-    let mut finished = timeout_at(expires_at, &mut serving).await.is_ok();
+    let mut finished = serving.is_finished() || timeout_at(expires_at, &mut serving).await.is_ok();
     if !finished {
         context.expiring.send_replace(true);
         log::info!(in_progress = in_progress(); "requests without an answer are given up");
