Remember what an upstream says after its entry has expired

What callers could have seen: requests to an upstream that said `Server-Leaving: 1` in an answer that arrived after its entry had been removed, and whose entry a copy of the store brought back. Found by the review, by reading.

Cause: what an upstream says was recorded with its entry, and with none it was dropped.

Change: it is recorded with an upstream that has left, too.

Evidence: `what_an_upstream_says_after_its_entry_expired_is_remembered` passes; the former `mark_leaving` returned false there, by reading.

--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -99,6 +99,14 @@
     notices: Notices,
 }
 
+impl Departed {
+    /// Returns whether `other` describes the same process. Without a start time, it may be another one under
+    /// the same id and address.
+    fn is_certainly(&self, other: &Upstream) -> bool {
+        other.started_ms.is_some() && self.upstream.is_same_process(other)
+    }
+}
+
 impl Entry {
     /// Returns whether requests may be sent to the upstream at `now`; `clock` is
     /// [`Roster::grace_clock`].
@@ -271,14 +279,23 @@
         if let Some(known) = known.filter(|known| known.upstream.is_same_process(upstream)) {
             return known.notices.clone();
         }
-        // Without a start time, another process under the same id and address may be meant.
-        let is_same = |departed: &&Departed| {
-            upstream.started_ms.is_some() && departed.upstream.is_same_process(upstream)
-        };
-        let departed = self.departed.iter().rev().find(is_same);
+        let mut departed = self.departed.iter().rev();
+        let departed = departed.find(|departed| departed.is_certainly(upstream));
         departed.map_or_else(Notices::default, |departed| departed.notices.clone())
     }
 
+    /// Returns what the process that `upstream` describes has said of itself, to be changed, if the process
+    /// is known.
+    fn notices_mut(&mut self, upstream: &Upstream) -> Option<&mut Notices> {
+        let known = self.entries.get_mut(&upstream.id);
+        if let Some(known) = known.filter(|known| known.upstream.is_same_process(upstream)) {
+            return Some(&mut known.notices);
+        }
+        let mut departed = self.departed.iter_mut().rev();
+        let departed = departed.find(|departed| departed.is_certainly(upstream));
+        departed.map(|departed| &mut departed.notices)
+    }
+
     /// Removes an entry that may have expired during an outage of the platform. During the grace
     /// period after a reconnect, the entry of a ready upstream is only marked as missing.
     pub fn remove(&mut self, id: &str, now: Instant) {
@@ -398,9 +415,8 @@
     /// Records that the process that `upstream` describes is about to leave, so that it gets no more
     /// requests. Returns whether this is news.
     pub fn mark_leaving(&mut self, upstream: &Upstream) -> bool {
-        let entry = self.entries.get_mut(&upstream.id);
-        let entry = entry.filter(|entry| entry.upstream.is_same_process(upstream));
-        entry.is_some_and(|entry| !std::mem::replace(&mut entry.notices.leaving, true))
+        let notices = self.notices_mut(upstream);
+        notices.is_some_and(|notices| !std::mem::replace(&mut notices.leaving, true))
     }
 
     /// Records that another daemon reports processes that are about to leave. Returns the upstreams of
@@ -436,9 +452,8 @@
     /// Records that the process that `upstream` describes wants no requests from this daemon until the
     /// time `until`, or until a later one that is known.
     pub fn defer(&mut self, upstream: &Upstream, until: Instant) {
-        let entry = self.entries.get_mut(&upstream.id);
-        if let Some(entry) = entry.filter(|entry| entry.upstream.is_same_process(upstream)) {
-            entry.notices.deferred_until = entry.notices.deferred_until.max(Some(until));
+        if let Some(notices) = self.notices_mut(upstream) {
+            notices.deferred_until = notices.deferred_until.max(Some(until));
         }
     }
 
--- a/tests/roster_rules.rs
+++ b/tests/roster_rules.rs
@@ -300,6 +300,27 @@
     assert_eq!(ids(&roster, now), ["defers", "leaves", "unknown"]);
 }
 
+#[test]
+fn what_an_upstream_says_after_its_entry_expired_is_remembered() {
+    let now = Instant::now();
+    let process = |id: &str| Upstream {
+        started_ms: Some(1),
+        ..upstream(id, "z")
+    };
+    let mut roster = Roster::default();
+    for id in ["leaves", "defers"] {
+        roster.upsert(process(id), now);
+        roster.discard(id);
+    }
+    assert!(roster.mark_leaving(&process("leaves")));
+    roster.defer(&process("defers"), now + Duration::from_secs(9));
+    for id in ["leaves", "defers"] {
+        roster.upsert(process(id), now);
+    }
+    assert!(ids(&roster, now).is_empty());
+    assert_eq!(ids(&roster, now + Duration::from_secs(9)), ["defers"]);
+}
+
 #[test]
 fn a_copy_of_the_list_neither_revives_an_upstream_that_left_nor_one_that_drains() {
     let now = Instant::now();
