Count each outage of the store once, and none of it twice

Cause: an outage that pings noticed counted by its first ping alone. If the store responded between two pings and fell silent again, the follower had been back since, so that the longer rest did not count, and the store was taken for reachable. If the response to a watch and that to the ping came together, the record of the outage was gone before the follower read it. A daemon that was assigned to the store again later found an old record.

Change: an outage is from the first to the last ping without a response. A follower counts it from its own last recovery on if pings have failed since, for as long as upstreams may need to return. Each failed ping says that the store is unreachable. The record ends with the assignment. Pings that are rejected because of their rate begin no outage, since watches go on.

--- a/crates/primrosehoist-daemon/src/gateway/context.rs
+++ b/crates/primrosehoist-daemon/src/gateway/context.rs
@@ -44,7 +44,7 @@
 use super::rejections::{Reason, Rejections};
 use super::returns::Returns;
 use super::stopping::Stopping;
-use super::store_ping::Outage;
+use super::store_ping::{Outage, Silence};
 use super::takeover;
 use super::takeover::HANDOVERS_MAX;
 use crate::metrics::Metrics;
@@ -142,8 +142,8 @@
     follows_store: watch::Sender<bool>,
     /// Whether the store responds to this daemon.
     store_reachable: watch::Sender<bool>,
-    /// Since when the store has not responded to pings.
-    pub(crate) store_lost_at: Mutex<Option<Instant>>,
+    /// The time in which the store has not responded to pings, if it does not now.
+    pub(crate) store_silence: Mutex<Option<Silence>>,
     /// The last outage of the store that is over. Calls made before its end, or before another notice,
     /// may never get a response.
     pub(crate) store_recoveries: watch::Sender<Option<Outage>>,
@@ -223,7 +223,7 @@
             started_by_seeds: AtomicBool::new(false),
             follows_store: watch::Sender::new(true),
             store_reachable: watch::Sender::new(true),
-            store_lost_at: Mutex::default(),
+            store_silence: Mutex::default(),
             store_recoveries: watch::Sender::new(None),
             store_era: watch::Sender::new(0),
             store_revision: watch::Sender::new(Revision::default()),
--- a/crates/primrosehoist-daemon/src/gateway/store_ping.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_ping.rs
@@ -5,18 +5,29 @@
 
 use primrosehoist::coordination::backoff;
 use primrosehoist::state::versions::Revision;
+use primrosehoist::transport::platform::Error;
 use primrosehoist_platform::store::Freshness;
 use primrosehoist_platform::upstream;
 use tokio::time::{Instant, sleep};
 
 use super::context::Context;
 
+/// A time in which pings got no response.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Silence {
+    /// When the first of the pings was sent.
+    pub(super) since: Instant,
+    /// When the last one was sent.
+    pub(super) last: Instant,
+}
+
 /// An outage of the store that is over.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Outage {
-    /// When the first ping without a response was sent.
-    pub(super) since: Instant,
-    /// The revision of the store when it responded again.
+    pub(super) silence: Silence,
+    /// When the store responded again.
+    pub(super) ended_at: Instant,
+    /// The revision of the store in that response.
     pub(super) revision: Revision,
 }
 
@@ -37,12 +48,16 @@
     let mut known_era = None;
     let mut interval = PING_INTERVAL_MAX;
     loop {
-        context.wait_follows_store(true).await;
+        if !context.follows_store() {
+            // It is of no use to one that is assigned to follow the store later.
+            *context.store_silence.lock() = None;
+            context.wait_follows_store(true).await;
+        }
         sleep(backoff::shorten(interval, JITTER)).await;
         interval = PING_INTERVAL_MAX;
         let store = context.store.load_full();
-        let lost_at = *context.store_lost_at.lock();
-        let freshness = match lost_at {
+        let silence = *context.store_silence.lock();
+        let freshness = match silence {
             // Entries that expired up to the return of the store count as missing.
             Some(_) => Freshness::Latest,
             None => ping_freshness(&context),
@@ -52,7 +67,7 @@
         if let Ok(revision) = revision {
             context.record_revision(revision, freshness);
         }
-        match (revision, lost_at) {
+        match (revision, silence) {
             (Ok(Revision { era, .. }), None) => {
                 let is_restored = known_era.is_some_and(|known| known < era);
                 known_era = Some(era);
@@ -61,23 +76,33 @@
                     context.store_recoveries.send_modify(|_outage| {});
                 }
             }
-            (Err(_), Some(_)) => {}
-            (Ok(revision), Some(since)) => {
+            (Ok(revision), Some(silence)) => {
                 known_era = Some(revision.era);
-                let away_ms = since.elapsed().as_millis() as u64;
+                let away_ms = silence.since.elapsed().as_millis() as u64;
                 log::info!(away_ms; "store recovered; restarting watches");
-                *context.store_lost_at.lock() = None;
+                *context.store_silence.lock() = None;
                 context.set_store_reachable(true);
-                let outage = Outage { since, revision };
+                let outage = Outage {
+                    silence,
+                    ended_at: Instant::now(),
+                    revision,
+                };
                 context.store_recoveries.send_replace(Some(outage));
             }
-            (Err(error), None) => {
-                log::warn!(error:%; "store ping failed");
-                *context.store_lost_at.lock() = Some(sent);
+            (Err(error), silence) => {
+                let since = silence.map_or(sent, |silence| silence.since);
+                // A store that rejects calls goes on with the watches.
+                if silence.is_some() || !matches!(error, Error::RateLimited { .. }) {
+                    *context.store_silence.lock() = Some(Silence { since, last: sent });
+                }
+                // A follower may have had a response meanwhile.
                 context.set_store_reachable(false);
-                store.close_idle();
-                // Only the connection may have failed.
-                interval = Duration::ZERO;
+                if silence.is_none() {
+                    log::warn!(error:%; "store ping failed");
+                    store.close_idle();
+                    // Only the connection may have failed.
+                    interval = Duration::ZERO;
+                }
             }
         }
     }
--- a/crates/primrosehoist-daemon/src/gateway/store_sync.rs
+++ b/crates/primrosehoist-daemon/src/gateway/store_sync.rs
@@ -278,10 +278,8 @@
         let era = self.era.or(known.map(|known| known.era));
         let is_restored = era.is_some_and(|era| era < revision.era);
         let is_first = self.era.replace(revision.era).is_none();
-        // A response may be received before the next ping.
-        let lost_at = *self.context.store_lost_at.lock();
-        let lost_at = lost_at.filter(|lost_at| self.is_new_outage(*lost_at));
-        let lost_at = self.lost_at.take().or(lost_at);
+        let lost_at = self.lost_at.take().into_iter();
+        let lost_at = lost_at.chain(self.lost_by_pings()).min();
         let outage = lost_at.map(|lost_at| lost_at.elapsed());
         if let Some(outage) = outage {
             self.recovered_at = Some(Instant::now());
@@ -308,19 +306,29 @@
 
     /// Records that an outage is over that pings noticed. A watch that waits does not notice it.
     fn on_recovery(&mut self, outage: Option<Outage>) {
-        let Some(outage) = outage else {
+        let Some(lost_at) = self.lost_by_pings() else {
             return;
         };
         // The list of a store that was restored tells what it lacks.
-        if self.is_new_outage(outage.since) && self.era == Some(outage.revision.era) {
-            self.lost_at.get_or_insert(outage.since);
+        if let Some(outage) = outage.filter(|outage| self.era == Some(outage.revision.era)) {
+            self.lost_at.get_or_insert(lost_at);
             self.may_have_lapsed = self.on_success(outage.revision) != Gap::None;
         }
     }
 
-    /// Returns whether the store has not been back since `lost_at`.
-    fn is_new_outage(&self, lost_at: Instant) -> bool {
-        self.recovered_at.is_none_or(|at| at < lost_at)
+    /// Returns since when pings have got no response, now or until a moment ago, if this follower has had none
+    /// since then either.
+    fn lost_by_pings(&self) -> Option<Instant> {
+        let current = *self.context.store_silence.lock();
+        let last = *self.context.store_recoveries.borrow();
+        // Later, upstreams have had the time to return.
+        let last = last.filter(|outage| outage.ended_at.elapsed() < RECONNECT_GRACE);
+        let silence = current.or(last.map(|outage| outage.silence))?;
+        match self.recovered_at {
+            Some(at) if silence.last <= at => None,
+            Some(at) => Some(at.max(silence.since)),
+            None => Some(silence.since),
+        }
     }
 
     async fn on_error(&mut self, error: &Error) {
