--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -263,13 +263,28 @@
         }
         let notices = self.notices(&upstream);
         self.by_key.insert(Key::from(id.as_ref()), Arc::clone(&id));
+        let process = Arc::new(upstream);
         let entry = Entry {
-            upstream: Arc::new(upstream),
+            upstream: Arc::clone(&process),
             updated: now,
             missing_until: None,
             notices,
         };
-        self.entries.insert(id, entry);
+        let former = self.entries.insert(id, entry);
+        if let Some(former) = former.filter(|former| !former.upstream.is_same_process(&process)) {
+            self.remember(former);
+        }
+    }
+
+    /// Keeps what is known of an upstream that has left.
+    fn remember(&mut self, entry: Entry) {
+        let Entry {
+            upstream, notices, ..
+        } = entry;
+        if self.departed.len() == DEPARTED_MAX {
+            self.departed.pop_front();
+        }
+        self.departed.push_back(Departed { upstream, notices });
     }
 
     /// Returns what the process that `upstream` describes has said of itself. Its entry may have expired
@@ -322,13 +337,7 @@
     pub fn discard(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
             self.by_key.remove(&Key::from(id));
-            if self.departed.len() == DEPARTED_MAX {
-                self.departed.pop_front();
-            }
-            let Entry {
-                upstream, notices, ..
-            } = entry;
-            self.departed.push_back(Departed { upstream, notices });
+            self.remember(entry);
         }
     }
 
